Add the design page, the build and the test runner

Cause: empty repository. The design page fixes the modules, interfaces, state owners, messages and failure handling before the parts are built in parallel.

--- /dev/null
+++ b/src/common/assert-never.test.ts
@@ -0,0 +1,7 @@
+import tap from 'tap';
+import {assertNever} from './assert-never.js';
+
+// Guards against a variant that is silently ignored at run time.
+tap.test('assertNever throws', async (t) => {
+	t.throws(() => assertNever('left' as never), /unhandled variant: "left"/v);
+});
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,50 @@
+/** Rules that differ from XO's defaults; each has its reason in docs/design.md, "House style". */
+const config = [
+	{ignores: ['dist', 'typings']},
+	{
+		prettier: true,
+		semicolon: true,
+		rules: {
+			// The house style asks for namespace imports.
+			'unicorn/import-style': 'off',
+			// Customary short names of the field are allowed.
+			'unicorn/prevent-abbreviations': 'off',
+			'unicorn/name-replacements': 'off',
+			// PostgreSQL and metric names are quoted as their specifications spell them.
+			'@typescript-eslint/naming-convention': 'off',
+			// `null` is a value of the SQL and JSON interfaces.
+			'unicorn/no-null': 'off',
+			'@typescript-eslint/no-restricted-types': 'off',
+			// Branded ids are made by assertion.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// Sequence numbers, loops over buffers and state machines read better with them.
+			'no-bitwise': 'off',
+			'unicorn/no-array-for-each': 'off',
+			'unicorn/no-array-sort': 'off',
+			'unicorn/no-array-reverse': 'off',
+			// The length of a file or function is a matter of review.
+			'max-lines': 'off',
+			// Exhaustive switches end in `assertNever`.
+			'default-case': 'off',
+			complexity: ['error', 25],
+			'max-params': ['error', 6],
+			'no-await-in-loop': 'off',
+			'n/no-process-exit': 'off',
+			'unicorn/no-process-exit': 'off',
+		},
+	},
+	{
+		files: ['**/*.test.ts'],
+		rules: {
+			// `tap.test` returns a promise that the runner itself awaits.
+			'@typescript-eslint/no-floating-promises': 'off',
+			'max-params': 'off',
+		},
+	},
+	{
+		files: ['scripts/**'],
+		rules: {'no-console': 'off'},
+	},
+];
+
+export default config;
