Fix the shared types of reducers, messages and adapters

Cause: the parts are built in parallel and need one set of interfaces. The end of each response passes through the proxy reducer because an acknowledgement may leave only after the lease check; the rest of a large response bypasses it.

--- /dev/null
+++ b/src/common/membership/types.ts
@@ -0,0 +1,61 @@
+/**
+ * Messages and states of failure detection and dissemination between peers.
+ */
+import type * as ids from '../ids.js';
+import type * as types from '../types.js';
+
+export type PeerRole = 'proxy' | 'control';
+
+export type PeerCondition = 'alive' | 'suspect' | 'dead' | 'left';
+
+/** One peer as the group of peers sees it. A higher `incarnation` overrides any condition. */
+export type PeerState = {
+	readonly peer: ids.PeerId;
+	readonly role: PeerRole;
+	/** `ip:port` of its peer listener. */
+	readonly address: string;
+	readonly dataCentre: ids.DataCentre;
+	readonly incarnation: number;
+	readonly condition: PeerCondition;
+};
+
+/** A piece of news that is piggybacked on probes. */
+export type Delta =
+	| {readonly type: 'peer'; readonly state: PeerState}
+	| {
+			readonly type: 'announcement';
+			readonly announcement: types.VersionedAnnouncement;
+	  }
+	| {
+			/** A newer template exists; fetch it from the sender. */
+			readonly type: 'templateVersion';
+			readonly member: ids.MemberId;
+			readonly version: number;
+	  };
+
+export type MembershipMessage =
+	| {
+			readonly type: 'ping';
+			readonly sequence: number;
+			readonly deltas: readonly Delta[];
+	  }
+	| {
+			/** Ask the receiver to probe `target` on behalf of the sender. */
+			readonly type: 'pingRequest';
+			readonly sequence: number;
+			readonly target: ids.PeerId;
+			readonly deltas: readonly Delta[];
+	  }
+	| {
+			readonly type: 'ack';
+			readonly sequence: number;
+			/** The peer that answered. */
+			readonly target: ids.PeerId;
+			readonly deltas: readonly Delta[];
+	  }
+	| {
+			/** Full exchange after a start or a healed partition. */
+			readonly type: 'sync';
+			readonly reply: boolean;
+			readonly deltas: readonly Delta[];
+	  };
--- /dev/null
+++ b/src/common/messages.ts
@@ -0,0 +1,213 @@
+/**
+ * Messages between peers. Each is one cbor frame; the `type` field selects the variant. Fields are
+ * plain data so that any codec can carry them.
+ */
+import type * as ids from './ids.js';
+import type * as types from './types.js';
+import type * as proxy from './proxy/types.js';
+import type * as consensus from './consensus/types.js';
+import type * as membership from './membership/types.js';
+
+/** A request on its way from its entry to the owner of a server. */
+export type ForwardRequest = {
+	readonly type: 'forwardRequest';
+	readonly attempt: ids.AttemptId;
+	readonly session: ids.SessionId;
+	readonly member: ids.MemberId;
+	readonly group: ids.GroupId;
+	readonly server: ids.UpstreamId;
+	readonly rank: types.Rank;
+	readonly kind: proxy.RequestKind;
+	/** Remaining time when the message was sent, in ms. */
+	readonly deadlineMs: number;
+	/** The session floor; undefined when the owner of the primary shall read the current position. */
+	readonly floor?: types.Position;
+	readonly stalenessMs: number;
+	/** The session has a transaction or a pinned connection at this owner. */
+	readonly bound: boolean;
+	readonly key?: string;
+	readonly templateVersion: number;
+	readonly payload: proxy.RequestPayload;
+};
+
+/** The end of an attempt. */
+export type ForwardDone = {
+	readonly type: 'forwardDone';
+	readonly attempt: ids.AttemptId;
+	readonly verdict: types.Verdict;
+	readonly reason?: types.RefusalReason;
+	readonly message?: string;
+	/** The rest of the response when the verdict is `completed`. */
+	readonly tail?: Uint8Array;
+	readonly relayed: boolean;
+	readonly transactionStatus: proxy.TransactionStatus;
+	/** True when the session keeps its connection at this owner. */
+	readonly bound: boolean;
+	/** New floor of the session: the position of its commit, or that of the data it read. */
+	readonly position?: types.Position;
+	readonly queueMs: number;
+	/** Upper bound of the staleness of the data, in ms. */
+	readonly stalenessMs?: number;
+	readonly servedBy?: types.UpstreamRole;
+};
+
+/** State of one server as its owner knows it. */
+export type ServerReport = {
+	readonly server: ids.UpstreamId;
+	readonly group: ids.GroupId;
+	readonly role: types.UpstreamRole;
+	readonly term: number;
+	readonly applied: number;
+	/** Time since the answer of the last status poll, in ms. */
+	readonly answerAgeMs: number;
+	/** Upper bound of the staleness of its data, in ms; `Infinity` without evidence. */
+	readonly stalenessMs: number;
+	/** Estimated queueing time of a new request, per rank, in ms. */
+	readonly expectedWaitMs: Readonly<Record<types.Rank, number>>;
+	/** The owner holds a valid write lease for the server's group and term. */
+	readonly writable: boolean;
+};
+
+/** Health of an owned server in a lease renewal. */
+export type OwnedServer = {
+	readonly server: ids.UpstreamId;
+	readonly epoch: types.Epoch;
+	/** Term of the write lease that the owner claims to hold, if any. */
+	readonly writeTerm?: number;
+	/** Time since the last answer to a poll, in ms; undefined when it never answered. */
+	readonly answerAgeMs?: number;
+	readonly status?: types.UpstreamStatus;
+};
+
+/** One server that control granted to the proxy. */
+export type OwnershipGrant = {
+	readonly server: ids.UpstreamId;
+	readonly epoch: types.Epoch;
+	/** Set when the grant includes the write lease of the group for this term. */
+	readonly writeTerm?: number;
+};
+
+export type ControlMessage =
+	| {
+			/** Proxy to control leader, every 250 ms. */
+			readonly type: 'renewLease';
+			/** Echoed in the answer; the proxy keeps the send time by sequence. */
+			readonly sequence: number;
+			readonly dataCentre: ids.DataCentre;
+			readonly incarnation: number;
+			readonly draining: boolean;
+			readonly owned: readonly OwnedServer[];
+			/** Announcements that changed since the leader last confirmed them. */
+			readonly announcements: readonly types.VersionedAnnouncement[];
+			readonly templateVersions: ReadonlyArray<readonly [ids.MemberId, number]>;
+			/** Highest log index of group views and templates that the proxy has applied. */
+			readonly knownIndex: number;
+	  }
+	| {
+			readonly type: 'leaseGranted';
+			readonly sequence: number;
+			readonly durationMs: number;
+			/** Everything the proxy owns; a server that is missing is not owned any more. */
+			readonly owned: readonly OwnershipGrant[];
+			/** Group views that changed since `knownIndex`. */
+			readonly groups: readonly types.GroupView[];
+			/** Owners of servers that changed since the last grant to this proxy (all, on the first). */
+			readonly owners: ReadonlyArray<{
+				readonly server: ids.UpstreamId;
+				readonly owner: ids.PeerId | undefined;
+			}>;
+			/** Templates that are newer than the proxy's. */
+			readonly templates: readonly types.Template[];
+			/** Announcement versions that the leader has stored. */
+			readonly confirmed: ReadonlyArray<readonly [ids.UpstreamId, number]>;
+			readonly appliedIndex: number;
+	  }
+	| {
+			readonly type: 'revokeLease';
+			readonly server: ids.UpstreamId;
+			readonly epoch: types.Epoch;
+			readonly scope: 'write' | 'ownership';
+	  }
+	| {
+			readonly type: 'leaseReleased';
+			readonly server: ids.UpstreamId;
+			readonly epoch: types.Epoch;
+			readonly scope: 'write' | 'ownership';
+	  }
+	| {
+			readonly type: 'notLeader';
+			readonly sequence: number;
+			readonly leader: ids.PeerId | undefined;
+	  };
+
+export type TemplateMessage =
+	| {readonly type: 'templatePush'; readonly template: types.Template}
+	| {readonly type: 'templateFetch'; readonly member: ids.MemberId};
+
+export type OperatorMessage =
+	| {
+			readonly type: 'proposeChange';
+			readonly operation: number;
+			readonly change: types.TemplateChange;
+	  }
+	| {
+			readonly type: 'changeResult';
+			readonly operation: number;
+			readonly result: types.TemplateChangeResult;
+			/** Set when the receiver is not the leader. */
+			readonly leader?: ids.PeerId;
+	  };
+
+export type ForwardMessage =
+	| ForwardRequest
+	| ForwardDone
+	| {
+			/** Response bytes; handled by the adapters, never by the reducer. */
+			readonly type: 'forwardChunk';
+			readonly attempt: ids.AttemptId;
+			readonly data: Uint8Array;
+	  }
+	| {readonly type: 'forwardCancel'; readonly attempt: ids.AttemptId}
+	| {
+			/** The session ended: roll back and free what it holds. */
+			readonly type: 'forwardRelease';
+			readonly session: ids.SessionId;
+	  }
+	| {
+			/** Asks the owner of the primary for a floor for a new session. */
+			readonly type: 'floorRequest';
+			readonly sequence: number;
+			readonly group: ids.GroupId;
+			readonly server: ids.UpstreamId;
+	  }
+	| {
+			/** `position` is undefined when the owner holds no valid write lease. */
+			readonly type: 'floorAnswer';
+			readonly sequence: number;
+			readonly position?: types.Position;
+	  }
+	| {
+			readonly type: 'serverReports';
+			readonly reports: readonly ServerReport[];
+	  };
+
+/** Link frames, handled by the peer adapter. */
+export type LinkMessage =
+	| {
+			readonly type: 'hello';
+			readonly peer: ids.PeerId;
+			readonly role: 'proxy' | 'control';
+			readonly incarnation: number;
+			readonly protocol: number;
+	  }
+	| {readonly type: 'linkPing'; readonly sequence: number}
+	| {readonly type: 'linkPong'; readonly sequence: number};
+
+export type PeerMessage =
+	| ForwardMessage
+	| ControlMessage
+	| TemplateMessage
+	| OperatorMessage
+	| LinkMessage
+	| membership.MembershipMessage
+	| consensus.ConsensusMessage;
--- /dev/null
+++ b/src/common/policy/types.ts
@@ -0,0 +1,117 @@
+/**
+ * Interfaces of the decisions under load: admission to a server's slots, choice of a server,
+ * retries. All durations are in ms; `now` is monotonic.
+ */
+import type * as ids from '../ids.js';
+import type * as types from '../types.js';
+
+/** A request that waits for a slot of one server. */
+export type QueuedRequest<Item> = {
+	readonly member: ids.MemberId;
+	readonly rank: types.Rank;
+	readonly enqueuedAt: number;
+	/** Monotonic time after which an answer is useless. */
+	readonly deadlineAt: number;
+	readonly item: Item;
+};
+
+export type AdmissionResult =
+	| {readonly type: 'queued'}
+	| {readonly type: 'refused'; readonly reason: 'queueFull' | 'deadline'};
+
+/** Orders the work of one server. */
+export type AdmissionScheduler<Item> = {
+	/** Number of queued requests. */
+	readonly size: number;
+	/** Queues a request, or refuses it when it cannot finish in time or its queue is full. */
+	offer(request: QueuedRequest<Item>, now: number): AdmissionResult;
+	/** Takes the request that the next free slot shall run; undefined when none waits. */
+	take(now: number): QueuedRequest<Item> | undefined;
+	/** Reports the end of a request that was taken. `serviceMs` is the time that it held its slot. */
+	complete(request: QueuedRequest<Item>, serviceMs: number, now: number): void;
+	/** Removes requests whose deadline can no longer be met. */
+	expire(now: number): Array<QueuedRequest<Item>>;
+	/** Removes a queued request, for a cancel or a closed session. */
+	remove(item: Item): boolean;
+	/** Estimated time that a new request of the rank would wait. */
+	estimateWait(rank: types.Rank, now: number): number;
+};
+
+export type AdmissionOptions = {
+	/** Statements that the server executes at once. */
+	readonly slots: number;
+	/** Current parameters of a member; undefined for a member without template. */
+	readonly getParameters: (
+		member: ids.MemberId,
+	) => types.TemplateParameters | undefined;
+};
+
+/** A server that could serve a request. */
+export type RoutingCandidate = {
+	readonly server: ids.UpstreamId;
+	readonly role: types.UpstreamRole;
+	readonly dataCentre: ids.DataCentre;
+	readonly owner: ids.PeerId;
+	readonly applied: types.Position;
+	/** Upper bound of the staleness of its data now; `Infinity` without evidence. */
+	readonly stalenessMs: number;
+	/** Estimated queueing time for the rank of the request. */
+	readonly expectedWaitMs: number;
+	/** Measured network round trip from the entry to the owner. */
+	readonly roundTripMs: number;
+	readonly departing: boolean;
+	readonly writable: boolean;
+	/** Age of the newest report, in ms. */
+	readonly reportAgeMs: number;
+};
+
+export type RoutingRequest = {
+	readonly group: ids.GroupId;
+	readonly needsPrimary: boolean;
+	readonly rank: types.Rank;
+	readonly floor: types.Position;
+	readonly termStart: number;
+	readonly stalenessMs: number;
+	readonly dataCentre: ids.DataCentre;
+	readonly remainingMs: number;
+	/** Servers that already refused this request. */
+	readonly excluded: ReadonlySet<ids.UpstreamId>;
+};
+
+export type RoutingDecision =
+	| {readonly type: 'server'; readonly server: ids.UpstreamId}
+	| {
+			/** A replica will be fresh enough soon; decide again after `delayMs`. */
+			readonly type: 'wait';
+			readonly delayMs: number;
+	  }
+	| {
+			readonly type: 'refused';
+			readonly reason: 'tooStale' | 'noPrimary' | 'noServer' | 'deadline';
+	  };
+
+/** Chooses a server. `random` is uniform in [0, 1). */
+export type RoutingPolicy = {
+	chooseServer(
+		request: RoutingRequest,
+		candidates: readonly RoutingCandidate[],
+		now: number,
+		random: number,
+	): RoutingDecision;
+	/** Feeds outlier detection. A refusal by admission is not a failure. */
+	recordOutcome(
+		server: ids.UpstreamId,
+		outcome: 'success' | 'failure',
+		latencyMs: number,
+		now: number,
+	): void;
+};
+
+/** Limits retries and hedged requests to a share of the successes. */
+export type RetryBudget = {
+	recordSuccess(now: number): void;
+	/** Takes one retry from the budget; false when it is used up. */
+	trySpend(now: number): boolean;
+	/** Delay before the next retry, with jitter. `random` is uniform in [0, 1). */
+	computeDelay(retry: number, random: number): number;
+};
--- /dev/null
+++ b/src/common/proxy/types.ts
@@ -0,0 +1,332 @@
+/**
+ * Events and effects of the proxy reducer, and what its adapters exchange with it.
+ *
+ * Response bytes of large results do not pass through the reducer: the upstream adapter sends them
+ * straight to the sink named in `execute`. The end of each response (`tail`) does pass through it,
+ * because an acknowledgement may leave only after the reducer agrees.
+ */
+import type * as ids from '../ids.js';
+import type * as types from '../types.js';
+import type * as messages from '../messages.js';
+
+/**
+ * The class of a request, from its statement text. `write` is also the class of everything that is
+ * not known to be harmless. `sessionState` changes state of the connection outside a transaction
+ * (SET, LISTEN, CREATE TEMP, advisory locks) and pins the connection to the session.
+ */
+export type RequestKind =
+	| 'read'
+	| 'write'
+	| 'begin'
+	| 'beginReadOnly'
+	| 'commit'
+	| 'rollback'
+	| 'sessionState';
+
+/** The frames of one request: from the first frame up to and including Query or Sync. */
+export type RequestPayload = {
+	readonly frames: Uint8Array;
+	/** Named statements that the frames use; prepared first where the connection lacks them. */
+	readonly prepared?: ReadonlyArray<{
+		readonly name: string;
+		readonly parse: Uint8Array;
+	}>;
+};
+
+/** What a caller asked for with startup parameters, SET or a statement comment. */
+export type RequestAttributes = {
+	readonly rank?: types.Rank;
+	readonly stalenessMs?: number;
+	readonly deadlineMs?: number;
+	readonly repeatable?: boolean;
+	readonly key?: string;
+};
+
+/** Identity of a new session. */
+export type SessionAttributes = {
+	readonly member: ids.MemberId;
+	readonly group: ids.GroupId;
+	readonly token?: types.Position;
+};
+
+export type TransactionStatus = 'idle' | 'inTransaction' | 'failed';
+
+/** How an execution on a connection ended. */
+export type ExecutionOutcome =
+	| {
+			readonly type: 'answered';
+			/** Response bytes that were not sent to the sink yet, ReadyForQuery included. */
+			readonly tail: Uint8Array;
+			/** True when a part of the response already went to the sink. */
+			readonly relayed: boolean;
+			readonly transactionStatus: TransactionStatus;
+			/** SQLSTATE of the first ErrorResponse. */
+			readonly sqlState?: string;
+	  }
+	| {
+			/** `claim_key` answered 23505: the statement was not executed; the connection is idle. */
+			readonly type: 'keyUsed';
+	  }
+	| {
+			/** The connection is gone. `mayHaveRun` is false only when no byte was handed to the socket. */
+			readonly type: 'lost';
+			readonly mayHaveRun: boolean;
+			readonly relayed: boolean;
+	  };
+
+/** Where response bytes go. */
+export type Sink =
+	| {readonly type: 'session'; readonly attempt: ids.AttemptId}
+	| {
+			readonly type: 'peer';
+			readonly peer: ids.PeerId;
+			readonly attempt: ids.AttemptId;
+	  };
+
+/** Inputs of the proxy reducer. `now` is monotonic, in ms. */
+export type ProxyEvent =
+	| {
+			/** Sent every 10 ms. */
+			readonly type: 'tick';
+			readonly now: number;
+	  }
+	| {
+			readonly type: 'sessionOpened';
+			readonly now: number;
+			readonly session: ids.SessionId;
+			readonly attributes: SessionAttributes;
+	  }
+	| {
+			/** The caller changed its floor with SET hemlockarch.token. */
+			readonly type: 'tokenSet';
+			readonly now: number;
+			readonly session: ids.SessionId;
+			readonly token: types.Position;
+	  }
+	| {
+			readonly type: 'sessionClosed';
+			readonly now: number;
+			readonly session: ids.SessionId;
+	  }
+	| {
+			readonly type: 'requestArrived';
+			readonly now: number;
+			readonly session: ids.SessionId;
+			readonly request: ids.RequestId;
+			readonly kind: RequestKind;
+			readonly attributes: RequestAttributes;
+			readonly payload: RequestPayload;
+	  }
+	| {
+			/** The caller sent a PostgreSQL CancelRequest. */
+			readonly type: 'cancelRequested';
+			readonly now: number;
+			readonly session: ids.SessionId;
+	  }
+	| {
+			readonly type: 'peerMessage';
+			readonly now: number;
+			readonly from: ids.PeerId;
+			readonly message: messages.PeerMessage;
+	  }
+	| {
+			readonly type: 'peerLinkChanged';
+			readonly now: number;
+			readonly peer: ids.PeerId;
+			readonly up: boolean;
+	  }
+	| {
+			readonly type: 'connectionOpened';
+			readonly now: number;
+			readonly connection: ids.ConnectionId;
+	  }
+	| {
+			/** The connection is gone, or could not be opened. */
+			readonly type: 'connectionClosed';
+			readonly now: number;
+			readonly connection: ids.ConnectionId;
+			readonly message: string;
+	  }
+	| {
+			/** DISCARD ALL succeeded. */
+			readonly type: 'connectionReset';
+			readonly now: number;
+			readonly connection: ids.ConnectionId;
+	  }
+	| {
+			readonly type: 'executionFinished';
+			readonly now: number;
+			readonly connection: ids.ConnectionId;
+			readonly attempt: ids.AttemptId;
+			readonly outcome: ExecutionOutcome;
+	  }
+	| {
+			readonly type: 'pollAnswered';
+			readonly now: number;
+			readonly server: ids.UpstreamId;
+			/** The `now` at which the poll was sent. */
+			readonly sentAt: number;
+			readonly status: types.UpstreamStatus;
+	  }
+	| {
+			readonly type: 'pollFailed';
+			readonly now: number;
+			readonly server: ids.UpstreamId;
+			readonly sentAt: number;
+			readonly message: string;
+	  }
+	| {
+			readonly type: 'announcementReceived';
+			readonly now: number;
+			/** Wall clock, ms since the Unix epoch. */
+			readonly wallClock: number;
+			readonly announcement: types.Announcement;
+	  }
+	| {
+			readonly type: 'templateChangeRequested';
+			readonly now: number;
+			/** Chosen by the adapter to match the answer. */
+			readonly operation: number;
+			readonly change: types.TemplateChange;
+	  }
+	| {readonly type: 'drainRequested'; readonly now: number};
+
+/** Outputs of the proxy reducer, carried out by adapters in order. */
+export type ProxyEffect =
+	| {
+			/** Response bytes of `attempt` belong to `request` from now on. */
+			readonly type: 'startAttempt';
+			readonly session: ids.SessionId;
+			readonly request: ids.RequestId;
+			readonly attempt: ids.AttemptId;
+	  }
+	| {
+			/** Write the token as ParameterStatus, then the tail. */
+			readonly type: 'finishRequest';
+			readonly session: ids.SessionId;
+			readonly request: ids.RequestId;
+			readonly attempt: ids.AttemptId;
+			readonly tail: Uint8Array;
+			readonly token?: types.Position;
+	  }
+	| {
+			/** Write ErrorResponse with `sqlState`, then ReadyForQuery with the status. */
+			readonly type: 'refuseRequest';
+			readonly session: ids.SessionId;
+			readonly request: ids.RequestId;
+			readonly sqlState: string;
+			readonly message: string;
+			readonly transactionStatus: TransactionStatus;
+	  }
+	| {
+			/** Write a FATAL ErrorResponse and close the caller's connection. */
+			readonly type: 'closeSession';
+			readonly session: ids.SessionId;
+			readonly sqlState: string;
+			readonly message: string;
+	  }
+	| {
+			readonly type: 'openConnection';
+			readonly connection: ids.ConnectionId;
+			readonly server: ids.UpstreamId;
+			readonly address: string;
+			readonly epoch: types.Epoch;
+	  }
+	| {
+			readonly type: 'closeConnection';
+			readonly connection: ids.ConnectionId;
+	  }
+	| {
+			/** Run DISCARD ALL; answers with `connectionReset` or `connectionClosed`. */
+			readonly type: 'resetConnection';
+			readonly connection: ids.ConnectionId;
+	  }
+	| {
+			readonly type: 'execute';
+			readonly connection: ids.ConnectionId;
+			readonly attempt: ids.AttemptId;
+			readonly kind: RequestKind;
+			readonly payload: RequestPayload;
+			/** Run `claim_key` in the same transaction as the request. */
+			readonly claimKey?: string;
+			/** True when the connection is inside a transaction of the session. */
+			readonly inTransaction: boolean;
+			readonly sink: Sink;
+	  }
+	| {
+			readonly type: 'cancelExecution';
+			readonly connection: ids.ConnectionId;
+			readonly attempt: ids.AttemptId;
+	  }
+	| {
+			/**
+			 * Run `hemlockarch.status()` on a connection kept for polls, opening it when needed. The first
+			 * poll of an epoch runs `end_other_sessions` before it.
+			 */
+			readonly type: 'poll';
+			readonly server: ids.UpstreamId;
+			readonly address: string;
+			readonly epoch: types.Epoch;
+	  }
+	| {
+			/** Close the poll connection. */
+			readonly type: 'stopPolling';
+			readonly server: ids.UpstreamId;
+	  }
+	| {
+			readonly type: 'sendPeer';
+			readonly to: ids.PeerId;
+			readonly message: messages.PeerMessage;
+	  }
+	| {
+			readonly type: 'answerTemplateChange';
+			readonly operation: number;
+			readonly result: types.TemplateChangeResult;
+	  }
+	| {
+			/** What `GET /health` answers. */
+			readonly type: 'setHealth';
+			readonly ready: boolean;
+			readonly reason: string;
+	  }
+	| {
+			/** A finished or refused request, for histograms and counters. */
+			readonly type: 'recordRequest';
+			readonly record: RequestRecord;
+	  }
+	| {
+			/** Adds to a counter that is not bound to a member. */
+			readonly type: 'countEvent';
+			readonly name: CounterName;
+			readonly amount: number;
+	  }
+	| {readonly type: 'log'; readonly record: types.LogRecord}
+	| {
+			/** Draining is complete; the process may exit with 0. */
+			readonly type: 'drained';
+	  };
+
+/** Counters without member and rank. */
+export type CounterName =
+	| 'connectionsOpened'
+	| 'connectionsLost'
+	| 'ownershipGained'
+	| 'ownershipLost'
+	| 'retries'
+	| 'hedges'
+	| 'templateUpdates';
+
+/** The measured life of one request at its entry. Durations in ms. */
+export type RequestRecord = {
+	readonly member: ids.MemberId;
+	readonly rank: types.Rank;
+	readonly kind: RequestKind;
+	readonly verdict: types.Verdict;
+	readonly reason?: types.RefusalReason;
+	readonly latencyMs: number;
+	readonly queueMs: number;
+	/** Upper bound of the staleness of a read; undefined for writes. */
+	readonly stalenessMs?: number;
+	readonly servedBy?: types.UpstreamRole;
+	readonly onTime: boolean;
+};
