Add the driver of the proxy reducer

Cause: adapters and reducer need one place that turns reports into events and carries out effects. Events that arrive while effects are carried out are handled afterwards, so that effects keep their order. Not measured yet: no adapters in this commit.

--- /dev/null
+++ b/src/daemon/proxy-driver.ts
@@ -0,0 +1,288 @@
+/**
+ * Connects the proxy reducer to its adapters: turns what they report into events and carries out
+ * the effects in order.
+ */
+import {assertNever} from '../common/assert-never.js';
+import type * as ids from '../common/ids.js';
+import type * as messages from '../common/messages.js';
+import type * as reducer from '../common/proxy/reducer.js';
+import type * as proxy from '../common/proxy/types.js';
+import type * as types from '../common/types.js';
+import type * as node from '../node/types.js';
+
+const tickIntervalMs = 10;
+
+/** Receives what the reducer measured. */
+export type MetricsSink = {
+	recordRequest(record: proxy.RequestRecord): void;
+	countEvent(name: proxy.CounterName, amount: number): void;
+};
+
+export type ProxyAdapters = {
+	readonly callers: node.CallerAdapter;
+	readonly upstreams: node.UpstreamAdapter;
+	readonly peers: node.PeerLinks;
+	readonly clock: node.Clock;
+	readonly logger: node.Logger;
+	readonly metrics: MetricsSink;
+};
+
+export type Health = {readonly ready: boolean; readonly reason: string};
+
+type AttemptOwner = {
+	readonly request: ids.RequestId;
+	readonly attempts: ids.AttemptId[];
+	winner: ids.AttemptId | undefined;
+};
+
+export class ProxyDriver {
+	health: Health = {ready: false, reason: 'starting'};
+	/** A session has at most one request at a time. */
+	private readonly requests = new Map<ids.SessionId, AttemptOwner>();
+	private readonly attempts = new Map<ids.AttemptId, AttemptOwner>();
+	private readonly changes = new Map<
+		number,
+		(result: types.TemplateChangeResult) => void
+	>();
+
+	private nextOperation = 1;
+	private ticker: NodeJS.Timeout | undefined;
+	private adapters: ProxyAdapters | undefined;
+	private isCarryingOut = false;
+	private readonly queue: proxy.ProxyEvent[] = [];
+
+	/** @param onDrained - Called once when draining is complete. */
+	constructor(
+		private readonly reducer: reducer.ProxyReducer,
+		private readonly onDrained: () => void,
+	) {}
+
+	start(adapters: ProxyAdapters): void {
+		this.adapters = adapters;
+		this.carryOut(this.reducer.start(adapters.clock.now()));
+		this.ticker = setInterval(() => {
+			this.dispatch({type: 'tick', now: adapters.clock.now()});
+		}, tickIntervalMs);
+	}
+
+	/** Handles an event; events that adapters report meanwhile are handled after its effects. */
+	readonly dispatch = (event: proxy.ProxyEvent): void => {
+		this.queue.push(event);
+		if (this.isCarryingOut) {
+			return;
+		}
+
+		this.isCarryingOut = true;
+		try {
+			for (
+				let next = this.queue.shift();
+				next !== undefined;
+				next = this.queue.shift()
+			) {
+				this.carryOut(this.reducer.step(next));
+				if (next.type === 'sessionClosed') {
+					this.removeRequest(next.session);
+				}
+			}
+		} finally {
+			this.isCarryingOut = false;
+		}
+	};
+
+	/** Passes response bytes of an attempt to the caller, unless another attempt came first. */
+	readonly relay = (attempt: ids.AttemptId, data: Uint8Array): void => {
+		const owner = this.attempts.get(attempt);
+		if (!owner || !this.adapters) {
+			return;
+		}
+
+		if (owner.winner === undefined) {
+			owner.winner = attempt;
+			this.dispatch({
+				type: 'relayStarted',
+				now: this.adapters.clock.now(),
+				request: owner.request,
+				attempt,
+			});
+		}
+
+		if (owner.winner === attempt) {
+			this.adapters.callers.relay(attempt, data);
+		}
+	};
+
+	readonly handlePeerMessage = (
+		from: ids.PeerId,
+		message: messages.PeerMessage,
+	): void => {
+		if (message.type === 'forwardChunk') {
+			this.relay(message.attempt, message.data);
+		} else if (this.adapters) {
+			this.dispatch({
+				type: 'peerMessage',
+				now: this.adapters.clock.now(),
+				from,
+				message,
+			});
+		}
+	};
+
+	/** Resolves with the answer of control, or with `unavailable` after 5 s. */
+	async requestTemplateChange(
+		change: types.TemplateChange,
+	): Promise<types.TemplateChangeResult> {
+		const operation = this.nextOperation++;
+		return new Promise((resolve) => {
+			this.changes.set(operation, resolve);
+			this.dispatch({
+				type: 'templateChangeRequested',
+				now: this.adapters?.clock.now() ?? 0,
+				operation,
+				change,
+			});
+		});
+	}
+
+	stop(): void {
+		clearInterval(this.ticker);
+	}
+
+	private carryOut(effects: readonly proxy.ProxyEffect[]): void {
+		for (const effect of effects) {
+			if (this.adapters) {
+				this.carryOutOne(effect, this.adapters);
+			}
+		}
+	}
+
+	private carryOutOne(
+		effect: proxy.ProxyEffect,
+		adapters: ProxyAdapters,
+	): void {
+		switch (effect.type) {
+			case 'startAttempt': {
+				this.addAttempt(effect);
+				adapters.callers.handle(effect);
+				return;
+			}
+
+			case 'finishRequest':
+			case 'refuseRequest': {
+				this.removeRequest(effect.session);
+				adapters.callers.handle(effect);
+				return;
+			}
+
+			case 'closeSession': {
+				this.removeRequest(effect.session);
+				adapters.callers.handle(effect);
+				return;
+			}
+
+			case 'openConnection':
+			case 'closeConnection':
+			case 'resetConnection':
+			case 'execute':
+			case 'cancelExecution':
+			case 'stopPolling': {
+				adapters.upstreams.handle(effect);
+				return;
+			}
+
+			case 'poll': {
+				this.startPoll(effect, adapters);
+				return;
+			}
+
+			case 'sendPeer': {
+				adapters.peers.send(effect.to, effect.message);
+				return;
+			}
+
+			case 'connectPeer': {
+				adapters.peers.setAddress(effect.peer, effect.address);
+				return;
+			}
+
+			case 'disconnectPeer': {
+				adapters.peers.removePeer(effect.peer);
+				return;
+			}
+
+			case 'answerTemplateChange': {
+				this.changes.get(effect.operation)?.(effect.result);
+				this.changes.delete(effect.operation);
+				return;
+			}
+
+			case 'setHealth': {
+				this.health = {ready: effect.ready, reason: effect.reason};
+				return;
+			}
+
+			case 'recordRequest': {
+				adapters.metrics.recordRequest(effect.record);
+				return;
+			}
+
+			case 'countEvent': {
+				adapters.metrics.countEvent(effect.name, effect.amount);
+				return;
+			}
+
+			case 'log': {
+				adapters.logger.write(effect.record);
+				return;
+			}
+
+			case 'drained': {
+				this.onDrained();
+				return;
+			}
+
+			default: {
+				assertNever(effect);
+			}
+		}
+	}
+
+	private startPoll(
+		effect: Extract<proxy.ProxyEffect, {type: 'poll'}>,
+		adapters: ProxyAdapters,
+	): void {
+		if (effect.delayMs === 0) {
+			adapters.upstreams.handle(effect);
+			return;
+		}
+
+		setTimeout(() => {
+			adapters.upstreams.handle(effect);
+		}, effect.delayMs);
+	}
+
+	private addAttempt(
+		effect: Extract<proxy.ProxyEffect, {type: 'startAttempt'}>,
+	): void {
+		let owner = this.requests.get(effect.session);
+		if (owner?.request !== effect.request) {
+			this.removeRequest(effect.session);
+			owner = {request: effect.request, attempts: [], winner: undefined};
+			this.requests.set(effect.session, owner);
+		}
+
+		owner.attempts.push(effect.attempt);
+		this.attempts.set(effect.attempt, owner);
+	}
+
+	private removeRequest(session: ids.SessionId): void {
+		const owner = this.requests.get(session);
+		if (!owner) {
+			return;
+		}
+
+		this.requests.delete(session);
+		for (const attempt of owner.attempts) {
+			this.attempts.delete(attempt);
+		}
+	}
+}
