--- /dev/null
+++ b/src/common/policy/admission.ts
@@ -0,0 +1,297 @@
+/**
+ * Orders the work of one database server: urgent first, a floor of slot time for every rank, fair
+ * shares among the members of a rank, and refusal at once of what cannot finish by its deadline.
+ * An offer and a take cost O(log n) in the number of queued requests.
+ */
+import type * as ids from '../ids.js';
+import * as types from '../types.js';
+import type {
+	AdmissionOptions,
+	AdmissionResult,
+	AdmissionScheduler,
+	QueuedRequest,
+} from './types.js';
+import {DeadlineHeap} from './deadline-heap.js';
+import {
+	RankCredits,
+	getRankIndex,
+	rankIndexes,
+	type RankIndex,
+} from './rank-credits.js';
+import {RankQueue, type MemberFlow, type QueueNode} from './rank-queue.js';
+import {RankUsage} from './rank-usage.js';
+
+/** A member counts for the floors of a server this long after its last request. */
+const memberWorkMs = 10_000;
+
+/** Floors, weights and idle members are looked at again this often. */
+const refreshIntervalMs = 1000;
+
+/** For members without template, whose requests the proxy refuses before they come here. */
+const defaultPolicy = {floorPercent: 0, queueLimit: 100, weight: 1} as const;
+
+type RunningRequest<Item> = {
+	readonly flow: MemberFlow<Item>;
+	readonly chargedMs: number;
+	readonly lent: boolean;
+};
+
+/** The scheduler of one server. */
+export class ServerAdmissionScheduler<
+	Item,
+> implements AdmissionScheduler<Item> {
+	readonly #options: AdmissionOptions;
+	readonly #queues: readonly [
+		RankQueue<Item>,
+		RankQueue<Item>,
+		RankQueue<Item>,
+	] = [new RankQueue(), new RankQueue(), new RankQueue()];
+
+	readonly #credits: RankCredits;
+	readonly #usage: RankUsage;
+	readonly #deadlines = new DeadlineHeap<QueueNode<Item>>();
+	readonly #nodes = new Map<Item, QueueNode<Item>>();
+	readonly #running = new Map<QueuedRequest<Item>, RunningRequest<Item>>();
+	readonly #lastWork = new Map<ids.MemberId, number>();
+	readonly #floors: [number, number, number] = [0, 0, 0];
+	#expired: Array<QueuedRequest<Item>> = [];
+	#refreshedAt = -Infinity;
+
+	constructor(options: AdmissionOptions) {
+		this.#options = options;
+		this.#credits = new RankCredits(options.slots);
+		this.#usage = new RankUsage(options.slots);
+	}
+
+	get size(): number {
+		return this.#deadlines.size;
+	}
+
+	offer(request: QueuedRequest<Item>, now: number): AdmissionResult {
+		this.#updateMember(request.member, now);
+		const rank = getRankIndex(request.rank);
+		const policy =
+			this.#options.getParameters(request.member)?.ranks[request.rank] ??
+			defaultPolicy;
+		const queue = this.#queues[rank];
+		const flow = queue.getFlow(request.member, policy.weight, now);
+		if (flow.length >= policy.queueLimit) {
+			this.#expireQueued(now);
+			if (flow.length >= policy.queueLimit) {
+				return {type: 'refused', reason: 'queueFull'};
+			}
+		}
+
+		if (!this.#canFinish(rank, flow, request.deadlineAt, now)) {
+			return {type: 'refused', reason: 'deadline'};
+		}
+
+		const node = queue.add(flow, request);
+		this.#deadlines.add(node);
+		this.#nodes.set(request.item, node);
+		return {type: 'queued'};
+	}
+
+	take(now: number): QueuedRequest<Item> | undefined {
+		this.#updateFloors(now);
+		this.#credits.update(now);
+		this.#expireQueued(now);
+		const rank = this.#chooseRank();
+		if (rank === undefined) {
+			return undefined;
+		}
+
+		const queue = this.#queues[rank];
+		const node = queue.findNext()!;
+		const {flow, request} = node;
+		const chargedMs = flow.service.meanMs;
+		const lent = !this.#credits.isDue(rank);
+		this.#removeNode(node, rank);
+		queue.removeDeficit(flow, chargedMs);
+		this.#credits.removeCredit(rank, chargedMs, lent);
+		this.#usage.add(rank, chargedMs, now);
+		this.#running.set(request, {flow, chargedMs, lent});
+		return request;
+	}
+
+	complete(request: QueuedRequest<Item>, serviceMs: number, now: number): void {
+		const running = this.#running.get(request);
+		if (!running) {
+			return;
+		}
+
+		this.#running.delete(request);
+		const rank = getRankIndex(request.rank);
+		const queue = this.#queues[rank];
+		const difference = serviceMs - running.chargedMs;
+		queue.removeDeficit(running.flow, difference);
+		this.#credits.removeCredit(rank, difference, running.lent);
+		this.#usage.add(rank, difference, now);
+		running.flow.service.observe(serviceMs);
+		queue.service.observe(serviceMs);
+	}
+
+	expire(now: number): Array<QueuedRequest<Item>> {
+		this.#expireQueued(now);
+		const expired = this.#expired;
+		this.#expired = [];
+		return expired;
+	}
+
+	remove(item: Item): boolean {
+		const node = this.#nodes.get(item);
+		if (!node) {
+			return false;
+		}
+
+		this.#removeNode(node, getRankIndex(node.request.rank));
+		return true;
+	}
+
+	estimateWait(rank: types.Rank, now: number): number {
+		const index = getRankIndex(rank);
+		const queue = this.#queues[index];
+		return this.#estimateWaitForWork(
+			index,
+			queue.size * queue.service.meanMs,
+			now,
+		);
+	}
+
+	/** Urgent first among the ranks below their floor, then urgent first among all. */
+	#chooseRank(): RankIndex | undefined {
+		let first: RankIndex | undefined;
+		for (const rank of rankIndexes) {
+			if (this.#queues[rank].size === 0) {
+				continue;
+			}
+
+			if (this.#credits.isDue(rank)) {
+				return rank;
+			}
+
+			first ??= rank;
+		}
+
+		return first;
+	}
+
+	#canFinish(
+		rank: RankIndex,
+		flow: MemberFlow<Item>,
+		deadlineAt: number,
+		now: number,
+	): boolean {
+		if (deadlineAt <= now) {
+			return false;
+		}
+
+		// With a free slot only the run itself can tell how long the statement takes.
+		if (this.#running.size < this.#options.slots && this.size === 0) {
+			return true;
+		}
+
+		const queue = this.#queues[rank];
+		const weight = Math.max(queue.activeWeight, flow.weight);
+		const work = Math.min(
+			queue.size * queue.service.meanMs,
+			(flow.length * flow.service.meanMs * weight) / flow.weight,
+		);
+		const wait = this.#estimateWaitForWork(rank, work, now);
+		return now + wait + flow.service.highMs <= deadlineAt;
+	}
+
+	/** Estimates the wait behind `work` ms of slot time of the same rank. */
+	#estimateWaitForWork(rank: RankIndex, work: number, now: number): number {
+		if (this.#running.size < this.#options.slots && this.size === 0) {
+			return 0;
+		}
+
+		const {slots} = this.#options;
+		let ahead = work;
+		let share = 1;
+		for (const other of rankIndexes) {
+			if (other === rank) {
+				continue;
+			}
+
+			const queue = this.#queues[other];
+			const used = this.#usage.getShare(other, now);
+			if (other < rank) {
+				ahead += queue.size * queue.service.meanMs;
+				share -= used;
+			} else {
+				const floor = this.#credits.getShare(other);
+				share -= queue.size > 0 ? floor : Math.min(floor, used);
+			}
+		}
+
+		const queue = this.#queues[rank];
+		const residual = queue.service.meanMs / slots;
+		const floorRate = this.#credits.getShare(rank) * slots;
+		const behindOthers = ahead / Math.max(share * slots, Number.MIN_VALUE);
+		const withinFloor = work / Math.max(floorRate, Number.MIN_VALUE);
+		return residual + Math.min(behindOthers, withinFloor);
+	}
+
+	#expireQueued(now: number): void {
+		for (;;) {
+			const node = this.#deadlines.first;
+			if (!node || node.deadlineAt > now + node.flow.service.lowMs) {
+				return;
+			}
+
+			this.#removeNode(node, getRankIndex(node.request.rank));
+			this.#expired.push(node.request);
+		}
+	}
+
+	#removeNode(node: QueueNode<Item>, rank: RankIndex): void {
+		this.#queues[rank].remove(node);
+		this.#deadlines.remove(node);
+		this.#nodes.delete(node.request.item);
+	}
+
+	#updateMember(member: ids.MemberId, now: number): void {
+		const isNew = !this.#lastWork.has(member);
+		this.#lastWork.set(member, now);
+		if (isNew) {
+			this.#mergeFloors(member);
+			this.#credits.setFloors(this.#floors);
+		}
+
+		this.#updateFloors(now);
+	}
+
+	#mergeFloors(member: ids.MemberId): void {
+		const parameters = this.#options.getParameters(member);
+		for (const rank of rankIndexes) {
+			this.#floors[rank] = Math.max(
+				this.#floors[rank],
+				parameters?.ranks[types.ranks[rank]].floorPercent ?? 0,
+			);
+		}
+	}
+
+	#updateFloors(now: number): void {
+		if (now - this.#refreshedAt < refreshIntervalMs) {
+			return;
+		}
+
+		this.#refreshedAt = now;
+		this.#floors.fill(0);
+		for (const [member, lastWorkAt] of this.#lastWork) {
+			if (lastWorkAt < now - memberWorkMs) {
+				this.#lastWork.delete(member);
+				continue;
+			}
+
+			this.#mergeFloors(member);
+		}
+
+		this.#credits.setFloors(this.#floors);
+		for (const queue of this.#queues) {
+			queue.expireFlows(now - memberWorkMs);
+		}
+	}
+}
--- /dev/null
+++ b/src/common/policy/rank-queue.ts
@@ -0,0 +1,208 @@
+/**
+ * Queue of one rank at one server: deficit round robin among members by weight, where the cost of
+ * a request is the time that it holds its slot. The cost is estimated when a request is taken and
+ * corrected when it completes.
+ */
+import type * as ids from '../ids.js';
+import type {QueuedRequest} from './types.js';
+import {ServiceEstimate} from './service-estimate.js';
+
+/** A member pays for at most this many rounds of earlier service when it comes back. */
+const maxDebtRounds = 4;
+
+/** A queued request with its links in the queue of its member. */
+export type QueueNode<Item> = {
+	readonly request: QueuedRequest<Item>;
+	readonly deadlineAt: number;
+	readonly flow: MemberFlow<Item>;
+	heapIndex: number;
+	previous: QueueNode<Item> | undefined;
+	next: QueueNode<Item> | undefined;
+};
+
+/** The requests of one member within one rank, in arrival order. */
+export type MemberFlow<Item> = {
+	readonly member: ids.MemberId;
+	readonly service: ServiceEstimate;
+	head: QueueNode<Item> | undefined;
+	tail: QueueNode<Item> | undefined;
+	length: number;
+	weight: number;
+	/** Slot time in ms that the member may still use in this round. */
+	deficit: number;
+	/** True while the flow has a place in the round; an empty flow leaves it when visited. */
+	inRound: boolean;
+	nextInRound: MemberFlow<Item> | undefined;
+	lastWorkAt: number;
+};
+
+/** The queue of one rank. */
+export class RankQueue<Item> {
+	readonly service = new ServiceEstimate();
+	readonly #flows = new Map<ids.MemberId, MemberFlow<Item>>();
+	#firstInRound: MemberFlow<Item> | undefined;
+	#lastInRound: MemberFlow<Item> | undefined;
+	#size = 0;
+	#activeWeight = 0;
+	#minWeight = Infinity;
+
+	get size(): number {
+		return this.#size;
+	}
+
+	/** Sum of the weights of members that have queued requests. */
+	get activeWeight(): number {
+		return this.#activeWeight;
+	}
+
+	/** Finds the flow of a member, or makes one. */
+	getFlow(member: ids.MemberId, weight: number, now: number): MemberFlow<Item> {
+		let flow = this.#flows.get(member);
+		if (!flow) {
+			flow = {
+				member,
+				service: new ServiceEstimate(this.service.meanMs),
+				head: undefined,
+				tail: undefined,
+				length: 0,
+				weight,
+				deficit: 0,
+				inRound: false,
+				nextInRound: undefined,
+				lastWorkAt: now,
+			};
+			this.#flows.set(member, flow);
+		}
+
+		if (flow.weight !== weight) {
+			this.#activeWeight += flow.length > 0 ? weight - flow.weight : 0;
+			flow.weight = weight;
+		}
+
+		this.#minWeight = Math.min(this.#minWeight, flow.weight);
+		flow.lastWorkAt = now;
+		return flow;
+	}
+
+	/** Looks up the flow of a member without making one. */
+	findFlow(member: ids.MemberId): MemberFlow<Item> | undefined {
+		return this.#flows.get(member);
+	}
+
+	add(flow: MemberFlow<Item>, request: QueuedRequest<Item>): QueueNode<Item> {
+		const node: QueueNode<Item> = {
+			request,
+			deadlineAt: request.deadlineAt,
+			flow,
+			heapIndex: -1,
+			previous: flow.tail,
+			next: undefined,
+		};
+		if (flow.tail) {
+			flow.tail.next = node;
+		} else {
+			flow.head = node;
+			this.#activeWeight += flow.weight;
+		}
+
+		flow.tail = node;
+		flow.length++;
+		this.#size++;
+		if (!flow.inRound) {
+			flow.inRound = true;
+			this.#addToRound(flow);
+		}
+
+		return node;
+	}
+
+	remove(node: QueueNode<Item>): void {
+		const {flow} = node;
+		if (node.previous) {
+			node.previous.next = node.next;
+		} else {
+			flow.head = node.next;
+		}
+
+		if (node.next) {
+			node.next.previous = node.previous;
+		} else {
+			flow.tail = node.previous;
+		}
+
+		flow.length--;
+		this.#size--;
+		if (flow.length === 0) {
+			this.#activeWeight -= flow.weight;
+		}
+	}
+
+	/** Finds the request that is next in the round, without removing it. */
+	findNext(): QueueNode<Item> | undefined {
+		while (this.#firstInRound) {
+			const flow = this.#firstInRound;
+			if (flow.head && flow.deficit > 0) {
+				return flow.head;
+			}
+
+			this.#removeFirstFromRound();
+			if (flow.head) {
+				flow.deficit += this.#computeQuantum(flow);
+				this.#addToRound(flow);
+			} else {
+				flow.inRound = false;
+				flow.deficit = Math.min(flow.deficit, 0);
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Charges slot time to a member; a negative value gives back what was charged too much. */
+	removeDeficit(flow: MemberFlow<Item>, slotMs: number): void {
+		flow.deficit = Math.max(
+			flow.deficit - slotMs,
+			-maxDebtRounds * this.#computeQuantum(flow),
+		);
+	}
+
+	/** Drops members without work since `before` and adjusts the estimates. */
+	expireFlows(before: number): void {
+		this.service.resetIfUnused();
+		this.#minWeight = Infinity;
+		for (const flow of this.#flows.values()) {
+			if (flow.length === 0 && !flow.inRound && flow.lastWorkAt < before) {
+				this.#flows.delete(flow.member);
+				continue;
+			}
+
+			flow.service.resetIfUnused();
+			this.#minWeight = Math.min(this.#minWeight, flow.weight);
+		}
+	}
+
+	/** The lightest member gets one average statement per round, the others more by weight. */
+	#computeQuantum(flow: MemberFlow<Item>): number {
+		return (this.service.meanMs * flow.weight) / this.#minWeight;
+	}
+
+	#addToRound(flow: MemberFlow<Item>): void {
+		flow.nextInRound = undefined;
+		if (this.#lastInRound) {
+			this.#lastInRound.nextInRound = flow;
+		} else {
+			this.#firstInRound = flow;
+		}
+
+		this.#lastInRound = flow;
+	}
+
+	#removeFirstFromRound(): void {
+		const flow = this.#firstInRound!;
+		this.#firstInRound = flow.nextInRound;
+		flow.nextInRound = undefined;
+		if (!this.#firstInRound) {
+			this.#lastInRound = undefined;
+		}
+	}
+}
--- /dev/null
+++ b/src/common/policy/routing.ts
@@ -0,0 +1,225 @@
+/**
+ * Chooses the server of a request: the primary for writes, otherwise the eligible server with the
+ * least expected wait and round trip, the caller's data centre first. A read waits a short time
+ * for a replica that will be fresh soon instead of loading the primary.
+ */
+import type * as ids from '../ids.js';
+import * as position from '../position.js';
+import type {
+	RoutingCandidate,
+	RoutingDecision,
+	RoutingPolicy,
+	RoutingRequest,
+} from './types.js';
+import {FloorHistory} from './floor-history.js';
+import {OutlierDetector} from './outliers.js';
+
+/** Advantage of a server in the caller's data centre; below it, waits are noise of reports. */
+const localAdvantageMs = 5;
+
+/**
+ * Price of a read on the primary: its slots are the only ones that can run writes, so a replica is
+ * preferred while it costs less than this much more.
+ */
+const primaryReadPriceMs = 50;
+
+/** Longest time that a read waits for a replica in one piece; reports arrive every 100 ms. */
+const maxWaitStepMs = 20;
+const minWaitStepMs = 2;
+
+/** Share of the remaining time that a read may spend on waiting for a replica. */
+const maxWaitShare = 0.25;
+
+/** Longest total wait for a replica. */
+const maxFreshnessWaitMs = 50;
+
+/** A report older than this says nothing about the present wait. */
+const maxReportAgeMs = 1000;
+
+/** Tunable values of the routing policy, in ms. */
+export type RoutingOptions = {
+	readonly primaryReadPriceMs?: number;
+	readonly maxFreshnessWaitMs?: number;
+	readonly localAdvantageMs?: number;
+};
+
+type RatedCandidate = {
+	readonly candidate: RoutingCandidate;
+	readonly costMs: number;
+};
+
+/** The routing policy of one entry. */
+export class LeastWaitRoutingPolicy implements RoutingPolicy {
+	readonly #outliers = new OutlierDetector();
+	readonly #floors = new FloorHistory();
+	readonly #options: Required<RoutingOptions>;
+
+	constructor(options: RoutingOptions = {}) {
+		this.#options = {
+			primaryReadPriceMs,
+			maxFreshnessWaitMs,
+			localAdvantageMs,
+			...options,
+		};
+	}
+
+	chooseServer(
+		request: RoutingRequest,
+		candidates: readonly RoutingCandidate[],
+		now: number,
+		random: number,
+	): RoutingDecision {
+		if (request.remainingMs <= 0) {
+			return {type: 'refused', reason: 'deadline'};
+		}
+
+		return request.needsPrimary
+			? this.#choosePrimary(request, candidates)
+			: this.#chooseReader(request, candidates, now, random);
+	}
+
+	recordOutcome(
+		server: ids.UpstreamId,
+		outcome: 'success' | 'failure',
+		_latencyMs: number,
+		now: number,
+	): void {
+		this.#outliers.recordOutcome(server, outcome, now);
+	}
+
+	#choosePrimary(
+		request: RoutingRequest,
+		candidates: readonly RoutingCandidate[],
+	): RoutingDecision {
+		const primary = candidates.find(
+			(candidate) =>
+				candidate.writable &&
+				!candidate.departing &&
+				!request.excluded.has(candidate.server),
+		);
+		return primary
+			? {type: 'server', server: primary.server}
+			: {type: 'refused', reason: 'noPrimary'};
+	}
+
+	#chooseReader(
+		request: RoutingRequest,
+		candidates: readonly RoutingCandidate[],
+		now: number,
+		random: number,
+	): RoutingDecision {
+		const floorAgeMs = this.#floors.observe(request.group, request.floor, now);
+		const usable = candidates.filter(
+			(candidate) =>
+				!candidate.departing && !request.excluded.has(candidate.server),
+		);
+		if (usable.length === 0) {
+			return {type: 'refused', reason: 'noServer'};
+		}
+
+		const fresh = usable.filter((candidate) => isFresh(request, candidate));
+		const best = this.#findBest(request, fresh, now, random);
+		if (best?.candidate.role === 'replica') {
+			return {type: 'server', server: best.candidate.server};
+		}
+
+		const delayMs = this.#estimateFreshnessDelay(
+			request,
+			usable,
+			floorAgeMs,
+			now,
+		);
+		const limitMs = Math.min(
+			this.#options.maxFreshnessWaitMs,
+			request.remainingMs * maxWaitShare,
+			best?.costMs ?? Infinity,
+		);
+		if (delayMs <= limitMs) {
+			return {
+				type: 'wait',
+				delayMs: Math.min(maxWaitStepMs, Math.max(minWaitStepMs, delayMs)),
+			};
+		}
+
+		return best
+			? {type: 'server', server: best.candidate.server}
+			: {type: 'refused', reason: 'tooStale'};
+	}
+
+	/** Finds the cheapest candidate; ejected ones count only when no other is left. */
+	#findBest(
+		request: RoutingRequest,
+		candidates: readonly RoutingCandidate[],
+		now: number,
+		random: number,
+	): RatedCandidate | undefined {
+		const admitted = candidates.filter(
+			(candidate) =>
+				random < this.#outliers.computeShare(candidate.server, now),
+		);
+		const pool = admitted.length > 0 ? admitted : candidates;
+		const first = Math.floor(random * pool.length);
+		let best: RatedCandidate | undefined;
+		for (let index = 0; index < pool.length; index++) {
+			const candidate = pool[(first + index) % pool.length];
+			const costMs = this.#computeCost(request, candidate);
+			if (!best || costMs < best.costMs) {
+				best = {candidate, costMs};
+			}
+		}
+
+		return best;
+	}
+
+	#computeCost(request: RoutingRequest, candidate: RoutingCandidate): number {
+		const isLocal = candidate.dataCentre === request.dataCentre;
+		return (
+			candidate.expectedWaitMs +
+			candidate.roundTripMs +
+			(isLocal ? 0 : this.#options.localAdvantageMs) +
+			(candidate.role === 'primary' ? this.#options.primaryReadPriceMs : 0) +
+			(candidate.reportAgeMs > maxReportAgeMs ? candidate.reportAgeMs : 0)
+		);
+	}
+
+	/**
+	 * Time until a replica is expected to hold the session floor. A replica whose data are at most S
+	 * old holds everything that is older than S; what it lacks now arrives within S minus the age of
+	 * the floor.
+	 */
+	#estimateFreshnessDelay(
+		request: RoutingRequest,
+		usable: readonly RoutingCandidate[],
+		floorAgeMs: number,
+		now: number,
+	): number {
+		let delayMs = Infinity;
+		for (const candidate of usable) {
+			if (
+				candidate.role === 'replica' &&
+				candidate.applied.term >= request.floor.term &&
+				candidate.stalenessMs <= request.stalenessMs &&
+				this.#outliers.computeShare(candidate.server, now) > 0
+			) {
+				const missingMs = candidate.stalenessMs - floorAgeMs;
+				if (missingMs > 0) {
+					delayMs = Math.min(delayMs, missingMs);
+				}
+			}
+		}
+
+		return delayMs;
+	}
+}
+
+/** The primary with a valid write lease has no staleness by definition. */
+function isFresh(
+	request: RoutingRequest,
+	candidate: RoutingCandidate,
+): boolean {
+	const staleness = candidate.writable ? 0 : candidate.stalenessMs;
+	return (
+		(staleness <= request.stalenessMs || request.stalenessMs === Infinity) &&
+		position.isFloorReached(request.floor, candidate.applied, request.termStart)
+	);
+}
