Add the fields of joining peers to the consensus types

A peer whose disk was lost must not count by acknowledgements or votes until the leader has added it anew.

`joinReply` lets the initial voters of a new group find out that none of them has state, so that a replaced disk is not mistaken for a first start.

Ruled out: marking the learner in the leader's memory only, because a leader that dies between the removal and the return of the peer would leave the group one voter short for good.

--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -6,7 +6,17 @@
 /** A command, or the change of one voter, or the no-op that a new leader appends. */
 export type LogPayload<Command> =
 	| {readonly type: 'command'; readonly command: Command}
-	| {readonly type: 'voters'; readonly voters: readonly ids.PeerId[]}
+	| {
+			readonly type: 'voters';
+			readonly voters: readonly ids.PeerId[];
+			/** Peers that receive the log and are added as voters once they caught up. */
+			readonly learners?: readonly ids.PeerId[];
+			/** The learner that this entry makes a voter; names the process start when it had no state. */
+			readonly joined?: {
+				readonly peer: ids.PeerId;
+				readonly incarnation: number | undefined;
+			};
+	  }
 	| {readonly type: 'noop'};
 
 export type LogEntry<Command = unknown> = {
@@ -22,6 +32,7 @@
 	readonly index: number;
 	readonly term: number;
 	readonly voters: readonly ids.PeerId[];
+	readonly learners?: readonly ids.PeerId[];
 	readonly state: State;
 };
 
@@ -53,6 +64,8 @@
 			readonly commitIndex: number;
 			/** Counts the leader's rounds; the reply echoes it, so that the leader knows the send time. */
 			readonly round: number;
+			/** A peer without state accepts the message only when this is its own incarnation. */
+			readonly joining?: number;
 	  }
 	| {
 			readonly type: 'appendReply';
@@ -67,11 +80,21 @@
 			readonly term: number;
 			readonly snapshot: Snapshot;
 			readonly round: number;
+			/** A peer without state accepts the message only when this is its own incarnation. */
+			readonly joining?: number;
 	  }
 	| {
 			/** A control peer without state asks to be added as a voter. */
 			readonly type: 'joinRequest';
 			readonly incarnation: number;
+	  }
+	| {
+			/**
+			 * Answers a join request of that incarnation: the sender has no log entry and never voted.
+			 * A peer without state founds the group when every other initial voter says so.
+			 */
+			readonly type: 'joinReply';
+			readonly incarnation: number;
 	  };
 
 /** What is on disk at start. */
@@ -79,6 +102,8 @@
 	readonly hardState: HardState;
 	readonly snapshot: Snapshot<State> | undefined;
 	readonly entries: ReadonlyArray<LogEntry<Command>>;
+	/** The folder held a log before and does not any more; the peer must not found a new group. */
+	readonly isDataLost?: boolean;
 };
 
 /** One batch of writes, carried out in the order of the fields and synced as a whole. */
