Add the consensus reducer and its simulation

Messages that depend on a write wait in a queue until its `written` event; heartbeats are answered while entries are synced, so that a slow disk does not look like a lost peer.

The network and disk fake draws all faults from one seed and is generic in the message type, so that simulations of control can use it.

--- /dev/null
+++ b/src/common/consensus/consensus.test.ts
@@ -0,0 +1,109 @@
+import tap from 'tap';
+import type * as ids from '../ids.js';
+import type * as types from './types.js';
+import * as consensus from './consensus.js';
+import * as fakeNetwork from './fake-network.js';
+import * as simulation from './simulation.js';
+
+const [a, b, c] = ['a', 'b', 'c'] as ids.PeerId[];
+
+function makeGroup(...peers: ids.PeerId[]): simulation.Simulation {
+	return new simulation.Simulation({peers, seed: 1});
+}
+
+function makeVoter(): consensus.Consensus<string> {
+	return new consensus.Consensus<string>({
+		peer: a,
+		initialVoters: [a, b, c],
+		stored: {
+			...fakeNetwork.makeEmptyStoredLog(),
+			hardState: {term: 1, votedFor: undefined},
+		},
+		incarnation: 1,
+	});
+}
+
+function requestVote(now: number): types.ConsensusEvent<string> {
+	const message = {type: 'vote', term: 2, lastIndex: 0, lastTerm: 0} as const;
+	return {type: 'message', now, from: b, message};
+}
+
+// Guards against a group of one that waits for other voters.
+tap.test('single voter commits', async (t) => {
+	const group = makeGroup(a);
+	group.run(1500);
+	t.equal(group.leader?.id, a);
+	group.propose(group.leader!);
+	group.run(100);
+	t.equal(group.checks.appliedCount, 1);
+});
+
+// Guards against peers that do not agree on a leader or do not apply what it commits.
+tap.test('three voters replicate', async (t) => {
+	const group = makeGroup(a, b, c);
+	group.run(1500);
+	const {leader} = group;
+	t.ok(leader?.process?.isLeaderLeaseValid(group.readClock(leader)));
+	for (let count = 0; count < 200; count++) {
+		group.propose(leader!);
+	}
+
+	group.run(300);
+	t.equal(group.checks.appliedCount, 200);
+	t.same(
+		group.peers.map((peer) => peer.process?.leader),
+		group.peers.map(() => leader?.id),
+	);
+	t.same(
+		group.peers.map((peer) => peer.machine),
+		group.peers.map(() => leader?.machine),
+	);
+});
+
+// Guards against a leader behind a partition that goes on leading.
+tap.test('isolated leader steps down', async (t) => {
+	const group = makeGroup(a, b, c);
+	group.run(1500);
+	const old = group.leader!;
+	const others = group.peers.filter((peer) => peer !== old);
+	group.network.setPartition([[old.id], others.map((peer) => peer.id)]);
+	const lost = group.propose(old);
+	group.run(2000);
+	t.not(old.process?.role, 'leader');
+	t.ok(others.includes(group.leader!));
+	group.propose(group.leader!);
+	group.network.setPartition([]);
+	group.run(1000);
+	t.equal(group.checks.appliedCount, 1, 'the lost proposal is replaced');
+	t.equal(lost, 1);
+	t.equal(old.machine.index, group.leader?.machine.index);
+});
+
+// Guards against a vote that is sent although a crash may still undo it.
+tap.test('vote waits for its write', async (t) => {
+	const voter = makeVoter();
+	voter.step({type: 'tick', now: 0, random: 0.9});
+	const effects = voter.step(requestVote(400));
+	t.notOk(effects.some((effect) => effect.type === 'send'));
+	const write = effects.find((effect) => effect.type === 'write');
+	t.same(write?.data.hardState, {term: 2, votedFor: b});
+	const later = voter.step({type: 'written', now: 401, write: write!.write});
+	t.match(later, [{type: 'send', to: b, message: {granted: true}}]);
+});
+
+// Guards against a restarted voter that helps to replace a leader whose lease still runs.
+tap.test('voter refuses after start', async (t) => {
+	const voter = makeVoter();
+	voter.step({type: 'tick', now: 0, random: 0.9});
+	t.same(voter.step(requestVote(299)), []);
+	t.equal(voter.term, 1);
+});
+
+// Guards against an outcome that is reported as certain when it is not.
+tap.test('lost proposals tell the outcome', async (t) => {
+	const follower = makeVoter();
+	t.same(follower.step({type: 'propose', now: 0, proposal: 7, command: 'x'}), [
+		{type: 'proposalLost', proposal: 7, mayHaveRun: false},
+		{type: 'roleChanged', role: 'follower', term: 1, leader: undefined},
+	]);
+});
--- /dev/null
+++ b/src/common/consensus/fake-network.ts
@@ -0,0 +1,165 @@
+/**
+ * In-memory network and disk for simulations of control peers. All faults are drawn from one
+ * seeded generator, so that a run can be repeated. Time is the simulated time in ms.
+ */
+import * as uniformFloat from 'pure-rand/distribution/uniformFloat32';
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
+import type * as ids from '../ids.js';
+import type * as types from './types.js';
+
+/** Returns numbers in [0, 1). */
+export type Random = () => number;
+
+/** Creates a generator that returns the same numbers for the same seed. */
+export function makeRandom(seed: number): Random {
+	const generator = xoroshiro.xoroshiro128plus(seed);
+	return () => uniformFloat.uniformFloat32(generator);
+}
+
+/** How messages are disturbed; a delay differs per message, so it also reorders them. */
+export type NetworkFaults = {
+	/** Share of messages that are lost. */
+	lossRate: number;
+	/** Share of messages that arrive twice. */
+	duplicateRate: number;
+	minDelayMs: number;
+	maxDelayMs: number;
+};
+
+export type Delivery<Message> = {
+	readonly from: ids.PeerId;
+	readonly to: ids.PeerId;
+	readonly message: Message;
+	readonly at: number;
+};
+
+/** Messages on their way between peers. Messages are never copied; they must not be changed. */
+export class FakeNetwork<Message> {
+	faults: NetworkFaults = {
+		lossRate: 0,
+		duplicateRate: 0,
+		minDelayMs: 1,
+		maxDelayMs: 1,
+	};
+
+	readonly #random: Random;
+	#deliveries: Array<Delivery<Message>> = [];
+	#sides: ReadonlyArray<ReadonlySet<ids.PeerId>> = [];
+
+	constructor(random: Random) {
+		this.#random = random;
+	}
+
+	/** Cuts every connection between peers of different sides; an empty list heals all. */
+	setPartition(sides: ReadonlyArray<readonly ids.PeerId[]>): void {
+		this.#sides = sides.map((side) => new Set(side));
+	}
+
+	send(now: number, from: ids.PeerId, to: ids.PeerId, message: Message): void {
+		const {lossRate, duplicateRate, minDelayMs, maxDelayMs} = this.faults;
+		if (this.#random() < lossRate) {
+			return;
+		}
+
+		const copies = this.#random() < duplicateRate ? 2 : 1;
+		for (let copy = 0; copy < copies; copy++) {
+			const delayMs = minDelayMs + this.#random() * (maxDelayMs - minDelayMs);
+			this.#deliveries.push({from, to, message, at: now + delayMs});
+		}
+	}
+
+	/** Removes and returns the messages that arrive by now, in order of arrival. */
+	takeDue(now: number): Array<Delivery<Message>> {
+		const due = this.#deliveries.filter((delivery) => delivery.at <= now);
+		if (due.length > 0) {
+			this.#deliveries = this.#deliveries.filter(({at}) => at > now);
+		}
+
+		return due
+			.filter(({from, to}) => !this.#isCut(from, to))
+			.sort((left, right) => left.at - right.at);
+	}
+
+	#isCut(from: ids.PeerId, to: ids.PeerId): boolean {
+		return this.#sides.some((side) => side.has(from) !== side.has(to));
+	}
+}
+
+/** What is on disk before the first write. */
+export function makeEmptyStoredLog<Command>(): types.StoredLog<Command> {
+	return {
+		hardState: {term: 0, votedFor: undefined},
+		snapshot: undefined,
+		entries: [],
+	};
+}
+
+/** Carries out one write on the content of a disk. */
+export function applyWrite<Command>(
+	stored: types.StoredLog<Command>,
+	write: types.StorageWrite<Command>,
+): types.StoredLog<Command> {
+	const {hardState = stored.hardState, truncateFrom, append = []} = write;
+	const snapshot = write.snapshot ?? stored.snapshot;
+	const kept = stored.entries.filter(
+		({index}) =>
+			index > (snapshot?.index ?? 0) &&
+			index < (truncateFrom ?? Number.POSITIVE_INFINITY),
+	);
+	return {hardState, snapshot, entries: [...kept, ...append]};
+}
+
+/** The disk of one peer: writes are synced in order after a delay, and a crash loses the others. */
+export class FakeDisk<Command> {
+	/** Longest time of one write, in ms. */
+	maxDelayMs = 2;
+	readonly #random: Random;
+	#stored = makeEmptyStoredLog<Command>();
+	#pending: Array<{
+		readonly write: number;
+		readonly data: types.StorageWrite<Command>;
+		readonly at: number;
+	}> = [];
+
+	constructor(random: Random) {
+		this.#random = random;
+	}
+
+	write(now: number, write: number, data: types.StorageWrite<Command>): void {
+		const earliest = Math.max(now, this.#pending.at(-1)?.at ?? now);
+		const at = earliest + this.#random() * this.maxDelayMs;
+		this.#pending.push({write, data, at});
+	}
+
+	/** Syncs the writes that are done by now and returns their numbers. */
+	takeSynced(now: number): number[] {
+		const numbers: number[] = [];
+		while (this.#pending[0] && this.#pending[0].at <= now) {
+			const {write, data} = this.#pending.shift()!;
+			this.#stored = applyWrite(this.#stored, data);
+			numbers.push(write);
+		}
+
+		return numbers;
+	}
+
+	/** Ends the process: some of the unsynced writes, in order, may be on disk all the same. */
+	crash(): void {
+		const survivors = Math.floor(this.#random() * (this.#pending.length + 1));
+		for (const {data} of this.#pending.slice(0, survivors)) {
+			this.#stored = applyWrite(this.#stored, data);
+		}
+
+		this.#pending = [];
+	}
+
+	/** Loses everything, as when the disk of a VM is replaced. */
+	clear(): void {
+		this.#stored = makeEmptyStoredLog();
+		this.#pending = [];
+	}
+
+	load(): types.StoredLog<Command> {
+		return this.#stored;
+	}
+}
--- /dev/null
+++ b/src/common/consensus/log.ts
@@ -0,0 +1,169 @@
+/**
+ * The log of one control peer in memory: a snapshot, the entries after it and the voter
+ * configuration that follows from both.
+ */
+import type * as ids from '../ids.js';
+import type * as types from './types.js';
+import * as timing from './timing.js';
+
+/** The voters and the peers that are about to become voters. */
+export type Configuration = {
+	readonly voters: readonly ids.PeerId[];
+	readonly learners: readonly ids.PeerId[];
+};
+
+/** Snapshot and entries, with lookups by index. */
+export class Log<Command> {
+	#snapshot: types.Snapshot | undefined;
+	#entries: Array<types.LogEntry<Command>>;
+	readonly #initial: Configuration;
+	#configuration: Configuration;
+	readonly #sizes = new WeakMap<types.LogEntry<Command>, number>();
+
+	constructor(
+		stored: types.StoredLog<Command>,
+		initialVoters: readonly ids.PeerId[],
+	) {
+		this.#snapshot = stored.snapshot;
+		this.#entries = [...stored.entries];
+		this.#initial = {voters: initialVoters, learners: []};
+		this.#configuration = this.#findConfiguration(this.lastIndex);
+	}
+
+	get snapshot(): types.Snapshot | undefined {
+		return this.#snapshot;
+	}
+
+	/** Index of the last entry that the snapshot covers; 0 without a snapshot. */
+	get baseIndex(): number {
+		return this.#snapshot?.index ?? 0;
+	}
+
+	get lastIndex(): number {
+		return this.baseIndex + this.#entries.length;
+	}
+
+	get lastTerm(): number {
+		return this.#entries.at(-1)?.term ?? this.#snapshot?.term ?? 0;
+	}
+
+	/** The latest configuration in the log, committed or not. */
+	get configuration(): Configuration {
+		return this.#configuration;
+	}
+
+	/** Returns the term of an entry; undefined when it is cut off or not there yet. */
+	getTerm(index: number): number | undefined {
+		if (index === this.baseIndex) {
+			return this.#snapshot?.term ?? 0;
+		}
+
+		return this.getEntry(index)?.term;
+	}
+
+	getEntry(index: number): types.LogEntry<Command> | undefined {
+		return index > this.baseIndex
+			? this.#entries[index - this.baseIndex - 1]
+			: undefined;
+	}
+
+	/** Returns entries from `from` on, within the limits of one message. */
+	getBatch(from: number): Array<types.LogEntry<Command>> {
+		const batch: Array<types.LogEntry<Command>> = [];
+		let bytes = 0;
+		for (let index = from; index <= this.lastIndex; index++) {
+			const entry = this.getEntry(index)!;
+			bytes += this.#estimateSize(entry);
+			const isFull =
+				batch.length === timing.maxAppendEntries ||
+				bytes > timing.maxAppendBytes;
+			if (isFull && batch.length > 0) {
+				break;
+			}
+
+			batch.push(entry);
+		}
+
+		return batch;
+	}
+
+	/** Appends an entry whose index is one above the last. */
+	addEntry(entry: types.LogEntry<Command>): void {
+		this.#entries.push(entry);
+		if (entry.payload.type === 'voters') {
+			this.#configuration = readConfiguration(entry.payload);
+		}
+	}
+
+	/** Removes the entries from `from` on. */
+	removeFrom(from: number): void {
+		this.#entries.length = from - this.baseIndex - 1;
+		this.#configuration = this.#findConfiguration(this.lastIndex);
+	}
+
+	/** Replaces everything up to the snapshot; entries after it stay when they continue it. */
+	restore(snapshot: types.Snapshot): void {
+		const isContinued = this.getTerm(snapshot.index) === snapshot.term;
+		this.#entries = isContinued
+			? this.#entries.slice(snapshot.index - this.baseIndex)
+			: [];
+		this.#snapshot = snapshot;
+		this.#configuration = this.#findConfiguration(this.lastIndex);
+	}
+
+	/** Builds a snapshot at a committed index above the present one. */
+	makeSnapshot(index: number, state: unknown): types.Snapshot {
+		return {
+			index,
+			term: this.getTerm(index)!,
+			...this.#findConfiguration(index),
+			state,
+		};
+	}
+
+	/** Tells whether a log that ends there has everything that this one may have committed. */
+	isCoveredBy(lastIndex: number, lastTerm: number): boolean {
+		return (
+			lastTerm > this.lastTerm ||
+			(lastTerm === this.lastTerm && lastIndex >= this.lastIndex)
+		);
+	}
+
+	/** Tells whether the log still has the entry that made this process of the peer a voter. */
+	hasJoined(peer: ids.PeerId, incarnation: number): boolean {
+		return this.#entries.some(
+			({payload}) =>
+				payload.type === 'voters' &&
+				payload.joined?.peer === peer &&
+				payload.joined.incarnation === incarnation,
+		);
+	}
+
+	#findConfiguration(index: number): Configuration {
+		for (let at = index; at > this.baseIndex; at--) {
+			const {payload} = this.getEntry(at)!;
+			if (payload.type === 'voters') {
+				return readConfiguration(payload);
+			}
+		}
+
+		return this.#snapshot ? readConfiguration(this.#snapshot) : this.#initial;
+	}
+
+	#estimateSize(entry: types.LogEntry<Command>): number {
+		let size = this.#sizes.get(entry);
+		if (size === undefined) {
+			size = JSON.stringify(entry.payload).length;
+			this.#sizes.set(entry, size);
+		}
+
+		return size;
+	}
+}
+
+function readConfiguration(source: {
+	readonly voters: readonly ids.PeerId[];
+	readonly learners?: readonly ids.PeerId[];
+}): Configuration {
+	return {voters: source.voters, learners: source.learners ?? []};
+}
--- /dev/null
+++ b/src/common/consensus/replication.ts
@@ -0,0 +1,234 @@
+/**
+ * Replication by the leader: what to send to the other peers, the highest index to commit and
+ * the evidence that a majority still follows. One instance lives as long as one leadership.
+ */
+import type * as ids from '../ids.js';
+import type * as types from './types.js';
+import type * as log from './log.js';
+import * as progress from './progress.js';
+import * as timing from './timing.js';
+
+/** Sends a message at once. */
+export type Send = (to: ids.PeerId, message: types.ConsensusMessage) => void;
+
+/** Rounds whose send time is kept; answers to older ones are too old to matter. */
+const maxRounds = 4096;
+
+/** Replication state of one leadership. */
+export class Replication<Command> {
+	readonly #self: ids.PeerId;
+	readonly #term: number;
+	readonly #log: log.Log<Command>;
+	readonly #send: Send;
+	readonly #progress = new Map<ids.PeerId, progress.Progress>();
+	readonly #roundTimes = new Map<number, number>();
+	readonly #electedAt: number;
+	#round = 0;
+	#heartbeatAt: number;
+
+	constructor(
+		options: {
+			readonly self: ids.PeerId;
+			readonly term: number;
+			readonly log: log.Log<Command>;
+			readonly send: Send;
+		},
+		now: number,
+	) {
+		this.#self = options.self;
+		this.#term = options.term;
+		this.#log = options.log;
+		this.#send = options.send;
+		this.#electedAt = now;
+		this.#heartbeatAt = now;
+		this.updatePeers();
+	}
+
+	/** Follows a change of the configuration: starts and ends replication to peers. */
+	updatePeers(): void {
+		const {voters, learners} = this.#log.configuration;
+		const peers = new Set([...voters, ...learners]);
+		peers.delete(this.#self);
+		for (const peer of this.#progress.keys()) {
+			if (!peers.has(peer)) {
+				this.#progress.delete(peer);
+			}
+		}
+
+		for (const peer of peers) {
+			if (!this.#progress.has(peer)) {
+				this.resetPeer(peer);
+			}
+		}
+	}
+
+	/** Starts replication to a peer anew, for example because its disk was lost. */
+	resetPeer(peer: ids.PeerId, joining?: number): void {
+		const record = new progress.Progress(
+			this.#log.lastIndex + 1,
+			this.#round + 1,
+		);
+		record.joining = joining;
+		this.#progress.set(peer, record);
+	}
+
+	getProgress(peer: ids.PeerId): progress.Progress | undefined {
+		return this.#progress.get(peer);
+	}
+
+	/** Sends heartbeats when they are due. */
+	handleTick(now: number, commitIndex: number): void {
+		if (now - this.#heartbeatAt < timing.heartbeatMs) {
+			return;
+		}
+
+		this.#heartbeatAt = now;
+		this.#startRound(now);
+		for (const [peer, record] of this.#progress) {
+			record.expireInFlight(now);
+			if (record.isWaiting(now) || record.next > this.#log.lastIndex) {
+				this.#sendHeartbeat(peer, record, commitIndex);
+			} else {
+				this.#sendNext(peer, record, now, commitIndex);
+			}
+		}
+	}
+
+	/** Sends new entries to every peer that is not waiting for an answer. */
+	sendPending(now: number, commitIndex: number): void {
+		let isRoundStarted = false;
+		for (const [peer, record] of this.#progress) {
+			if (record.isWaiting(now) || record.next > this.#log.lastIndex) {
+				continue;
+			}
+
+			if (!isRoundStarted) {
+				this.#startRound(now);
+				isRoundStarted = true;
+			}
+
+			this.#sendNext(peer, record, now, commitIndex);
+		}
+	}
+
+	handleReply(
+		from: ids.PeerId,
+		reply: Extract<types.ConsensusMessage, {type: 'appendReply'}>,
+	): void {
+		const sentAt = this.#roundTimes.get(reply.round);
+		this.#progress.get(from)?.applyReply(reply, sentAt);
+	}
+
+	/** Computes the highest index that a majority of the voters has synced. */
+	computeCommitIndex(syncedIndex: number): number {
+		const matches = this.#log.configuration.voters.map((voter) =>
+			voter === this.#self
+				? syncedIndex
+				: (this.#progress.get(voter)?.match ?? 0),
+		);
+		return computeMajority(matches);
+	}
+
+	/** Tells whether a majority answered an append that was sent after `now - ageMs`. */
+	hasQuorumSince(now: number, ageMs: number): boolean {
+		return now - this.#computeQuorumSentAt(now) < ageMs;
+	}
+
+	/** Tells whether the leader must give up because a majority has been silent for too long. */
+	hasLostQuorum(now: number): boolean {
+		return (
+			now - Math.max(this.#electedAt, this.#computeQuorumSentAt(now)) >=
+			timing.quorumLossMs
+		);
+	}
+
+	#computeQuorumSentAt(now: number): number {
+		const times = this.#log.configuration.voters.map((voter) =>
+			voter === this.#self
+				? now
+				: (this.#progress.get(voter)?.answeredSentAt ??
+					Number.NEGATIVE_INFINITY),
+		);
+		return computeMajority(times);
+	}
+
+	#startRound(now: number): void {
+		this.#round++;
+		this.#roundTimes.set(this.#round, now);
+		this.#roundTimes.delete(this.#round - maxRounds);
+	}
+
+	/** Sends an append without entries at the last place where the peer's log is known to be equal. */
+	#sendHeartbeat(
+		peer: ids.PeerId,
+		record: progress.Progress,
+		commitIndex: number,
+	): void {
+		const isKnown = this.#log.getTerm(record.match) !== undefined;
+		const isProbing = record.match === 0 && !this.#needsSnapshot(record);
+		const previousIndex = isProbing
+			? record.next - 1
+			: isKnown
+				? record.match
+				: 0;
+		this.#sendAppend(peer, record, {previousIndex, entries: [], commitIndex});
+	}
+
+	#sendNext(
+		peer: ids.PeerId,
+		record: progress.Progress,
+		now: number,
+		commitIndex: number,
+	): void {
+		const {snapshot} = this.#log;
+		if (snapshot && this.#needsSnapshot(record)) {
+			this.#send(peer, {
+				type: 'installSnapshot',
+				term: this.#term,
+				snapshot,
+				round: this.#round,
+				...readMark(record),
+			});
+			record.recordSent(snapshot.index, this.#round, now);
+			return;
+		}
+
+		const entries = this.#log.getBatch(record.next);
+		const previousIndex = record.next - 1;
+		this.#sendAppend(peer, record, {previousIndex, entries, commitIndex});
+		record.recordSent(previousIndex + entries.length, this.#round, now);
+	}
+
+	#needsSnapshot(record: progress.Progress): boolean {
+		return record.next <= this.#log.baseIndex;
+	}
+
+	#sendAppend(
+		peer: ids.PeerId,
+		record: progress.Progress,
+		content: {
+			readonly previousIndex: number;
+			readonly entries: readonly types.LogEntry[];
+			readonly commitIndex: number;
+		},
+	): void {
+		this.#send(peer, {
+			type: 'append',
+			term: this.#term,
+			previousTerm: this.#log.getTerm(content.previousIndex) ?? 0,
+			round: this.#round,
+			...content,
+			...readMark(record),
+		});
+	}
+}
+
+function readMark(record: progress.Progress): {joining?: number} {
+	return record.joining === undefined ? {} : {joining: record.joining};
+}
+
+/** Returns the highest value that a majority of the list reaches. */
+function computeMajority(values: number[]): number {
+	const sorted = values.toSorted((left, right) => right - left);
+	return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
--- /dev/null
+++ b/src/common/consensus/safety-checks.ts
@@ -0,0 +1,163 @@
+/**
+ * The safety properties of the replicated log, checked while a simulation runs.
+ */
+import type * as ids from '../ids.js';
+import type * as types from './types.js';
+
+/** State of the simulated state machine: a digest of the applied sequence. */
+export type Machine = {
+	readonly index: number;
+	readonly digest: number;
+};
+
+export const initialMachine: Machine = {index: 0, digest: 0};
+
+type Peer = {
+	readonly id: ids.PeerId;
+	readonly machine: Machine;
+	readonly process: {readonly lastIndex: number} | undefined;
+};
+
+/** A safety property did not hold. */
+export class SafetyViolation extends Error {
+	override readonly name = 'SafetyViolation';
+}
+
+/** Remembers what was seen on all peers, and throws a `SafetyViolation` when it contradicts. */
+export class SafetyChecks {
+	/** Digest of the applied sequence up to each index. */
+	readonly #digests = new Map<number, number>([[0, 0]]);
+	readonly #leaders = new Map<number, ids.PeerId>();
+	readonly #applied = new Set<number>();
+	readonly #refused = new Set<number>();
+	#highestIndex = 0;
+
+	/** Number of distinct commands that were applied. */
+	get appliedCount(): number {
+		return this.#applied.size;
+	}
+
+	get highestIndex(): number {
+		return this.#highestIndex;
+	}
+
+	/** Applied sequences are prefixes of one another, without gaps. */
+	checkApplied(
+		peer: Peer,
+		effect: Extract<types.ConsensusEffect<number>, {type: 'applied'}>,
+		now: number,
+	): Machine {
+		const {entry, proposal} = effect;
+		if (entry.index !== peer.machine.index + 1) {
+			throw new SafetyViolation(
+				`${now}: ${peer.id} applied ${entry.index} after ${peer.machine.index}`,
+			);
+		}
+
+		const digest = computeDigest(peer.machine.digest, entry);
+		const known = this.#digests.get(entry.index);
+		if (known !== undefined && known !== digest) {
+			throw new SafetyViolation(
+				`${now}: ${peer.id} applied another entry at ${entry.index}`,
+			);
+		}
+
+		this.#digests.set(entry.index, digest);
+		this.#highestIndex = Math.max(this.#highestIndex, entry.index);
+		this.#recordCommand(entry, proposal, now);
+		return {index: entry.index, digest};
+	}
+
+	/** A snapshot holds the same sequence as the log. */
+	checkRestored(snapshot: types.Snapshot, now: number): Machine {
+		const machine = snapshot.state as Machine;
+		if (
+			machine.index !== snapshot.index ||
+			this.#digests.get(machine.index) !== machine.digest
+		) {
+			throw new SafetyViolation(`${now}: wrong snapshot at ${snapshot.index}`);
+		}
+
+		return machine;
+	}
+
+	/** A proposal that is reported as not run is never applied. */
+	checkLost(
+		effect: Extract<types.ConsensusEffect, {type: 'proposalLost'}>,
+		now: number,
+	): void {
+		if (!effect.mayHaveRun) {
+			this.#refused.add(effect.proposal);
+			if (this.#applied.has(effect.proposal)) {
+				throw new SafetyViolation(
+					`${now}: proposal ${effect.proposal} was applied but reported as not run`,
+				);
+			}
+		}
+	}
+
+	/** A term has one leader, and a new leader's log reaches the last committed entry. */
+	checkRole(
+		peer: Peer,
+		effect: Extract<types.ConsensusEffect, {type: 'roleChanged'}>,
+		now: number,
+	): void {
+		if (effect.role !== 'leader') {
+			return;
+		}
+
+		const known = this.#leaders.get(effect.term);
+		if (known !== undefined && known !== peer.id) {
+			throw new SafetyViolation(
+				`${now}: ${known} and ${peer.id} both lead term ${effect.term}`,
+			);
+		}
+
+		this.#leaders.set(effect.term, peer.id);
+		if (peer.process!.lastIndex < this.#highestIndex) {
+			throw new SafetyViolation(
+				`${now}: ${peer.id} leads term ${effect.term} without committed entries`,
+			);
+		}
+	}
+
+	/** At most one peer may act as leader. */
+	checkLeases(holders: readonly Peer[], now: number): void {
+		if (holders.length > 1) {
+			const names = holders.map(({id}) => id).join(' and ');
+			throw new SafetyViolation(`${now}: ${names} both hold a valid lease`);
+		}
+	}
+
+	#recordCommand(
+		{payload, index}: types.LogEntry<number>,
+		proposal: number | undefined,
+		now: number,
+	): void {
+		if (payload.type !== 'command') {
+			return;
+		}
+
+		const isWrong =
+			this.#refused.has(payload.command) ||
+			(proposal !== undefined && proposal !== payload.command);
+		if (isWrong) {
+			throw new SafetyViolation(
+				`${now}: entry ${index} was reported with a wrong outcome`,
+			);
+		}
+
+		this.#applied.add(payload.command);
+	}
+}
+
+/** Mixes an entry into a digest (FNV-1a over its text). */
+function computeDigest(previous: number, entry: types.LogEntry): number {
+	let digest = (previous ^ 0x81_1c_9d_c5) >>> 0;
+	const text = JSON.stringify([entry.index, entry.term, entry.payload]);
+	for (let at = 0; at < text.length; at++) {
+		digest = Math.imul(digest ^ text.codePointAt(at)!, 0x01_00_01_93) >>> 0;
+	}
+
+	return digest;
+}
--- /dev/null
+++ b/src/common/consensus/simulation.ts
@@ -0,0 +1,248 @@
+/**
+ * A group of consensus reducers over the fake network and disk. Each peer has its own clock; the
+ * simulation hands out events and checks the safety properties after every step.
+ */
+import type * as ids from '../ids.js';
+import {assertNever} from '../assert-never.js';
+import type * as types from './types.js';
+import * as consensus from './consensus.js';
+import * as fakeNetwork from './fake-network.js';
+import * as safetyChecks from './safety-checks.js';
+
+/** Commands are numbers that are proposed once each. */
+export type Command = number;
+
+/** Interval at which the simulation delivers messages and writes, in ms. */
+const stepMs = 2;
+
+/** Interval of ticks of one peer, in ms. */
+const tickMs = 10;
+
+/** One control peer and its disk. */
+export type SimulatedPeer = {
+	readonly id: ids.PeerId;
+	readonly disk: fakeNetwork.FakeDisk<Command>;
+	/** Undefined while the process is down. */
+	process: consensus.Consensus<Command> | undefined;
+	/** State of the replicated state machine. */
+	machine: safetyChecks.Machine;
+	/** Speed of the clock against simulated time. */
+	readonly clockRate: number;
+	readonly clockOffsetMs: number;
+	/** The process handles nothing until then. */
+	frozenUntil: number;
+	restartAt: number;
+	nextTickAt: number;
+};
+
+export type SimulationOptions = {
+	readonly peers: readonly ids.PeerId[];
+	/** Defaults to all peers. */
+	readonly initialVoters?: readonly ids.PeerId[];
+	readonly seed: number;
+	readonly faults?: consensus.FaultInjection;
+};
+
+/** Runs peers in simulated time. */
+export class Simulation {
+	readonly random: fakeNetwork.Random;
+	readonly network: fakeNetwork.FakeNetwork<types.ConsensusMessage>;
+	readonly peers: readonly SimulatedPeer[];
+	readonly checks = new safetyChecks.SafetyChecks();
+	now = 0;
+	readonly #options: SimulationOptions;
+	readonly #queued = new Map<
+		ids.PeerId,
+		Array<{from: ids.PeerId; message: types.ConsensusMessage}>
+	>();
+
+	#incarnation = 0;
+	#proposal = 0;
+
+	constructor(options: SimulationOptions) {
+		this.#options = options;
+		this.random = fakeNetwork.makeRandom(options.seed);
+		this.network = new fakeNetwork.FakeNetwork(this.random);
+		this.peers = options.peers.map((id) => this.#makePeer(id));
+		for (const peer of this.peers) {
+			this.start(peer);
+		}
+	}
+
+	/** The peer that leads in the highest term; undefined when none leads. */
+	get leader(): SimulatedPeer | undefined {
+		return this.peers
+			.filter((peer) => peer.process?.role === 'leader')
+			.sort((left, right) => right.process!.term - left.process!.term)[0];
+	}
+
+	/** Reads the clock of a peer. */
+	readClock(peer: SimulatedPeer): number {
+		return peer.clockOffsetMs + this.now * peer.clockRate;
+	}
+
+	/** Lets simulated time pass. */
+	run(durationMs: number, beforeStep?: () => void): void {
+		const end = this.now + durationMs;
+		while (this.now < end) {
+			this.now += stepMs;
+			beforeStep?.();
+			this.#runStep();
+		}
+	}
+
+	/** Hands an event to a running peer and carries out the effects. */
+	step(peer: SimulatedPeer, event: types.ConsensusEvent<Command>): void {
+		const effects = peer.process?.step(event) ?? [];
+		for (const effect of effects) {
+			this.#applyEffect(peer, effect);
+		}
+	}
+
+	/** Proposes a new command to a peer and returns it. */
+	propose(peer: SimulatedPeer): Command {
+		this.#proposal++;
+		const command = this.#proposal;
+		const now = this.readClock(peer);
+		this.step(peer, {type: 'propose', now, proposal: command, command});
+		return command;
+	}
+
+	changeVoters(peer: SimulatedPeer, voters: readonly ids.PeerId[]): void {
+		this.step(peer, {
+			type: 'changeVoters',
+			now: this.readClock(peer),
+			voters,
+		});
+	}
+
+	/** Replaces the log of a peer up to its last applied entry by a snapshot. */
+	storeSnapshot(peer: SimulatedPeer): void {
+		const {index} = peer.machine;
+		const now = this.readClock(peer);
+		this.step(peer, {type: 'compact', now, index, state: peer.machine});
+	}
+
+	/** Ends the process of a peer; it starts again after `downMs`. */
+	crash(peer: SimulatedPeer, downMs: number): void {
+		peer.process = undefined;
+		peer.disk.crash();
+		peer.restartAt = this.now + downMs;
+		this.#queued.delete(peer.id);
+	}
+
+	start(peer: SimulatedPeer): void {
+		this.#incarnation++;
+		peer.machine = safetyChecks.initialMachine;
+		peer.process = new consensus.Consensus<Command>({
+			peer: peer.id,
+			initialVoters: this.#options.initialVoters ?? this.#options.peers,
+			stored: peer.disk.load(),
+			incarnation: this.#incarnation,
+			faults: this.#options.faults,
+		});
+	}
+
+	#getPeer(id: ids.PeerId): SimulatedPeer | undefined {
+		return this.peers.find((peer) => peer.id === id);
+	}
+
+	#makePeer(id: ids.PeerId): SimulatedPeer {
+		return {
+			id,
+			disk: new fakeNetwork.FakeDisk(this.random),
+			process: undefined,
+			machine: safetyChecks.initialMachine,
+			// Two clocks differ by less than the drift bound of 1%.
+			clockRate: 0.996 + this.random() * 0.008,
+			clockOffsetMs: this.random() * 1000,
+			frozenUntil: 0,
+			restartAt: 0,
+			nextTickAt: this.random() * tickMs,
+		};
+	}
+
+	#runStep(): void {
+		for (const {from, to, message} of this.network.takeDue(this.now)) {
+			if (this.#getPeer(to)?.process) {
+				const queue = this.#queued.get(to) ?? [];
+				queue.push({from, message});
+				this.#queued.set(to, queue);
+			}
+		}
+
+		for (const peer of this.peers) {
+			if (!peer.process && peer.restartAt <= this.now) {
+				this.start(peer);
+			}
+
+			if (peer.process && peer.frozenUntil <= this.now) {
+				this.#runPeer(peer);
+			}
+		}
+
+		this.checks.checkLeases(
+			this.peers.filter((peer) =>
+				peer.process?.isLeaderLeaseValid(this.readClock(peer)),
+			),
+			this.now,
+		);
+	}
+
+	#runPeer(peer: SimulatedPeer): void {
+		const now = this.readClock(peer);
+		for (const write of peer.disk.takeSynced(this.now)) {
+			this.step(peer, {type: 'written', now, write});
+		}
+
+		const messages = this.#queued.get(peer.id) ?? [];
+		this.#queued.delete(peer.id);
+		for (const {from, message} of messages) {
+			this.step(peer, {type: 'message', now, from, message});
+		}
+
+		if (peer.nextTickAt <= this.now) {
+			peer.nextTickAt = this.now + tickMs;
+			this.step(peer, {type: 'tick', now, random: this.random()});
+		}
+	}
+
+	#applyEffect(
+		peer: SimulatedPeer,
+		effect: types.ConsensusEffect<Command>,
+	): void {
+		switch (effect.type) {
+			case 'send': {
+				this.network.send(this.now, peer.id, effect.to, effect.message);
+				return;
+			}
+
+			case 'write': {
+				peer.disk.write(this.now, effect.write, effect.data);
+				return;
+			}
+
+			case 'applied': {
+				peer.machine = this.checks.checkApplied(peer, effect, this.now);
+				return;
+			}
+
+			case 'restore': {
+				peer.machine = this.checks.checkRestored(effect.snapshot, this.now);
+				return;
+			}
+
+			case 'proposalLost': {
+				this.checks.checkLost(effect, this.now);
+				return;
+			}
+
+			case 'roleChanged': {
+				this.checks.checkRole(peer, effect, this.now);
+				return;
+			}
+		}
+
+		assertNever(effect);
+	}
+}
