Add the write term to revocations and a version to the owners list

Cause: `revokeLease` with scope `write` names an epoch only. The same epoch can hold write leases of two terms (a server promoted again keeps its owner), so a late `leaseReleased` of the first term would end the wait for the second one. The owners in `leaseGranted` were relative to "the last grant", which a lost message breaks. The grant now names the state (`ownersVersion`) and the proxy returns it in `knownOwners`; without it the leader sends all owners. All fields are optional, so other parts compile unchanged.

--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -102,6 +102,8 @@
 			readonly templateVersions: ReadonlyArray<readonly [ids.MemberId, number]>;
 			/** Highest log index of group views and templates that the proxy has applied. */
 			readonly knownIndex: number;
+			/** `ownersVersion` of the last grant that the proxy applied. */
+			readonly knownOwners?: types.Epoch;
 	  }
 	| {
 			readonly type: 'leaseGranted';
@@ -111,7 +113,9 @@
 			readonly owned: readonly OwnershipGrant[];
 			/** Group views that changed since `knownIndex`. */
 			readonly groups: readonly types.GroupView[];
-			/** Owners of servers that changed since the last grant to this proxy (all, on the first). */
+			/** Names the state of `owners`; the proxy returns it in `knownOwners`. */
+			readonly ownersVersion?: types.Epoch;
+			/** Owners of servers that changed since `knownOwners` (all, when it is absent). */
 			readonly owners: ReadonlyArray<{
 				readonly server: ids.UpstreamId;
 				readonly owner: ids.PeerId | undefined;
@@ -127,12 +131,16 @@
 			readonly server: ids.UpstreamId;
 			readonly epoch: types.Epoch;
 			readonly scope: 'write' | 'ownership';
+			/** Term of the write lease; set when the scope is `write`. */
+			readonly writeTerm?: number;
 	  }
 	| {
 			readonly type: 'leaseReleased';
 			readonly server: ids.UpstreamId;
 			readonly epoch: types.Epoch;
 			readonly scope: 'write' | 'ownership';
+			/** Term of the write lease; set when the scope is `write`. */
+			readonly writeTerm?: number;
 	  }
 	| {
 			readonly type: 'notLeader';
