Add templates, the control state machine, leases and the control reducer

Cause: the proxies need a control peer that grants ownership and accepts templates. Template texts are checked as a whole. The state machine remembers 10,240 answered changes by member and change id. The ownership table lives for one term of leadership; claims of an earlier leader's grants are accepted for one lease period. Server sets change one server at a time, with a check that a majority of the set holds what was acknowledged before the next change. Ruled out: one table of announcements and leases kept over leader terms; its leases would not be exclusive after another leader was in office. Not part of this commit: failover and the daemon.

--- /dev/null
+++ b/src/common/control/grants.ts
@@ -0,0 +1,74 @@
+/**
+ * Messages of the control leader to proxies: grants with everything that is newer than the receiver
+ * knows.
+ */
+import type * as ids from '../ids.js';
+import type * as types from '../types.js';
+import type * as messages from '../messages.js';
+import type * as leases from './leases.js';
+import type * as ownership from './ownership.js';
+import * as machines from './machine.js';
+import * as timing from './timing.js';
+
+type Grant = Extract<messages.ControlMessage, {type: 'leaseGranted'}>;
+
+function listNewTemplates(
+	machine: machines.ControlMachine,
+	renewal: leases.Renewal,
+): types.Template[] {
+	const versions = new Map(renewal.templateVersions);
+	return machine
+		.listTemplates()
+		.filter(
+			({template, changedAt}) =>
+				changedAt > renewal.knownIndex &&
+				template.version > (versions.get(template.member) ?? 0),
+		)
+		.map(({template}) => template);
+}
+
+function listNewGroups(
+	machine: machines.ControlMachine,
+	knownIndex: number,
+): types.GroupView[] {
+	return machine
+		.listGroups()
+		.filter((group) => group.changedAt > knownIndex)
+		.map((group) => machines.buildGroupView(group));
+}
+
+/**
+ * Builds a grant for a proxy and prolongs its leases. An unasked grant refers to the proxy's last
+ * renewal, so that the proxy counts the leases from the time at which it sent that.
+ */
+export function buildGrant(
+	now: number,
+	table: ownership.OwnershipTable,
+	machine: machines.ControlMachine,
+	proxy: leases.ProxyRecord,
+	canGrantWrite: (group: ids.GroupId) => boolean,
+): Grant {
+	const {renewal} = proxy;
+	const isCurrent = machine.changedAt <= renewal.knownIndex;
+	const owned = table.grantOwned(now, proxy.peer, (server) => {
+		const group = machine.findGroupOf(server);
+		return group?.primary === server && canGrantWrite(group.group)
+			? group
+			: undefined;
+	});
+	return {
+		type: 'leaseGranted',
+		sequence: renewal.sequence,
+		durationMs: timing.leaseMs,
+		owned,
+		groups: isCurrent ? [] : listNewGroups(machine, renewal.knownIndex),
+		ownersVersion: table.ownersVersion,
+		owners: table.listOwners(renewal.knownOwners),
+		templates: isCurrent ? [] : listNewTemplates(machine, renewal),
+		confirmed: renewal.announcements.map(({server, version}) => [
+			server,
+			version,
+		]),
+		appliedIndex: machine.appliedIndex,
+	};
+}
--- /dev/null
+++ b/src/common/control/leader.ts
@@ -0,0 +1,153 @@
+/**
+ * The part of the control role that only the leader plays: answers to lease renewals, placement of
+ * servers and proposals about groups. It is made anew for each term of leadership and acts only
+ * while the leader lease is valid.
+ */
+import type * as ids from '../ids.js';
+import type * as messages from '../messages.js';
+import type * as control from './types.js';
+import type * as leases from './leases.js';
+import type * as machines from './machine.js';
+import * as grants from './grants.js';
+import * as ownership from './ownership.js';
+import * as placement from './placement.js';
+import * as serverSets from './server-sets.js';
+import * as timing from './timing.js';
+
+/** What the leader needs from the control reducer. */
+export type LeaderEnvironment = {
+	readonly machine: machines.ControlMachine;
+	/** Number of the consensus term. */
+	readonly term: number;
+	send(to: ids.PeerId, message: messages.PeerMessage): void;
+	/** Proposes a command; `isPending` of its group is true until its outcome is known. */
+	propose(command: GroupCommand): void;
+	hasProposal(group: ids.GroupId): boolean;
+};
+
+export type GroupCommand = Exclude<
+	control.ControlCommand,
+	{type: 'changeTemplate'}
+>;
+
+/** The leader's soft state and what it does with it. */
+export class Leader {
+	readonly table: ownership.OwnershipTable;
+	readonly #sets: serverSets.ServerSets;
+	/** A change that need not be told at once waits for the next tick, so that many share a grant. */
+	#isGrantDue = false;
+	#lastMoveAt = Number.NEGATIVE_INFINITY;
+
+	constructor(
+		private readonly environment: LeaderEnvironment,
+		now: number,
+	) {
+		const {machine, term} = environment;
+		this.table = new ownership.OwnershipTable(term, now);
+		this.#sets = new serverSets.ServerSets(this.table, machine, (group) =>
+			environment.hasProposal(group),
+		);
+	}
+
+	/** Answers a renewal. */
+	handleRenewal(now: number, from: ids.PeerId, renewal: leases.Renewal): void {
+		if (this.table.handleRenewal(now, from, renewal)) {
+			this.#sendGrant(now, from);
+		}
+	}
+
+	handleReleased(from: ids.PeerId, message: leases.Released): void {
+		this.table.handleReleased(from, message);
+	}
+
+	/** Acts on what is due. Called every tick. */
+	step(now: number): void {
+		this.table.expire(now);
+		for (const command of this.#sets.step(now)) {
+			this.environment.propose(command as GroupCommand);
+		}
+
+		this.#placeServers(now);
+		if (this.#isGrantDue) {
+			this.#sendGrants(now);
+		}
+
+		for (const {to, message} of this.table.takeRevocations(now)) {
+			this.environment.send(to, message);
+		}
+	}
+
+	/** Handles a committed command; `isOwn` when this leader proposed it. */
+	handleApplied(
+		now: number,
+		command: control.ControlCommand,
+		isOwn: boolean,
+	): void {
+		if (command.type === 'changeTemplate') {
+			this.#pushTemplate(command.change.member);
+			return;
+		}
+
+		if (command.type === 'registerGroup' && isOwn) {
+			this.#sets.recordRegistration(now, command.group);
+		}
+
+		if (
+			command.type === 'beginPromotion' ||
+			command.type === 'completePromotion'
+		) {
+			this.#sendGrants(now);
+		} else {
+			this.#isGrantDue = true;
+		}
+	}
+
+	#sendGrants(now: number): void {
+		this.#isGrantDue = false;
+		for (const peer of this.table.proxies.keys()) {
+			this.#sendGrant(now, peer);
+		}
+	}
+
+	#placeServers(now: number): void {
+		placement.revokeFromDraining(now, this.table);
+		if (now - this.#lastMoveAt >= timing.moveIntervalMs) {
+			this.#lastMoveAt = now;
+			const moved = placement.chooseMove(
+				now,
+				this.table,
+				(server) =>
+					this.environment.machine.findGroupOf(server)?.promotion === undefined,
+			);
+			if (moved !== undefined) {
+				this.table.revokeOwnership(now, moved);
+			}
+		}
+
+		for (const peer of placement.assignServers(now, this.table)) {
+			this.#sendGrant(now, peer);
+		}
+	}
+
+	/** A template is pushed at its commit, so that it is in force before the next renewal. */
+	#pushTemplate(member: ids.MemberId): void {
+		const template = this.environment.machine.getTemplate(member);
+		for (const peer of template ? this.table.proxies.keys() : []) {
+			this.environment.send(peer, {type: 'templatePush', template: template!});
+		}
+	}
+
+	#sendGrant(now: number, peer: ids.PeerId): void {
+		const proxy = this.table.proxies.get(peer);
+		if (proxy) {
+			const message = grants.buildGrant(
+				now,
+				this.table,
+				this.environment.machine,
+				proxy,
+				(group) => this.#sets.canGrantWrite(now, group),
+			);
+			this.environment.send(peer, message);
+		}
+	}
+}
--- /dev/null
+++ b/src/common/control/machine.ts
@@ -0,0 +1,314 @@
+/**
+ * The replicated state machine of control: templates with their answered changes, and groups.
+ *
+ * It is deterministic: every peer that applies the same entries holds the same state, and the races
+ * of operators and of old leaders are decided here, by the order of the log.
+ */
+import type * as ids from '../ids.js';
+import type * as types from '../types.js';
+import type * as control from './types.js';
+
+/**
+ * Answered changes that are remembered, over all members. A resend within this many later changes
+ * gets its first answer again; at 1,700 changes a day it covers six days.
+ */
+export const rememberedChanges = 10_240;
+
+function buildChangeKey(member: ids.MemberId, changeId: ids.ChangeId): string {
+	return JSON.stringify([member, changeId]);
+}
+
+/** The state machine. `apply` is called with committed entries only, in their order. */
+export class ControlMachine {
+	appliedIndex = 0;
+	readonly #templates = new Map<ids.MemberId, control.StoredTemplate>();
+	/** In the order of the log, so that the first key is the oldest. */
+	readonly #changes = new Map<string, control.AnsweredChange>();
+	readonly #groups = new Map<ids.GroupId, control.GroupState>();
+	readonly #groupOfServer = new Map<ids.UpstreamId, ids.GroupId>();
+	#changedAt = 0;
+
+	/** Log index of the last change of any template or group. */
+	get changedAt(): number {
+		return this.#changedAt;
+	}
+
+	/** Copies the whole state as plain data that later changes do not touch. */
+	buildState(): control.MachineState {
+		return {
+			appliedIndex: this.appliedIndex,
+			templates: [...this.#templates.values()],
+			changes: [...this.#changes.values()],
+			groups: [...this.#groups.values()],
+		};
+	}
+
+	/** Replaces the whole state by that of a snapshot. */
+	restore(state: control.MachineState): void {
+		this.appliedIndex = state.appliedIndex;
+		this.#templates.clear();
+		this.#changes.clear();
+		this.#groups.clear();
+		this.#groupOfServer.clear();
+		this.#changedAt = 0;
+		for (const stored of state.templates) {
+			this.#storeTemplate(stored);
+		}
+
+		for (const change of state.changes) {
+			this.#changes.set(buildChangeKey(change.member, change.changeId), change);
+		}
+
+		for (const group of state.groups) {
+			this.#storeGroup(group);
+		}
+	}
+
+	/**
+	 * Applies one committed command.
+	 *
+	 * @returns The answer to a template change; undefined for other commands.
+	 */
+	apply(
+		index: number,
+		command: control.ControlCommand,
+	): types.TemplateChangeResult | undefined {
+		this.appliedIndex = index;
+		if (command.type === 'changeTemplate') {
+			return this.#applyChange(index, command.change);
+		}
+
+		this.#applyGroupCommand(index, command);
+		return undefined;
+	}
+
+	/** Marks an entry without a command as applied. */
+	applyEmpty(index: number): void {
+		this.appliedIndex = index;
+	}
+
+	/** Finds the first answer to a change, by member and change id. */
+	findAnswer(
+		member: ids.MemberId,
+		changeId: ids.ChangeId,
+	): types.TemplateChangeResult | undefined {
+		return this.#changes.get(buildChangeKey(member, changeId))?.result;
+	}
+
+	getTemplate(member: ids.MemberId): types.Template | undefined {
+		return this.#templates.get(member)?.template;
+	}
+
+	listTemplates(): control.StoredTemplate[] {
+		return [...this.#templates.values()];
+	}
+
+	/** Lists the remembered versions of a member's template, oldest first. */
+	listHistory(member: ids.MemberId): control.HistoryEntry[] {
+		const history: control.HistoryEntry[] = [];
+		for (const change of this.#changes.values()) {
+			if (change.member === member && change.result.type === 'accepted') {
+				history.push({
+					member,
+					version: change.result.version,
+					text: change.text ?? '',
+					changeId: change.changeId,
+					index: change.index,
+				});
+			}
+		}
+
+		return history;
+	}
+
+	getGroup(group: ids.GroupId): control.GroupState | undefined {
+		return this.#groups.get(group);
+	}
+
+	/** Finds the group whose server set contains the server. */
+	findGroupOf(server: ids.UpstreamId): control.GroupState | undefined {
+		const group = this.#groupOfServer.get(server);
+		return group === undefined ? undefined : this.#groups.get(group);
+	}
+
+	listGroups(): control.GroupState[] {
+		return [...this.#groups.values()];
+	}
+
+	#applyChange(
+		index: number,
+		change: types.TemplateChange,
+	): types.TemplateChangeResult {
+		const {member, changeId, text} = change;
+		const answered = this.findAnswer(member, changeId);
+		if (answered) {
+			return answered;
+		}
+
+		const currentVersion = this.getTemplate(member)?.version ?? 0;
+		const accepted = change.expectedVersion === currentVersion;
+		const result: types.TemplateChangeResult = accepted
+			? {type: 'accepted', version: currentVersion + 1}
+			: {type: 'versionConflict', currentVersion};
+		if (accepted) {
+			const template = {member, version: currentVersion + 1, text, changeId};
+			this.#storeTemplate({template, changedAt: index});
+		}
+
+		this.#changes.set(buildChangeKey(member, changeId), {
+			member,
+			changeId,
+			index,
+			result,
+			...(accepted ? {text} : {}),
+		});
+		this.#expireChanges();
+		return result;
+	}
+
+	#expireChanges(): void {
+		for (const key of this.#changes.keys()) {
+			if (this.#changes.size <= rememberedChanges) {
+				return;
+			}
+
+			this.#changes.delete(key);
+		}
+	}
+
+	#applyGroupCommand(
+		index: number,
+		command: Exclude<control.ControlCommand, {type: 'changeTemplate'}>,
+	): void {
+		const group = this.#groups.get(command.group);
+		if (command.type === 'registerGroup') {
+			if (!group) {
+				this.#storeGroup({
+					group: command.group,
+					term: command.term,
+					termStart: command.termStart,
+					primary: command.primary,
+					servers: [command.primary],
+					promotion: undefined,
+					changedAt: index,
+					serversChangedAt: index,
+				});
+			}
+
+			return;
+		}
+
+		const changed = group && reduceGroup(group, index, command);
+		if (changed) {
+			this.#storeGroup({...changed, changedAt: index});
+		}
+	}
+
+	#storeTemplate(stored: control.StoredTemplate): void {
+		this.#templates.set(stored.template.member, stored);
+		this.#changedAt = Math.max(this.#changedAt, stored.changedAt);
+	}
+
+	#storeGroup(group: control.GroupState): void {
+		for (const server of this.#groups.get(group.group)?.servers ?? []) {
+			this.#groupOfServer.delete(server);
+		}
+
+		for (const server of group.servers) {
+			this.#groupOfServer.set(server, group.group);
+		}
+
+		this.#groups.set(group.group, group);
+		this.#changedAt = Math.max(this.#changedAt, group.changedAt);
+	}
+}
+
+/** Returns the changed group, or undefined when the command has no effect. */
+function reduceGroup(
+	group: control.GroupState,
+	index: number,
+	command: Exclude<
+		control.ControlCommand,
+		{type: 'changeTemplate' | 'registerGroup'}
+	>,
+): control.GroupState | undefined {
+	switch (command.type) {
+		case 'addServer': {
+			return group.servers.includes(command.server) || group.promotion
+				? undefined
+				: {
+						...group,
+						servers: [...group.servers, command.server],
+						serversChangedAt: index,
+					};
+		}
+
+		case 'removeServer': {
+			return canRemoveServer(group, command.server)
+				? {
+						...group,
+						servers: group.servers.filter(
+							(server) => server !== command.server,
+						),
+						serversChangedAt: index,
+					}
+				: undefined;
+		}
+
+		case 'beginPromotion': {
+			const current = group.promotion?.term ?? group.term;
+			return command.term > current
+				? {
+						...group,
+						promotion: {term: command.term, planned: command.planned},
+					}
+				: undefined;
+		}
+
+		case 'completePromotion': {
+			return group.promotion?.term === command.term &&
+				group.servers.includes(command.primary)
+				? {
+						...group,
+						term: command.term,
+						termStart: command.termStart,
+						primary: command.primary,
+						promotion: undefined,
+					}
+				: undefined;
+		}
+	}
+}
+
+/**
+ * A server may leave the set when it is not the primary, no promotion counts the set at the moment,
+ * and the rest is a majority of the set.
+ */
+export function canRemoveServer(
+	group: control.GroupState,
+	server: ids.UpstreamId,
+): boolean {
+	return (
+		group.servers.includes(server) &&
+		group.primary !== server &&
+		group.promotion === undefined &&
+		group.servers.length - 1 >= computeMajority(group.servers.length)
+	);
+}
+
+/** The least number of servers that is more than half of `size`. */
+export function computeMajority(size: number): number {
+	return Math.floor(size / 2) + 1;
+}
+
+/** The view of a group that proxies get. */
+export function buildGroupView(group: control.GroupState): types.GroupView {
+	return {
+		group: group.group,
+		term: group.term,
+		termStart: group.termStart,
+		primary: group.primary,
+		servers: group.servers,
+		promoting: group.promotion !== undefined,
+	};
+}
--- /dev/null
+++ b/src/common/control/reducer.ts
@@ -0,0 +1,427 @@
+/**
+ * The control role as one reducer: `step(event)` returns effects. It connects the replicated log,
+ * the state machine, the operators' changes and, on the leader, leases and failover.
+ */
+import type * as ids from '../ids.js';
+import {assertNever} from '../assert-never.js';
+import type * as types from '../types.js';
+import type * as messages from '../messages.js';
+import type * as consensus from '../consensus/types.js';
+import * as changes from './changes.js';
+import type * as control from './types.js';
+import * as leaders from './leader.js';
+import * as machines from './machine.js';
+import * as operations from './operations.js';
+import * as queries from './queries.js';
+import * as timing from './timing.js';
+
+export type ControlOptions = {
+	readonly peer: ids.PeerId;
+	readonly log: control.ReplicatedLog;
+};
+
+const consensusTypes: ReadonlySet<string> = new Set<
+	consensus.ConsensusMessage['type']
+>([
+	'preVote',
+	'vote',
+	'preVoteReply',
+	'voteReply',
+	'append',
+	'appendReply',
+	'installSnapshot',
+	'joinRequest',
+	'joinReply',
+]);
+
+function isConsensusMessage(
+	message: messages.PeerMessage,
+): message is consensus.ConsensusMessage {
+	return consensusTypes.has(message.type);
+}
+
+/** One control peer. */
+export class ControlReducer {
+	readonly #peer: ids.PeerId;
+	readonly #log: control.ReplicatedLog;
+	readonly #machine = new machines.ControlMachine();
+	readonly #operations: operations.Operations;
+	/** Proposals about groups whose outcome is not known yet. */
+	readonly #groupProposals = new Map<number, ids.GroupId>();
+	#leader: leaders.Leader | undefined;
+	/** Term of the last applied entry; a leader acts once it applied an entry of its own term. */
+	#appliedTerm = 0;
+	#snapshotIndex = 0;
+	#proposalCounter = 0;
+	#isDraining = false;
+	#health = '';
+	#effects: control.ControlEffect[] = [];
+	#now = 0;
+
+	constructor(options: ControlOptions) {
+		this.#peer = options.peer;
+		this.#log = options.log;
+		this.#operations = new operations.Operations({
+			createProposal: () => ++this.#proposalCounter,
+			findAnswer: ({member, changeId}) =>
+				this.#machine.findAnswer(member, changeId),
+		});
+	}
+
+	get machine(): machines.ControlMachine {
+		return this.#machine;
+	}
+
+	/** Handles one event. */
+	step(event: control.ControlEvent): control.ControlEffect[] {
+		this.#effects = [];
+		this.#now = event.now;
+		this.#handleEvent(event);
+		this.#updateLeader();
+		this.#stepOperations();
+		return this.#effects;
+	}
+
+	#handleEvent(event: control.ControlEvent): void {
+		switch (event.type) {
+			case 'tick': {
+				this.#runLog({type: 'tick', now: event.now, random: event.random});
+				this.#updateLeader();
+				this.#findActiveLeader()?.step(event.now);
+				this.#updateHealth();
+				return;
+			}
+
+			case 'peerMessage': {
+				this.#handleMessage(event.from, event.message);
+				return;
+			}
+
+			case 'written': {
+				this.#runLog({type: 'written', now: event.now, write: event.write});
+				return;
+			}
+
+			case 'serverAnswered': {
+				return;
+			}
+
+			case 'templateChangeRequested': {
+				this.#handleChange(
+					{type: 'local', operation: event.operation},
+					event.change,
+				);
+				return;
+			}
+
+			case 'queryRequested': {
+				this.#effects.push({
+					type: 'answerQuery',
+					operation: event.operation,
+					result: queries.runQuery(event.query, {
+						peer: this.#peer,
+						log: this.#log,
+						machine: this.#machine,
+						table: this.#leader?.table,
+					}),
+				});
+				return;
+			}
+
+			case 'drainRequested': {
+				this.#isDraining = true;
+				this.#updateHealth();
+				return;
+			}
+		}
+
+		assertNever(event);
+	}
+
+	#handleMessage(from: ids.PeerId, message: messages.PeerMessage): void {
+		if (isConsensusMessage(message)) {
+			this.#runLog({type: 'message', now: this.#now, from, message});
+		}
+
+		if (message.type === 'renewLease') {
+			this.#handleRenewal(from, message);
+		}
+
+		if (message.type === 'leaseReleased') {
+			this.#leader?.handleReleased(from, message);
+		}
+
+		if (message.type === 'templateFetch') {
+			this.#sendTemplate(from, message.member);
+		}
+
+		if (message.type === 'proposeChange') {
+			this.#handleProposedChange(from, message);
+		}
+
+		if (message.type === 'changeResult') {
+			this.#runActions(this.#operations.handleResult(message));
+		}
+	}
+
+	#sendTemplate(to: ids.PeerId, member: ids.MemberId): void {
+		const template = this.#machine.getTemplate(member);
+		if (template) {
+			this.#send(to, {type: 'templatePush', template});
+		}
+	}
+
+	#handleRenewal(
+		from: ids.PeerId,
+		message: Extract<messages.ControlMessage, {type: 'renewLease'}>,
+	): void {
+		if (this.#log.role !== 'leader') {
+			this.#send(from, {
+				type: 'notLeader',
+				sequence: message.sequence,
+				leader: this.#log.leader,
+			});
+			return;
+		}
+
+		this.#findActiveLeader()?.handleRenewal(this.#now, from, message);
+	}
+
+	/** A change is passed on once only, so that peers that disagree on the leader make no loop. */
+	#handleProposedChange(
+		from: ids.PeerId,
+		message: Extract<messages.OperatorMessage, {type: 'proposeChange'}>,
+	): void {
+		const {operation, change} = message;
+		const origin = {type: 'peer', peer: from, operation} as const;
+		if (this.#log.role === 'leader') {
+			this.#handleChange(origin, change);
+		} else {
+			this.#answer(origin, {type: 'unavailable', mayHaveRun: false});
+		}
+	}
+
+	#handleChange(origin: operations.Origin, change: types.TemplateChange): void {
+		const answer =
+			this.#machine.findAnswer(change.member, change.changeId) ??
+			changes.checkChange(change);
+		if (answer) {
+			this.#answer(origin, answer);
+		} else {
+			this.#operations.add(this.#now, origin, change);
+		}
+	}
+
+	#stepOperations(): void {
+		const isLeader = this.#findActiveLeader() !== undefined;
+		const other =
+			this.#log.leader === this.#peer ? undefined : this.#log.leader;
+		this.#runActions(this.#operations.step(this.#now, isLeader, other));
+		if (this.#isDraining && this.#operations.size === 0) {
+			this.#isDraining = false;
+			this.#effects.push({type: 'drained'});
+		}
+	}
+
+	#runActions(actions: readonly operations.OperationAction[]): void {
+		for (const action of actions) {
+			switch (action.type) {
+				case 'propose': {
+					this.#propose(action.proposal, {
+						type: 'changeTemplate',
+						change: action.change,
+					});
+					break;
+				}
+
+				case 'send': {
+					this.#send(action.to, action.message);
+					break;
+				}
+
+				case 'answer': {
+					this.#answer(action.origin, action.result);
+					break;
+				}
+			}
+		}
+	}
+
+	#answer(origin: operations.Origin, result: types.TemplateChangeResult): void {
+		const {operation} = origin;
+		if (origin.type === 'local') {
+			this.#effects.push({type: 'answerTemplateChange', operation, result});
+			return;
+		}
+
+		const {leader, role} = this.#log;
+		this.#send(origin.peer, {
+			type: 'changeResult',
+			operation,
+			result,
+			...(role === 'leader' || leader === undefined ? {} : {leader}),
+		});
+	}
+
+	/** The leader part, while this peer may act as leader. */
+	#findActiveLeader(): leaders.Leader | undefined {
+		return this.#log.isLeaderLeaseValid(this.#now) ? this.#leader : undefined;
+	}
+
+	/** Makes the leader part when an entry of the own term is applied: the state is current then. */
+	#updateLeader(): void {
+		const {role, term} = this.#log;
+		if (role !== 'leader') {
+			this.#leader = undefined;
+			this.#groupProposals.clear();
+			return;
+		}
+
+		if (this.#leader?.table.consensusTerm !== term) {
+			this.#leader = undefined;
+			this.#groupProposals.clear();
+		}
+
+		if (!this.#leader && this.#appliedTerm === term) {
+			this.#leader = new leaders.Leader(this.#buildEnvironment(), this.#now);
+			this.#logRecord('info', `leading in consensus term ${term}`);
+		}
+	}
+
+	#buildEnvironment(): leaders.LeaderEnvironment {
+		return {
+			machine: this.#machine,
+			term: this.#log.term,
+			send: (to, message) => {
+				this.#send(to, message);
+			},
+			propose: (command) => {
+				const proposal = ++this.#proposalCounter;
+				this.#groupProposals.set(proposal, command.group);
+				this.#propose(proposal, command);
+			},
+			hasProposal: (group) =>
+				[...this.#groupProposals.values()].includes(group),
+		};
+	}
+
+	#propose(proposal: number, command: control.ControlCommand): void {
+		this.#runLog({type: 'propose', now: this.#now, proposal, command});
+	}
+
+	#runLog(event: consensus.ConsensusEvent<control.ControlCommand>): void {
+		for (const effect of this.#log.step(event)) {
+			this.#handleLogEffect(effect);
+		}
+
+		const {appliedIndex} = this.#machine;
+		if (appliedIndex - this.#snapshotIndex >= timing.snapshotInterval) {
+			this.#snapshotIndex = appliedIndex;
+			this.#runLog({
+				type: 'compact',
+				now: this.#now,
+				index: appliedIndex,
+				state: this.#machine.buildState(),
+			});
+		}
+	}
+
+	#handleLogEffect(
+		effect: consensus.ConsensusEffect<control.ControlCommand>,
+	): void {
+		switch (effect.type) {
+			case 'send': {
+				this.#send(effect.to, effect.message);
+				return;
+			}
+
+			case 'write': {
+				this.#effects.push(effect);
+				return;
+			}
+
+			case 'applied': {
+				this.#handleApplied(effect.entry, effect.proposal);
+				return;
+			}
+
+			case 'restore': {
+				this.#machine.restore(effect.snapshot.state as control.MachineState);
+				this.#snapshotIndex = effect.snapshot.index;
+				return;
+			}
+
+			case 'proposalLost': {
+				this.#groupProposals.delete(effect.proposal);
+				this.#runActions(
+					this.#operations.handleProposalLost(
+						effect.proposal,
+						effect.mayHaveRun,
+					),
+				);
+				return;
+			}
+
+			case 'roleChanged': {
+				this.#logRecord(
+					'info',
+					`${effect.role} in consensus term ${effect.term}, leader ${effect.leader ?? 'unknown'}`,
+				);
+				return;
+			}
+		}
+
+		assertNever(effect);
+	}
+
+	#handleApplied(
+		entry: consensus.LogEntry<control.ControlCommand>,
+		proposal: number | undefined,
+	): void {
+		const {index, payload} = entry;
+		this.#appliedTerm = entry.term;
+		if (payload.type !== 'command') {
+			this.#machine.applyEmpty(index);
+			return;
+		}
+
+		const {command} = payload;
+		const result = this.#machine.apply(index, command);
+		if (proposal !== undefined) {
+			this.#groupProposals.delete(proposal);
+		}
+
+		this.#findActiveLeader()?.handleApplied(
+			this.#now,
+			command,
+			proposal !== undefined,
+		);
+		if (command.type === 'changeTemplate' && result) {
+			this.#runActions(this.#operations.handleApplied(command.change, result));
+		}
+	}
+
+	#updateHealth(): void {
+		const isReady = !this.#isDraining && this.#log.leader !== undefined;
+		const reason = this.#isDraining
+			? 'draining'
+			: isReady
+				? 'ready'
+				: 'no control leader known';
+		if (reason !== this.#health) {
+			this.#health = reason;
+			this.#effects.push({type: 'setHealth', ready: isReady, reason});
+		}
+	}
+
+	#send(to: ids.PeerId, message: messages.PeerMessage): void {
+		this.#effects.push({type: 'sendPeer', to, message});
+	}
+
+	#logRecord(level: types.LogLevel, message: string): void {
+		this.#effects.push({
+			type: 'log',
+			record: {level, part: 'control', message},
+		});
+	}
+}
--- /dev/null
+++ b/src/common/template/parse.ts
@@ -0,0 +1,236 @@
+/**
+ * Parsing and checking of template texts. A text is checked as a whole: all problems are collected,
+ * so that an operator can correct them in one go.
+ */
+import * as ini from 'ini';
+import * as neverthrow from 'neverthrow';
+import * as zod from 'zod';
+import * as types from '../types.js';
+import * as defaults from './defaults.js';
+import type * as templateTypes from './types.js';
+
+type KeyRule = {
+	readonly schema: zod.ZodType<number | string>;
+	readonly allowed: string;
+};
+
+function buildNumberRule(limits: templateTypes.NumberLimits): KeyRule {
+	return {
+		schema: zod
+			.string()
+			.regex(/^\d{1,9}$/v)
+			.transform(Number)
+			.pipe(zod.number().min(limits.min).max(limits.max)),
+		allowed: `a whole number from ${limits.min} to ${limits.max}`,
+	};
+}
+
+const stalenessRule = buildNumberRule(defaults.limits.stalenessMs);
+
+const memberRules: Readonly<Record<string, KeyRule>> = {
+	default_rank: {
+		schema: zod.enum(types.ranks),
+		allowed: `one of ${types.ranks.join(', ')}`,
+	},
+	staleness_ms: {
+		schema: zod.union([zod.literal('any'), stalenessRule.schema]),
+		allowed: `any, or ${stalenessRule.allowed}`,
+	},
+	max_sessions: buildNumberRule(defaults.limits.maxSessions),
+	max_in_flight: buildNumberRule(defaults.limits.maxInFlight),
+};
+
+const rankRules: Readonly<Record<string, KeyRule>> = {
+	deadline_ms: buildNumberRule(defaults.limits.deadlineMs),
+	floor_percent: buildNumberRule(defaults.limits.floorPercent),
+	queue_limit: buildNumberRule(defaults.limits.queueLimit),
+	weight: buildNumberRule(defaults.limits.weight),
+};
+
+const sectionRules: ReadonlyMap<
+	string,
+	Readonly<Record<string, KeyRule>>
+> = new Map([
+	['member', memberRules],
+	...types.ranks.map((rank) => [`rank ${rank}`, rankRules] as const),
+]);
+
+type Values = Map<string, number | string>;
+
+/** Writes a value as it stands in the text; long ones are cut. */
+function formatFound(value: unknown): string {
+	const text = typeof value === 'string' ? value : JSON.stringify(value);
+	return text.length > 60 ? `${text.slice(0, 60)}…` : text;
+}
+
+function listNames(names: Iterable<string>, form: (name: string) => string) {
+	return [...names].map((name) => form(name)).join(', ');
+}
+
+function checkSection(
+	section: string,
+	content: Readonly<Record<string, unknown>>,
+	problems: templateTypes.TemplateProblem[],
+): Values {
+	const values: Values = new Map();
+	const rules = sectionRules.get(section)!;
+	for (const [key, value] of Object.entries(content)) {
+		const rule = Object.hasOwn(rules, key) ? rules[key] : undefined;
+		if (!rule) {
+			problems.push({
+				section,
+				key,
+				found: 'an unknown key',
+				allowed: `the keys ${Object.keys(rules).join(', ')}`,
+			});
+			continue;
+		}
+
+		const checked = rule.schema.safeParse(value);
+		if (checked.success) {
+			values.set(key, checked.data);
+		} else {
+			problems.push({
+				section,
+				key,
+				found: formatFound(value),
+				allowed: rule.allowed,
+			});
+		}
+	}
+
+	return values;
+}
+
+function checkSections(
+	parsed: Readonly<Record<string, unknown>>,
+	problems: templateTypes.TemplateProblem[],
+): Map<string, Values> {
+	const sections = new Map<string, Values>();
+	const allowed = `the sections ${listNames(sectionRules.keys(), (name) => `[${name}]`)}`;
+	for (const [name, content] of Object.entries(parsed)) {
+		if (typeof content !== 'object' || Array.isArray(content)) {
+			problems.push({
+				section: '',
+				key: name,
+				found: 'a key outside of a section',
+				allowed,
+			});
+		} else if (sectionRules.has(name)) {
+			sections.set(
+				name,
+				checkSection(name, content as Record<string, unknown>, problems),
+			);
+		} else {
+			problems.push({section: name, found: 'an unknown section', allowed});
+		}
+	}
+
+	return sections;
+}
+
+function getNumber(
+	values: Values | undefined,
+	key: string,
+	standard: number,
+): number {
+	const value = values?.get(key);
+	return typeof value === 'number' ? value : standard;
+}
+
+function buildRankPolicy(
+	values: Values | undefined,
+	standard: types.RankPolicy,
+): types.RankPolicy {
+	return {
+		deadlineMs: getNumber(values, 'deadline_ms', standard.deadlineMs),
+		floorPercent: getNumber(values, 'floor_percent', standard.floorPercent),
+		queueLimit: getNumber(values, 'queue_limit', standard.queueLimit),
+		weight: getNumber(values, 'weight', standard.weight),
+	};
+}
+
+function buildParameters(
+	sections: ReadonlyMap<string, Values>,
+): types.TemplateParameters {
+	const member = sections.get('member');
+	const standard = defaults.defaultParameters;
+	const buildRank = (rank: types.Rank) =>
+		buildRankPolicy(sections.get(`rank ${rank}`), standard.ranks[rank]);
+	return {
+		defaultRank:
+			(member?.get('default_rank') as types.Rank | undefined) ??
+			standard.defaultRank,
+		stalenessMs:
+			member?.get('staleness_ms') === 'any'
+				? Number.POSITIVE_INFINITY
+				: getNumber(member, 'staleness_ms', standard.stalenessMs),
+		maxSessions: getNumber(member, 'max_sessions', standard.maxSessions),
+		maxInFlight: getNumber(member, 'max_in_flight', standard.maxInFlight),
+		ranks: {
+			urgent: buildRank('urgent'),
+			normal: buildRank('normal'),
+			background: buildRank('background'),
+		},
+	};
+}
+
+/** Rank floors are shares of one server, so their sum cannot exceed 100%. */
+function checkFloorSum(
+	parameters: types.TemplateParameters,
+	problems: templateTypes.TemplateProblem[],
+): void {
+	let sum = 0;
+	for (const rank of types.ranks) {
+		sum += parameters.ranks[rank].floorPercent;
+	}
+
+	if (sum > 100) {
+		problems.push({
+			section: 'rank urgent, rank normal, rank background',
+			key: 'floor_percent',
+			found: `a sum of ${sum}, defaults included`,
+			allowed: 'a sum of at most 100',
+		});
+	}
+}
+
+/**
+ * Parses and checks a template text. Keys that are left out get their defaults.
+ *
+ * @returns The parameters, or all problems of the text.
+ */
+export function parseTemplate(
+	text: string,
+): neverthrow.Result<
+	types.TemplateParameters,
+	readonly templateTypes.TemplateProblem[]
+> {
+	if (text.length > defaults.maxTemplateLength) {
+		return neverthrow.err([
+			{
+				section: '',
+				found: `a text of ${text.length} characters`,
+				allowed: `at most ${defaults.maxTemplateLength} characters`,
+			},
+		]);
+	}
+
+	const problems: templateTypes.TemplateProblem[] = [];
+	const sections = checkSections(ini.parse(text), problems);
+	const parameters = buildParameters(sections);
+	checkFloorSum(parameters, problems);
+	return problems.length > 0
+		? neverthrow.err(problems)
+		: neverthrow.ok(parameters);
+}
+
+/** Writes a problem as one sentence for the operator. */
+export function formatProblem(problem: templateTypes.TemplateProblem): string {
+	const place = [
+		...(problem.section === '' ? [] : [`[${problem.section}]`]),
+		...(problem.key === undefined ? [] : [problem.key]),
+	].join(' ');
+	const prefix = place === '' ? 'template' : place;
+	return `${prefix}: found ${problem.found}; allowed is ${problem.allowed}`;
+}
--- /dev/null
+++ b/src/common/template/template.test.ts
@@ -0,0 +1,115 @@
+import tap from 'tap';
+import * as fastCheck from 'fast-check';
+import * as types from '../types.js';
+import * as defaults from './defaults.js';
+import * as parse from './parse.js';
+import * as render from './render.js';
+
+const numberBetween = (limits: {min: number; max: number}) =>
+	fastCheck.integer(limits);
+
+/** Records with the ordinary prototype, so that a strict comparison sees the fields only. */
+const makeRecord = <Value extends object>(fields: {
+	[Key in keyof Value]: fastCheck.Arbitrary<Value[Key]>;
+}) => fastCheck.record<Value>(fields, {noNullPrototype: true});
+
+const rankPolicy = makeRecord({
+	deadlineMs: numberBetween(defaults.limits.deadlineMs),
+	floorPercent: fastCheck.integer({min: 0, max: 33}),
+	queueLimit: numberBetween(defaults.limits.queueLimit),
+	weight: numberBetween(defaults.limits.weight),
+});
+
+const parameters = makeRecord({
+	defaultRank: fastCheck.constantFrom(...types.ranks),
+	stalenessMs: fastCheck.oneof(
+		numberBetween(defaults.limits.stalenessMs),
+		fastCheck.constant(Number.POSITIVE_INFINITY),
+	),
+	maxSessions: numberBetween(defaults.limits.maxSessions),
+	maxInFlight: numberBetween(defaults.limits.maxInFlight),
+	ranks: makeRecord({
+		urgent: rankPolicy,
+		normal: rankPolicy,
+		background: rankPolicy,
+	}),
+});
+
+// Guards against a rendered template that parses to other parameters.
+tap.test('render and parse agree', async (t) => {
+	fastCheck.assert(
+		fastCheck.property(parameters, (value) => {
+			const parsed = parse.parseTemplate(render.renderTemplate(value));
+			t.strictSame(parsed._unsafeUnwrap(), value);
+		}),
+		{seed: 11, numRuns: 50},
+	);
+});
+
+// Guards against a left-out key that gets another value than the built-in default.
+tap.test('an empty text gives the defaults', async (t) => {
+	t.strictSame(
+		parse.parseTemplate('')._unsafeUnwrap(),
+		defaults.defaultParameters,
+	);
+	const parsed = parse.parseTemplate(
+		'[member]\nstaleness_ms = any\n[rank urgent]\nweight = 7\n',
+	);
+	t.strictSame(parsed._unsafeUnwrap(), {
+		...defaults.defaultParameters,
+		stalenessMs: Number.POSITIVE_INFINITY,
+		ranks: {
+			...defaults.defaultParameters.ranks,
+			urgent: {...defaults.defaultParameters.ranks.urgent, weight: 7},
+		},
+	});
+});
+
+// Guards against reporting only the first problem, or without place and allowed values.
+tap.test('all problems are collected', async (t) => {
+	const text = [
+		'stray = 1',
+		'[member]',
+		'default_rank = high',
+		'max_sessions = -3',
+		'colour = red',
+		'[rank low]',
+		'weight = 1',
+		'[rank normal]',
+		'deadline_ms = 20001',
+		'floor_percent = 1.5',
+	].join('\n');
+	const problems = parse.parseTemplate(text)._unsafeUnwrapErr();
+	t.strictSame(
+		problems.map(({section, key}) => [section, key]),
+		[
+			['', 'stray'],
+			['member', 'default_rank'],
+			['member', 'max_sessions'],
+			['member', 'colour'],
+			['rank low', undefined],
+			['rank normal', 'deadline_ms'],
+			['rank normal', 'floor_percent'],
+		],
+	);
+	t.equal(
+		parse.formatProblem(problems[5]),
+		'[rank normal] deadline_ms: found 20001; allowed is a whole number from 1 to 20000',
+	);
+});
+
+// Guards against floors that promise more than a whole server, and against unbounded texts.
+tap.test('whole-text limits', async (t) => {
+	const floors =
+		'[rank urgent]\nfloor_percent=60\n[rank normal]\nfloor_percent=40';
+	t.match(parse.parseTemplate(floors)._unsafeUnwrapErr(), [
+		{key: 'floor_percent', found: 'a sum of 105, defaults included'},
+	]);
+	t.ok(parse.parseTemplate(';'.repeat(8193)).isErr());
+	t.ok(parse.parseTemplate(';'.repeat(8192)).isOk());
+	t.ok(
+		parse
+			.parseTemplate('[__proto__]\nweight=1\n[member]\nconstructor=1')
+			.isErr(),
+	);
+});
