Add the PostgreSQL stand-in server

Tests, the quickstart and measurements need database servers with terms, log positions, asynchronous replication and faults, and no third-party server may be started. The stand-in speaks protocol 3 on the server side (simple and extended, pipelining, cancel), runs a small SQL subset with buffered writes per transaction, and replicates its log to replicas that pull it over the same port.

The term of a server is the term of its newest record, and a promotion writes a first record of the new term. Reporting the followed term instead was ruled out: a replica that has only connected to a new primary would then look more advanced than one that holds more acknowledged writes.

Functions of the schema hemlockarch take no slot, so that status polls and fencing work while all slots are busy. Faults are set through the class or through a control port that no fault affects.

--- /dev/null
+++ b/src/standin/replication-role.ts
@@ -0,0 +1,227 @@
+/**
+ * The server's part in its group: primary or replica, the fence, promotion and following
+ * (docs/design.md, "SQL functions").
+ */
+import type * as ids from '../common/ids.js';
+import type * as shared from '../common/types.js';
+import type * as gates from './gate.js';
+import type * as log from './log.js';
+import * as replication from './replication.js';
+import type * as store from './store.js';
+import * as types from './types.js';
+
+/** SQLSTATE of a fence, promotion or follow for a term below the server's. */
+const higherTermCode = 'HK101';
+/** PostgreSQL's `object_not_in_prerequisite_state`. */
+const wrongStateCode = '55000';
+
+type Upstream = {
+	readonly term: number;
+	readonly server: string;
+	readonly address: string;
+};
+
+export class ReplicationRole implements replication.ReplicationHost {
+	readonly server: string;
+	readonly applier: replication.Applier;
+	/** Highest term that this server was fenced for; 0 before the first fence. */
+	fence = 0;
+	private currentRole: shared.UpstreamRole;
+	private upstream: Upstream | undefined;
+	private follower: replication.Follower | undefined;
+	private readonly feeds = new Set<replication.ReplicaFeed>();
+
+	constructor(
+		options: types.StandInOptions,
+		readonly log: log.ReplicationLog,
+		private readonly data: store.Store,
+		readonly faults: Readonly<types.Faults>,
+		private readonly environment: {
+			readonly networkGate: gates.Gate;
+			readonly executionGate: gates.Gate;
+			/** Called when role or term change. */
+			readonly handleChange: () => void;
+		},
+	) {
+		this.server = options.server;
+		this.currentRole =
+			options.role ?? (options.primary ? 'replica' : 'primary');
+		this.upstream = options.primary && {
+			term: options.term ?? 1,
+			...options.primary,
+		};
+		this.applier = new replication.Applier(log, () =>
+			this.isRunning ? faults.applyLagMs : undefined,
+		);
+	}
+
+	get networkGate(): gates.Gate {
+		return this.environment.networkGate;
+	}
+
+	get isRunning(): boolean {
+		return this.environment.executionGate.isOpen;
+	}
+
+	get role(): shared.UpstreamRole {
+		return this.currentRole;
+	}
+
+	get isWritable(): boolean {
+		return this.currentRole === 'primary' && this.log.term >= this.fence;
+	}
+
+	/** Begins to replicate, at the start or after a crash. */
+	start(): void {
+		this.applier.reset();
+		this.openFollower();
+	}
+
+	/** Ends all replication connections; what was received stays. */
+	stop(): void {
+		this.closeFollower();
+		this.applier.dispose();
+		this.feeds.clear();
+	}
+
+	/** Takes changed delays and a thawed process into account. */
+	update(): void {
+		this.applier.update();
+		this.follower?.update();
+	}
+
+	readStatus(): shared.UpstreamStatus {
+		return {
+			server: this.server as ids.UpstreamId,
+			role: this.currentRole,
+			term: this.log.term,
+			position: this.log.position,
+			applied: this.log.applied,
+			replicas: [...this.feeds]
+				.filter((feed) => feed.server !== undefined)
+				.map((feed) => ({
+					server: feed.server as ids.UpstreamId,
+					position: feed.position,
+				})),
+		};
+	}
+
+	/** Refuses writes and replication of lower terms from now on; throws HK101 for a low term. */
+	setFence(term: number): void {
+		if (term < this.log.term || term < this.fence) {
+			throw this.makeTermError(term);
+		}
+
+		this.fence = term;
+		if (term > this.log.term) {
+			this.closeFollower();
+		}
+	}
+
+	/** Becomes the primary of the term; throws 55000 without the fence of the same term. */
+	promote(term: number): void {
+		if (this.currentRole === 'primary' && this.log.term === term) {
+			return;
+		}
+
+		if (term < this.fence || term < this.log.term) {
+			throw this.makeTermError(term);
+		}
+
+		if (this.fence !== term || this.log.term === term) {
+			throw new types.SqlError(wrongStateCode, `not fenced for term ${term}`);
+		}
+
+		this.closeFollower();
+		this.upstream = undefined;
+		this.applier.finish();
+		this.currentRole = 'primary';
+		// The first record of a term marks its start, so that a position never names a term whose
+		// beginning the server does not hold.
+		this.log.add([], term);
+		this.environment.handleChange();
+	}
+
+	/** Replicates from the primary of the term; throws HK101 for a lower term. */
+	follow(term: number, server: string, address: string): void {
+		if (term < this.fence || term < this.log.term) {
+			throw this.makeTermError(term);
+		}
+
+		const isPrimary = this.currentRole === 'primary' && this.log.term === term;
+		if (isPrimary || server === this.server) {
+			throw new types.SqlError(
+				wrongStateCode,
+				`${this.server} cannot follow ${server} in term ${term}`,
+			);
+		}
+
+		const {upstream} = this;
+		const isSame =
+			upstream?.term === term &&
+			upstream.server === server &&
+			upstream.address === address;
+		if (isSame && this.follower) {
+			return;
+		}
+
+		this.closeFollower();
+		this.feeds.clear();
+		this.fence = term;
+		this.currentRole = 'replica';
+		this.upstream = {term, server, address};
+		this.openFollower();
+		this.environment.handleChange();
+	}
+
+	/** Applies the writes of a transaction here and sends them to the replicas. */
+	commit(operations: readonly types.LogOperation[]): void {
+		const record = this.log.add(operations);
+		for (const feed of this.feeds) {
+			feed.sendRecord(record);
+		}
+	}
+
+	/** Accepts a replica; a server that is not the primary closes the connection. */
+	addReplica(
+		connection: gates.GatedSocket,
+	): replication.ReplicaFeed | undefined {
+		if (this.currentRole !== 'primary') {
+			connection.dispose();
+			return undefined;
+		}
+
+		const feed = new replication.ReplicaFeed(this, connection, () =>
+			this.data.readSnapshot(),
+		);
+		this.feeds.add(feed);
+		return feed;
+	}
+
+	removeReplica(feed: replication.ReplicaFeed): void {
+		this.feeds.delete(feed);
+	}
+
+	private openFollower(): void {
+		if (
+			this.currentRole === 'replica' &&
+			this.upstream &&
+			this.upstream.term >= this.fence
+		) {
+			this.follower = new replication.Follower(this, this.upstream.address);
+		}
+	}
+
+	private closeFollower(): void {
+		this.follower?.dispose();
+		this.follower = undefined;
+	}
+
+	private makeTermError(term: number): types.SqlError {
+		const highest = Math.max(this.log.term, this.fence);
+		return new types.SqlError(
+			higherTermCode,
+			`term ${term} is lower than term ${highest} of ${this.server}`,
+		);
+	}
+}
--- /dev/null
+++ b/src/standin/statement-runner.ts
@@ -0,0 +1,455 @@
+/**
+ * Runs the statements of one session: transaction control, settings, and data statements with
+ * their slot, service time and lock waits.
+ */
+import type * as engine from './engine.js';
+import type * as server from './session-host.js';
+import * as transactions from './transaction.js';
+import * as types from './types.js';
+import * as wire from './wire.js';
+
+/** The parts of a session that statements change. */
+export type SessionState = {
+	readonly processId: number;
+	readonly settings: Map<string, string>;
+	setSetting(name: string, value: string): void;
+	reset(): void;
+};
+
+const defaultSettings: Readonly<Record<string, string>> = {
+	server_version: '16.0 (stand-in)',
+	client_encoding: wire.utf8Name,
+	timezone: 'UTC',
+	transaction_isolation: 'read committed',
+	standard_conforming_strings: 'on',
+	search_path: 'public',
+};
+
+export class StatementRunner {
+	private transaction: transactions.Transaction | undefined;
+	private cancelWait: ((error: types.SqlError) => void) | undefined;
+	private sleepMs = 0;
+	private readonly functions: engine.FunctionHost;
+
+	constructor(
+		private readonly host: server.SessionHost,
+		private readonly session: SessionState,
+		private readonly isControl: boolean,
+	) {
+		this.functions = {
+			callFunction: (name, args, transaction) =>
+				this.callFunction(name, args, transaction),
+			findFunctionFields: (name) => host.findFunctionFields(name, isControl),
+			callTableFunction: (name, args) =>
+				host.callTableFunction(name, args, isControl),
+		};
+	}
+
+	get isInTransaction(): boolean {
+		return this.transaction !== undefined;
+	}
+
+	/** The status of ReadyForQuery. */
+	get status(): string {
+		if (!this.transaction?.isExplicit) {
+			return 'I';
+		}
+
+		return this.transaction.isFailed ? 'E' : 'T';
+	}
+
+	/** Ends the wait of the running statement with an error. */
+	cancel(error: types.SqlError): void {
+		this.cancelWait?.(error);
+	}
+
+	findFields(
+		statement: types.Statement,
+	): readonly types.ResultField[] | undefined {
+		return this.host.engine.findFields(
+			statement,
+			this.functions,
+			this.transaction,
+		);
+	}
+
+	/** Runs one statement; throws or rejects with `SqlError`. */
+	run(
+		statement: types.Statement,
+		parameters: readonly types.SqlValue[],
+	): types.StatementResult | Promise<types.StatementResult> {
+		const ends = statement.type === 'commit' || statement.type === 'rollback';
+		if (this.transaction?.isFailed && !ends) {
+			throw new types.SqlError(
+				'25P02',
+				'current transaction is aborted, commands ignored until end of transaction block',
+			);
+		}
+
+		switch (statement.type) {
+			case 'select':
+			case 'insert':
+			case 'update':
+			case 'delete':
+			case 'createTable':
+			case 'dropTable': {
+				return this.runData(statement, parameters);
+			}
+
+			case 'begin': {
+				return this.runBegin(statement);
+			}
+
+			case 'commit': {
+				const failed = this.transaction?.isFailed ?? false;
+				if (failed) {
+					this.rollback();
+				} else {
+					this.commit();
+				}
+
+				return makeResult(failed ? 'ROLLBACK' : 'COMMIT');
+			}
+
+			case 'rollback': {
+				this.rollback();
+				return makeResult('ROLLBACK');
+			}
+
+			case 'set': {
+				this.session.setSetting(statement.name, statement.value);
+				return makeResult('SET');
+			}
+
+			case 'reset': {
+				this.session.settings.delete(statement.name);
+				return makeResult('RESET');
+			}
+
+			case 'show': {
+				const value = this.readSetting(statement.name);
+				const fields = [{name: statement.name, type: 'text'}] as const;
+				return {fields, rows: [[value]], tag: 'SHOW', sleepMs: 0};
+			}
+
+			case 'discard': {
+				if (this.transaction) {
+					throw new types.SqlError(
+						'25001',
+						'DISCARD ALL cannot run inside a transaction block',
+					);
+				}
+
+				this.session.reset();
+				return makeResult('DISCARD ALL');
+			}
+
+			case 'listen': {
+				return makeResult(statement.tag);
+			}
+
+			case 'empty': {
+				return makeResult('');
+			}
+		}
+	}
+
+	/** Commits an implicit transaction; throws 25006 when the server became read-only. */
+	finishImplicit(): void {
+		if (this.transaction && !this.transaction.isExplicit) {
+			this.commit();
+		}
+	}
+
+	/** After an error: an explicit transaction waits for its end, an implicit one is rolled back. */
+	setFailed(): void {
+		if (this.transaction?.isExplicit) {
+			this.transaction.isFailed = true;
+		} else {
+			this.rollback();
+		}
+	}
+
+	rollback(): void {
+		const {transaction} = this;
+		this.transaction = undefined;
+		transaction?.finish(this.host.engine.locks);
+	}
+
+	private commit(): void {
+		const {transaction} = this;
+		if (!transaction) {
+			return;
+		}
+
+		try {
+			this.host.commit(transaction);
+		} finally {
+			this.rollback();
+		}
+	}
+
+	private runBegin(
+		statement: Extract<types.Statement, {type: 'begin'}>,
+	): types.StatementResult {
+		if (this.transaction) {
+			this.transaction.isExplicit = true;
+			this.transaction.isReadOnly ||= statement.readOnly;
+		} else {
+			this.transaction = new transactions.Transaction(true, statement.readOnly);
+		}
+
+		return makeResult(statement.tag);
+	}
+
+	private runData(
+		statement: engine.DataStatement,
+		parameters: readonly types.SqlValue[],
+	): types.StatementResult | Promise<types.StatementResult> {
+		this.transaction ??= new transactions.Transaction(false, false);
+		if (!hasSlot(statement) || this.isControl) {
+			return this.runNow(statement, parameters, this.transaction);
+		}
+
+		const {slots, faults} = this.host;
+		if (faults.serviceTimeMs > 0 || !slots.tryTake()) {
+			return this.runInSlot(statement, parameters, false);
+		}
+
+		// The common case without any delay is run without a promise.
+		let result: types.StatementResult;
+		try {
+			result = this.runNow(statement, parameters, this.transaction);
+		} catch (error) {
+			if (error instanceof transactions.LockWait) {
+				slots.release();
+				return this.runAfterLock(error.holder, statement, parameters);
+			}
+
+			slots.release();
+			throw error;
+		}
+
+		if (result.sleepMs > 0) {
+			return this.finishSleep(result, slots);
+		}
+
+		slots.release();
+		return result;
+	}
+
+	/** Waits for a slot, holds it for the service time and runs the statement. */
+	private async runInSlot(
+		statement: engine.DataStatement,
+		parameters: readonly types.SqlValue[],
+		isRetry: boolean,
+	): Promise<types.StatementResult> {
+		const {slots, faults, executionGate} = this.host;
+		if (!slots.tryTake()) {
+			await this.wait((resolve) => slots.add(resolve));
+		}
+
+		let result: types.StatementResult;
+		try {
+			if (faults.serviceTimeMs > 0 && !isRetry) {
+				await this.waitTime(faults.serviceTimeMs);
+			}
+
+			await executionGate.wait();
+			result = this.runNow(statement, parameters, this.transaction);
+		} catch (error) {
+			slots.release();
+			if (error instanceof transactions.LockWait) {
+				return this.runAfterLock(error.holder, statement, parameters);
+			}
+
+			throw error;
+		}
+
+		return this.finishSleep(result, slots);
+	}
+
+	/** Holds the slot for the time of `pg_sleep`. */
+	private async finishSleep(
+		result: types.StatementResult,
+		slots: server.SessionHost['slots'],
+	): Promise<types.StatementResult> {
+		try {
+			if (result.sleepMs > 0) {
+				await this.waitTime(result.sleepMs);
+				await this.host.executionGate.wait();
+			}
+		} finally {
+			slots.release();
+		}
+
+		return result;
+	}
+
+	/** Waits without a slot for the end of the transaction that holds the lock. */
+	private async runAfterLock(
+		holder: transactions.Transaction,
+		statement: engine.DataStatement,
+		parameters: readonly types.SqlValue[],
+	): Promise<types.StatementResult> {
+		const {transaction} = this;
+		if (transaction) {
+			transaction.waitsFor = holder;
+		}
+
+		try {
+			await this.wait((resolve) => holder.addWaiter(resolve));
+		} finally {
+			if (transaction) {
+				transaction.waitsFor = undefined;
+			}
+		}
+
+		return this.runInSlot(statement, parameters, true);
+	}
+
+	private runNow(
+		statement: engine.DataStatement,
+		parameters: readonly types.SqlValue[],
+		transaction: transactions.Transaction | undefined,
+	): types.StatementResult {
+		if (!transaction) {
+			throw new types.SqlError('57P01', 'connection closed');
+		}
+
+		if (statement.type !== 'select') {
+			this.checkWritable(transaction, statement.type);
+		}
+
+		this.sleepMs = 0;
+		const result = this.host.engine.run(statement, {
+			transaction,
+			parameters,
+			host: this.functions,
+		});
+		return {...result, sleepMs: this.sleepMs};
+	}
+
+	private checkWritable(
+		transaction: transactions.Transaction,
+		what: string,
+	): void {
+		if (transaction.isReadOnly || !this.host.isWritable) {
+			const name = what.replace(/[A-Z]/v, ' $&').toUpperCase();
+			throw new types.SqlError(
+				'25006',
+				`cannot execute ${name} in a read-only transaction`,
+			);
+		}
+	}
+
+	private callFunction(
+		name: string,
+		args: readonly types.SqlValue[],
+		transaction: transactions.Transaction,
+	): types.SqlValue {
+		switch (name) {
+			case 'pg_sleep': {
+				this.sleepMs += Number(args[0]) * 1000;
+				return '';
+			}
+
+			case 'pg_backend_pid': {
+				return this.session.processId;
+			}
+
+			case 'version': {
+				return 'PostgreSQL 16.0 (hemlockarch stand-in)';
+			}
+
+			case 'current_setting': {
+				return this.readSetting(String(args[0]));
+			}
+
+			case 'hemlockarch.claim_key': {
+				this.checkWritable(transaction, 'claim_key');
+				this.host.engine.claimKey(String(args[0]), transaction);
+				return '';
+			}
+
+			default: {
+				return this.host.callFunction(name, args, transaction, this.isControl);
+			}
+		}
+	}
+
+	private readSetting(name: string): string {
+		if (name === 'transaction_read_only') {
+			const readOnly =
+				!this.host.isWritable || (this.transaction?.isReadOnly ?? false);
+			return readOnly ? 'on' : 'off';
+		}
+
+		const value =
+			this.session.settings.get(name) ??
+			(Object.hasOwn(defaultSettings, name)
+				? defaultSettings[name]
+				: undefined) ??
+			(name.includes('.') ? '' : undefined);
+		if (value === undefined) {
+			throw new types.SqlError(
+				'42704',
+				`unrecognized configuration parameter "${name}"`,
+			);
+		}
+
+		return value;
+	}
+
+	private async waitTime(ms: number): Promise<void> {
+		await this.wait((resolve) => {
+			const timer = setTimeout(resolve, ms);
+			return () => {
+				clearTimeout(timer);
+			};
+		});
+	}
+
+	/** Waits for `start` to call back; `cancel` ends the wait with an error. */
+	private async wait(
+		start: (resolve: () => void) => () => void,
+	): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			const stop = start(() => {
+				this.cancelWait = undefined;
+				resolve();
+			});
+			this.cancelWait = (error) => {
+				this.cancelWait = undefined;
+				stop();
+				reject(error);
+			};
+		});
+	}
+}
+
+function makeResult(tag: string): types.StatementResult {
+	return {fields: undefined, rows: [], tag, sleepMs: 0};
+}
+
+/**
+ * Tells whether a statement takes a slot. Functions of the schema `hemlockarch` do not, so that
+ * status polls and fencing work while all slots are busy.
+ */
+function hasSlot(statement: engine.DataStatement): boolean {
+	if (statement.type !== 'select') {
+		return statement.type !== 'createTable' && statement.type !== 'dropTable';
+	}
+
+	const isInternal = (expression: types.Expression) =>
+		expression.type === 'call' && expression.name.startsWith('hemlockarch.');
+	if (statement.source) {
+		return !(
+			statement.source.type === 'function' && isInternal(statement.source.call)
+		);
+	}
+
+	return !statement.items.some(
+		(item) => item.type === 'expression' && isInternal(item.expression),
+	);
+}
--- /dev/null
+++ b/src/standin/store.ts
@@ -0,0 +1,126 @@
+/**
+ * The stored tables of a server as reads see them. Changes arrive as log operations; each returns
+ * the operation that takes it back, so that a divergent tail can be dropped.
+ */
+import type * as types from './types.js';
+
+/** One table with its unique indexes. */
+export class Table {
+	readonly rows = new Map<number, types.Row>();
+	/** Row id by key, for each unique index. */
+	readonly indexes: ReadonlyArray<Map<string, number>>;
+	/** Next row id; also the next value of serial columns. */
+	nextId = 1;
+
+	constructor(readonly definition: types.TableDefinition) {
+		this.indexes = definition.uniqueIndexes.map(() => new Map());
+	}
+
+	/** Stores or deletes a row; returns the earlier one. */
+	setRow(id: number, row: types.Row | null): types.Row | null {
+		const earlier = this.rows.get(id) ?? null;
+		for (const [number, index] of this.indexes.entries()) {
+			const earlierKey = earlier && this.findKey(number, earlier);
+			const key = row && this.findKey(number, row);
+			if (earlierKey !== null && index.get(earlierKey) === id) {
+				index.delete(earlierKey);
+			}
+
+			if (key !== null) {
+				index.set(key, id);
+			}
+		}
+
+		if (row === null) {
+			this.rows.delete(id);
+		} else {
+			this.rows.set(id, row);
+		}
+
+		this.nextId = Math.max(this.nextId, id + 1);
+		return earlier;
+	}
+
+	/** Key of a row in a unique index; null when a column is null, which is never a duplicate. */
+	findKey(index: number, row: types.Row): string | null {
+		const values = this.definition.uniqueIndexes[index].map(
+			(column) => row[column],
+		);
+		return values.includes(null) ? null : buildKey(values);
+	}
+}
+
+/** Joins values into a key; the separator cannot occur in SQL text. */
+export function buildKey(values: readonly types.SqlValue[]): string {
+	return values.map(String).join('\0');
+}
+
+/** All tables of a server. */
+export class Store {
+	private tables = new Map<string, Table>();
+
+	getTable(name: string): Table | undefined {
+		return this.tables.get(name);
+	}
+
+	/** Applies the operations of a record; returns the operations that take them back. */
+	apply(operations: readonly types.LogOperation[]): types.LogOperation[] {
+		const inverse: types.LogOperation[] = [];
+		for (const operation of operations) {
+			inverse.unshift(...this.applyOne(operation));
+		}
+
+		return inverse;
+	}
+
+	readSnapshot(): types.TableSnapshot[] {
+		return [...this.tables.values()].map((table) => ({
+			definition: table.definition,
+			rows: [...table.rows],
+		}));
+	}
+
+	restore(snapshot: readonly types.TableSnapshot[]): void {
+		this.tables = new Map();
+		for (const {definition, rows} of snapshot) {
+			const table = new Table(definition);
+			this.tables.set(definition.name, table);
+			for (const [id, row] of rows) {
+				table.setRow(id, row);
+			}
+		}
+	}
+
+	private applyOne(operation: types.LogOperation): types.LogOperation[] {
+		switch (operation.type) {
+			case 'createTable': {
+				const {name} = operation.definition;
+				this.tables.set(name, new Table(operation.definition));
+				return [{type: 'dropTable', table: name}];
+			}
+
+			case 'dropTable': {
+				const table = this.tables.get(operation.table);
+				this.tables.delete(operation.table);
+				return table ? buildTable(table) : [];
+			}
+
+			case 'putRow': {
+				const {table, id} = operation;
+				const row = this.tables.get(table)?.setRow(id, operation.row) ?? null;
+				return [{type: 'putRow', table, id, row}];
+			}
+		}
+	}
+}
+
+function buildTable(table: Table): types.LogOperation[] {
+	const {definition} = table;
+	return [
+		{type: 'createTable', definition},
+		...[...table.rows].map(
+			([id, row]) =>
+				({type: 'putRow', table: definition.name, id, row}) as const,
+		),
+	];
+}
