--- a/scripts/install-if-missing.mjs
+++ b/scripts/install-if-missing.mjs
@@ -1,29 +1,38 @@
 /**
- * Installs the locked dependencies when `node_modules` is missing or older than the lock file,
+ * Installs the locked dependencies when `node_modules` is missing or belongs to another lock file,
  * so that the README's commands work on a fresh clone.
  */
 import * as childProcess from 'node:child_process';
+import * as crypto from 'node:crypto';
 import * as fs from 'node:fs';
 import process from 'node:process';
 
-const installedLock = 'node_modules/.package-lock.json';
+const marker = 'node_modules/.installed-lock';
 
-function isInstalled() {
-	if (!fs.existsSync(installedLock)) {
-		return false;
-	}
+function hashLock() {
+	return crypto
+		.createHash('sha256')
+		.update(fs.readFileSync('package-lock.json'))
+		.digest('hex');
+}
 
+function isInstalled() {
 	return (
-		fs.statSync(installedLock).mtimeMs >=
-		fs.statSync('package-lock.json').mtimeMs
+		fs.existsSync(marker) && fs.readFileSync(marker, 'utf8') === hashLock()
 	);
 }
 
 if (!isInstalled()) {
+	// `npm ci` refuses the lock file: optional native parts of cbor-x that no registry offers are
+	// missing from it. `npm install --no-save` installs the locked versions and leaves the file alone.
 	const result = childProcess.spawnSync(
 		'npm',
-		['ci', '--no-audit', '--no-fund'],
+		['install', '--no-save', '--no-audit', '--no-fund'],
 		{stdio: 'inherit'},
 	);
-	process.exit(result.status ?? 1);
+	if (result.status !== 0) {
+		process.exit(result.status ?? 1);
+	}
+
+	fs.writeFileSync(marker, hashLock());
 }
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -372,7 +372,8 @@
 			case 'append':
 			case 'appendReply':
 			case 'installSnapshot':
-			case 'joinRequest': {
+			case 'joinRequest':
+			case 'joinReply': {
 				this.context.log('warn', part, `Ignores ${message.type} from ${from}`);
 				return;
 			}
