Split the entry and owner parts into services of one job each

Also: releases name the term of the write lease, the proxy names the owners list it knows, and ownership is given back in two steps, so that an open transaction ends before its server moves. A departing server gets no new work after 3 s. Ruled out: one file for each event, which scatters the state.

--- /dev/null
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -0,0 +1,230 @@
+/**
+ * What follows from the end of an attempt: an answer, another attempt, or a refusal with the right
+ * verdict.
+ */
+import {assertNever} from '../assert-never.js';
+import type * as messages from '../messages.js';
+import * as positions from '../position.js';
+import type * as types from '../types.js';
+import type * as context from './context.js';
+import type * as entryReplies from './entry-replies.js';
+import * as entryState from './entry-state.js';
+import * as requestRouter from './request-router.js';
+import type * as requestTable from './request-table.js';
+import type * as entry from './entry.js';
+
+export class AttemptOutcomes {
+	constructor(
+		private readonly context: context.ProxyContext,
+		private readonly table: requestTable.RequestTable,
+		private readonly router: requestRouter.RequestRouter,
+		private readonly replies: entryReplies.EntryReplies,
+		private readonly services: entry.EntryServices,
+	) {}
+
+	handleCompleted(
+		request: entryState.EntryRequest,
+		attempt: entryState.Attempt,
+		done: messages.ForwardDone,
+		latencyMs: number,
+	): void {
+		const {session} = request;
+		if (request.isSuspect && entryState.needsPrimary(request.kind)) {
+			this.updateBinding(session, attempt, done.bound);
+			this.replies.finishUnknown(request, 'this proxy was frozen meanwhile');
+			return;
+		}
+
+		if (request.kind === 'read') {
+			this.services.hedging.observe(latencyMs, this.context.now);
+		}
+
+		this.services.retryBudget.recordSuccess(this.context.now);
+		this.table.cancelOthers(request, done.attempt);
+		this.updateBinding(session, attempt, done.bound);
+		const isCommit = request.kind !== 'read' && done.position !== undefined;
+		if (done.position) {
+			session.floor = session.floor
+				? positions.maxPosition(session.floor, done.position)
+				: done.position;
+		}
+
+		this.context.emit({
+			type: 'finishRequest',
+			session: session.id,
+			request: request.id,
+			attempt: done.attempt,
+			tail: done.tail ?? new Uint8Array(),
+			...(isCommit && session.floor ? {token: session.floor} : {}),
+		});
+		this.replies.recordRequest(request, 'completed', undefined, done);
+		this.table.removeRequest(request);
+	}
+
+	handleNotRun(
+		request: entryState.EntryRequest,
+		attempt: entryState.Attempt,
+		done: messages.ForwardDone,
+	): void {
+		const {session} = request;
+		const reason = done.reason ?? 'noServer';
+		const message = done.message ?? 'the request was refused';
+		request.lastReason = reason;
+		if (session.binding) {
+			this.handleBoundRefusal(request, done, reason, message);
+			return;
+		}
+
+		if (request.attempts.size > 0) {
+			return;
+		}
+
+		switch (reason) {
+			case 'keyUsed':
+			case 'cancelled':
+			case 'memberLimit':
+			case 'noTemplate':
+			case 'draining':
+			case 'deadline': {
+				this.replies.refuse(request, reason, message);
+				return;
+			}
+
+			case 'queueFull': {
+				this.retryAfterQueueFull(request, attempt, message);
+				return;
+			}
+
+			case 'noServer': {
+				if (entryState.needsPrimary(request.kind)) {
+					this.router.waitForServer(request);
+				} else {
+					request.excluded.add(attempt.server);
+					this.router.routeRequest(request);
+				}
+
+				return;
+			}
+
+			case 'noPrimary': {
+				request.wait = {
+					type: 'until',
+					at: this.context.now + requestRouter.serverRetryMs,
+				};
+				return;
+			}
+
+			case 'readOnlyServer':
+			case 'tooStale': {
+				request.excluded.add(attempt.server);
+				this.router.routeRequest(request);
+				return;
+			}
+
+			default: {
+				assertNever(reason);
+			}
+		}
+	}
+
+	handleUnknown(
+		request: entryState.EntryRequest,
+		attempt: entryState.Attempt,
+		message: string,
+	): void {
+		const {session} = request;
+		const wasBound = session.binding !== undefined;
+		if (request.attempts.size > 0 && request.relayedBy === undefined) {
+			return;
+		}
+
+		const mayRetry =
+			request.repeatable &&
+			!wasBound &&
+			request.relayedBy === undefined &&
+			request.kind !== 'begin' &&
+			request.kind !== 'beginReadOnly' &&
+			this.context.now < request.deadlineAt &&
+			this.services.retryBudget.trySpend(this.context.now);
+		if (mayRetry) {
+			this.context.count('retries');
+			request.excluded.add(attempt.server);
+			request.wait = {
+				type: 'until',
+				at:
+					this.context.now +
+					this.services.retryBudget.computeDelay(
+						request.retries,
+						this.context.random.readFloat(),
+					),
+			};
+			request.retries++;
+			return;
+		}
+
+		session.binding = undefined;
+		this.replies.finishUnknown(request, message);
+		if (wasBound) {
+			this.replies.endLostSession(session);
+		}
+	}
+
+	private updateBinding(
+		session: entryState.Session,
+		attempt: entryState.Attempt,
+		isBound: boolean,
+	): void {
+		session.binding = isBound
+			? {server: attempt.server, owner: attempt.owner}
+			: undefined;
+	}
+
+	/** A full queue of one server sends a read to another one, within the retry budget. */
+	private retryAfterQueueFull(
+		request: entryState.EntryRequest,
+		attempt: entryState.Attempt,
+		message: string,
+	): void {
+		request.excluded.add(attempt.server);
+		if (
+			entryState.needsPrimary(request.kind) ||
+			!this.services.retryBudget.trySpend(this.context.now)
+		) {
+			this.replies.refuse(request, 'queueFull', message);
+			return;
+		}
+
+		this.context.count('retries');
+		const decision = this.router.chooseServer(request);
+		const owner =
+			decision.type === 'server'
+				? this.router.getOwner(decision.server)
+				: undefined;
+		if (decision.type === 'server' && owner !== undefined) {
+			this.router.sendAttempt(request, decision.server, owner);
+		} else {
+			this.replies.refuse(request, 'queueFull', message);
+		}
+	}
+
+	private handleBoundRefusal(
+		request: entryState.EntryRequest,
+		done: messages.ForwardDone,
+		reason: types.RefusalReason,
+		message: string,
+	): void {
+		const {session} = request;
+		if (done.bound) {
+			this.replies.refuse(request, reason, message);
+			return;
+		}
+
+		session.binding = undefined;
+		this.replies.refuse(
+			request,
+			reason,
+			`${message}; the transaction was rolled back`,
+		);
+		this.replies.endLostSession(session);
+	}
+}
--- a/src/common/proxy/candidates.ts
+++ b/src/common/proxy/candidates.ts
@@ -150,13 +150,13 @@
 			term: server.status?.term ?? 0,
 			applied: server.status?.applied ?? 0,
 			answerAgeMs: now - (server.lastAnswerAt ?? Number.NEGATIVE_INFINITY),
-			stalenessMs: this.owner.computeStaleness(server),
+			stalenessMs: this.owner.rules.computeStaleness(server),
 			expectedWaitMs: {
 				urgent: estimateWait('urgent'),
 				normal: estimateWait('normal'),
 				background: estimateWait('background'),
 			},
-			writable: this.owner.isWritable(server),
+			writable: this.owner.rules.isWritable(server),
 		};
 	}
 
@@ -172,11 +172,11 @@
 			dataCentre: announcement.dataCentre,
 			owner: this.context.config.peer,
 			applied: server.getApplied() ?? {term: 0, offset: 0},
-			stalenessMs: this.owner.computeStaleness(server),
+			stalenessMs: this.owner.rules.computeStaleness(server),
 			expectedWaitMs: server.scheduler.estimateWait(rank, now),
 			roundTripMs: 0,
 			departing: announcement.departing,
-			writable: this.owner.isWritable(server),
+			writable: this.owner.rules.isWritable(server),
 			reportAgeMs: now - (server.lastAnswerAt ?? Number.NEGATIVE_INFINITY),
 		};
 	}
--- /dev/null
+++ b/src/common/proxy/entry-replies.ts
@@ -0,0 +1,89 @@
+/**
+ * How requests and sessions end towards callers, with the record of each request.
+ */
+import type * as ids from '../ids.js';
+import type * as messages from '../messages.js';
+import type * as types from '../types.js';
+import type * as context from './context.js';
+import type * as entryState from './entry-state.js';
+import * as refusals from './refusals.js';
+import type * as requestTable from './request-table.js';
+
+const part = 'entry';
+
+export class EntryReplies {
+	/** @param forgetSession - Removes a session whose caller was told that it ended. */
+	constructor(
+		private readonly context: context.ProxyContext,
+		private readonly table: requestTable.RequestTable,
+		private readonly forgetSession: (session: ids.SessionId) => void,
+	) {}
+
+	refuse(
+		request: entryState.EntryRequest,
+		reason: types.RefusalReason,
+		message: string,
+	): void {
+		this.context.emit({
+			type: 'refuseRequest',
+			session: request.session.id,
+			request: request.id,
+			sqlState: refusals.getRefusalState(reason),
+			message: `not run: ${message}`,
+			transactionStatus: request.session.binding ? 'failed' : 'idle',
+		});
+		this.recordRequest(request, 'notRun', reason, undefined);
+		this.table.removeRequest(request);
+	}
+
+	finishUnknown(request: entryState.EntryRequest, message: string): void {
+		this.context.emit({
+			type: 'refuseRequest',
+			session: request.session.id,
+			request: request.id,
+			sqlState: refusals.unknownOutcomeState,
+			message: `the outcome is unknown: ${message}`,
+			transactionStatus: 'idle',
+		});
+		this.recordRequest(request, 'unknown', undefined, undefined);
+		this.table.removeRequest(request);
+	}
+
+	/** Ends a session whose transaction or session state is gone, so that the caller notices. */
+	endLostSession(session: entryState.Session): void {
+		this.context.emit({
+			type: 'closeSession',
+			session: session.id,
+			sqlState: refusals.connectionLostState,
+			message: 'the transaction was rolled back because its connection is gone',
+		});
+		this.context.log('info', part, 'Ended a session whose transaction is gone');
+		this.forgetSession(session.id);
+	}
+
+	recordRequest(
+		request: entryState.EntryRequest,
+		verdict: types.Verdict,
+		reason: types.RefusalReason | undefined,
+		done: messages.ForwardDone | undefined,
+	): void {
+		const {now} = this.context;
+		this.context.emit({
+			type: 'recordRequest',
+			record: {
+				member: request.session.member,
+				rank: request.rank,
+				kind: request.kind,
+				verdict,
+				latencyMs: now - request.arrivedAt,
+				queueMs: done?.queueMs ?? 0,
+				onTime: verdict === 'completed' && now <= request.deadlineAt,
+				...(reason === undefined ? {} : {reason}),
+				...(done?.stalenessMs === undefined
+					? {}
+					: {stalenessMs: done.stalenessMs}),
+				...(done?.servedBy === undefined ? {} : {servedBy: done.servedBy}),
+			},
+		});
+	}
+}
--- /dev/null
+++ b/src/common/proxy/executor.ts
@@ -0,0 +1,370 @@
+/**
+ * Runs requests on connections and handles how they end: answers, lost connections, held commits,
+ * and the connections that sessions keep.
+ */
+import {assertNever} from '../assert-never.js';
+import type * as ids from '../ids.js';
+import type * as policy from '../policy/types.js';
+import type * as bindingTable from './binding-table.js';
+import type * as context from './context.js';
+import * as owned from './owned-server.js';
+import type * as ownerPool from './owner-pool.js';
+import type * as ownerReplies from './owner-replies.js';
+import type * as servingRules from './serving-rules.js';
+import type * as proxy from './types.js';
+
+const part = 'owner';
+/** Time that an execution may run past its deadline before its connection is closed. */
+const executionGraceMs = 1000;
+
+export class Executor {
+	private readonly running = new Map<ids.ConnectionId, owned.OwnedServer>();
+
+	constructor(
+		private readonly context: context.ProxyContext,
+		private readonly pool: ownerPool.OwnerPool,
+		private readonly bindings: bindingTable.BindingTable,
+		private readonly replies: ownerReplies.OwnerReplies,
+		private readonly rules: servingRules.ServingRules,
+	) {}
+
+	/** Asks the server to cancel an attempt that is running. */
+	cancel(from: ids.PeerId, attempt: ids.AttemptId): void {
+		for (const connection of this.listRunning(from)) {
+			if (connection.item?.request.attempt === attempt) {
+				this.context.emit({
+					type: 'cancelExecution',
+					connection: connection.id,
+					attempt,
+				});
+			}
+		}
+	}
+
+	/** Closes the connection of a running request of a session when it ends. */
+	markAbandoned(from: ids.PeerId, session: ids.SessionId): void {
+		for (const connection of this.listRunning(from)) {
+			if (connection.item?.request.session === session) {
+				connection.abandoned = true;
+			}
+		}
+	}
+
+	handleExecutionFinished(
+		id: ids.ConnectionId,
+		outcome: proxy.ExecutionOutcome,
+	): void {
+		const found = this.pool.findConnection(id);
+		this.running.delete(id);
+		if (!found?.connection.item) {
+			return;
+		}
+
+		const {server, connection} = found;
+		const {item, queued, startedAt} = connection;
+		connection.item = undefined;
+		connection.queued = undefined;
+		server.busy--;
+		if (queued) {
+			server.scheduler.complete(
+				queued,
+				this.context.now - startedAt,
+				this.context.now,
+			);
+		}
+
+		if (item) {
+			this.handleOutcome(server, connection, item, outcome, startedAt);
+		}
+	}
+
+	execute(
+		server: owned.OwnedServer,
+		connection: owned.Connection,
+		item: owned.OwnerItem,
+		queued: policy.QueuedRequest<owned.OwnerItem> | undefined,
+	): void {
+		const {request, origin} = item;
+		server.setState(connection, 'executing', this.context.now);
+		connection.item = item;
+		connection.queued = queued;
+		connection.startedAt = this.context.now;
+		server.busy++;
+		this.running.set(connection.id, server);
+		const isLocal = origin === this.context.config.peer;
+		this.context.emit({
+			type: 'execute',
+			connection: connection.id,
+			attempt: request.attempt,
+			kind: request.kind,
+			payload: request.payload,
+			inTransaction: connection.binding?.inTransaction ?? false,
+			sink: isLocal
+				? {type: 'session', attempt: request.attempt}
+				: {type: 'peer', peer: origin, attempt: request.attempt},
+			...(request.key === undefined ? {} : {claimKey: request.key}),
+		});
+	}
+
+	releaseBinding(binding: owned.Binding): void {
+		const {connection} = binding;
+		this.bindings.remove(binding);
+		const found = this.pool.findConnection(connection.id);
+		if (!found) {
+			return;
+		}
+
+		if (connection.item) {
+			connection.abandoned = true;
+			return;
+		}
+
+		// A transaction that is still open is rolled back, state of the session is discarded.
+		this.finishConnection(found.server, connection, true);
+	}
+
+	/** Closes the connections of read-write transactions; their sessions are told. */
+	abandonWriteTransactions(server: owned.OwnedServer): void {
+		for (const connection of server.connections.values()) {
+			if (connection.binding && !connection.binding.readOnly) {
+				this.abandonConnection(server, connection);
+			}
+		}
+	}
+
+	abandonConnection(
+		server: owned.OwnedServer,
+		connection: owned.Connection,
+	): void {
+		const {binding, item} = connection;
+		this.running.delete(connection.id);
+		if (item) {
+			server.busy--;
+			connection.item = undefined;
+			this.replies.finishUnknown(item, 'the connection was closed', {
+				relayed: false,
+			});
+		}
+
+		if (binding) {
+			this.bindings.lose(server, binding);
+		}
+
+		this.closeConnection(server, connection);
+	}
+
+	closeOverdueExecutions(server: owned.OwnedServer): void {
+		const {now} = this.context;
+		for (const connection of server.connections.values()) {
+			const isOverdue =
+				connection.item !== undefined &&
+				now > connection.item.deadlineAt + executionGraceMs;
+			const isStuck =
+				(connection.state === 'resetting' || connection.state === 'opening') &&
+				now - connection.stateSince > 2 * executionGraceMs;
+			if (isOverdue || isStuck) {
+				this.context.log(
+					'warn',
+					part,
+					`Closes a silent connection to ${server.server}`,
+				);
+				this.context.count('connectionsLost');
+				this.abandonConnection(server, connection);
+			}
+		}
+	}
+
+	private handleOutcome(
+		server: owned.OwnedServer,
+		connection: owned.Connection,
+		item: owned.OwnerItem,
+		outcome: proxy.ExecutionOutcome,
+		startedAt: number,
+	): void {
+		switch (outcome.type) {
+			case 'answered': {
+				this.handleAnswered(server, connection, item, outcome, startedAt);
+				return;
+			}
+
+			case 'keyUsed': {
+				this.finishConnection(server, connection, false);
+				this.replies.refuseItem(
+					item,
+					'keyUsed',
+					'a committed request already used this key',
+				);
+				return;
+			}
+
+			case 'lost': {
+				this.pool.removeConnection(server, connection);
+				this.context.count('connectionsLost');
+				if (connection.binding) {
+					this.bindings.lose(server, connection.binding);
+				}
+
+				if (outcome.mayHaveRun) {
+					this.replies.finishUnknown(
+						item,
+						'the connection to the server was lost',
+						{
+							relayed: outcome.relayed,
+						},
+					);
+				} else {
+					this.replies.refuseItem(
+						item,
+						'noServer',
+						'the server cannot be reached',
+					);
+				}
+
+				return;
+			}
+
+			default: {
+				assertNever(outcome);
+			}
+		}
+	}
+
+	private handleAnswered(
+		server: owned.OwnedServer,
+		connection: owned.Connection,
+		item: owned.OwnerItem,
+		outcome: Extract<proxy.ExecutionOutcome, {type: 'answered'}>,
+		startedAt: number,
+	): void {
+		const {request} = item;
+		const wasBound = connection.binding !== undefined;
+		const wasReadOnly =
+			connection.binding?.readOnly ??
+			(request.kind === 'read' || request.kind === 'beginReadOnly');
+		const refusedAsReplica =
+			outcome.sqlState === '25006' && !wasBound && !outcome.relayed;
+		const isBound = this.updateBinding(server, connection, item, outcome);
+		if (refusedAsReplica && outcome.transactionStatus === 'idle') {
+			this.replies.refuseItem(
+				item,
+				'readOnlyServer',
+				'the server accepts only reads',
+			);
+			return;
+		}
+
+		const queueMs = startedAt - item.arrivedAt;
+		const mayHaveCommitted =
+			outcome.transactionStatus === 'idle' &&
+			owned.canCommit(request.kind, wasReadOnly);
+		if (mayHaveCommitted && server.writeTerm !== undefined) {
+			server.acknowledgements.push({
+				item,
+				tail: outcome.tail,
+				relayed: outcome.relayed,
+				term: server.writeTerm,
+				finishedAt: this.context.now,
+				queueMs,
+				bound: isBound,
+				target: undefined,
+			});
+			return;
+		}
+
+		if (mayHaveCommitted) {
+			this.replies.finishUnknown(item, 'the write lease ended', outcome);
+			return;
+		}
+
+		const applied = server.getApplied();
+		this.context.send(item.origin, {
+			type: 'forwardDone',
+			attempt: request.attempt,
+			verdict: 'completed',
+			tail: outcome.tail,
+			relayed: outcome.relayed,
+			transactionStatus: outcome.transactionStatus,
+			bound: isBound,
+			queueMs,
+			...(server.status ? {servedBy: server.status.role} : {}),
+			...(applied && request.kind === 'read' && !wasBound
+				? {position: applied, stalenessMs: this.rules.computeStaleness(server)}
+				: {}),
+		});
+	}
+
+	/** Binds, keeps or frees the connection after an answer; returns whether the session is bound. */
+	private updateBinding(
+		server: owned.OwnedServer,
+		connection: owned.Connection,
+		item: owned.OwnerItem,
+		outcome: Extract<proxy.ExecutionOutcome, {type: 'answered'}>,
+	): boolean {
+		const {request} = item;
+		const isOpen = outcome.transactionStatus !== 'idle';
+		const setsState =
+			request.kind === 'sessionState' && outcome.sqlState === undefined;
+		if (connection.abandoned) {
+			this.closeConnection(server, connection);
+			return false;
+		}
+
+		const binding =
+			connection.binding ??
+			(isOpen || setsState ? this.bindings.add(item, connection) : undefined);
+		if (!binding) {
+			this.pool.addIdle(server, connection);
+			return false;
+		}
+
+		binding.inTransaction = isOpen;
+		binding.pinned ||= setsState;
+		if (isOpen || binding.pinned) {
+			server.setState(connection, 'bound', this.context.now);
+			return true;
+		}
+
+		this.bindings.remove(binding);
+		this.finishConnection(server, connection, true);
+		return false;
+	}
+
+	/** Frees a connection; one that carried a transaction is reset first. */
+	private finishConnection(
+		server: owned.OwnedServer,
+		connection: owned.Connection,
+		needsReset: boolean,
+	): void {
+		if (connection.abandoned) {
+			this.closeConnection(server, connection);
+		} else if (needsReset) {
+			server.setState(connection, 'resetting', this.context.now);
+			this.context.emit({type: 'resetConnection', connection: connection.id});
+		} else if (connection.binding) {
+			server.setState(connection, 'bound', this.context.now);
+		} else {
+			this.pool.addIdle(server, connection);
+		}
+	}
+
+	private closeConnection(
+		server: owned.OwnedServer,
+		connection: owned.Connection,
+	): void {
+		if (connection.binding) {
+			this.bindings.remove(connection.binding);
+		}
+
+		this.pool.removeConnection(server, connection);
+		this.context.emit({type: 'closeConnection', connection: connection.id});
+	}
+
+	private *listRunning(origin: ids.PeerId): Iterable<owned.Connection> {
+		for (const [id, server] of this.running) {
+			const connection = server.connections.get(id);
+			if (connection?.item?.origin === origin) {
+				yield connection;
+			}
+		}
+	}
+}
--- a/src/common/proxy/lease-client.ts
+++ b/src/common/proxy/lease-client.ts
@@ -26,6 +26,8 @@
 	/** Highest log index of control that this proxy has applied. */
 	knownIndex = 0;
 	lastGrantAt = 0;
+	/** Names the state of the owners list that this proxy has applied. */
+	private ownersVersion: types.Epoch | undefined;
 	private leader: ids.PeerId | undefined;
 	private candidate = 0;
 	private sequence = 0;
@@ -75,6 +77,7 @@
 			announcements: this.source.listAnnouncements(),
 			templateVersions: this.source.listTemplateVersions(),
 			knownIndex: this.knownIndex,
+			...(this.ownersVersion ? {knownOwners: this.ownersVersion} : {}),
 		});
 		if (sent) {
 			this.sentAt.set(this.sequence, context.now);
@@ -88,6 +91,7 @@
 		from: ids.PeerId,
 		grant: Extract<messages.ControlMessage, {type: 'leaseGranted'}>,
 	): void {
+		this.ownersVersion = grant.ownersVersion;
 		const sentAt = this.sentAt.get(grant.sequence);
 		if (sentAt === undefined) {
 			return;
--- a/src/common/proxy/owned-server.ts
+++ b/src/common/proxy/owned-server.ts
@@ -84,8 +84,12 @@
 	writeTerm: number | undefined;
 	/** Set while the write lease is being given back: no new writes start. */
 	releasingWriteSince: number | undefined;
+	/** Set when control asked for the ownership: no new transactions start. */
+	releaseRequestedAt: number | undefined;
 	/** Set while ownership is being given back: no new requests are accepted. */
 	releasingSince: number | undefined;
+	/** Set while the server announces that it departs. */
+	departingSince: number | undefined;
 	/** Slots in use. */
 	busy = 0;
 	openFailures = 0;
@@ -130,6 +134,29 @@
 		return count;
 	}
 
+	/** Number of requests that are running or wait. */
+	countWork(): number {
+		return (
+			this.busy +
+			this.scheduler.size +
+			this.boundQueue.length +
+			this.awaitingConnection.length +
+			this.acknowledgements.length
+		);
+	}
+
+	/** Writes that are running or wait for their acknowledgement. */
+	countWrites(): number {
+		let count = this.acknowledgements.length;
+		for (const connection of this.connections.values()) {
+			if (connection.item && connection.item.request.kind !== 'read') {
+				count++;
+			}
+		}
+
+		return count;
+	}
+
 	/** The applied position as of the last poll. */
 	getApplied(): types.Position | undefined {
 		return this.status
--- a/src/common/proxy/ownership.ts
+++ b/src/common/proxy/ownership.ts
@@ -16,6 +16,8 @@
 const silentPrimaryMs = 300;
 /** Running requests get this long to finish before ownership is given back. */
 const ownershipReleaseLimitMs = 5000;
+/** Open transactions get this long to end before; it stays below the drain deadline. */
+const transactionReleaseLimitMs = 20_000;
 
 export class OwnershipKeeper {
 	/** Grants for servers whose announcement has not arrived yet. */
@@ -64,15 +66,30 @@
 				server: message.server,
 				epoch: message.epoch,
 				scope: message.scope,
+				...(message.writeTerm === undefined
+					? {}
+					: {writeTerm: message.writeTerm}),
 			});
 			return;
 		}
 
 		if (message.scope === 'write') {
+			if (
+				server.writeTerm === undefined ||
+				server.writeTerm !== (message.writeTerm ?? server.writeTerm)
+			) {
+				this.sendReleased(
+					server.server,
+					message.epoch,
+					'write',
+					message.writeTerm,
+				);
+				return;
+			}
+
 			server.releasingWriteSince ??= this.context.now;
 		} else {
-			server.releasingSince ??= this.context.now;
-			server.releasingWriteSince ??= this.context.now;
+			server.releaseRequestedAt ??= this.context.now;
 		}
 
 		this.continueRelease(server);
@@ -87,6 +104,9 @@
 			const current = this.directory.getServer(server.server);
 			if (current) {
 				server.announcement = current;
+				server.departingSince = current.departing
+					? (server.departingSince ?? this.context.now)
+					: undefined;
 			}
 
 			this.continueRelease(server);
@@ -141,14 +161,14 @@
 			this.continueWriteRelease(server, server.releasingWriteSince);
 		}
 
+		this.startRelease(server);
 		if (server.releasingSince === undefined) {
 			return;
 		}
 
 		const isLate =
 			this.context.now - server.releasingSince > ownershipReleaseLimitMs;
-		const isIdle =
-			this.owner.countWork(server) === 0 && server.countBound() === 0;
+		const isIdle = server.countWork() === 0 && server.countBound() === 0;
 		if (server.writeTerm === undefined && (isIdle || isLate)) {
 			const {epoch} = server;
 			this.owner.removeServer(server);
@@ -156,24 +176,47 @@
 		}
 	}
 
+	/**
+	 * Ownership is given back in two steps: first no new transactions start while the open ones end
+	 * and other requests are still served, then nothing new is accepted.
+	 */
+	private startRelease(server: owned.OwnedServer): void {
+		const {now} = this.context;
+		const {releaseRequestedAt} = server;
+		if (
+			releaseRequestedAt === undefined ||
+			server.releasingSince !== undefined
+		) {
+			return;
+		}
+
+		const isLate = now - releaseRequestedAt > transactionReleaseLimitMs;
+		if (server.countBound() === 0 || isLate) {
+			server.releasingSince = now;
+			server.releasingWriteSince ??= now;
+		}
+	}
+
 	private continueWriteRelease(server: owned.OwnedServer, since: number): void {
 		const {now} = this.context;
 		const isSilent = now - (server.lastAnswerAt ?? 0) > silentPrimaryMs;
 		const isLate = now - since > writeReleaseLimitMs;
-		if (this.owner.countWrites(server) > 0 && !isSilent && !isLate) {
+		if (server.countWrites() > 0 && !isSilent && !isLate) {
 			return;
 		}
 
+		const {writeTerm} = server;
 		server.writeTerm = undefined;
 		server.releasingWriteSince = undefined;
-		this.owner.abandonWriteTransactions(server);
-		this.sendReleased(server.server, server.epoch, 'write');
+		this.owner.executor.abandonWriteTransactions(server);
+		this.sendReleased(server.server, server.epoch, 'write', writeTerm);
 	}
 
 	private sendReleased(
 		server: ids.UpstreamId,
 		epoch: owned.OwnedServer['epoch'],
 		scope: 'write' | 'ownership',
+		writeTerm?: number,
 	): void {
 		if (this.controlPeer !== undefined) {
 			this.context.send(this.controlPeer, {
@@ -181,6 +224,7 @@
 				server,
 				epoch,
 				scope,
+				...(writeTerm === undefined ? {} : {writeTerm}),
 			});
 		}
 	}
--- a/src/common/proxy/poller.ts
+++ b/src/common/proxy/poller.ts
@@ -61,7 +61,7 @@
 			return;
 		}
 
-		const wasWritable = this.owner.isWritable(server);
+		const wasWritable = this.owner.rules.isWritable(server);
 		const previousTerm = server.status?.term;
 		server.pollInFlight = false;
 		server.status = status;
@@ -81,8 +81,8 @@
 			this.directory.groups.get(server.group),
 		);
 		this.handleWork(server);
-		if (!wasWritable && this.owner.isWritable(server)) {
-			this.owner.dispatchNext(server);
+		if (!wasWritable && this.owner.rules.isWritable(server)) {
+			this.owner.dispatcher.dispatchNext(server);
 		}
 	}
 
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -406,9 +406,10 @@
 		event: Extract<proxy.ProxyEvent, {type: 'pollAnswered'}>,
 	): void {
 		const server = this.owner.servers.get(event.server);
-		const wasWritable = server !== undefined && this.owner.isWritable(server);
+		const wasWritable =
+			server !== undefined && this.owner.rules.isWritable(server);
 		this.poller.handleAnswered(event.server, event.sentAt, event.status);
-		if (server && !wasWritable && this.owner.isWritable(server)) {
+		if (server && !wasWritable && this.owner.rules.isWritable(server)) {
 			this.candidates.sendReport(server);
 			this.entry.handleGroupChanged(server.group);
 		}
@@ -448,7 +449,7 @@
 
 		this.ownership.applyGrants(from, grant.owned);
 		for (const server of this.owner.servers.values()) {
-			this.owner.dispatchNext(server);
+			this.owner.dispatcher.dispatchNext(server);
 		}
 
 		for (const view of changed) {
--- /dev/null
+++ b/src/common/proxy/request-router.ts
@@ -0,0 +1,208 @@
+/**
+ * Chooses a server for a request and sends an attempt to its owner. A request that no server can
+ * take now waits here until its deadline.
+ */
+import {assertNever} from '../assert-never.js';
+import type * as ids from '../ids.js';
+import * as positions from '../position.js';
+import type * as policy from '../policy/types.js';
+import type * as candidates from './candidates.js';
+import type * as context from './context.js';
+import type * as directory from './directory.js';
+import type * as entryReplies from './entry-replies.js';
+import * as entryState from './entry-state.js';
+import type * as positionClient from './position-client.js';
+import type * as requestTable from './request-table.js';
+import type * as templateStore from './template-store.js';
+
+/** How long a request waits before it looks for a server again. */
+export const serverRetryMs = 20;
+/** How long a session waits before it asks for the current position again. */
+const floorRetryMs = 20;
+
+export class RequestRouter {
+	constructor(
+		private readonly context: context.ProxyContext,
+		private readonly directory: directory.Directory,
+		private readonly templates: templateStore.TemplateStore,
+		private readonly candidates: candidates.CandidateList,
+		private readonly positionClient: positionClient.PositionClient,
+		private readonly table: requestTable.RequestTable,
+		private readonly replies: entryReplies.EntryReplies,
+		private readonly services: {
+			readonly routing: policy.RoutingPolicy;
+			readonly retryBudget: policy.RetryBudget;
+		},
+	) {}
+
+	/** The proxy that owns a server, if one is known. */
+	getOwner(server: ids.UpstreamId): ids.PeerId | undefined {
+		return this.candidates.getOwner(server);
+	}
+
+	routeRequest(request: entryState.EntryRequest): void {
+		const {session} = request;
+		if (session.binding) {
+			this.sendAttempt(request, session.binding.server, session.binding.owner);
+			return;
+		}
+
+		if (!entryState.needsPrimary(request.kind) && !session.floor) {
+			this.requestFloor(request);
+			return;
+		}
+
+		const decision = this.chooseServer(request);
+		switch (decision.type) {
+			case 'server': {
+				const owner = this.candidates.getOwner(decision.server);
+				if (owner === undefined) {
+					this.waitForServer(request);
+				} else {
+					this.sendAttempt(request, decision.server, owner);
+				}
+
+				return;
+			}
+
+			case 'wait': {
+				request.wait = {
+					type: 'until',
+					at: this.context.now + decision.delayMs,
+				};
+				return;
+			}
+
+			case 'refused': {
+				request.lastReason = decision.reason;
+				this.waitForServer(request);
+				return;
+			}
+
+			default: {
+				assertNever(decision);
+			}
+		}
+	}
+
+	chooseServer(request: entryState.EntryRequest): policy.RoutingDecision {
+		const {session} = request;
+		const view = this.directory.groups.get(session.group);
+		return this.services.routing.chooseServer(
+			{
+				group: session.group,
+				needsPrimary: entryState.needsPrimary(request.kind),
+				rank: request.rank,
+				floor: session.floor ?? positions.zeroPosition,
+				termStart: view?.termStart ?? 0,
+				stalenessMs: request.stalenessMs,
+				dataCentre: this.context.config.dataCentre,
+				remainingMs: request.deadlineAt - this.context.now,
+				excluded: request.excluded,
+			},
+			this.candidates.list(session.group, request.rank),
+			this.context.now,
+			this.context.random.readFloat(),
+		);
+	}
+
+	/**
+	 * No server can take the request now. It waits at the entry until its deadline, because a failover
+	 * or a new owner may bring one.
+	 */
+	waitForServer(request: entryState.EntryRequest): void {
+		request.excluded.clear();
+		request.wait = {type: 'until', at: this.context.now + serverRetryMs};
+	}
+
+	sendAttempt(
+		request: entryState.EntryRequest,
+		server: ids.UpstreamId,
+		owner: ids.PeerId,
+	): void {
+		const {session} = request;
+		const {now} = this.context;
+		if (!this.context.isReachable(owner)) {
+			if (session.binding) {
+				session.binding = undefined;
+				this.replies.refuse(
+					request,
+					'noServer',
+					'the transaction was rolled back',
+				);
+				this.replies.endLostSession(session);
+				return;
+			}
+
+			request.lastReason = 'noServer';
+			this.waitForServer(request);
+			return;
+		}
+
+		const {id} = this.table.addAttempt(request, server, owner);
+		request.wait = {type: 'attempt'};
+		this.context.emit({
+			type: 'startAttempt',
+			session: session.id,
+			request: request.id,
+			attempt: id,
+		});
+		this.context.send(owner, {
+			type: 'forwardRequest',
+			attempt: id,
+			session: session.id,
+			member: session.member,
+			group: session.group,
+			server,
+			rank: request.rank,
+			kind: request.kind,
+			deadlineMs: request.deadlineAt - now,
+			stalenessMs: request.stalenessMs,
+			bound: session.binding !== undefined,
+			templateVersion: this.templates.getVersion(session.member),
+			payload: request.payload,
+			...(session.floor ? {floor: session.floor} : {}),
+			...(request.key === undefined ? {} : {key: request.key}),
+		});
+	}
+
+	/** Sends a second copy of a slow read to another server. */
+	startHedge(
+		request: entryState.EntryRequest,
+		attempt: entryState.Attempt,
+	): void {
+		request.isHedged = true;
+		request.excluded.add(attempt.server);
+		const decision = this.chooseServer(request);
+		const owner =
+			decision.type === 'server'
+				? this.candidates.getOwner(decision.server)
+				: undefined;
+		if (
+			decision.type === 'server' &&
+			owner !== undefined &&
+			this.services.retryBudget.trySpend(this.context.now)
+		) {
+			this.context.count('hedges');
+			this.sendAttempt(request, decision.server, owner);
+		}
+	}
+
+	private requestFloor(request: entryState.EntryRequest): void {
+		request.wait = {type: 'floor'};
+		this.positionClient.requestPosition(request.session.group, (reading) => {
+			if (this.table.getRequest(request.id) !== request) {
+				return;
+			}
+
+			if (!reading) {
+				request.lastReason = 'tooStale';
+				request.wait = {type: 'until', at: this.context.now + floorRetryMs};
+				return;
+			}
+
+			request.session.floor = reading.position;
+			this.routeRequest(request);
+		});
+	}
+}
--- /dev/null
+++ b/src/common/proxy/serving-rules.ts
@@ -0,0 +1,145 @@
+/**
+ * Which requests a server may run now: writes need a valid write lease, reads need data that is
+ * fresh enough for the session and for the tolerated staleness.
+ */
+import {assertNever} from '../assert-never.js';
+import * as positions from '../position.js';
+import type * as types from '../types.js';
+import type * as context from './context.js';
+import type * as directory from './directory.js';
+import type * as leaseClient from './lease-client.js';
+import type * as owned from './owned-server.js';
+
+/** A departing server gets no new work this long after it said so, whatever control does. */
+const departureLimitMs = 3000;
+
+export class ServingRules {
+	constructor(
+		private readonly context: context.ProxyContext,
+		private readonly directory: directory.Directory,
+		private readonly lease: leaseClient.LeaseClient,
+	) {}
+
+	/** True once a departing server must not get new work. */
+	hasDeparted(server: owned.OwnedServer): boolean {
+		return (
+			server.departingSince !== undefined &&
+			this.context.now - server.departingSince > departureLimitMs
+		);
+	}
+
+	/** True while this proxy may send writes to the server and acknowledge them. */
+	isWritable(server: owned.OwnedServer): boolean {
+		return (
+			server.writeTerm !== undefined &&
+			server.releasingWriteSince === undefined &&
+			!this.hasDeparted(server) &&
+			this.lease.isValid(this.context.now) &&
+			server.status?.role === 'primary' &&
+			server.status.term === server.writeTerm
+		);
+	}
+
+	/** Upper bound of the staleness of reads on the server now, in ms. */
+	computeStaleness(server: owned.OwnedServer): number {
+		const {now} = this.context;
+		if (
+			server.writeTerm !== undefined &&
+			server.status?.role === 'primary' &&
+			server.status.term === server.writeTerm
+		) {
+			return Math.max(0, now - this.lease.validUntil);
+		}
+
+		return server.evidence.computeStaleness(now);
+	}
+
+	/** Returns why the server cannot run the request now. */
+	checkServable(
+		server: owned.OwnedServer,
+		item: owned.OwnerItem,
+	): types.RefusalReason | undefined {
+		const {request} = item;
+		if (request.kind !== 'read' && request.kind !== 'beginReadOnly') {
+			if (!this.isWritable(server)) {
+				return 'noPrimary';
+			}
+
+			const needsBinding =
+				request.kind === 'begin' || request.kind === 'sessionState';
+			return needsBinding ? this.checkBinding(server) : undefined;
+		}
+
+		if (this.hasDeparted(server)) {
+			return 'noServer';
+		}
+
+		const applied = server.getApplied();
+		if (!applied) {
+			return 'tooStale';
+		}
+
+		const termStart =
+			this.directory.groups.get(server.group)?.termStart ?? Infinity;
+		if (
+			request.floor &&
+			!positions.isFloorReached(request.floor, applied, termStart)
+		) {
+			return 'tooStale';
+		}
+
+		if (this.computeStaleness(server) > request.stalenessMs) {
+			return 'tooStale';
+		}
+
+		return request.kind === 'beginReadOnly'
+			? this.checkBinding(server)
+			: undefined;
+	}
+
+	/** Returns why a session may not keep a connection of the server. */
+	private checkBinding(
+		server: owned.OwnedServer,
+	): types.RefusalReason | undefined {
+		if (server.releaseRequestedAt !== undefined) {
+			return 'noServer';
+		}
+
+		return server.countBound() >= server.boundLimit ? 'queueFull' : undefined;
+	}
+}
+
+/** Says in a sentence why a server cannot run a request. */
+export function describeProblem(reason: types.RefusalReason): string {
+	switch (reason) {
+		case 'noPrimary': {
+			return 'no primary accepts writes at present';
+		}
+
+		case 'tooStale': {
+			return 'the data of the server is too old for the request';
+		}
+
+		case 'deadline': {
+			return 'the deadline has passed';
+		}
+
+		case 'queueFull': {
+			return 'too many sessions hold connections of the server';
+		}
+
+		case 'draining':
+		case 'noServer':
+		case 'memberLimit':
+		case 'keyUsed':
+		case 'noTemplate':
+		case 'readOnlyServer':
+		case 'cancelled': {
+			return 'the request cannot be served';
+		}
+
+		default: {
+			return assertNever(reason);
+		}
+	}
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -41,7 +41,8 @@
 			'no-unmodified-loop-condition': 'off',
 			// Prettier formats empty bodies differently.
 			'@stylistic/curly-newline': 'off',
-			'max-params': ['error', 6],
+			// Services are injected by constructor.
+			'max-params': ['error', 8],
 			'no-await-in-loop': 'off',
 			'n/no-process-exit': 'off',
 			'unicorn/no-process-exit': 'off',
