--- a/src/common/consensus/consensus.ts
+++ b/src/common/consensus/consensus.ts
@@ -9,12 +9,13 @@
 import type * as ids from '../ids.js';
 import {assertNever} from '../assert-never.js';
 import type * as types from './types.js';
-import * as election from './election.js';
+import * as commits from './commits.js';
 import * as joining from './joining.js';
 import * as leadership from './leadership.js';
 import * as log from './log.js';
 import * as replica from './replica.js';
 import * as timing from './timing.js';
+import * as voting from './voting.js';
 import * as writeQueue from './write-queue.js';
 
 /** Switches off a safety rule; only for tests that show that the safety search finds faults. */
@@ -40,27 +41,22 @@
 	readonly #options: ConsensusOptions<Command>;
 	readonly #log: log.Log<Command>;
 	readonly #writes: writeQueue.WriteQueue<Command>;
-	readonly #election: election.Election;
+	readonly #commits: commits.Commits<Command>;
 	readonly #joining: joining.Joining;
+	readonly #voting: voting.Voting<Command>;
 	#leadership: leadership.Leadership<Command> | undefined;
 	#effects: Array<types.ConsensusEffect<Command>> = [];
 	#now = Number.NEGATIVE_INFINITY;
-	#hardState: types.HardState;
 	#leader: ids.PeerId | undefined;
-	#commitIndex: number;
-	#appliedIndex: number;
 	#reported = '';
 	#isStarted = false;
 
 	constructor(options: ConsensusOptions<Command>) {
-		const {stored} = options;
+		const {stored, faults} = options;
 		this.#options = options;
-		this.#hardState = stored.hardState;
 		this.#log = new log.Log(stored, options.initialVoters);
 		this.#writes = new writeQueue.WriteQueue(this.#log.lastIndex);
-		this.#commitIndex = this.#log.baseIndex;
-		this.#appliedIndex = this.#log.baseIndex;
-		this.#election = new election.Election();
+		this.#commits = new commits.Commits(this.#log);
 		this.#joining = new joining.Joining({
 			peer: options.peer,
 			initialVoters: options.initialVoters,
@@ -68,6 +64,20 @@
 			isPending: stored.hardState.term === 0,
 			canFound: this.#log.lastIndex === 0 && !stored.isDataLost,
 		});
+		this.#voting = new voting.Voting({
+			self: options.peer,
+			hardState: stored.hardState,
+			log: this.#log,
+			writes: this.#writes,
+			joining: this.#joining,
+			isStickinessOff: faults?.isStickinessOff ?? false,
+			send: (to, message) => {
+				this.#sendAfterWrites(to, message);
+			},
+			stopLeading: () => {
+				this.#stopLeading();
+			},
+		});
 	}
 
 	get role(): types.ConsensusRole {
@@ -75,11 +85,11 @@
 			return 'leader';
 		}
 
-		return this.#election.phase === 'idle' ? 'follower' : 'candidate';
+		return this.#voting.isCandidate ? 'candidate' : 'follower';
 	}
 
 	get term(): number {
-		return this.#hardState.term;
+		return this.#voting.term;
 	}
 
 	/** The leader of the present term as far as this peer has heard of it. */
@@ -93,7 +103,7 @@
 	}
 
 	get commitIndex(): number {
-		return this.#commitIndex;
+		return this.#commits.commitIndex;
 	}
 
 	get lastIndex(): number {
@@ -134,7 +144,7 @@
 		}
 
 		this.#isStarted = true;
-		this.#election.recordStart(this.#now);
+		this.#voting.recordStart(this.#now);
 		if (this.#log.snapshot) {
 			this.#effects.push({type: 'restore', snapshot: this.#log.snapshot});
 		}
@@ -177,42 +187,31 @@
 	}
 
 	#handleTick(random: number): void {
-		this.#joining.handleTick(
-			this.#now,
-			this.#log.configuration.voters,
-			(to) => {
-				this.#send(to, {
-					type: 'joinRequest',
-					incarnation: this.#options.incarnation,
-				});
-			},
-		);
+		this.#requestJoin();
 		this.#tryFound();
 		if (this.#leadership) {
-			this.#leadership.handleTick(this.#now, this.#commitIndex);
+			this.#leadership.handleTick(this.#now, this.commitIndex);
 			if (this.#leadership.hasLostQuorum(this.#now)) {
-				this.#becomeFollower(undefined);
+				this.#stopLeading();
 			}
-		} else if (this.#election.isDue(this.#now, random) && this.#canCampaign()) {
-			this.#startPreVote();
+		} else if (this.#voting.isCampaignDue(this.#now, random)) {
+			this.#leader = undefined;
+			this.#tryLead(this.#voting.startCampaign(this.#now));
 		}
 	}
 
-	#canCampaign(): boolean {
-		return !this.#joining.isPending && this.voters.includes(this.#options.peer);
-	}
-
 	#handleMessage(from: ids.PeerId, message: types.ConsensusMessage): void {
 		switch (message.type) {
 			case 'preVote':
 			case 'vote': {
-				this.#handleVoteRequest(from, message);
+				const isLeading = this.#leadership !== undefined;
+				this.#voting.handleRequest(from, message, this.#now, isLeading);
 				return;
 			}
 
 			case 'preVoteReply':
 			case 'voteReply': {
-				this.#handleVoteReply(from, message);
+				this.#tryLead(this.#voting.handleReply(from, message, this.#now));
 				return;
 			}
 
@@ -223,9 +222,8 @@
 			}
 
 			case 'appendReply': {
-				if (message.term > this.term) {
-					this.#updateTerm(message.term);
-				} else if (message.term === this.term) {
+				this.#voting.setTerm(message.term, this.#now);
+				if (message.term === this.term) {
 					this.#leadership?.handleReply(from, message);
 				}
 
@@ -247,107 +245,11 @@
 		assertNever(message);
 	}
 
-	#startPreVote(): void {
-		this.#leader = undefined;
-		this.#election.start('preVote', this.#now);
-		this.#sendVoteRequests('preVote', this.term + 1);
-		this.#addVote(this.#options.peer);
-	}
-
-	#startVote(): void {
-		this.#updateTerm(this.term + 1, this.#options.peer);
-		this.#election.start('vote', this.#now);
-		this.#sendVoteRequests('vote', this.term);
-		this.#writes.addDependent({type: 'ownVote', term: this.term});
-	}
-
-	#sendVoteRequests(type: 'preVote' | 'vote', term: number): void {
-		for (const peer of this.voters) {
-			if (peer !== this.#options.peer) {
-				this.#sendAfterWrites(peer, {
-					type,
-					term,
-					lastIndex: this.#log.lastIndex,
-					lastTerm: this.#log.lastTerm,
-				});
-			}
-		}
-	}
-
-	#handleVoteRequest(
-		from: ids.PeerId,
-		message: Extract<types.ConsensusMessage, {type: 'preVote' | 'vote'}>,
-	): void {
-		const isSticky =
-			this.#options.faults?.isStickinessOff !== true &&
-			(this.#leadership !== undefined || this.#election.isSticky(this.#now));
-		if (this.#joining.isPending || isSticky) {
-			return;
-		}
-
-		if (message.type === 'vote' && message.term > this.term) {
-			this.#updateTerm(message.term);
-		}
-
-		const isUpToDate = this.#log.isCoveredBy(
-			message.lastIndex,
-			message.lastTerm,
-		);
-		if (message.type === 'preVote') {
-			const granted = isUpToDate && message.term > this.term;
-			const term = granted ? message.term : this.term;
-			this.#sendAfterWrites(from, {type: 'preVoteReply', term, granted});
-			return;
-		}
-
-		const {votedFor} = this.#hardState;
-		const granted =
-			isUpToDate &&
-			message.term === this.term &&
-			(votedFor === undefined || votedFor === from);
-		if (granted) {
-			this.#setHardState({term: this.term, votedFor: from});
-			this.#election.resetTimer(this.#now);
-		}
-
-		this.#sendAfterWrites(from, {type: 'voteReply', term: this.term, granted});
-	}
-
-	#handleVoteReply(
-		from: ids.PeerId,
-		message: Extract<
-			types.ConsensusMessage,
-			{type: 'preVoteReply' | 'voteReply'}
-		>,
-	): void {
-		if (!message.granted) {
-			this.#updateTerm(message.term);
-			return;
-		}
-
-		const isPreVote = message.type === 'preVoteReply';
-		const isCurrent =
-			this.#election.phase === (isPreVote ? 'preVote' : 'vote') &&
-			message.term === (isPreVote ? this.term + 1 : this.term);
-		if (isCurrent) {
-			this.#addVote(from);
-		}
-	}
-
-	#addVote(voter: ids.PeerId): void {
-		if (!this.#election.addVote(voter, this.voters)) {
+	#tryLead(isElected: boolean): void {
+		if (!isElected) {
 			return;
 		}
 
-		if (this.#election.phase === 'preVote') {
-			this.#startVote();
-		} else {
-			this.#becomeLeader();
-		}
-	}
-
-	#becomeLeader(): void {
-		this.#election.stop();
 		this.#leader = this.#options.peer;
 		this.#leadership = new leadership.Leadership(
 			{
@@ -363,33 +265,15 @@
 		);
 	}
 
-	/** Gives up leadership or candidacy in the present term. */
-	#becomeFollower(leader: ids.PeerId | undefined): void {
+	/** Gives up leadership, if any. Its proposals may still be committed by a later leader. */
+	#stopLeading(): void {
 		for (const proposal of this.#leadership?.takeProposals() ?? []) {
 			this.#effects.push({type: 'proposalLost', proposal, mayHaveRun: true});
 		}
 
 		this.#leadership = undefined;
-		this.#election.stop();
-		this.#election.resetTimer(this.#now);
-		this.#leader = leader;
-	}
-
-	#updateTerm(term: number, votedFor?: ids.PeerId): void {
-		if (term <= this.term) {
-			return;
-		}
-
-		this.#becomeFollower(undefined);
-		this.#setHardState({term, votedFor});
-	}
-
-	/** A joining peer keeps its term in memory only: a stored term makes it a voter. */
-	#setHardState(hardState: types.HardState): void {
-		this.#hardState = hardState;
-		if (!this.#joining.isPending) {
-			this.#writes.addHardState(hardState);
-		}
+		this.#leader = undefined;
+		this.#voting.stop(this.#now);
 	}
 
 	#handleLeaderMessage(from: ids.PeerId, message: replica.LeaderMessage): void {
@@ -397,75 +281,76 @@
 			return;
 		}
 
+		const {round} = message;
 		if (message.term < this.term) {
 			this.#sendAfterWrites(from, {
 				type: 'appendReply',
 				term: this.term,
 				success: false,
 				matchIndex: 0,
-				round: message.round,
+				round,
 			});
 			return;
 		}
 
-		this.#updateTerm(message.term);
-		if (this.#election.phase !== 'idle') {
-			this.#becomeFollower(from);
-		}
-
+		this.#voting.setTerm(message.term, this.#now);
+		this.#voting.stop(this.#now);
+		this.#voting.recordLeader(this.#now);
 		this.#leader = from;
-		this.#election.recordLeader(this.#now);
 		const outcome = replica.applyLeaderMessage(
 			this.#log,
 			this.#writes,
 			message as replica.LeaderMessage<Command>,
-			this.#commitIndex,
+			this.commitIndex,
 		);
-		if (outcome.joined?.incarnation === this.#options.incarnation) {
-			this.#tryCompleteJoin(outcome.joined.peer, from);
-		}
-
-		this.#replyToLeader(from, message, outcome);
-		this.#commit(outcome.commitIndex);
+		this.#tryCompleteJoin(outcome, from);
+		this.#sendOutcome(from, outcome, round);
+		this.#setCommitIndex(outcome.commitIndex);
 	}
 
-	#replyToLeader(
-		to: ids.PeerId,
-		message: replica.LeaderMessage,
-		outcome: replica.Outcome,
-	): void {
+	#sendOutcome(to: ids.PeerId, outcome: replica.Outcome, round: number): void {
+		const {success, matchIndex, hasWritten} = outcome;
 		const reply = {
 			type: 'appendReply',
 			term: this.term,
-			success: outcome.success,
-			matchIndex: outcome.matchIndex,
-			round: message.round,
+			success,
+			round,
 		} as const;
-		if (outcome.hasWritten || !this.#writes.isHardStateSynced) {
-			this.#sendAfterWrites(to, reply);
+		if (hasWritten || !this.#writes.isHardStateSynced) {
+			this.#sendAfterWrites(to, {...reply, matchIndex});
 			return;
 		}
 
 		// A heartbeat is answered while entries are being synced, so that a slow disk does not
 		// look like a lost peer.
 		const {syncedIndex} = this.#writes;
-		this.#send(to, {
-			...reply,
-			matchIndex: Math.min(reply.matchIndex, syncedIndex),
-		});
+		this.#send(to, {...reply, matchIndex: Math.min(matchIndex, syncedIndex)});
 	}
 
-	#tryCompleteJoin(peer: ids.PeerId, leader: ids.PeerId): void {
-		if (this.#joining.isPending && peer === this.#options.peer) {
+	/** The entry that makes this process a voter and its first term are stored together. */
+	#tryCompleteJoin({joined}: replica.Outcome, leader: ids.PeerId): void {
+		const {peer, incarnation} = this.#options;
+		const isOwn = joined?.peer === peer && joined.incarnation === incarnation;
+		if (this.#joining.isPending && isOwn) {
 			this.#joining.complete();
-			this.#setHardState({term: this.term, votedFor: leader});
+			this.#voting.storeVote(leader);
+		}
+	}
+
+	#requestJoin(): void {
+		const message = {
+			type: 'joinRequest',
+			incarnation: this.#options.incarnation,
+		} as const;
+		for (const peer of this.#joining.takeDueRequests(this.#now, this.voters)) {
+			this.#send(peer, message);
 		}
 	}
 
 	#tryFound(): void {
 		if (this.#joining.canFoundNow && this.#log.lastIndex === 0) {
 			this.#joining.complete();
-			this.#setHardState({term: joining.foundingTerm, votedFor: undefined});
+			this.#voting.setTerm(joining.foundingTerm, this.#now);
 		}
 	}
 
@@ -474,7 +359,7 @@
 		const isWithoutState =
 			this.#log.lastIndex === 0 &&
 			this.term <= joining.foundingTerm &&
-			this.#hardState.votedFor === undefined &&
+			this.#voting.votedFor === undefined &&
 			!this.#options.stored.isDataLost;
 		if (isWithoutState) {
 			this.#send(from, {type: 'joinReply', incarnation});
@@ -490,7 +375,7 @@
 	}
 
 	#handleCompact(index: number, state: unknown): void {
-		if (index > this.#log.baseIndex && index <= this.#appliedIndex) {
+		if (index > this.#log.baseIndex && index <= this.#commits.appliedIndex) {
 			const snapshot = this.#log.makeSnapshot(index, state);
 			this.#log.restore(snapshot);
 			this.#writes.addSnapshot(snapshot);
@@ -501,62 +386,40 @@
 		for (const dependent of dependents) {
 			if (dependent.type === 'send') {
 				this.#effects.push(dependent);
-			} else if (
-				dependent.term === this.term &&
-				this.#election.phase === 'vote'
-			) {
-				this.#addVote(this.#options.peer);
+			} else {
+				this.#tryLead(this.#voting.handleOwnVote(dependent.term, this.#now));
 			}
 		}
 	}
 
-	#commit(index: number): void {
-		if (index <= this.#commitIndex) {
-			return;
-		}
-
-		this.#commitIndex = index;
-		const {snapshot} = this.#log;
-		if (snapshot && snapshot.index > this.#appliedIndex) {
-			this.#appliedIndex = snapshot.index;
-			this.#effects.push({type: 'restore', snapshot});
-		}
-
-		while (this.#appliedIndex < this.#commitIndex) {
-			this.#appliedIndex++;
-			const entry = this.#log.getEntry(this.#appliedIndex)!;
-			const proposal = this.#leadership?.takeProposal(this.#appliedIndex);
-			this.#effects.push(
-				proposal === undefined
-					? {type: 'applied', entry}
-					: {type: 'applied', entry, proposal},
-			);
-		}
+	#setCommitIndex(index: number): void {
+		this.#effects.push(
+			...this.#commits.setCommitIndex(index, (applied) =>
+				this.#leadership?.takeProposal(applied),
+			),
+		);
 	}
 
 	#finishStep(): void {
 		if (this.#leadership) {
-			this.#commit(this.#leadership.computeCommitIndex());
-			if (this.#leadership.isRemoved(this.#commitIndex)) {
-				this.#becomeFollower(undefined);
+			this.#setCommitIndex(this.#leadership.computeCommitIndex());
+			if (this.#leadership.isRemoved(this.commitIndex)) {
+				this.#stopLeading();
 			}
 		}
 
-		this.#leadership?.advance(this.#now, this.#commitIndex);
+		this.#leadership?.sendChanges(this.#now, this.commitIndex);
 		const {write, ready} = this.#writes.takeBatch(this.#log.lastIndex);
 		if (write) {
-			this.#effects.push({
-				type: 'write',
-				write: write.number,
-				data: write.data,
-			});
+			const {number, data} = write;
+			this.#effects.push({type: 'write', write: number, data});
 		}
 
 		this.#runDependents(ready);
-		this.#reportRole();
+		this.#emitRoleChange();
 	}
 
-	#reportRole(): void {
+	#emitRoleChange(): void {
 		const {role, term, leader} = this;
 		const report = `${role} ${term} ${leader}`;
 		if (report !== this.#reported) {
--- a/src/common/consensus/election.ts
+++ b/src/common/consensus/election.ts
@@ -19,11 +19,6 @@
 		return this.#phase;
 	}
 
-	/** A restarted peer may have answered a leader just before it stopped, so it waits like one. */
-	recordStart(now: number): void {
-		this.recordLeader(now);
-	}
-
 	recordLeader(now: number): void {
 		this.#heardAt = now;
 		this.resetTimer(now);
--- a/src/common/consensus/joining.ts
+++ b/src/common/consensus/joining.ts
@@ -54,22 +54,19 @@
 		return !this.#isPending || mark === this.#incarnation;
 	}
 
-	/** Asks all known voters when the last request is old enough. */
-	handleTick(
+	/** Returns the peers to ask now: all known voters, when the last request is old enough. */
+	takeDueRequests(
 		now: number,
 		voters: readonly ids.PeerId[],
-		ask: (to: ids.PeerId) => void,
-	): void {
+	): readonly ids.PeerId[] {
 		if (!this.#isPending || now - this.#askedAt < timing.joinRetryMs) {
-			return;
+			return [];
 		}
 
 		this.#askedAt = now;
-		for (const peer of new Set([...this.#initialVoters, ...voters])) {
-			if (peer !== this.#peer) {
-				ask(peer);
-			}
-		}
+		const known = new Set([...this.#initialVoters, ...voters]);
+		known.delete(this.#peer);
+		return [...known];
 	}
 
 	/** Answers to an earlier process of this peer do not count: the group may have begun since. */
--- a/src/common/consensus/leadership.ts
+++ b/src/common/consensus/leadership.ts
@@ -90,7 +90,7 @@
 	}
 
 	/** Makes the next change of the voters when the last one is committed, and sends new entries. */
-	advance(now: number, commitIndex: number): void {
+	sendChanges(now: number, commitIndex: number): void {
 		if (commitIndex >= Math.max(this.#firstIndex, this.#changeIndex)) {
 			this.#tryChange(commitIndex);
 		}
--- /dev/null
+++ b/src/common/consensus/voting.ts
@@ -0,0 +1,213 @@
+/**
+ * Term, vote and candidacy of one peer: asks for votes, answers requests for them and stores
+ * both term and vote before anything that depends on them leaves.
+ */
+import type * as ids from '../ids.js';
+import type * as types from './types.js';
+import type * as joining from './joining.js';
+import type * as log from './log.js';
+import type * as writeQueue from './write-queue.js';
+import * as election from './election.js';
+
+type VoteRequest = Extract<types.ConsensusMessage, {type: 'preVote' | 'vote'}>;
+
+type VoteReply = Extract<
+	types.ConsensusMessage,
+	{type: 'preVoteReply' | 'voteReply'}
+>;
+
+export type VotingContext<Command> = {
+	readonly self: ids.PeerId;
+	readonly hardState: types.HardState;
+	readonly log: log.Log<Command>;
+	readonly writes: writeQueue.WriteQueue<Command>;
+	readonly joining: joining.Joining;
+	readonly isStickinessOff: boolean;
+	/** Sends after everything written so far is synced. */
+	readonly send: (to: ids.PeerId, message: types.ConsensusMessage) => void;
+	/** Ends a leadership of the term that is about to end. */
+	readonly stopLeading: () => void;
+};
+
+/** The peer's part in elections. */
+export class Voting<Command> {
+	readonly #context: VotingContext<Command>;
+	readonly #election = new election.Election();
+	#hardState: types.HardState;
+
+	constructor(context: VotingContext<Command>) {
+		this.#context = context;
+		this.#hardState = context.hardState;
+	}
+
+	get term(): number {
+		return this.#hardState.term;
+	}
+
+	get votedFor(): ids.PeerId | undefined {
+		return this.#hardState.votedFor;
+	}
+
+	get isCandidate(): boolean {
+		return this.#election.phase !== 'idle';
+	}
+
+	/** A restarted peer may have answered a leader just before it stopped, so it waits like one. */
+	recordStart(now: number): void {
+		this.#election.recordLeader(now);
+	}
+
+	recordLeader(now: number): void {
+		this.#election.recordLeader(now);
+	}
+
+	/** Ends a candidacy and starts the election timer anew. */
+	stop(now: number): void {
+		this.#election.stop();
+		this.#election.resetTimer(now);
+	}
+
+	/** Tells whether it is time to become a candidate. */
+	isCampaignDue(now: number, random: number): boolean {
+		const {joining: joiningPeer, log: target, self} = this.#context;
+		return (
+			this.#election.isDue(now, random) &&
+			!joiningPeer.isPending &&
+			target.configuration.voters.includes(self)
+		);
+	}
+
+	/**
+	 * Asks whether an election could be won, without a new term: a peer that was cut off must not
+	 * disturb the others with a higher term.
+	 *
+	 * @returns True when the peer is elected.
+	 */
+	startCampaign(now: number): boolean {
+		this.#election.start('preVote', now);
+		this.#sendRequests('preVote', this.term + 1);
+		return this.#addVote(this.#context.self, now);
+	}
+
+	/** Answers a request for a vote or pre-vote. */
+	handleRequest(
+		from: ids.PeerId,
+		message: VoteRequest,
+		now: number,
+		isLeading: boolean,
+	): void {
+		const isSticky = isLeading || this.#election.isSticky(now);
+		if (
+			this.#context.joining.isPending ||
+			(isSticky && !this.#context.isStickinessOff)
+		) {
+			return;
+		}
+
+		if (message.type === 'preVote') {
+			const granted = this.#isUpToDate(message) && message.term > this.term;
+			const term = granted ? message.term : this.term;
+			this.#context.send(from, {type: 'preVoteReply', term, granted});
+			return;
+		}
+
+		this.setTerm(message.term, now);
+		const granted =
+			this.#isUpToDate(message) &&
+			message.term === this.term &&
+			(this.votedFor === undefined || this.votedFor === from);
+		if (granted) {
+			this.storeVote(from);
+			this.#election.resetTimer(now);
+		}
+
+		this.#context.send(from, {type: 'voteReply', term: this.term, granted});
+	}
+
+	/**
+	 * Counts the answer to a request of this peer.
+	 *
+	 * @returns True when the peer is elected.
+	 */
+	handleReply(from: ids.PeerId, message: VoteReply, now: number): boolean {
+		if (!message.granted) {
+			this.setTerm(message.term, now);
+			return false;
+		}
+
+		const isPreVote = message.type === 'preVoteReply';
+		const isCurrent =
+			this.#election.phase === (isPreVote ? 'preVote' : 'vote') &&
+			message.term === (isPreVote ? this.term + 1 : this.term);
+		return isCurrent && this.#addVote(from, now);
+	}
+
+	/**
+	 * Counts the peer's vote for itself once it is synced.
+	 *
+	 * @returns True when the peer is elected.
+	 */
+	handleOwnVote(term: number, now: number): boolean {
+		return (
+			term === this.term &&
+			this.#election.phase === 'vote' &&
+			this.#addVote(this.#context.self, now)
+		);
+	}
+
+	/** Enters a higher term; lower and equal ones are ignored. */
+	setTerm(term: number, now: number, votedFor?: ids.PeerId): void {
+		if (term > this.term) {
+			this.#context.stopLeading();
+			this.stop(now);
+			this.#storeHardState({term, votedFor});
+		}
+	}
+
+	storeVote(votedFor: ids.PeerId | undefined): void {
+		this.#storeHardState({term: this.term, votedFor});
+	}
+
+	#isUpToDate(message: VoteRequest): boolean {
+		return this.#context.log.isCoveredBy(message.lastIndex, message.lastTerm);
+	}
+
+	#addVote(voter: ids.PeerId, now: number): boolean {
+		const {voters} = this.#context.log.configuration;
+		if (!this.#election.addVote(voter, voters)) {
+			return false;
+		}
+
+		if (this.#election.phase === 'preVote') {
+			this.#startVote(now);
+			return false;
+		}
+
+		this.#election.stop();
+		return true;
+	}
+
+	#startVote(now: number): void {
+		this.setTerm(this.term + 1, now, this.#context.self);
+		this.#election.start('vote', now);
+		this.#sendRequests('vote', this.term);
+		this.#context.writes.addDependent({type: 'ownVote', term: this.term});
+	}
+
+	#sendRequests(type: 'preVote' | 'vote', term: number): void {
+		const {lastIndex, lastTerm, configuration} = this.#context.log;
+		for (const peer of configuration.voters) {
+			if (peer !== this.#context.self) {
+				this.#context.send(peer, {type, term, lastIndex, lastTerm});
+			}
+		}
+	}
+
+	/** A joining peer keeps its term in memory only: a stored term makes it a voter. */
+	#storeHardState(hardState: types.HardState): void {
+		this.#hardState = hardState;
+		if (!this.#context.joining.isPending) {
+			this.#context.writes.addHardState(hardState);
+		}
+	}
+}
--- /dev/null
+++ b/src/node/storage/log-storage.ts
@@ -0,0 +1,238 @@
+/**
+ * Durable storage of one control peer in a data folder: `hard-state`, `snapshot`, `log` and
+ * `marker`. Every write is synced before it resolves. Writes that arrive during a sync share the
+ * next one as long as they only append to the log.
+ */
+import * as fs from 'node:fs/promises';
+import * as path from 'node:path';
+import type * as types from '../../common/consensus/types.js';
+import * as files from './files.js';
+import * as folderLock from './folder-lock.js';
+import * as marker from './marker.js';
+import * as records from './records.js';
+import * as segment from './segment.js';
+
+const emptyHardState: types.HardState = {term: 0, votedFor: undefined};
+
+type Queued = {
+	readonly write: types.StorageWrite;
+	readonly resolve: () => void;
+	readonly reject: (error: unknown) => void;
+};
+
+/**
+ * Opens the data folder and creates it when needed.
+ *
+ * @throws A `StorageError` when another process uses the folder.
+ */
+export async function openLogStorage<Command, State>(
+	folder: string,
+): Promise<types.LogStorage<Command, State>> {
+	await fs.mkdir(folder, {recursive: true});
+	await files.syncFolder(path.dirname(path.resolve(folder)));
+	const release = await folderLock.openFolderLock(folder);
+	return new FileLogStorage(folder, release) as types.LogStorage<
+		Command,
+		State
+	>;
+}
+
+/** `LogStorage` in files. */
+class FileLogStorage implements types.LogStorage {
+	readonly #folder: string;
+	readonly #release: () => Promise<void>;
+	#segment: segment.Segment | undefined;
+	#snapshot: types.Snapshot | undefined;
+	#marker: marker.Marker = {isUsed: false, isDataLost: false};
+	readonly #queue: Queued[] = [];
+	#running: Promise<void> | undefined;
+	/** After a failed sync the content of the disk is not known, so that nothing is written any more. */
+	#failure: unknown;
+
+	constructor(folder: string, release: () => Promise<void>) {
+		this.#folder = folder;
+		this.#release = release;
+	}
+
+	async load(): Promise<types.StoredLog> {
+		this.#marker = await marker.loadMarker(this.#folder);
+		const hardState = (await files.loadRecord(this.#getPath('hard-state'))) as
+			types.HardState | undefined;
+		this.#snapshot = (await files.loadRecord(this.#getPath('snapshot'))) as
+			types.Snapshot | undefined;
+		this.#segment = await segment.Segment.load(this.#getPath('log'));
+		this.#checkFiles(hardState);
+		await this.#updateMarker(hardState);
+		if ((this.#snapshot?.index ?? 0) > (this.#segment?.baseIndex ?? 0)) {
+			// A crash between the two files, or before the first log file.
+			await this.#rewriteSegment();
+		}
+
+		const isDataLost = this.#marker.isDataLost && (hardState?.term ?? 0) === 0;
+		return {
+			hardState: hardState ?? emptyHardState,
+			snapshot: this.#snapshot,
+			entries: [...(this.#segment?.entries ?? [])],
+			...(isDataLost ? {isDataLost} : {}),
+		};
+	}
+
+	async write(write: types.StorageWrite): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.#queue.push({write, resolve, reject});
+			this.#running ??= this.#runQueue();
+		});
+	}
+
+	async close(): Promise<void> {
+		await this.#running;
+		await this.#segment?.close();
+		await this.#release();
+	}
+
+	#getPath(name: string): string {
+		return path.join(this.#folder, name);
+	}
+
+	/** A folder that lost some of its files is damaged; one that lost all of them starts anew. */
+	#checkFiles(hardState: types.HardState | undefined): void {
+		const hasNone = !hardState && !this.#segment && !this.#snapshot;
+		if (!this.#marker.isUsed || hasNone) {
+			return;
+		}
+
+		if (!hardState) {
+			throw this.#makeMissingError('hard-state');
+		}
+
+		if (!this.#segment) {
+			throw this.#makeMissingError('log');
+		}
+
+		if (this.#segment.baseIndex > (this.#snapshot?.index ?? 0)) {
+			throw this.#makeMissingError('snapshot');
+		}
+	}
+
+	#makeMissingError(name: string): records.StorageError {
+		return records.makeDamageError(this.#getPath(name), 0, 'file is missing');
+	}
+
+	async #updateMarker(hardState: types.HardState | undefined): Promise<void> {
+		const isUsed = Boolean(hardState && this.#segment);
+		const isLost = this.#marker.isUsed && !isUsed;
+		if (isLost && !this.#marker.isDataLost) {
+			await this.#storeMarker({isUsed: true, isDataLost: true});
+		}
+	}
+
+	async #storeMarker(value: marker.Marker): Promise<void> {
+		await marker.storeMarker(this.#folder, value);
+		this.#marker = value;
+	}
+
+	/** Returns the entries after the snapshot, unless they belong to another history. */
+	#getEntries(): readonly types.LogEntry[] {
+		const snapshot = this.#snapshot;
+		const {entries = [], baseIndex = 0} = this.#segment ?? {};
+		if (!snapshot || snapshot.index <= baseIndex) {
+			return entries;
+		}
+
+		const last = entries[snapshot.index - baseIndex - 1];
+		return last?.term === snapshot.term
+			? entries.slice(snapshot.index - baseIndex)
+			: [];
+	}
+
+	async #runQueue(): Promise<void> {
+		while (this.#queue.length > 0) {
+			const group = this.#takeGroup();
+			try {
+				await this.#writeGroup(group.map(({write}) => write));
+				for (const {resolve} of group) {
+					resolve();
+				}
+			} catch (error) {
+				this.#failure ??= error;
+				for (const {reject} of group) {
+					reject(error);
+				}
+			}
+		}
+
+		this.#running = undefined;
+	}
+
+	/** Takes the next write and all after it that only append, or one that replaces files. */
+	#takeGroup(): Queued[] {
+		const isPlain = ({write}: Queued) => !write.hardState && !write.snapshot;
+		const end = this.#queue.findIndex(
+			(item, index) => index > 0 && !isPlain(item),
+		);
+		return this.#queue.splice(0, end === -1 ? this.#queue.length : end);
+	}
+
+	/** Only the first write of a group may have a hard state or a snapshot. */
+	async #writeGroup(writes: readonly types.StorageWrite[]): Promise<void> {
+		if (this.#failure !== undefined) {
+			throw new Error('the storage failed before', {cause: this.#failure});
+		}
+
+		const [{hardState, snapshot}] = writes as [types.StorageWrite];
+		if (hardState) {
+			await files.storeRecord(this.#getPath('hard-state'), hardState);
+		}
+
+		if (snapshot) {
+			await files.storeRecord(this.#getPath('snapshot'), snapshot);
+			this.#snapshot = snapshot;
+		}
+
+		await this.#writeEntries(writes, Boolean(snapshot));
+		if (!this.#marker.isUsed) {
+			await this.#storeMarker({isUsed: true, isDataLost: false});
+		}
+	}
+
+	async #writeEntries(
+		writes: readonly types.StorageWrite[],
+		hasSnapshot: boolean,
+	): Promise<void> {
+		if (!this.#segment) {
+			await this.#createFiles();
+		}
+
+		const changes = writes.filter(
+			({truncateFrom, append = []}) =>
+				truncateFrom !== undefined || append.length > 0,
+		);
+		if (hasSnapshot) {
+			await this.#rewriteSegment();
+		}
+
+		if (changes.length > 0) {
+			await this.#segment!.append(changes);
+		}
+	}
+
+	/** Creates the files that a used folder must have. */
+	async #createFiles(): Promise<void> {
+		const hardState = this.#getPath('hard-state');
+		if ((await files.loadFile(hardState)) === undefined) {
+			await files.storeRecord(hardState, emptyHardState);
+		}
+
+		this.#segment = await segment.Segment.store(this.#getPath('log'), 0, []);
+	}
+
+	/** Drops the entries that the snapshot covers from the file. */
+	async #rewriteSegment(): Promise<void> {
+		const entries = this.#getEntries();
+		const file = this.#getPath('log');
+		const old = this.#segment;
+		const baseIndex = this.#snapshot!.index;
+		this.#segment = await segment.Segment.store(file, baseIndex, entries);
+		await old?.close();
+	}
+}
--- /dev/null
+++ b/src/node/storage/segment.ts
@@ -0,0 +1,185 @@
+/**
+ * The append-only file of log entries. Its first record names the index before the first entry;
+ * each further record holds the truncation and the entries of one write, so that a crash keeps
+ * or loses them together.
+ */
+import {Buffer} from 'node:buffer';
+import * as fs from 'node:fs/promises';
+import type * as types from '../../common/consensus/types.js';
+import * as files from './files.js';
+import * as records from './records.js';
+
+/** Version of the file format, for later changes. */
+const formatVersion = 1;
+
+type Entry = types.LogEntry;
+
+type SegmentRecord =
+	| {
+			readonly type: 'base';
+			readonly format: number;
+			readonly index: number;
+	  }
+	| {
+			readonly type: 'entries';
+			/** Undefined when nothing is removed. */
+			readonly truncateFrom: number | undefined;
+			readonly entries: readonly Entry[];
+	  };
+
+/** Log entries in one file, with a copy in memory from which the file is rewritten. */
+export class Segment {
+	/**
+	 * Opens the file and reads its entries.
+	 *
+	 * @returns Undefined when there is no file.
+	 * @throws A `StorageError` for damage other than a torn last record.
+	 */
+	static async load(file: string): Promise<Segment | undefined> {
+		const content = await files.loadFile(file);
+		if (content === undefined) {
+			return undefined;
+		}
+
+		const decoded = records.decodeRecords(file, content);
+		const segment = new Segment(file);
+		for (const {offset, value} of decoded.records) {
+			segment.#applyRecord(offset, value as SegmentRecord);
+		}
+
+		if (decoded.records.length === 0) {
+			throw records.makeDamageError(file, 0, 'no first record');
+		}
+
+		await segment.#open();
+		if (decoded.end < content.length) {
+			await segment.#handle!.truncate(decoded.end);
+			await segment.#handle!.sync();
+		}
+
+		return segment;
+	}
+
+	/** Replaces the file by one with these entries. */
+	static async store(
+		file: string,
+		baseIndex: number,
+		entries: readonly Entry[],
+	): Promise<Segment> {
+		const segment = new Segment(file);
+		segment.#baseIndex = baseIndex;
+		segment.#entries = [...entries];
+		const base: SegmentRecord = {
+			type: 'base',
+			format: formatVersion,
+			index: baseIndex,
+		};
+		await files.storeFile(
+			file,
+			Buffer.concat([
+				records.encodeRecord(base),
+				encodeEntries({append: entries}),
+			]),
+		);
+		await segment.#open();
+		return segment;
+	}
+
+	readonly #file: string;
+	#handle: fs.FileHandle | undefined;
+	#baseIndex = 0;
+	#entries: Entry[] = [];
+
+	private constructor(file: string) {
+		this.#file = file;
+	}
+
+	/** Index before the first entry. */
+	get baseIndex(): number {
+		return this.#baseIndex;
+	}
+
+	get entries(): readonly Entry[] {
+		return this.#entries;
+	}
+
+	/** Appends the truncations and entries of several writes and syncs them once. */
+	async append(writes: readonly types.StorageWrite[]): Promise<void> {
+		await this.#handle!.appendFile(
+			Buffer.concat(writes.map((write) => encodeEntries(write))),
+		);
+		await this.#handle!.datasync();
+		for (const {truncateFrom, append = []} of writes) {
+			this.#applyEntries(truncateFrom, append);
+		}
+	}
+
+	async close(): Promise<void> {
+		await this.#handle?.close();
+		this.#handle = undefined;
+	}
+
+	async #open(): Promise<void> {
+		this.#handle = await fs.open(this.#file, 'a');
+	}
+
+	#applyRecord(offset: number, record: SegmentRecord): void {
+		if (record.type === 'base') {
+			this.#checkBase(offset, record.format);
+			this.#baseIndex = record.index;
+			return;
+		}
+
+		const first = record.entries[0]?.index;
+		const next = Math.min(
+			this.#baseIndex + this.#entries.length + 1,
+			Math.max(
+				record.truncateFrom ?? Number.POSITIVE_INFINITY,
+				this.#baseIndex + 1,
+			),
+		);
+		if (first !== undefined && first !== next) {
+			throw records.makeDamageError(
+				this.#file,
+				offset,
+				`entry ${first} where ${next} was expected`,
+			);
+		}
+
+		this.#applyEntries(record.truncateFrom, record.entries);
+	}
+
+	#checkBase(offset: number, format: number): void {
+		if (offset !== 0 || format !== formatVersion) {
+			throw records.makeDamageError(
+				this.#file,
+				offset,
+				`unexpected first record of format ${format}`,
+			);
+		}
+	}
+
+	#applyEntries(
+		truncateFrom: number | undefined,
+		entries: readonly Entry[],
+	): void {
+		if (truncateFrom !== undefined) {
+			const kept = Math.max(0, truncateFrom - this.#baseIndex - 1);
+			this.#entries.length = Math.min(this.#entries.length, kept);
+		}
+
+		this.#entries.push(...entries);
+	}
+}
+
+function encodeEntries({
+	truncateFrom,
+	append = [],
+}: types.StorageWrite): Buffer {
+	const record: SegmentRecord = {
+		type: 'entries',
+		truncateFrom,
+		entries: append,
+	};
+	return records.encodeRecord(record);
+}
