Add settings, logging, metrics and the HTTP server of the daemons

Recording refusals in the latency histogram was ruled out: quick refusals would hide slow answers.

The HTTP server calls an injected interface of a daemon. A change whose outcome is not known gets 504 with the code outcomeUnknown, so that a script resends it with the same change id.

--- /dev/null
+++ b/src/common/metrics/prometheus.ts
@@ -0,0 +1,161 @@
+/**
+ * The text format of Prometheus (exposition format 0.0.4).
+ */
+import type * as series from './series.js';
+
+const prefix = 'hemlockarch';
+const quantiles = [0.5, 0.9, 0.99, 0.999] as const;
+
+type Labels = Readonly<Record<string, string>>;
+
+type Sample = {
+	readonly suffix?: string;
+	readonly labels: Labels;
+	readonly value: number;
+};
+
+/** Writes series, counters and gauges. */
+export function formatMetrics(
+	requestSeries: readonly series.RequestSeries[],
+	counters: ReadonlyMap<string, number>,
+	gauges: ReadonlyMap<string, number>,
+): string {
+	const families = [
+		formatFamily(
+			'requests_total',
+			'counter',
+			'Requests by verdict.',
+			requestSeries.flatMap((item) =>
+				Object.entries(item.verdicts).map(([verdict, value]) => ({
+					labels: {...getLabels(item), verdict},
+					value,
+				})),
+			),
+		),
+		formatFamily(
+			'refusals_total',
+			'counter',
+			'Refused requests by reason.',
+			requestSeries.flatMap((item) =>
+				Object.entries(item.refusals).map(([reason, value]) => ({
+					labels: {...getLabels(item), reason},
+					value,
+				})),
+			),
+		),
+		formatFamily(
+			'on_time_total',
+			'counter',
+			'Completed requests within their deadline.',
+			requestSeries.map((item) => ({
+				labels: getLabels(item),
+				value: item.onTime,
+			})),
+		),
+		formatFamily(
+			'reads_total',
+			'counter',
+			'Completed reads by the role of the server.',
+			requestSeries.flatMap((item) => [
+				{
+					labels: {...getLabels(item), served_by: 'replica'},
+					value: item.readsByReplica,
+				},
+				{
+					labels: {...getLabels(item), served_by: 'primary'},
+					value: item.readsByPrimary,
+				},
+			]),
+		),
+		formatDurations(
+			'latency_seconds',
+			'Latency of completed requests.',
+			requestSeries,
+			(item) => item.latency,
+		),
+		formatDurations(
+			'queue_seconds',
+			'Time in the queue of a server.',
+			requestSeries,
+			(item) => item.queueTime,
+		),
+		formatDurations(
+			'staleness_seconds',
+			'Upper bound of the staleness of completed reads.',
+			requestSeries,
+			(item) => item.staleness,
+		),
+		...[...counters].map(([name, value]) =>
+			formatFamily(`${formatName(name)}_total`, 'counter', 'Events.', [
+				{labels: {}, value},
+			]),
+		),
+		...[...gauges].map(([name, value]) =>
+			formatFamily(formatName(name), 'gauge', 'Current value.', [
+				{labels: {}, value},
+			]),
+		),
+	];
+	return families.join('');
+}
+
+function getLabels(item: series.RequestSeries): Labels {
+	return {member: item.member, rank: item.rank};
+}
+
+function formatDurations(
+	name: string,
+	help: string,
+	requestSeries: readonly series.RequestSeries[],
+	choose: (item: series.RequestSeries) => series.DurationHistogram,
+): string {
+	const samples = requestSeries.flatMap((item): Sample[] => {
+		const histogram = choose(item);
+		const labels = getLabels(item);
+		return [
+			...quantiles.map((quantile) => ({
+				labels: {...labels, quantile: String(quantile)},
+				value: histogram.computeQuantile(quantile) / 1000,
+			})),
+			{suffix: '_sum', labels, value: histogram.totalMs / 1000},
+			{suffix: '_count', labels, value: histogram.count},
+		];
+	});
+	return formatFamily(name, 'summary', help, samples);
+}
+
+function formatFamily(
+	name: string,
+	type: 'counter' | 'gauge' | 'summary',
+	help: string,
+	samples: readonly Sample[],
+): string {
+	if (samples.length === 0) {
+		return '';
+	}
+
+	const fullName = `${prefix}_${name}`;
+	const lines = samples.map(({suffix, labels, value}) => {
+		const pairs = Object.entries(labels).map(
+			([label, text]) => `${label}="${formatLabel(text)}"`,
+		);
+		const list = pairs.length === 0 ? '' : `{${pairs.join(',')}}`;
+		return `${fullName}${suffix ?? ''}${list} ${value}\n`;
+	});
+	return `# HELP ${fullName} ${help}\n# TYPE ${fullName} ${type}\n${lines.join('')}`;
+}
+
+/** Turns a name into the characters that a metric name may have. */
+function formatName(name: string): string {
+	return name
+		.replaceAll(/[A-Z]/gv, (letter) => `_${letter.toLowerCase()}`)
+		.replaceAll(/[^a-z0-9_]/gv, '_');
+}
+
+/** Escapes a label value; member names come from callers. */
+function formatLabel(text: string): string {
+	return text
+		.replaceAll('\\', '\\\\')
+		.replaceAll('"', String.raw`\"`)
+		.replaceAll('\n', String.raw`\n`);
+}
--- /dev/null
+++ b/src/common/metrics/types.ts
@@ -0,0 +1,47 @@
+/**
+ * Metrics of one process as plain data, for `GET /metrics.json` and the measurement tool.
+ */
+import type * as types from '../types.js';
+
+/** Durations in ms. */
+export type HistogramSummary = {
+	readonly count: number;
+	readonly meanMs: number;
+	readonly p50Ms: number;
+	readonly p90Ms: number;
+	readonly p99Ms: number;
+	readonly p999Ms: number;
+	readonly maxMs: number;
+};
+
+/** The measured requests of one member and rank since the start of the process. */
+export type SeriesSnapshot = {
+	/** `other` stands for all members beyond the limit. */
+	readonly member: string;
+	readonly rank: types.Rank;
+	readonly verdicts: Readonly<Record<types.Verdict, number>>;
+	readonly refusals: Readonly<Partial<Record<types.RefusalReason, number>>>;
+	/** Completed requests that were answered within their deadline. */
+	readonly onTime: number;
+	readonly readsByReplica: number;
+	readonly readsByPrimary: number;
+	readonly latency: HistogramSummary;
+	readonly queueTime: HistogramSummary;
+	/** Staleness of reads. */
+	readonly staleness: HistogramSummary;
+};
+
+export type MetricsSnapshot = {
+	readonly series: readonly SeriesSnapshot[];
+	readonly counters: Readonly<Record<string, number>>;
+	readonly gauges: Readonly<Record<string, number>>;
+	/** Share of reads that a replica served, 0 to 1; null before the first read. */
+	readonly replicaShare: number | null;
+};
+
+/** Limits of the number of series, whatever callers send. */
+export type MetricsLimits = {
+	/** Members with series of their own. */
+	readonly maxMembers: number;
+	readonly maxGauges: number;
+};
--- /dev/null
+++ b/src/node/http/server.test.ts
@@ -0,0 +1,213 @@
+import tap, {type Test} from 'tap';
+import type * as ids from '../../common/ids.js';
+import {Metrics} from '../../common/metrics/metrics.js';
+import type * as commonTypes from '../../common/types.js';
+import {HttpServer} from './server.js';
+import type * as types from './types.js';
+
+const member = 'sanna' as ids.MemberId;
+const template: commonTypes.Template = {
+	member,
+	version: 3,
+	text: '[member]\n',
+	changeId: 'c3' as ids.ChangeId,
+};
+
+async function startServer(
+	t: Test,
+	other: Partial<types.DaemonEndpoints> = {},
+	options: types.HttpServerOptions = {},
+): Promise<string> {
+	const endpoints: types.DaemonEndpoints = {
+		readHealth: () => ({ready: true, reason: 'ready'}),
+		metrics: new Metrics(),
+		readStatus: () => ({peer: 'p1'}),
+		startDrain() {
+			// Not observed by most tests.
+		},
+		listTemplates: async () => [template],
+		fetchTemplate: async (name) => (name === member ? template : undefined),
+		fetchHistory: async () => [template],
+		requestChange: async () => ({type: 'accepted', version: 4}),
+		...other,
+	};
+	const logger = {
+		write() {
+			// Not observed.
+		},
+	};
+	const server = new HttpServer(endpoints, logger, options);
+	const port = await server.listen('127.0.0.1', 0);
+	t.teardown(async () => server.dispose());
+	return `http://127.0.0.1:${port}`;
+}
+
+async function fetchJson(
+	url: string,
+	options: {readonly method?: string; readonly body?: unknown} = {},
+): Promise<{status: number; body: unknown}> {
+	const response = await fetch(url, {
+		method: options.method,
+		body:
+			options.body === undefined || typeof options.body === 'string'
+				? options.body
+				: JSON.stringify(options.body),
+	});
+	return {status: response.status, body: await response.json()};
+}
+
+const announcement = {
+	group: 'ledger',
+	server: 's1',
+	address: '127.0.0.1:5432',
+	dataCentre: 'khomas-a',
+	role: 'primary',
+	term: 1,
+	position: 10,
+	slots: 3,
+	connectionLimit: 25,
+	departing: false,
+	startedAt: 1,
+};
+const neverAnswered = new Promise<never>(() => {
+	// Never settles.
+});
+const change = {text: '[member]\n', expectedVersion: 3, changeId: 'c4'};
+
+// Guards against endpoints that are missing or answer something else than the design page says.
+tap.test('endpoints', async (t) => {
+	const url = await startServer(t);
+	t.same(await fetchJson(`${url}/health`), {
+		status: 200,
+		body: {ready: true, reason: 'ready'},
+	});
+	t.match(await fetchJson(`${url}/status`), {body: {peer: 'p1'}});
+	t.match(await fetchJson(`${url}/metrics.json`), {body: {series: []}});
+	const text = await fetch(`${url}/metrics`);
+	t.match(text.headers.get('content-type'), 'text/plain');
+	t.match(await fetchJson(`${url}/templates`), {body: {templates: [template]}});
+	t.match(await fetchJson(`${url}/templates/sanna`), {body: {version: 3}});
+	t.match(await fetchJson(`${url}/templates/sanna/history`), {
+		body: {history: [{version: 3}]},
+	});
+	t.match(await fetchJson(`${url}/templates/none`), {
+		status: 404,
+		body: {error: {code: 'noTemplate'}},
+	});
+});
+
+// Guards against a load balancer that keeps sending work to a draining proxy.
+tap.test('drain and health', async (t) => {
+	let drains = 0;
+	const url = await startServer(t, {
+		readHealth: () => ({ready: drains === 0, reason: 'draining'}),
+		startDrain() {
+			drains++;
+		},
+	});
+	const answer = await fetchJson(`${url}/drain`, {method: 'POST'});
+	t.equal(answer.status, 202);
+	t.match(await fetchJson(`${url}/health`), {status: 503});
+});
+
+// Guards against damaged announcements that reach the directory.
+tap.test('announcements', async (t) => {
+	const received: commonTypes.Announcement[] = [];
+	const url = await startServer(t, {
+		handleAnnouncement(value) {
+			received.push(value);
+		},
+	});
+	const post = async (body: unknown) =>
+		fetchJson(`${url}/announce`, {method: 'POST', body});
+	t.match(await post(announcement), {status: 200});
+	t.same(received, [announcement]);
+	for (const damage of [
+		{address: 'example.org:5432'},
+		{term: -1},
+		{slots: 0},
+		{role: 'leader'},
+		{departing: 'no'},
+	]) {
+		t.match(await post({...announcement, ...damage}), {
+			status: 400,
+			body: {error: {code: 'invalidBody'}},
+		});
+	}
+
+	t.match(await post('{'), {body: {error: {code: 'invalidJson'}}});
+	t.match(await post(JSON.stringify({text: 'x'.repeat(300_000)})), {
+		status: 413,
+	});
+	t.equal(received.length, 1);
+	const control = await startServer(t);
+	const refused = await fetchJson(`${control}/announce`, {
+		method: 'POST',
+		body: announcement,
+	});
+	t.equal(refused.status, 404);
+});
+
+// Guards against a refused or unknown change that looks accepted.
+tap.test('template changes', async (t) => {
+	const results: commonTypes.TemplateChangeResult[] = [
+		{type: 'accepted', version: 4},
+		{type: 'versionConflict', currentVersion: 9},
+		{type: 'invalid', problems: ['[member] x: unknown']},
+		{type: 'unavailable', mayHaveRun: false},
+		{type: 'unavailable', mayHaveRun: true},
+	];
+	const received: commonTypes.TemplateChange[] = [];
+	const url = await startServer(t, {
+		async requestChange(value) {
+			received.push(value);
+			return results[received.length - 1];
+		},
+	});
+	const statuses: number[] = [];
+	for (const _ of results) {
+		const answer = await fetchJson(`${url}/templates/sanna`, {
+			method: 'PUT',
+			body: change,
+		});
+		statuses.push(answer.status);
+	}
+
+	t.same(statuses, [200, 409, 422, 503, 504]);
+	t.same(received[0], {member, ...change});
+	const damaged = await fetchJson(`${url}/templates/sanna`, {
+		method: 'PUT',
+		body: {...change, expectedVersion: -1},
+	});
+	t.equal(damaged.status, 400);
+});
+
+// Guards against requests that hang when the daemon does not answer, and against lost errors.
+tap.test('errors', async (t) => {
+	const url = await startServer(
+		t,
+		{
+			requestChange: async () => neverAnswered,
+			fetchHistory: async () => neverAnswered,
+			readStatus() {
+				throw new Error('broken');
+			},
+		},
+		{operationTimeoutMs: 20},
+	);
+	t.match(
+		await fetchJson(`${url}/templates/sanna`, {method: 'PUT', body: change}),
+		{status: 504, body: {error: {code: 'outcomeUnknown'}}},
+	);
+	t.match(await fetchJson(`${url}/templates/sanna/history`), {
+		status: 504,
+		body: {error: {code: 'timeout'}},
+	});
+	t.match(await fetchJson(`${url}/status`), {
+		status: 500,
+		body: {error: {code: 'internal'}},
+	});
+	t.match(await fetchJson(`${url}/nothing`), {status: 404});
+	t.match(await fetchJson(`${url}/templates/%ff`), {status: 400});
+	t.match(await fetchJson(`${url}/drain`), {status: 405});
+});
--- /dev/null
+++ b/src/node/logging/logger.ts
@@ -0,0 +1,66 @@
+/**
+ * Writes log records with winston, as JSON or as text. Each line of text has the time, the level,
+ * and the part that speaks as a prefix of fixed width.
+ */
+import type * as stream from 'node:stream';
+import * as winston from 'winston';
+import type * as commonTypes from '../../common/types.js';
+import type * as nodeTypes from '../types.js';
+import type * as settings from '../settings/types.js';
+
+/** Width of the prefix; longer part names move the rest of their line only. */
+const prefixWidth = 14;
+const levelWidth = 5;
+
+export type LoggerOptions = {
+	readonly level: commonTypes.LogLevel;
+	readonly format: settings.LogFormat;
+	/** Receives the lines; standard error by default, so that standard output stays for results. */
+	readonly output?: stream.Writable;
+};
+
+/** Creates the logger of a process. */
+export function createLogger(options: LoggerOptions): nodeTypes.Logger {
+	const {combine, timestamp, json, printf} = winston.format;
+	const logger = winston.createLogger({
+		level: options.level,
+		levels: {error: 0, warn: 1, info: 2, debug: 3},
+		format: combine(
+			timestamp(),
+			options.format === 'json'
+				? json()
+				: printf((info) =>
+						formatLine({
+							time: String(info.timestamp),
+							level: info.level,
+							part: String(info.part),
+							message: String(info.message),
+						}),
+					),
+		),
+		transports: [
+			options.output
+				? new winston.transports.Stream({stream: options.output})
+				: new winston.transports.Console({
+						stderrLevels: ['error', 'warn', 'info', 'debug'],
+					}),
+		],
+	});
+	return {
+		write({level, part, message}) {
+			logger.log({level, part, message});
+		},
+	};
+}
+
+function formatLine(line: {
+	readonly time: string;
+	readonly level: string;
+	readonly part: string;
+	readonly message: string;
+}): string {
+	const prefix = `[${line.part}]`.padEnd(prefixWidth);
+	// A message must not be able to begin a line of its own.
+	const message = line.message.replaceAll(/\s*\n\s*/gv, ' ');
+	return `${line.time} ${line.level.padEnd(levelWidth)} ${prefix} ${message}`;
+}
