Add the adapters for callers, servers and peers

Cause: the proxy daemon needs PostgreSQL towards callers and servers and links to other peers.

Extended queries, transactions, prepared statements, cancel and lost connections are written but not tested yet.

--- /dev/null
+++ b/src/bench/direct-driver.ts
@@ -0,0 +1,328 @@
+/**
+ * Connects the caller adapter to the upstream adapter without a reducer: one server, a fixed
+ * number of connections, no queueing policy. Used by adapter tests and by the wire measurement.
+ */
+import {performance} from 'node:perf_hooks';
+import type * as ids from '../common/ids.js';
+import type * as proxy from '../common/proxy/types.js';
+import type * as types from '../common/types.js';
+import * as callerAdapter from '../node/caller/caller-adapter.js';
+import type * as callerTypes from '../node/caller/types.js';
+import type * as node from '../node/types.js';
+import * as upstreamAdapter from '../node/upstream/upstream-adapter.js';
+import type * as upstreamTypes from '../node/upstream/types.js';
+
+type Arrived = Extract<proxy.ProxyEvent, {type: 'requestArrived'}>;
+type Finished = Extract<proxy.ProxyEvent, {type: 'executionFinished'}>;
+type CallerEvent = Parameters<callerTypes.CallerOptions['dispatch']>[0];
+
+type DriverConnection = {
+	readonly id: ids.ConnectionId;
+	running: Arrived | undefined;
+	/** The session that holds the connection. */
+	boundTo: ids.SessionId | undefined;
+	/** The last attempt on the connection. */
+	attempt: ids.AttemptId;
+	isInTransaction: boolean;
+	/** Session state was set: the connection stays with the session. */
+	isPinned: boolean;
+	/** The session ended: reset when the running request has ended. */
+	isReleased: boolean;
+};
+
+export type DirectDriverOptions = {
+	readonly address: string;
+	readonly connections: number;
+	readonly callerLimits?: Partial<callerTypes.CallerLimits>;
+	readonly upstreamLimits?: Partial<upstreamTypes.UpstreamLimits>;
+	/** Called with every event before it is handled. */
+	readonly observe?: (event: CallerEvent | upstreamTypes.UpstreamEvent) => void;
+};
+
+export const monotonicClock: node.Clock = {
+	now: () => performance.now(),
+	readWallClock: () => Date.now(),
+};
+
+const silentLogger: node.Logger = {
+	write() {
+		// Tests and measurements read events, not logs.
+	},
+};
+
+const epoch: types.Epoch = {consensusTerm: 1, counter: 1};
+
+export class DirectDriver {
+	readonly callers: callerAdapter.CallerAdapter;
+	readonly upstreams: upstreamAdapter.UpstreamAdapter;
+	readonly #connections = new Map<ids.ConnectionId, DriverConnection>();
+	readonly #bound = new Map<ids.SessionId, DriverConnection>();
+	readonly #running = new Map<ids.SessionId, DriverConnection>();
+	#free: DriverConnection[] = [];
+	#waiting: Arrived[] = [];
+	#lastConnection = 0;
+	#lastAttempt = 0;
+	#isDisposed = false;
+
+	constructor(private readonly options: DirectDriverOptions) {
+		const common = {clock: monotonicClock, logger: silentLogger};
+		this.callers = callerAdapter.createCallerAdapter({
+			...common,
+			processTag: 'test',
+			limits: options.callerLimits,
+			dispatch: (event) => {
+				options.observe?.(event);
+				this.#handleCallerEvent(event);
+			},
+			handleDrain: (attempt) => {
+				this.upstreams.resumeAttempt(attempt);
+			},
+		});
+		this.upstreams = upstreamAdapter.createUpstreamAdapter({
+			...common,
+			limits: options.upstreamLimits,
+			user: 'hemlockarch',
+			database: 'ledger',
+			dispatch: (event) => {
+				options.observe?.(event);
+				this.#handleUpstreamEvent(event);
+			},
+			relayToSession: (attempt, data) => this.callers.relay(attempt, data),
+			relayToPeer: () => true,
+		});
+	}
+
+	/** Opens the connections and the listener; resolves with the port. */
+	async start(): Promise<number> {
+		for (let count = 0; count < this.options.connections; count++) {
+			this.#openConnection();
+		}
+
+		return this.callers.listen('127.0.0.1', 0);
+	}
+
+	async dispose(): Promise<void> {
+		this.#isDisposed = true;
+		await this.callers.dispose();
+		await this.upstreams.dispose();
+	}
+
+	#openConnection(): void {
+		this.#lastConnection++;
+		const id = this.#lastConnection as ids.ConnectionId;
+		this.#connections.set(id, {
+			id,
+			running: undefined,
+			boundTo: undefined,
+			attempt: 0 as ids.AttemptId,
+			isInTransaction: false,
+			isPinned: false,
+			isReleased: false,
+		});
+		this.upstreams.handle({
+			type: 'openConnection',
+			connection: id,
+			server: 's1' as ids.UpstreamId,
+			address: this.options.address,
+			epoch,
+		});
+	}
+
+	#handleCallerEvent(event: CallerEvent): void {
+		switch (event.type) {
+			case 'requestArrived': {
+				this.#startRequest(event);
+
+				break;
+			}
+
+			case 'cancelRequested': {
+				this.#cancel(this.#running.get(event.session));
+
+				break;
+			}
+
+			case 'sessionClosed': {
+				this.#release(event.session);
+
+				break;
+			}
+
+			case 'sessionOpened':
+			case 'tokenSet': {
+				break;
+			}
+		}
+	}
+
+	#startRequest(event: Arrived): void {
+		const connection = this.#bound.get(event.session) ?? this.#free.shift();
+		if (!connection) {
+			this.#waiting.push(event);
+			return;
+		}
+
+		this.#lastAttempt++;
+		const attempt = this.#lastAttempt as ids.AttemptId;
+		connection.running = event;
+		connection.attempt = attempt;
+		this.#running.set(event.session, connection);
+		this.callers.handle({
+			type: 'startAttempt',
+			session: event.session,
+			request: event.request,
+			attempt,
+		});
+		this.upstreams.handle({
+			type: 'execute',
+			connection: connection.id,
+			attempt,
+			kind: event.kind,
+			payload: event.payload,
+			claimKey: event.attributes.key,
+			inTransaction: connection.isInTransaction,
+			sink: {type: 'session', attempt},
+		});
+	}
+
+	#cancel(connection: DriverConnection | undefined): void {
+		if (connection?.running) {
+			this.upstreams.handle({
+				type: 'cancelExecution',
+				connection: connection.id,
+				attempt: connection.attempt,
+			});
+		}
+	}
+
+	#release(session: ids.SessionId): void {
+		this.#waiting = this.#waiting.filter((event) => event.session !== session);
+		const running = this.#running.get(session);
+		const bound = this.#bound.get(session);
+		this.#bound.delete(session);
+		if (running) {
+			running.isReleased = true;
+			this.#cancel(running);
+		} else if (bound) {
+			this.upstreams.handle({type: 'resetConnection', connection: bound.id});
+		}
+	}
+
+	#handleUpstreamEvent(event: upstreamTypes.UpstreamEvent): void {
+		if (this.#isDisposed || !('connection' in event)) {
+			return;
+		}
+
+		const connection = this.#connections.get(event.connection);
+		if (!connection) {
+			return;
+		}
+
+		switch (event.type) {
+			case 'connectionOpened':
+			case 'connectionReset': {
+				connection.isReleased = false;
+				connection.isPinned = false;
+				connection.isInTransaction = false;
+				connection.boundTo = undefined;
+				this.#offer(connection);
+				return;
+			}
+
+			case 'connectionClosed': {
+				this.#replace(connection);
+				return;
+			}
+
+			case 'executionFinished': {
+				this.#finish(connection, event);
+				break;
+			}
+		}
+	}
+
+	#offer(connection: DriverConnection): void {
+		this.#free.push(connection);
+		const next = this.#waiting.shift();
+		if (next) {
+			this.#startRequest(next);
+		}
+	}
+
+	#replace(connection: DriverConnection): void {
+		this.#connections.delete(connection.id);
+		this.#free = this.#free.filter((free) => free !== connection);
+		if (connection.boundTo !== undefined) {
+			this.#bound.delete(connection.boundTo);
+		}
+
+		this.#openConnection();
+	}
+
+	#finish(connection: DriverConnection, event: Finished): void {
+		const {running} = connection;
+		if (!running) {
+			return;
+		}
+
+		const {session, request, kind} = running;
+		const {outcome, attempt} = event;
+		connection.running = undefined;
+		this.#running.delete(session);
+		if (outcome.type === 'answered') {
+			connection.isInTransaction = outcome.transactionStatus !== 'idle';
+			connection.isPinned ||= kind === 'sessionState';
+			this.#updateBinding(
+				connection,
+				session,
+				connection.isPinned || outcome.transactionStatus !== 'idle',
+			);
+			this.callers.handle({
+				type: 'finishRequest',
+				session,
+				request,
+				attempt,
+				tail: outcome.tail,
+				token: kind === 'write' ? {term: 1, offset: 7} : undefined,
+			});
+			return;
+		}
+
+		const isUsed = outcome.type === 'keyUsed';
+		if (isUsed) {
+			this.#offer(connection);
+		} else {
+			this.#replace(connection);
+		}
+
+		this.callers.handle({
+			type: 'refuseRequest',
+			session,
+			request,
+			sqlState: isUsed ? 'HK008' : outcome.mayHaveRun ? '08007' : 'HK006',
+			message: isUsed ? 'key already used' : 'the connection was lost',
+			transactionStatus: 'idle',
+		});
+	}
+
+	/** Keeps the connection for the session in a transaction, frees it otherwise. */
+	#updateBinding(
+		connection: DriverConnection,
+		session: ids.SessionId,
+		isBound: boolean,
+	): void {
+		if (connection.isReleased) {
+			this.upstreams.handle({
+				type: 'resetConnection',
+				connection: connection.id,
+			});
+		} else if (isBound) {
+			connection.boundTo = session;
+			this.#bound.set(session, connection);
+		} else {
+			connection.boundTo = undefined;
+			this.#bound.delete(session);
+			this.#offer(connection);
+		}
+	}
+}
--- /dev/null
+++ b/src/node/caller/caller-adapter.ts
@@ -0,0 +1,365 @@
+/**
+ * Listens for callers and keeps their sessions by session, request, attempt and cancel key.
+ */
+import {Buffer} from 'node:buffer';
+import * as crypto from 'node:crypto';
+import * as net from 'node:net';
+import {assertNever} from '../../common/assert-never.js';
+import type * as ids from '../../common/ids.js';
+import * as position from '../../common/position.js';
+import type * as commonTypes from '../../common/types.js';
+import type * as node from '../types.js';
+import * as messages from '../wire/messages.js';
+import * as sessions from './session.js';
+import * as settings from './settings.js';
+import * as startup from './startup.js';
+import * as startupParameters from './startup-parameters.js';
+import * as types from './types.js';
+
+// Drivers compare the name in PostgreSQL's own spelling.
+// eslint-disable-next-line unicorn/text-encoding-identifier-case
+const utf8 = 'UTF8';
+
+/** Reported when the daemon gives no parameters of its own. */
+const defaultServerParameters: Readonly<Record<string, string>> = {
+	server_version: '16.0',
+	server_encoding: utf8,
+	client_encoding: utf8,
+	DateStyle: 'ISO, MDY',
+	IntervalStyle: 'postgres',
+	TimeZone: 'UTC',
+	integer_datetimes: 'on',
+	standard_conforming_strings: 'on',
+};
+
+const authenticationOk = messages.buildMessage(messages.codes.authentication, [
+	new Uint8Array(4),
+]);
+
+type CallerEffect = Parameters<node.CallerAdapter['handle']>[0];
+
+/** A caller adapter whose `relay` says whether the caller keeps up. */
+export type CallerAdapter = Omit<node.CallerAdapter, 'relay'> & {
+	/** False when the producer should wait for `handleDrain` of the attempt. */
+	relay(attempt: ids.AttemptId, data: Uint8Array): boolean;
+};
+
+/** Creates the adapter; nothing is opened before `listen`. */
+export function createCallerAdapter(
+	options: types.CallerOptions,
+): CallerAdapter {
+	return new TcpCallerAdapter(options);
+}
+
+class TcpCallerAdapter implements CallerAdapter {
+	readonly #limits: types.CallerLimits;
+	readonly #parameters: Readonly<Record<string, string>>;
+	readonly #server: net.Server;
+	readonly #sockets = new Set<net.Socket>();
+	readonly #sessions = new Map<ids.SessionId, sessions.Session>();
+	readonly #cancelKeys = new Map<ids.SessionId, number>();
+	readonly #attempts = new Map<ids.AttemptId, sessions.Session>();
+	readonly #attemptsBySession = new Map<sessions.Session, ids.AttemptId[]>();
+	#lastSession = 0;
+	#lastRequest = 0;
+
+	constructor(private readonly options: types.CallerOptions) {
+		this.#limits = {...types.defaultLimits, ...options.limits};
+		this.#parameters = options.serverParameters ?? defaultServerParameters;
+		this.#server = net.createServer((socket) => {
+			this.#accept(socket);
+		});
+	}
+
+	async listen(address: string, port: number): Promise<number> {
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, address, () => {
+				this.#server.off('error', reject);
+				this.#server.on('error', (error) => {
+					this.options.logger.write({
+						level: 'error',
+						part: 'caller',
+						message: `The listener for callers failed: ${error.message}.`,
+					});
+				});
+				resolve((this.#server.address() as net.AddressInfo).port);
+			});
+		});
+	}
+
+	handle(effect: CallerEffect): void {
+		const session = this.#sessions.get(effect.session);
+		if (!session) {
+			return;
+		}
+
+		switch (effect.type) {
+			case 'startAttempt': {
+				if (session.isRunning(effect.request)) {
+					this.#attempts.set(effect.attempt, session);
+					this.#attemptsBySession.get(session)?.push(effect.attempt);
+				}
+
+				return;
+			}
+
+			case 'finishRequest': {
+				if (session.isRunning(effect.request)) {
+					this.#clearAttempts(session);
+					session.finishRequest(effect.attempt, effect.tail, effect.token);
+				}
+
+				return;
+			}
+
+			case 'refuseRequest': {
+				if (session.isRunning(effect.request)) {
+					this.#clearAttempts(session);
+					session.refuseRequest(
+						effect.sqlState,
+						effect.message,
+						effect.transactionStatus,
+					);
+				}
+
+				return;
+			}
+
+			case 'closeSession': {
+				session.close(effect.sqlState, effect.message);
+				return;
+			}
+		}
+
+		assertNever(effect);
+	}
+
+	relay(attempt: ids.AttemptId, data: Uint8Array): boolean {
+		return this.#attempts.get(attempt)?.relay(attempt, data) ?? true;
+	}
+
+	async stopAccepting(): Promise<void> {
+		// `close` calls back only after the last session ended, which the drain does not wait for here.
+		this.#server.close();
+	}
+
+	async dispose(): Promise<void> {
+		for (const session of this.#sessions.values()) {
+			session.destroy();
+		}
+
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+
+		if (this.#server.listening) {
+			await new Promise((resolve) => {
+				this.#server.close(resolve);
+			});
+		}
+	}
+
+	#accept(socket: net.Socket): void {
+		this.#sockets.add(socket);
+		socket.setNoDelay(true);
+		socket.setKeepAlive(true, this.#limits.keepAliveMs);
+		// The close event follows every error.
+		socket.on('error', () => undefined);
+		socket.once('close', () => {
+			this.#sockets.delete(socket);
+		});
+		startup.startPhase(
+			socket,
+			{
+				handleCancel: (processId, key) => {
+					this.#handleCancel(processId as ids.SessionId, key);
+				},
+				handleStartup: (parameters, rest) => {
+					this.#openSession(socket, parameters, rest);
+				},
+			},
+			this.#limits.startupMs,
+		);
+	}
+
+	#handleCancel(session: ids.SessionId, key: number): void {
+		if (this.#cancelKeys.get(session) === key) {
+			this.options.dispatch({
+				type: 'cancelRequested',
+				now: this.options.clock.now(),
+				session,
+			});
+		}
+	}
+
+	#openSession(
+		socket: net.Socket,
+		parameters: Readonly<Record<string, string>>,
+		rest: Buffer,
+	): void {
+		const parsed = startupParameters.parseStartup(parameters, this.#parameters);
+		if (parsed.isErr()) {
+			refuseStartup(socket, parsed.error);
+			return;
+		}
+
+		this.#lastSession++;
+		const id = this.#lastSession as ids.SessionId;
+		const {member, group, settings: given, remote} = parsed.value;
+		const values = new settings.SessionSettings(
+			member,
+			given.get('session') ?? `${this.options.processTag}.${id}`,
+		);
+		for (const [name, value] of given) {
+			const problem =
+				name === 'member' || name === 'session'
+					? undefined
+					: values.set(name, value, false);
+			if (problem) {
+				refuseStartup(socket, problem);
+				return;
+			}
+		}
+
+		const token = position.parsePosition(given.get('token') ?? '');
+		const session = this.#createSession(socket, id, values);
+		this.options.dispatch({
+			type: 'sessionOpened',
+			now: this.options.clock.now(),
+			session: id,
+			attributes: {
+				member: member as ids.MemberId,
+				group: group as ids.GroupId,
+				...(token.isOk() && {token: token.value}),
+			},
+		});
+		if (session.isClosed) {
+			return;
+		}
+
+		this.#writeGreeting(socket, id);
+		session.start(rest, createFirstItem(remote));
+	}
+
+	#createSession(
+		socket: net.Socket,
+		id: ids.SessionId,
+		values: settings.SessionSettings,
+	): sessions.Session {
+		const {dispatch, clock} = this.options;
+		const session: sessions.Session = new sessions.Session(
+			socket,
+			id,
+			values,
+			this.#limits,
+			{
+				handleRequest: (kind, attributes, payload) => {
+					this.#lastRequest++;
+					const request = this.#lastRequest as ids.RequestId;
+					session.setRequest(request);
+					dispatch({
+						type: 'requestArrived',
+						now: clock.now(),
+						session: id,
+						request,
+						kind,
+						attributes,
+						payload,
+					});
+				},
+				handleToken(tokenValue: commonTypes.Position) {
+					dispatch({
+						type: 'tokenSet',
+						now: clock.now(),
+						session: id,
+						token: tokenValue,
+					});
+				},
+				handleDrain: () => {
+					const attempt = session.relayedAttempt;
+					if (attempt !== undefined) {
+						this.options.handleDrain?.(attempt);
+					}
+				},
+				handleClosed: () => {
+					this.#removeSession(session);
+					dispatch({type: 'sessionClosed', now: clock.now(), session: id});
+				},
+			},
+			`h${this.options.processTag}_${id}`,
+		);
+		this.#sessions.set(id, session);
+		this.#cancelKeys.set(id, crypto.randomInt(2 ** 32));
+		this.#attemptsBySession.set(session, []);
+		socket.once('close', () => {
+			session.destroy();
+		});
+		return session;
+	}
+
+	#writeGreeting(socket: net.Socket, id: ids.SessionId): void {
+		socket.write(
+			Buffer.concat([
+				authenticationOk,
+				...Object.entries(this.#parameters).map(([name, value]) =>
+					messages.buildParameterStatus(name, value),
+				),
+				messages.buildBackendKeyData(id, this.#cancelKeys.get(id) ?? 0),
+				messages.getReadyForQuery('idle'),
+			]),
+		);
+	}
+
+	#removeSession(session: sessions.Session): void {
+		// The server connection of a caller that is gone must not stay paused.
+		const attempt = session.relayedAttempt;
+		this.#clearAttempts(session);
+		this.#sessions.delete(session.id);
+		this.#cancelKeys.delete(session.id);
+		this.#attemptsBySession.delete(session);
+		if (attempt !== undefined) {
+			this.options.handleDrain?.(attempt);
+		}
+	}
+
+	#clearAttempts(session: sessions.Session): void {
+		const attempts = this.#attemptsBySession.get(session);
+		if (attempts && attempts.length > 0) {
+			for (const attempt of attempts) {
+				this.#attempts.delete(attempt);
+			}
+
+			attempts.length = 0;
+		}
+	}
+}
+
+function createFirstItem(
+	remote: ReadonlyMap<string, string>,
+): types.Item | undefined {
+	if (remote.size === 0) {
+		return undefined;
+	}
+
+	return {
+		type: 'request',
+		kind: 'sessionState',
+		payload: {
+			frames: messages.buildMessage(messages.codes.query, [
+				`${startupParameters.formatSetStatements(remote)}\0`,
+			]),
+		},
+		attributes: [],
+		mixesControl: false,
+		isFlush: false,
+		isHidden: true,
+	};
+}
+
+function refuseStartup(
+	socket: net.Socket,
+	problem: settings.SettingProblem,
+): void {
+	socket.end(messages.buildError('FATAL', problem.sqlState, problem.message));
+}
--- /dev/null
+++ b/src/node/caller/request-splitter.ts
@@ -0,0 +1,434 @@
+/**
+ * Turns the caller's frames into items of work: one Query, or extended frames up to Sync or Flush.
+ */
+import {Buffer} from 'node:buffer';
+import type * as proxy from '../../common/proxy/types.js';
+import * as messages from '../wire/messages.js';
+import * as classify from './classify.js';
+import * as localAnswers from './local-answers.js';
+import * as statements from './statements.js';
+import type * as types from './types.js';
+
+/** A violation of the protocol; the session cannot go on. */
+export type ProtocolProblem = {
+	readonly type: 'problem';
+	readonly sqlState: string;
+	readonly message: string;
+};
+
+const copyMessage = 'COPY is not supported by hemlockarch';
+const mixedMessage =
+	'SET and SHOW of hemlockarch settings must be sent as requests of their own';
+const functionCallMessage = 'function calls are not supported by hemlockarch';
+const replicationWords =
+	/^\s*(?:start_replication|identify_system|create_replication_slot|drop_replication_slot|base_backup|timeline_history)\b/iv;
+
+/** Collects the frames of one session; `add` returns the item that a frame completes. */
+export class RequestSplitter {
+	#frames: Buffer[] = [];
+	#size = 0;
+	#kinds: proxy.RequestKind[] = [];
+	#attributes: Array<readonly [string, string]> = [];
+	#prepared = new Map<string, Buffer>();
+	readonly #parsedHere = new Set<string>();
+	#steps: types.LocalStep[] = [];
+	#refusal: {sqlState: string; message: string} | undefined;
+	/** Executed statements go to a server. */
+	#hasRemote = false;
+	/** Kinds that ran since a Flush left the implicit transaction open. */
+	#openKinds: proxy.RequestKind[] = [];
+	#mixesControl = false;
+	#sqlPrepared = false;
+	readonly #table: statements.StatementTable;
+	readonly #limit: number;
+
+	constructor(table: statements.StatementTable, limit: number) {
+		this.#table = table;
+		this.#limit = limit;
+	}
+
+	add(frame: Buffer): types.Item | ProtocolProblem | undefined {
+		this.#size += frame.length;
+		if (this.#size > this.#limit) {
+			return createProblem('54000', 'the request exceeds the size limit');
+		}
+
+		switch (frame[0]) {
+			case messages.codes.query: {
+				return this.#handleQuery(frame);
+			}
+
+			case messages.codes.parse: {
+				return this.#handleParse(frame);
+			}
+
+			case messages.codes.bind: {
+				return this.#handleBind(frame);
+			}
+
+			case messages.codes.describe: {
+				return this.#handleDescribe(frame);
+			}
+
+			case messages.codes.execute: {
+				return this.#handleExecute(frame);
+			}
+
+			case messages.codes.close: {
+				return this.#handleClose(frame);
+			}
+
+			case messages.codes.sync: {
+				return this.#finish(frame, false);
+			}
+
+			case messages.codes.flush: {
+				return this.#frames.length === 0
+					? undefined
+					: this.#finish(frame, true);
+			}
+
+			case messages.codes.functionCall: {
+				this.#reset();
+				return createRefusal(functionCallMessage);
+			}
+
+			case messages.codes.copyData:
+			case messages.codes.copyDone:
+			case messages.codes.copyFail: {
+				// Servers ignore the rest of a COPY that was refused; so does the proxy.
+				this.#size -= frame.length;
+				return undefined;
+			}
+
+			default: {
+				return createProblem(
+					'08P01',
+					`invalid frontend message type ${frame[0]}`,
+				);
+			}
+		}
+	}
+
+	#handleQuery(frame: Buffer): types.Item | ProtocolProblem {
+		if (this.#frames.length > 0) {
+			return createProblem('08P01', 'Query before the end of a sequence');
+		}
+
+		const text = messages.readString(frame, 5);
+		if (text === undefined) {
+			return createMalformed();
+		}
+
+		this.#size = 0;
+		const statementClass = classify.classifyText(text);
+		const refusal = findRefusal(statementClass, text);
+		if (refusal !== undefined) {
+			return createRefusal(refusal);
+		}
+
+		if (statementClass.setting) {
+			return {
+				type: 'local',
+				steps: [
+					{type: 'run', setting: statementClass.setting, isSimple: true},
+					{type: 'ready'},
+				],
+				size: frame.length,
+			};
+		}
+
+		this.#sqlPrepared ||= statementClass.preparesStatement;
+		return {
+			type: 'request',
+			kind: statementClass.kind,
+			payload: {frames: frame},
+			attributes: statementClass.attributes,
+			mixesControl: statementClass.mixesControl,
+			isFlush: false,
+		};
+	}
+
+	#handleParse(frame: Buffer): ProtocolProblem | undefined {
+		const name = messages.readString(frame, 5);
+		const text =
+			name === undefined
+				? undefined
+				: messages.readString(frame, 6 + Buffer.byteLength(name));
+		if (name === undefined || text === undefined) {
+			return createMalformed();
+		}
+
+		const statementClass = classify.classifyText(text);
+		const refusal = findRefusal(statementClass, text);
+		if (refusal !== undefined) {
+			this.#refusal ??= {sqlState: '0A000', message: refusal};
+		}
+
+		const statement = this.#table.add(name, frame, statementClass);
+		if (!statement) {
+			this.#refusal ??= {
+				sqlState: '53400',
+				message: 'the session has too many prepared statements',
+			};
+			return undefined;
+		}
+
+		this.#parsedHere.add(name);
+		this.#sqlPrepared ||= statementClass.preparesStatement;
+		if (statementClass.setting) {
+			this.#push(frame, localAnswers.parseComplete);
+		} else {
+			this.#hasRemote = true;
+			this.#frames.push(name === '' ? frame : statement.parse);
+		}
+
+		return undefined;
+	}
+
+	#handleBind(frame: Buffer): ProtocolProblem | undefined {
+		const portal = messages.readString(frame, 5);
+		const offset = portal === undefined ? 0 : 6 + Buffer.byteLength(portal);
+		const name =
+			portal === undefined ? undefined : messages.readString(frame, offset);
+		if (portal === undefined || name === undefined) {
+			return createMalformed();
+		}
+
+		const statementClass = this.#table.get(name)?.statementClass;
+		if (
+			statementClass &&
+			(statementClass.isCopy || statementClass.mixesSetting)
+		) {
+			this.#refusal ??= {
+				sqlState: '0A000',
+				message: statementClass.isCopy ? copyMessage : mixedMessage,
+			};
+		}
+
+		if (statementClass) {
+			this.#table.setPortal(portal, statementClass);
+			this.#attributes.push(...statementClass.attributes);
+		}
+
+		if (statementClass?.setting) {
+			this.#push(frame, localAnswers.bindComplete);
+			return undefined;
+		}
+
+		this.#kinds.push(statementClass?.kind ?? 'write');
+		this.#mixesControl ||= statementClass?.mixesControl ?? false;
+		this.#pushRenamed(frame, offset, name);
+		return undefined;
+	}
+
+	#handleDescribe(frame: Buffer): ProtocolProblem | undefined {
+		const name = messages.readString(frame, 6);
+		if (name === undefined) {
+			return createMalformed();
+		}
+
+		const isStatement = frame[5] === 0x53;
+		const statementClass = isStatement
+			? this.#table.get(name)?.statementClass
+			: this.#table.getPortal(name);
+		if (statementClass?.setting) {
+			this.#frames.push(frame);
+			this.#steps.push({
+				type: 'describe',
+				setting: statementClass.setting,
+				isStatement,
+			});
+		} else if (isStatement) {
+			this.#pushRenamed(frame, 6, name);
+		} else {
+			this.#hasRemote = true;
+			this.#frames.push(frame);
+		}
+
+		return undefined;
+	}
+
+	#handleExecute(frame: Buffer): ProtocolProblem | undefined {
+		const portal = messages.readString(frame, 5);
+		if (portal === undefined) {
+			return createMalformed();
+		}
+
+		const statementClass = this.#table.getPortal(portal);
+		if (statementClass?.setting) {
+			this.#frames.push(frame);
+			this.#steps.push({
+				type: 'run',
+				setting: statementClass.setting,
+				isSimple: false,
+			});
+			return undefined;
+		}
+
+		if (this.#kinds.length === 0) {
+			this.#kinds.push(statementClass?.kind ?? 'write');
+		}
+
+		this.#hasRemote = true;
+		this.#frames.push(frame);
+		return undefined;
+	}
+
+	#handleClose(frame: Buffer): ProtocolProblem | undefined {
+		const name = messages.readString(frame, 6);
+		if (name === undefined) {
+			return createMalformed();
+		}
+
+		const statement = frame[5] === 0x53 ? this.#table.get(name) : undefined;
+		if (statement) {
+			this.#table.remove(name);
+		}
+
+		if (statement?.statementClass.setting) {
+			this.#push(frame, localAnswers.closeComplete);
+			return undefined;
+		}
+
+		this.#hasRemote = true;
+		this.#frames.push(
+			statement && name !== ''
+				? statements.rewriteName(frame, 6, name, statement.wireName)
+				: frame,
+		);
+		return undefined;
+	}
+
+	/** Adds a frame that the adapter itself answers. */
+	#push(frame: Buffer, answer: Buffer): void {
+		this.#frames.push(frame);
+		this.#steps.push({type: 'message', data: answer});
+	}
+
+	/** Adds a frame that uses a statement, under the statement's name towards the servers. */
+	#pushRenamed(frame: Buffer, offset: number, name: string): void {
+		this.#hasRemote = true;
+		const statement = this.#table.get(name);
+		const isParsedHere = this.#parsedHere.has(name);
+		if ((name === '' && isParsedHere) || (!statement && this.#sqlPrepared)) {
+			this.#frames.push(frame);
+			return;
+		}
+
+		if (statement && !isParsedHere) {
+			this.#prepared.set(statement.wireName, statement.parse);
+		}
+
+		this.#frames.push(
+			statements.rewriteName(
+				frame,
+				offset,
+				name,
+				statement?.wireName ?? this.#table.missingName,
+			),
+		);
+	}
+
+	#finish(frame: Buffer, isFlush: boolean): types.Item {
+		const refusal = this.#refusal ?? this.#findMix();
+		if (refusal) {
+			this.#reset();
+			return {type: 'refusal', ...refusal, isFlush};
+		}
+
+		if (this.#steps.length > 0) {
+			const item: types.Item = {
+				type: 'local',
+				steps: isFlush ? this.#steps : [...this.#steps, {type: 'ready'}],
+				size: this.#size,
+			};
+			this.#reset();
+			return item;
+		}
+
+		const kind = this.#chooseKind(isFlush);
+		const frames =
+			this.#frames.length === 0
+				? frame
+				: Buffer.concat([...this.#frames, frame]);
+		const item: types.Item = {
+			type: 'request',
+			kind,
+			payload:
+				this.#prepared.size === 0
+					? {frames}
+					: {
+							frames,
+							prepared: [...this.#prepared].map(([name, parse]) => ({
+								name,
+								parse,
+							})),
+						},
+			attributes: this.#attributes,
+			mixesControl:
+				this.#mixesControl ||
+				(this.#kinds.length > 1 &&
+					this.#kinds.some((one) => classify.isTransactionControl(one))),
+			isFlush,
+		};
+		this.#reset();
+		return item;
+	}
+
+	#findMix(): {sqlState: string; message: string} | undefined {
+		return this.#steps.length > 0 && this.#hasRemote
+			? {sqlState: '0A000', message: mixedMessage}
+			: undefined;
+	}
+
+	/** A Sync after Flush commits what ran since the implicit transaction was opened. */
+	#chooseKind(isFlush: boolean): proxy.RequestKind {
+		const kind = classify.classifySequence(this.#kinds);
+		const wroteBefore = this.#openKinds.includes('write');
+		this.#openKinds = isFlush ? [...this.#openKinds, kind] : [];
+		return !isFlush && wroteBefore && kind === 'read' ? 'commit' : kind;
+	}
+
+	#reset(): void {
+		this.#frames = [];
+		this.#size = 0;
+		this.#kinds = [];
+		this.#attributes = [];
+		this.#prepared = new Map();
+		this.#parsedHere.clear();
+		this.#steps = [];
+		this.#refusal = undefined;
+		this.#hasRemote = false;
+		this.#mixesControl = false;
+	}
+}
+
+function createProblem(sqlState: string, message: string): ProtocolProblem {
+	return {type: 'problem', sqlState, message};
+}
+
+function createMalformed(): ProtocolProblem {
+	return createProblem('08P01', 'a string of the message has no end');
+}
+
+function createRefusal(message: string): types.Item {
+	return {type: 'refusal', sqlState: '0A000', message, isFlush: false};
+}
+
+function findRefusal(
+	statementClass: types.StatementClass,
+	text: string,
+): string | undefined {
+	if (statementClass.isCopy) {
+		return copyMessage;
+	}
+
+	if (statementClass.mixesSetting) {
+		return mixedMessage;
+	}
+
+	return replicationWords.test(text)
+		? 'the replication protocol is not supported by hemlockarch'
+		: undefined;
+}
--- /dev/null
+++ b/src/node/peer/addresses.ts
@@ -0,0 +1,14 @@
+/**
+ * Reads `ip:port` addresses, with IPv6 addresses in brackets.
+ */
+
+/** Splits an address; an unreadable port becomes 0, which cannot be connected to. */
+export function parseAddress(address: string): {host: string; port: number} {
+	const colon = address.lastIndexOf(':');
+	const host = address.slice(0, colon).replaceAll(/^\[|\]$/gv, '');
+	const port = Number(address.slice(colon + 1));
+	return {
+		host,
+		port: Number.isInteger(port) && port > 0 && port < 65_536 ? port : 0,
+	};
+}
--- /dev/null
+++ b/src/node/peer/frame-codec.ts
@@ -0,0 +1,49 @@
+/**
+ * Encodes peer messages as frames: a 4-byte big-endian payload length and the payload in cbor.
+ */
+import {Buffer} from 'node:buffer';
+import * as cbor from 'cbor-x';
+import * as neverthrow from 'neverthrow';
+import type * as messages from '../../common/messages.js';
+
+/** Bytes of the length prefix. */
+export const prefixBytes = 4;
+
+const codec = new cbor.Encoder({
+	useRecords: false,
+	mapsAsObjects: true,
+	// Byte strings without a tag decode as views of the frame instead of copies.
+	tagUint8Array: false,
+});
+
+/** Encodes one message with its length prefix. */
+export function encodeFrame(
+	message: messages.PeerMessage | messages.LinkMessage,
+): Buffer {
+	const payload = codec.encode(message);
+	const frame = Buffer.allocUnsafe(prefixBytes + payload.length);
+	frame.writeUInt32BE(payload.length, 0);
+	frame.set(payload, prefixBytes);
+	return frame;
+}
+
+/** Decodes one payload; an error names what is wrong with it. */
+export function decodePayload(
+	payload: Uint8Array,
+): neverthrow.Result<messages.PeerMessage, string> {
+	try {
+		const message: unknown = codec.decode(payload);
+		if (
+			typeof message === 'object' &&
+			message !== null &&
+			'type' in message &&
+			typeof message.type === 'string'
+		) {
+			return neverthrow.ok(message as messages.PeerMessage);
+		}
+
+		return neverthrow.err('the payload has no type');
+	} catch (error) {
+		return neverthrow.err(`the payload is not cbor: ${String(error)}`);
+	}
+}
--- /dev/null
+++ b/src/node/peer/peer-links.ts
@@ -0,0 +1,150 @@
+/**
+ * Links to all peers. A peer sends only on the connections that it opened; on an accepted
+ * connection it only answers `hello` and `linkPing`.
+ */
+import * as net from 'node:net';
+import type * as ids from '../../common/ids.js';
+import type * as messages from '../../common/messages.js';
+import type * as node from '../types.js';
+import * as linkSocket from './link-socket.js';
+import * as outgoingLink from './outgoing-link.js';
+import * as types from './types.js';
+
+/** The links of this process, with what producers of large data need. */
+export type PeerLinks = node.PeerLinks & {
+	/** True while the send buffer of the link is so full that producers should pause. */
+	isCongested(peer: ids.PeerId): boolean;
+};
+
+/** Creates the links; nothing is opened before `listen` and `setAddress`. */
+export function createPeerLinks(options: types.PeerLinksOptions): PeerLinks {
+	return new TcpPeerLinks(options);
+}
+
+class TcpPeerLinks implements PeerLinks {
+	readonly #links = new Map<ids.PeerId, outgoingLink.OutgoingLink>();
+	readonly #accepted = new Set<linkSocket.LinkSocket>();
+	readonly #acceptedByPeer = new Map<ids.PeerId, linkSocket.LinkSocket>();
+	readonly #limits: types.LinkLimits;
+	readonly #server: net.Server;
+
+	constructor(private readonly options: types.PeerLinksOptions) {
+		this.#limits = {...types.defaultLimits, ...options.limits};
+		this.#server = net.createServer((socket) => {
+			this.#accept(socket);
+		});
+	}
+
+	async listen(address: string, port: number): Promise<number> {
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, address, () => {
+				this.#server.off('error', reject);
+				this.#server.on('error', (error) => {
+					this.options.logger.write({
+						level: 'error',
+						part: 'peer',
+						message: `The peer listener failed: ${error.message}.`,
+					});
+				});
+				resolve((this.#server.address() as net.AddressInfo).port);
+			});
+		});
+	}
+
+	setAddress(peer: ids.PeerId, address: string): void {
+		const link = this.#links.get(peer);
+		if (link?.address === address) {
+			return;
+		}
+
+		link?.dispose();
+		this.#links.set(
+			peer,
+			new outgoingLink.OutgoingLink(peer, address, this.options, this.#limits),
+		);
+	}
+
+	removePeer(peer: ids.PeerId): void {
+		const link = this.#links.get(peer);
+		this.#links.delete(peer);
+		link?.dispose();
+	}
+
+	send(to: ids.PeerId, message: messages.PeerMessage): boolean {
+		return this.#links.get(to)?.send(message) ?? false;
+	}
+
+	isCongested(peer: ids.PeerId): boolean {
+		return this.#links.get(peer)?.isCongested ?? false;
+	}
+
+	async dispose(): Promise<void> {
+		for (const link of this.#links.values()) {
+			link.dispose();
+		}
+
+		this.#links.clear();
+		for (const link of this.#accepted) {
+			link.close('the process stops');
+		}
+
+		if (this.#server.listening) {
+			await new Promise((resolve) => {
+				this.#server.close(resolve);
+			});
+		}
+	}
+
+	#accept(socket: net.Socket): void {
+		let peer: ids.PeerId | undefined;
+		const link = new linkSocket.LinkSocket(
+			socket,
+			this.#limits,
+			this.options.clock,
+			{
+				handleMessage: (message) => {
+					if (message.type === 'hello') {
+						peer = this.#handleHello(link, peer, message);
+					} else if (peer === undefined) {
+						link.close('the first message is not hello');
+					} else if (message.type === 'linkPing') {
+						link.send({type: 'linkPong', sequence: message.sequence});
+					} else {
+						this.options.listener.handleMessage(peer, message);
+					}
+				},
+				handleEnd: () => {
+					this.#accepted.delete(link);
+					if (peer !== undefined && this.#acceptedByPeer.get(peer) === link) {
+						this.#acceptedByPeer.delete(peer);
+					}
+				},
+				handleDrain() {
+					// Only small answers are sent on accepted connections.
+				},
+			},
+		);
+		this.#accepted.add(link);
+	}
+
+	#handleHello(
+		link: linkSocket.LinkSocket,
+		known: ids.PeerId | undefined,
+		hello: types.Hello,
+	): ids.PeerId | undefined {
+		if (known !== undefined || hello.protocol !== this.options.hello.protocol) {
+			link.close('hello came twice or with another protocol');
+			return known;
+		}
+
+		// A newer connection of a peer replaces the older one, whose late frames would be out of order.
+		this.#acceptedByPeer
+			.get(hello.peer)
+			?.close('the peer opened a new connection');
+		this.#acceptedByPeer.set(hello.peer, link);
+		link.send(this.options.hello);
+		this.options.listener.handleHello(hello);
+		return hello.peer;
+	}
+}
