Add the measurement tool

npm run bench runs the real proxy reducers, one per entry VM, in virtual time against emulated database servers and a stand-in of control, and the naive baseline (one queue in arrival order, fixed pools, all reads to the primary) under the same seed.

The first run gave all servers to the proxies of one data centre, because the stand-in of control granted before the others had been heard; it waits 300 ms now.

--- /dev/null
+++ b/src/bench/control-stub.ts
@@ -0,0 +1,159 @@
+/**
+ * Stands in for the control peers of a run: grants leases, gives the servers of a silent proxy to
+ * another one, and takes part in membership. It never fails; failures of control are measured with
+ * real processes.
+ */
+import type * as ids from '../common/ids.js';
+import {Membership} from '../common/membership/membership.js';
+import type * as messages from '../common/messages.js';
+import type {RandomSource} from '../common/random.js';
+import type * as types from '../common/types.js';
+
+/** Length of a lease and the drift bound of the design page. */
+const leaseMs = 1500;
+const driftBound = 0.01;
+
+/** Grants wait this long after the start, until proxies of all data centres have been heard. */
+const settleMs = 300;
+
+type ServerEntry = {
+	readonly server: ids.UpstreamId;
+	readonly dataCentre: ids.DataCentre;
+	readonly writeTerm: number | undefined;
+	owner: ids.PeerId | undefined;
+	counter: number;
+};
+
+type ProxyEntry = {readonly dataCentre: ids.DataCentre; renewedAt: number};
+
+/** What the stub grants and how it sends. */
+export type ControlStubOptions = {
+	readonly servers: ReadonlyArray<
+		Pick<ServerEntry, 'server' | 'dataCentre' | 'writeTerm'>
+	>;
+	readonly groups: readonly types.GroupView[];
+	readonly templates: readonly types.Template[];
+	readonly send: (to: ids.PeerId, message: messages.PeerMessage) => boolean;
+};
+
+/** The single control peer of a run. */
+export class ControlStub {
+	readonly membership: Membership;
+	readonly #options: ControlStubOptions;
+	readonly #servers: ServerEntry[];
+	readonly #proxies = new Map<ids.PeerId, ProxyEntry>();
+	#counter = 0;
+
+	constructor(
+		self: {
+			readonly peer: ids.PeerId;
+			readonly address: string;
+			readonly dataCentre: ids.DataCentre;
+		},
+		random: RandomSource,
+		options: ControlStubOptions,
+	) {
+		this.#options = options;
+		this.#servers = options.servers.map((server) => ({
+			...server,
+			owner: undefined,
+			counter: 0,
+		}));
+		this.membership = new Membership({
+			self: {...self, role: 'control', incarnation: 1},
+			random,
+			send: options.send,
+			listener: {
+				handlePeerChange: () => undefined,
+				handleAnnouncement: () => true,
+				handleTemplateVersion: () => undefined,
+				listDeltas: () => [],
+			},
+		});
+	}
+
+	handleTick(now: number): void {
+		this.membership.handleTick(now);
+		for (const [peer, proxy] of this.#proxies) {
+			if (now - proxy.renewedAt > leaseMs * (1 + driftBound)) {
+				this.#proxies.delete(peer);
+			}
+		}
+
+		if (now < settleMs) {
+			return;
+		}
+
+		for (const server of this.#servers) {
+			if (server.owner === undefined || !this.#proxies.has(server.owner)) {
+				server.owner = this.#chooseOwner(server);
+				server.counter = ++this.#counter;
+			}
+		}
+	}
+
+	handleMessage(
+		from: ids.PeerId,
+		message: messages.PeerMessage,
+		now: number,
+	): void {
+		// Nothing else is sent to control in a run without failovers.
+		if (message.type === 'renewLease') {
+			this.#proxies.set(from, {
+				dataCentre: message.dataCentre,
+				renewedAt: now,
+			});
+			this.#sendGrant(from, message);
+		} else if (
+			message.type === 'ping' ||
+			message.type === 'pingRequest' ||
+			message.type === 'ack' ||
+			message.type === 'sync'
+		) {
+			this.membership.handleMessage(from, message, now);
+		}
+	}
+
+	/** Prefers the data centre of the server, then the proxy with the fewest servers. */
+	#chooseOwner(server: ServerEntry): ids.PeerId | undefined {
+		let best: ids.PeerId | undefined;
+		let bestLoad = Infinity;
+		for (const [peer, proxy] of this.#proxies) {
+			const owned = this.#servers.filter(({owner}) => owner === peer).length;
+			const isLocal = proxy.dataCentre === server.dataCentre;
+			const load = owned + (isLocal ? 0 : this.#servers.length);
+			if (load < bestLoad) {
+				best = peer;
+				bestLoad = load;
+			}
+		}
+
+		return best;
+	}
+
+	#sendGrant(
+		to: ids.PeerId,
+		renewal: Extract<messages.ControlMessage, {type: 'renewLease'}>,
+	): void {
+		const isNew = renewal.knownIndex === 0;
+		this.#options.send(to, {
+			type: 'leaseGranted',
+			sequence: renewal.sequence,
+			durationMs: leaseMs,
+			owned: this.#servers
+				.filter(({owner}) => owner === to)
+				.map(({server, counter, writeTerm}) => ({
+					server,
+					epoch: {consensusTerm: 1, counter},
+					...(writeTerm !== undefined && {writeTerm}),
+				})),
+			groups: isNew ? this.#options.groups : [],
+			owners: this.#servers.map(({server, owner}) => ({server, owner})),
+			templates: isNew ? this.#options.templates : [],
+			confirmed: renewal.announcements.map(
+				({server, version}) => [server, version] as const,
+			),
+			appliedIndex: 1,
+		});
+	}
+}
--- /dev/null
+++ b/src/bench/naive-system.ts
@@ -0,0 +1,81 @@
+/**
+ * The naive baseline: each entry keeps a fixed pool of connections to every primary and one queue
+ * in arrival order; ranks, members and deadlines are ignored, all reads go to the primary.
+ */
+import {getLatency, type Deployment} from './deployment.js';
+import type {FakeServer} from './database.js';
+import type {Simulation} from './simulation.js';
+import type {BenchOutcome, BenchRequest, BenchSystem} from './types.js';
+
+type Waiting = {
+	readonly request: BenchRequest;
+	readonly done: (outcome: BenchOutcome) => void;
+};
+
+/** Queue and pool of one entry towards one primary. */
+type Pool = {free: number; readonly waiting: Waiting[]; next: number};
+
+/** Proxies without policy. */
+export class NaiveSystem implements BenchSystem {
+	readonly #simulation: Simulation;
+	readonly #deployment: Deployment;
+	readonly #servers: readonly FakeServer[][];
+	/** `pools[vm][group]`. */
+	readonly #pools: Pool[][];
+	readonly #removed = new Set<number>();
+
+	constructor(
+		simulation: Simulation,
+		deployment: Deployment,
+		servers: readonly FakeServer[][],
+	) {
+		this.#simulation = simulation;
+		this.#deployment = deployment;
+		this.#servers = servers;
+		const size = Math.floor(deployment.connectionLimit / deployment.vms.length);
+		this.#pools = deployment.vms.map(() =>
+			deployment.groups.map(() => ({free: size, waiting: [], next: 0})),
+		);
+	}
+
+	submit(request: BenchRequest, done: (outcome: BenchOutcome) => void): void {
+		const pool = this.#pools[request.session.vm][request.session.groupIndex];
+		pool.waiting.push({request, done});
+		this.#runNext(request.session.vm, request.session.groupIndex);
+	}
+
+	removeVm(vm: number): void {
+		this.#removed.add(vm);
+	}
+
+	#runNext(vm: number, groupIndex: number): void {
+		const pool = this.#pools[vm][groupIndex];
+		const next = pool.waiting[pool.next];
+		if (pool.free === 0 || !next || this.#removed.has(vm)) {
+			return;
+		}
+
+		pool.free--;
+		pool.next++;
+		const server = this.#servers[groupIndex].find(
+			({role}) => role === 'primary',
+		)!;
+		const latencyMs = getLatency(
+			this.#deployment,
+			this.#deployment.vms[vm],
+			server.dataCentre,
+		);
+		this.#simulation.schedule(latencyMs, () => {
+			server.run(next.request, (result) => {
+				this.#simulation.schedule(latencyMs, () => {
+					pool.free++;
+					if (!this.#removed.has(vm)) {
+						next.done({type: 'completed', servedBy: 'primary', ...result});
+					}
+
+					this.#runNext(vm, groupIndex);
+				});
+			});
+		});
+	}
+}
--- /dev/null
+++ b/src/bench/recorder.ts
@@ -0,0 +1,156 @@
+/**
+ * Collects the outcomes of one run: counts by rank and member, latencies, and a timeline for plots.
+ */
+import * as hdr from 'hdr-histogram-js';
+import type * as types from '../common/types.js';
+import type {BenchOutcome, BenchRequest} from './types.js';
+
+/** Latencies are kept in microseconds up to this value. */
+const maxLatencyMicros = 60_000_000;
+
+/** Width of one point of the timeline. */
+export const timelineStepMs = 250;
+
+/** Counts of one rank or of one member within a rank. */
+export type Tally = {
+	offered: number;
+	completed: number;
+	onTime: number;
+	refused: number;
+	lost: number;
+};
+
+/** One point of the timeline, per rank. */
+export type TimelinePoint = Record<types.Rank, Tally>;
+
+/** Outcomes of the requests that were sent in the measured window. */
+export class Recorder {
+	readonly ranks: Record<types.Rank, Tally> = buildTallies();
+	readonly members = new Map<string, Tally>();
+	readonly latencies: Record<types.Rank, hdr.Histogram> = {
+		urgent: buildHistogram(),
+		normal: buildHistogram(),
+		background: buildHistogram(),
+	};
+
+	readonly timeline: TimelinePoint[] = [];
+	readonly reasons = new Map<string, number>();
+	replicaReads = 0;
+	primaryReads = 0;
+	/** Reads older than their tolerated staleness. */
+	tooOldReads = 0;
+	/** Reads that missed a write of their own session. */
+	missedWrites = 0;
+	maxStalenessMs = 0;
+	readonly #fromMs: number;
+	readonly #untilMs: number;
+	readonly #readNow: () => number;
+
+	constructor(fromMs: number, untilMs: number, readNow: () => number) {
+		this.#fromMs = fromMs;
+		this.#untilMs = untilMs;
+		this.#readNow = readNow;
+	}
+
+	recordOffer(request: BenchRequest): void {
+		this.#updateTallies(request, (tally) => {
+			tally.offered++;
+		});
+	}
+
+	recordOutcome(request: BenchRequest, outcome: BenchOutcome): void {
+		const latencyMs = this.#readNow() - request.issuedAt;
+		const isOnTime =
+			outcome.type === 'completed' && this.#readNow() <= request.deadlineAt;
+		this.#updateTallies(request, (tally) => {
+			tally.completed += outcome.type === 'completed' ? 1 : 0;
+			tally.refused += outcome.type === 'refused' ? 1 : 0;
+			tally.lost += outcome.type === 'lost' ? 1 : 0;
+			tally.onTime += isOnTime ? 1 : 0;
+		});
+		if (!this.#isMeasured(request)) {
+			return;
+		}
+
+		if (outcome.type === 'completed') {
+			this.latencies[request.rank].recordValue(
+				Math.min(maxLatencyMicros, Math.round(latencyMs * 1000)),
+			);
+			this.#recordRead(request, outcome);
+		} else if (outcome.type === 'refused') {
+			const key = `${request.rank} ${outcome.sqlState}`;
+			this.reasons.set(key, (this.reasons.get(key) ?? 0) + 1);
+		}
+	}
+
+	#recordRead(
+		request: BenchRequest,
+		outcome: Extract<BenchOutcome, {type: 'completed'}>,
+	): void {
+		if (request.kind !== 'read') {
+			return;
+		}
+
+		if (outcome.servedBy === 'replica') {
+			this.replicaReads++;
+		} else {
+			this.primaryReads++;
+		}
+
+		this.maxStalenessMs = Math.max(this.maxStalenessMs, outcome.stalenessMs);
+		this.tooOldReads += outcome.stalenessMs > request.stalenessMs ? 1 : 0;
+		this.missedWrites += outcome.offset < request.floor ? 1 : 0;
+	}
+
+	#isMeasured(request: BenchRequest): boolean {
+		return request.issuedAt >= this.#fromMs && request.issuedAt < this.#untilMs;
+	}
+
+	#updateTallies(request: BenchRequest, update: (tally: Tally) => void): void {
+		const step = Math.floor(request.issuedAt / timelineStepMs);
+		while (this.timeline.length <= step) {
+			this.timeline.push(buildTallies());
+		}
+
+		update(this.timeline[step][request.rank]);
+		if (!this.#isMeasured(request)) {
+			return;
+		}
+
+		update(this.ranks[request.rank]);
+		const key = `${request.session.member} ${request.rank}`;
+		let tally = this.members.get(key);
+		if (!tally) {
+			tally = buildTally();
+			this.members.set(key, tally);
+		}
+
+		update(tally);
+	}
+}
+
+/** Share of the offered requests that were completed by their deadline. */
+export function computeOnTime(tally: Tally): number {
+	return tally.offered === 0 ? 1 : tally.onTime / tally.offered;
+}
+
+function buildTally(): Tally {
+	return {offered: 0, completed: 0, onTime: 0, refused: 0, lost: 0};
+}
+
+function buildTallies(): Record<types.Rank, Tally> {
+	return {
+		urgent: buildTally(),
+		normal: buildTally(),
+		background: buildTally(),
+	};
+}
+
+function buildHistogram(): hdr.Histogram {
+	return hdr.build({
+		lowestDiscernibleValue: 1,
+		highestTrackableValue: maxLatencyMicros,
+		numberOfSignificantValueDigits: 3,
+		useWebAssembly: false,
+	});
+}
--- /dev/null
+++ b/src/bench/run.ts
@@ -0,0 +1,198 @@
+/** Runs one load against one system in virtual time. */
+import type * as ids from '../common/ids.js';
+import type * as types from '../common/types.js';
+import {Callers, type Workload} from './callers.js';
+import {buildServers, type FakeServer} from './database.js';
+import type {Deployment} from './deployment.js';
+import {NaiveSystem} from './naive-system.js';
+import {RandomStream} from './random.js';
+import {Recorder} from './recorder.js';
+import {ReducerSystem} from './reducer-system.js';
+import {Simulation} from './simulation.js';
+import type {BenchSystem} from './types.js';
+
+/** Grants, first reports and first connections take about this long. */
+const startupMs = 2000;
+
+/** Templates of all runs; the floors are those that the targets speak of. */
+export const benchParameters: types.TemplateParameters = {
+	defaultRank: 'normal',
+	stalenessMs: 0,
+	maxSessions: 1_000_000,
+	maxInFlight: 1_000_000,
+	ranks: {
+		urgent: {deadlineMs: 300, floorPercent: 40, queueLimit: 1000, weight: 1},
+		normal: {deadlineMs: 1000, floorPercent: 20, queueLimit: 1000, weight: 1},
+		background: {
+			deadlineMs: 5000,
+			floorPercent: 10,
+			queueLimit: 1000,
+			weight: 1,
+		},
+	},
+};
+
+/** Mean time that a statement holds its slot, ms. */
+export const meanServiceMs = 10;
+
+export type SystemName = 'policy' | 'naive';
+
+/** A load and its faults. Times in ms after the startup. */
+export type Load = {
+	readonly workloads: readonly Workload[];
+	readonly lagMs: number;
+	readonly measureFromMs: number;
+	readonly measureUntilMs: number;
+	/** Two VMs are lost; `sameDataCentre` takes all VMs of one data centre. */
+	readonly vmLoss?: {readonly atMs: number; readonly sameDataCentre: boolean};
+};
+
+/** What a run measured. */
+export type RunResult = {
+	readonly recorder: Recorder;
+	/** Slot time that statements held in the measured window, by rank, in ms. */
+	readonly slotTime: Record<types.Rank, number>;
+	/** Slot time that all servers had in the measured window, in ms. */
+	readonly totalSlotTime: number;
+};
+
+/** Statements per second that all servers of a deployment can execute. */
+export function computeCapacity(deployment: Deployment): number {
+	const servers = deployment.groups.length * deployment.dataCentres.length;
+	return (servers * deployment.slots * 1000) / meanServiceMs;
+}
+
+/** Statements per second that the primaries can execute. */
+export function computePrimaryCapacity(deployment: Deployment): number {
+	return computeCapacity(deployment) / deployment.dataCentres.length;
+}
+
+/** Runs a load; equal arguments give equal results. */
+export function runLoad(
+	deployment: Deployment,
+	systemName: SystemName,
+	load: Load,
+	seed: number,
+): RunResult {
+	const simulation = new Simulation();
+	const servers = buildServers(simulation, deployment, load.lagMs);
+	const system = createSystem(
+		simulation,
+		deployment,
+		servers,
+		systemName,
+		seed,
+	);
+	const recorder = new Recorder(
+		startupMs + load.measureFromMs,
+		startupMs + load.measureUntilMs,
+		() => simulation.now,
+	);
+	const callers = new Callers({simulation, deployment, system, recorder});
+	for (const [index, workload] of load.workloads.entries()) {
+		callers.start(
+			{
+				...workload,
+				fromMs: startupMs + workload.fromMs,
+				untilMs: startupMs + workload.untilMs,
+			},
+			new RandomStream(seed * 1000 + index),
+		);
+	}
+
+	const {vmLoss} = load;
+	if (vmLoss) {
+		simulation.schedule(startupMs + vmLoss.atMs, () => {
+			const random = new RandomStream(seed);
+			for (const vm of chooseLostVms(deployment, vmLoss.sameDataCentre)) {
+				system.removeVm(vm);
+				callers.handleVmLoss(vm, random);
+			}
+		});
+	}
+
+	simulation.runUntil(startupMs + load.measureFromMs);
+	setCounting(servers, true);
+	simulation.runUntil(startupMs + load.measureUntilMs);
+	setCounting(servers, false);
+	const longestDeadlineMs = Math.max(
+		...load.workloads.map(({deadlineMs}) => deadlineMs),
+	);
+	simulation.runUntil(
+		startupMs + load.measureUntilMs + longestDeadlineMs + 500,
+	);
+	return {
+		recorder,
+		slotTime: sumSlotTime(servers),
+		totalSlotTime:
+			servers.flat().length *
+			deployment.slots *
+			(load.measureUntilMs - load.measureFromMs),
+	};
+}
+
+/** Builds the work of one rank, split evenly over members. */
+export function buildWorkloads(
+	members: readonly ids.MemberId[],
+	perSecond: number,
+	base: Omit<Workload, 'member' | 'perSecond' | 'deadlineMs' | 'meanServiceMs'>,
+): Workload[] {
+	return members.map((member) => ({
+		...base,
+		member,
+		deadlineMs: benchParameters.ranks[base.rank].deadlineMs,
+		meanServiceMs,
+		perSecond: perSecond / members.length,
+	}));
+}
+
+/** The first VMs of data centres own primaries. */
+function chooseLostVms(
+	deployment: Deployment,
+	sameDataCentre: boolean,
+): number[] {
+	const last = deployment.vms.at(-1)!;
+	return sameDataCentre
+		? [deployment.vms.indexOf(last), deployment.vms.lastIndexOf(last)]
+		: [0, deployment.vms.indexOf(last)];
+}
+
+function createSystem(
+	simulation: Simulation,
+	deployment: Deployment,
+	servers: readonly FakeServer[][],
+	name: SystemName,
+	seed: number,
+): BenchSystem {
+	return name === 'naive'
+		? new NaiveSystem(simulation, deployment, servers)
+		: new ReducerSystem({
+				simulation,
+				deployment,
+				servers,
+				parameters: benchParameters,
+				seed,
+			});
+}
+
+function setCounting(
+	servers: readonly FakeServer[][],
+	counting: boolean,
+): void {
+	for (const server of servers.flat()) {
+		server.counting = counting;
+	}
+}
+
+function sumSlotTime(
+	servers: readonly FakeServer[][],
+): Record<types.Rank, number> {
+	const sum = {urgent: 0, normal: 0, background: 0};
+	for (const {slotTime} of servers.flat()) {
+		sum.urgent += slotTime.urgent;
+		sum.normal += slotTime.normal;
+		sum.background += slotTime.background;
+	}
+
+	return sum;
+}
