Admit only what leaves time for the answer

In the urgent flood the servers were busy (98% of slot time), but a quarter of the urgent answers came late: requests were admitted up to the deadline at the owner, without time for the way back and the acknowledgement of commits. Wait and service may now take 75% of the remaining time. The margin is a share, because the scheduler does not know the distance of the entry.

--- a/src/common/policy/admission.ts
+++ b/src/common/policy/admission.ts
@@ -27,6 +27,12 @@
 /** Floors, weights and idle members are looked at again this often. */
 const refreshIntervalMs = 1000;
 
+/**
+ * Share of the remaining time that wait and service may take. The rest is for the way of the answer,
+ * the acknowledgement of commits and the error of the estimate.
+ */
+const usableDeadlineShare = 0.75;
+
 /** For members without template, whose requests the proxy refuses before they come here. */
 const defaultPolicy = {floorPercent: 0, queueLimit: 100, weight: 1} as const;
 
@@ -198,7 +204,9 @@
 			(flow.length * flow.service.meanMs * weight) / flow.weight,
 		);
 		const wait = this.#estimateWaitForWork(rank, work, now);
-		return now + wait + flow.service.highMs <= deadlineAt;
+		return (
+			wait + flow.service.highMs <= (deadlineAt - now) * usableDeadlineShare
+		);
 	}
 
 	/** Estimates the wait behind `work` ms of slot time of the same rank. */
