--- a/src/bench/reducer-system.ts
+++ b/src/bench/reducer-system.ts
@@ -237,12 +237,7 @@
 			{
 				routing: new LeastWaitRoutingPolicy(),
 				retryBudget: new SuccessRetryBudget(),
-				hedging: {
-					recordLatency(latencyMs) {
-						hedge.observe(latencyMs, simulation.now);
-					},
-					computeHedgeDelay: () => hedge.computeDelay(simulation.now),
-				},
+				hedging: hedge,
 				createScheduler: (slots) =>
 					new ServerAdmissionScheduler({
 						slots,
--- a/src/daemon/proxy-driver.ts
+++ b/src/daemon/proxy-driver.ts
@@ -8,6 +8,7 @@
 import type * as reducer from '../common/proxy/reducer.js';
 import type * as proxy from '../common/proxy/types.js';
 import type * as types from '../common/types.js';
+import type * as callerAdapter from '../node/caller/caller-adapter.js';
 import type * as node from '../node/types.js';
 
 const tickIntervalMs = 10;
@@ -19,7 +20,7 @@
 };
 
 export type ProxyAdapters = {
-	readonly callers: node.CallerAdapter;
+	readonly callers: Pick<callerAdapter.CallerAdapter, 'handle' | 'relay'>;
 	readonly upstreams: node.UpstreamAdapter;
 	readonly peers: node.PeerLinks;
 	readonly clock: node.Clock;
@@ -89,11 +90,15 @@
 		}
 	};
 
-	/** Passes response bytes of an attempt to the caller, unless another attempt came first. */
-	readonly relay = (attempt: ids.AttemptId, data: Uint8Array): void => {
+	/**
+	 * Passes response bytes of an attempt to the caller, unless another attempt came first.
+	 *
+	 * @returns False when the producer should pause.
+	 */
+	readonly relay = (attempt: ids.AttemptId, data: Uint8Array): boolean => {
 		const owner = this.attempts.get(attempt);
 		if (!owner || !this.adapters) {
-			return;
+			return true;
 		}
 
 		if (owner.winner === undefined) {
@@ -106,9 +111,9 @@
 			});
 		}
 
-		if (owner.winner === attempt) {
-			this.adapters.callers.relay(attempt, data);
-		}
+		return owner.winner === attempt
+			? this.adapters.callers.relay(attempt, data)
+			: true;
 	};
 
 	readonly handlePeerMessage = (
