Add failover to the control leader, with a simulation of control, proxies and servers

Cause: a group has to get a new primary without an operator, and no acknowledged write may be lost. A leader runs only promotions that it began itself; one that an earlier leader began gets a new term, because a server may have been promoted in the old term without anybody knowing. The old primary and departing servers are chosen only when the other fenced servers are no majority. Log events that arise while effects of another one are handled wait in a queue; without it a proposal made while an entry is applied could be applied before the next entry of the same batch. Ruled out: continuing an earlier leader's promotion in the same term. Two servers could then be primaries of one term with different records.

--- /dev/null
+++ b/src/common/control/failover.test.ts
@@ -0,0 +1,222 @@
+import tap, {type Test} from 'tap';
+import type * as ids from '../ids.js';
+import * as simulations from './simulation.js';
+
+/** A group of three servers that serves writes. */
+function startGroup(
+	options: Partial<simulations.SimulationOptions> = {},
+): simulations.Simulation {
+	const simulation = new simulations.Simulation({seed: 1, ...options});
+	simulation.run(8000);
+	return simulation;
+}
+
+/** Runs until another server than `old` is the primary and its owner may write. */
+function measureGap(
+	simulation: simulations.Simulation,
+	old: string,
+): number | undefined {
+	return simulation.runUntil(() => {
+		const {group} = simulation;
+		return (
+			group !== undefined &&
+			group.primary !== old &&
+			[...simulation.proxies].some(([peer, proxy]) =>
+				proxy
+					?.listValid(simulation.readClock(peer))
+					.some(({writeTerm}) => writeTerm === group.term),
+			)
+		);
+	}, 20_000);
+}
+
+function checkHealthy(t: Test, simulation: simulations.Simulation): void {
+	const {group} = simulation;
+	t.ok(group);
+	t.strictSame(simulation.problems, []);
+	t.ok(simulation.acknowledged.length > 0);
+	t.strictSame(simulation.listLost(simulation.getServer(group!.primary)), []);
+}
+
+// Guards against a group that never starts to serve writes.
+tap.test('a new group gets all servers and writes', async (t) => {
+	const simulation = startGroup();
+	t.match(simulation.group, {
+		term: 1,
+		primary: 's1',
+		promotion: undefined,
+	});
+	t.strictSame(new Set(simulation.group?.servers), new Set(['s1', 's2', 's3']));
+	t.strictSame(simulation.listOwners(), {s1: 'p1', s2: 'p2', s3: 'p3'});
+	checkHealthy(t, simulation);
+});
+
+// Guards against a failover that loses acknowledged writes or never ends.
+tap.test('primary silent', async (t) => {
+	const simulation = startGroup();
+	simulation.getServer('s1').isRunning = false;
+	const gap = measureGap(simulation, 's1');
+	t.comment(`primary killed: gap ${gap} ms`);
+	t.ok(gap !== undefined && gap <= 3000);
+	simulation.run(2000);
+	checkHealthy(t, simulation);
+	t.equal(simulation.group?.term, 2);
+
+	// The old primary comes back much later and has to follow.
+	simulation.run(20_000);
+	const old = simulation.getServer('s1');
+	old.isRunning = true;
+	simulation.run(10_000);
+	t.match(old, {role: 'replica', term: 2, upstream: simulation.group?.primary});
+	t.equal(simulation.group?.term, 2);
+	checkHealthy(t, simulation);
+});
+
+// Guards against a wait for the lease of an owner that died with its primary.
+tap.test('primary and its owner lost together', async (t) => {
+	const simulation = startGroup();
+	simulation.getServer('s1').isRunning = false;
+	simulation.crashProxy('p1' as ids.PeerId, 60_000);
+	const gap = measureGap(simulation, 's1');
+	t.comment(`primary and owner killed: gap ${gap} ms`);
+	t.ok(gap !== undefined && gap <= 3000);
+	checkHealthy(t, simulation);
+});
+
+// Guards against waiting for a replica that nobody can reach, and against promoting it later.
+tap.test('best replica in a cut-off region', async (t) => {
+	const simulation = startGroup();
+	simulation.getServer('s3').isStuck = true;
+	simulation.run(500);
+	for (const peer of [...simulation.controlIds, ...simulation.proxies.keys()]) {
+		simulation.cuts.add(`${peer} s2`);
+	}
+
+	simulation.cuts.add('s1 s2');
+	simulation.getServer('s3').isStuck = false;
+	simulation.run(1000);
+	simulation.getServer('s1').isRunning = false;
+	simulation.run(10_000);
+	t.match(simulation.group, {primary: 's1', promotion: {planned: false}});
+	simulation.getServer('s1').isRunning = true;
+	simulation.run(5000);
+	t.equal(simulation.group?.promotion, undefined);
+	checkHealthy(t, simulation);
+	simulation.cuts.clear();
+	simulation.run(5000);
+	t.equal(simulation.getServer('s2').term, simulation.group?.term);
+	checkHealthy(t, simulation);
+});
+
+// Guards against promoting a replica that lacks acknowledged writes when all are behind.
+tap.test('all replicas behind', async (t) => {
+	const simulation = startGroup();
+	simulation.getServer('s2').isStuck = true;
+	simulation.run(1000);
+	simulation.getServer('s3').isStuck = true;
+	simulation.run(1000);
+	simulation.getServer('s1').isRunning = false;
+	t.ok(measureGap(simulation, 's1'));
+	t.equal(simulation.group?.primary, 's3');
+	simulation.getServer('s2').isStuck = false;
+	simulation.getServer('s3').isStuck = false;
+	simulation.getServer('s1').isRunning = true;
+	simulation.run(5000);
+	checkHealthy(t, simulation);
+	t.equal(simulation.getServer('s1').role, 'replica');
+});
+
+// Guards against one promotion after another.
+tap.test('a flapping primary is held down', async (t) => {
+	const simulation = startGroup();
+	const begins: number[] = [];
+	let term = 1;
+	simulation.runUntil(() => {
+		const group = simulation.group ?? {term, promotion: undefined};
+		const current = group.promotion?.term ?? group.term;
+		if (current > term) {
+			term = current;
+			begins.push(simulation.now);
+		}
+
+		// Each primary fails 200 ms after its promotion; the others work.
+		for (const server of simulation.servers) {
+			const isPrimary = server.server === simulation.group?.primary;
+			if (isPrimary && !simulation.group?.promotion && server.isRunning) {
+				simulation.schedule(200, () => {
+					server.isRunning = false;
+				});
+				simulation.schedule(2500, () => {
+					server.isRunning = true;
+				});
+			}
+		}
+
+		return false;
+	}, 30_000);
+	t.comment(`promotions begin at ${begins.join(', ')}`);
+	t.ok(begins.length >= 3 && begins.length <= 6);
+	const pauses = begins.slice(1).map((at, index) => at - begins[index]);
+	t.ok(pauses.at(-1)! >= 8000);
+	checkHealthy(t, simulation);
+});
+
+// Guards against completing a term in which an unknown server was promoted before.
+tap.test('leader lost between begin and complete', async (t) => {
+	const simulation = startGroup();
+	simulation.getServer('s1').isRunning = false;
+	t.ok(
+		simulation.runUntil(
+			() =>
+				simulation.servers.some(
+					({role, term}) => role === 'primary' && term === 2,
+				),
+			5000,
+		),
+	);
+	t.ok(simulation.group?.promotion);
+	const promoted = simulation.servers.find(({term}) => term === 2)!;
+	promoted.isRunning = false;
+	simulation.getServer('s1').isRunning = true;
+	simulation.crashControl(simulation.leader!, 500);
+	simulation.run(8000);
+	t.equal(simulation.group?.promotion, undefined);
+	t.ok(simulation.group!.term > 2);
+	t.not(simulation.group?.primary, promoted.server);
+	promoted.isRunning = true;
+	simulation.run(5000);
+	t.match(promoted, {role: 'replica', term: simulation.group?.term});
+	checkHealthy(t, simulation);
+});
+
+// Guards against a departing primary that keeps its role, or a long interruption.
+tap.test('departing primary', async (t) => {
+	const simulation = startGroup();
+	simulation.getServer('s1').isDeparting = true;
+	t.ok(
+		simulation.runUntil(() => simulation.group?.promotion !== undefined, 5000),
+	);
+	t.equal(simulation.group?.promotion?.planned, true);
+	const gap = measureGap(simulation, 's1');
+	t.comment(`planned change: gap ${gap} ms`);
+	t.ok(gap !== undefined && gap <= 250);
+	simulation.run(2000);
+	simulation.getServer('s1').isRunning = false;
+	simulation.run(15_000);
+	t.strictSame(new Set(simulation.group?.servers), new Set(['s2', 's3']));
+	checkHealthy(t, simulation);
+});
+
+// Guards against a planned change that drops what only the departing primary holds.
+tap.test('departing primary of two servers', async (t) => {
+	const simulation = startGroup({servers: 2});
+	simulation.getServer('s2').isStuck = true;
+	simulation.run(300);
+	simulation.getServer('s1').isDeparting = true;
+	simulation.schedule(1500, () => {
+		simulation.getServer('s2').isStuck = false;
+	});
+	t.ok(measureGap(simulation, 's1'));
+	simulation.run(1000);
+	checkHealthy(t, simulation);
+});
--- /dev/null
+++ b/src/common/control/failover.ts
@@ -0,0 +1,311 @@
+/**
+ * Failover as the control leader runs it: when to promote, the promotions under way, and the
+ * `follow` calls to all servers that do not replicate from the current primary.
+ */
+import type * as ids from '../ids.js';
+import * as callTracking from './calls.js';
+import type * as control from './types.js';
+import type * as leases from './leases.js';
+import type * as ownership from './ownership.js';
+import * as holdDowns from './hold-down.js';
+import type * as machines from './machine.js';
+import * as promotions from './promotion.js';
+import * as timing from './timing.js';
+
+/** What failover needs from the leader. */
+export type FailoverEnvironment = {
+	readonly machine: machines.ControlMachine;
+	readonly table: ownership.OwnershipTable;
+	readonly callServer: callTracking.CallServer;
+	readonly faults: control.FaultInjection;
+	propose(
+		command: Exclude<control.ControlCommand, {type: 'changeTemplate'}>,
+	): void;
+	hasProposal(group: ids.GroupId): boolean;
+	/** Writes a log record of level info. */
+	log(message: string): void;
+};
+
+/** Why a group needs a new primary. */
+type Reason = 'silent' | 'departing';
+
+/** Failover of all groups during one term of leadership. */
+export class Failover {
+	readonly #environment: FailoverEnvironment;
+	readonly #calls: callTracking.ServerCalls;
+	readonly #holdDown = new holdDowns.HoldDown();
+	readonly #runs = new Map<ids.GroupId, promotions.PromotionRun>();
+
+	/** The term and address that a server last confirmed to follow. */
+	readonly #followed = new Map<
+		ids.UpstreamId,
+		{readonly target: string; readonly at: number}
+	>();
+
+	/** Time of the last completed promotion. */
+	readonly #completedAt = new Map<ids.GroupId, number>();
+
+	constructor(environment: FailoverEnvironment) {
+		this.#environment = environment;
+		this.#calls = new callTracking.ServerCalls(environment.callServer);
+	}
+
+	/** Acts on what is due in every group. */
+	step(now: number): void {
+		this.#calls.expire(now);
+		for (const group of this.#environment.machine.listGroups()) {
+			if (group.promotion) {
+				this.#stepPromotion(now, group, group.promotion);
+			} else {
+				this.#considerPromotion(now, group);
+				this.#sendFollows(now, group);
+			}
+		}
+	}
+
+	/** Handles a committed command; `isOwn` when this leader proposed it. */
+	handleApplied(
+		now: number,
+		command: control.ControlCommand,
+		isOwn: boolean,
+	): void {
+		if (command.type === 'beginPromotion') {
+			this.#startRun(now, command, isOwn);
+		} else if (command.type === 'completePromotion') {
+			const {group: id, term, primary} = command;
+			if (this.#runs.get(id)?.term === term) {
+				this.#runs.delete(id);
+				this.#completedAt.set(id, now);
+				this.#holdDown.recordPromotion(now, id);
+				this.#environment.log(`${primary} is primary of ${id} in term ${term}`);
+			}
+		}
+
+		const group =
+			command.type === 'changeTemplate'
+				? undefined
+				: this.#environment.machine.getGroup(command.group);
+		if (group) {
+			this.#stepGroup(now, group);
+		}
+	}
+
+	/** Handles the answer of a server. */
+	handleAnswer(
+		now: number,
+		number: number,
+		answer: control.ServerAnswer,
+	): void {
+		const call = this.#calls.take(number);
+		const group = call && this.#environment.machine.getGroup(call.group);
+		if (!group) {
+			return;
+		}
+
+		this.#runs.get(call.group)?.handleAnswer(call, answer);
+		if (call.request.type === 'follow' && answer.type === 'answered') {
+			this.#followed.set(call.server, {
+				target: formatTarget(call.request.term, call.request.address),
+				at: now,
+			});
+		}
+
+		this.#stepGroup(now, group);
+	}
+
+	/** Goes on with one group at once, without waiting for the next tick. */
+	#stepGroup(now: number, group: control.GroupState): void {
+		if (group.promotion) {
+			this.#stepPromotion(now, group, group.promotion);
+		} else {
+			this.#sendFollows(now, group);
+		}
+	}
+
+	#startRun(
+		now: number,
+		command: Extract<control.ControlCommand, {type: 'beginPromotion'}>,
+		isOwn: boolean,
+	): void {
+		const group = this.#environment.machine.getGroup(command.group);
+		if (isOwn && group?.promotion?.term === command.term) {
+			const run = new promotions.PromotionRun(
+				{
+					table: this.#environment.table,
+					calls: this.#calls,
+					faults: this.#environment.faults,
+				},
+				group,
+				group.promotion,
+				now,
+			);
+			this.#runs.set(command.group, run);
+			this.#environment.log(
+				`promotion of ${command.group} to term ${command.term} begins`,
+			);
+		}
+	}
+
+	#stepPromotion(
+		now: number,
+		group: control.GroupState,
+		promotion: control.Promotion,
+	): void {
+		const run = this.#runs.get(group.group);
+		if (this.#environment.hasProposal(group.group)) {
+			return;
+		}
+
+		if (run?.term !== promotion.term) {
+			// An earlier leader began this term.
+			this.#environment.propose({
+				type: 'beginPromotion',
+				group: group.group,
+				term: promotion.term + 1,
+				planned: promotion.planned,
+			});
+			return;
+		}
+
+		const command = run.step(now);
+		if (command) {
+			this.#environment.propose(command);
+		}
+	}
+
+	#considerPromotion(now: number, group: control.GroupState): void {
+		const {hasProposal, propose, table} = this.#environment;
+		const reason = findReason(group, table, this.#completedAt);
+		if (
+			reason === undefined ||
+			hasProposal(group.group) ||
+			now < this.#holdDown.computeEnd(now, group.group)
+		) {
+			return;
+		}
+
+		this.#environment.log(
+			`primary ${group.primary} of ${group.group} is ${reason}`,
+		);
+		propose({
+			type: 'beginPromotion',
+			group: group.group,
+			term: group.term + 1,
+			planned: reason === 'departing',
+		});
+	}
+
+	/** Calls `follow` on every server that is not known to replicate from the primary. */
+	#sendFollows(now: number, group: control.GroupState): void {
+		const {table} = this.#environment;
+		const primary = table.servers.get(group.primary);
+		const address = primary?.announcement?.address;
+		if (address === undefined) {
+			return;
+		}
+
+		for (const server of group.servers) {
+			const record = table.servers.get(server);
+			if (
+				server !== group.primary &&
+				record?.announcement &&
+				this.#needsFollow(now, group, record, primary)
+			) {
+				this.#calls.call(
+					now,
+					{
+						group: group.group,
+						server,
+						address: record.announcement.address,
+					},
+					{type: 'follow', term: group.term, server: group.primary, address},
+					timing.followRepeatMs,
+				);
+			}
+		}
+	}
+
+	#needsFollow(
+		now: number,
+		group: control.GroupState,
+		record: leases.ServerRecord,
+		primary: leases.ServerRecord | undefined,
+	): boolean {
+		const {health, server} = record;
+		const {status} = health ?? {};
+		const feeds = primary?.health?.status;
+		const isFollowing =
+			status?.role === 'replica' &&
+			status.term === group.term &&
+			feeds?.term === group.term &&
+			feeds.replicas.some((replica) => replica.server === server);
+		if (isFollowing) {
+			return false;
+		}
+
+		const address = primary?.announcement?.address ?? '';
+		const followed = this.#followed.get(server);
+		if (followed?.target !== formatTarget(group.term, address)) {
+			return true;
+		}
+
+		// It confirmed, but says otherwise since: it restarted, or has not received anything yet.
+		return (
+			status !== undefined &&
+			health!.reportedAt > followed.at &&
+			now - followed.at >= timing.followRepeatMs &&
+			(status.role === 'primary' || status.term < group.term)
+		);
+	}
+}
+
+function formatTarget(term: number, address: string): string {
+	return `${term} ${address}`;
+}
+
+/** Tells why the primary of a group has to be replaced, if it has to be. */
+function findReason(
+	group: control.GroupState,
+	table: ownership.OwnershipTable,
+	completedAt: ReadonlyMap<ids.GroupId, number>,
+): Reason | undefined {
+	const record = table.servers.get(group.primary);
+	if (!record?.ownership || !record.health) {
+		return undefined;
+	}
+
+	const {health, ownership: owner} = record;
+	const silentMs = health.answerAgeMs ?? health.reportedAt - owner.grantedAt;
+	if (silentMs >= timing.primarySilentMs) {
+		return 'silent';
+	}
+
+	// A status from before the last promotion says nothing about the primary since.
+	const isSettled =
+		health.reportedAt - (completedAt.get(group.group) ?? table.startedAt) >=
+		timing.grantorLeaseMs;
+	if (isSettled && health.status?.role === 'replica') {
+		return 'silent';
+	}
+
+	return record.announcement?.departing === true && hasSuccessor(group, table)
+		? 'departing'
+		: undefined;
+}
+
+/** True when a server that stays answers its owner. */
+function hasSuccessor(
+	group: control.GroupState,
+	table: ownership.OwnershipTable,
+): boolean {
+	return group.servers.some((server) => {
+		const record = table.servers.get(server);
+		const age = record?.health?.answerAgeMs;
+		return (
+			server !== group.primary &&
+			record?.announcement?.departing === false &&
+			age !== undefined &&
+			age < timing.primarySilentMs
+		);
+	});
+}
--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -8,6 +8,8 @@
 import type * as control from './types.js';
 import type * as leases from './leases.js';
 import type * as machines from './machine.js';
+import type * as calls from './calls.js';
+import * as failovers from './failover.js';
 import * as grants from './grants.js';
 import * as ownership from './ownership.js';
 import * as placement from './placement.js';
@@ -19,10 +21,14 @@
 	readonly machine: machines.ControlMachine;
 	/** Number of the consensus term. */
 	readonly term: number;
+	readonly callServer: calls.CallServer;
+	readonly faults: control.FaultInjection;
 	send(to: ids.PeerId, message: messages.PeerMessage): void;
 	/** Proposes a command; `isPending` of its group is true until its outcome is known. */
 	propose(command: GroupCommand): void;
 	hasProposal(group: ids.GroupId): boolean;
+	/** Writes a log record of level info. */
+	log(message: string): void;
 };
 
 export type GroupCommand = Exclude<
@@ -34,6 +40,7 @@
 export class Leader {
 	readonly table: ownership.OwnershipTable;
 	readonly #sets: serverSets.ServerSets;
+	readonly #failover: failovers.Failover;
 	/** A change that need not be told at once waits for the next tick, so that many share a grant. */
 	#isGrantDue = false;
 	#lastMoveAt = Number.NEGATIVE_INFINITY;
@@ -43,10 +50,28 @@
 		now: number,
 	) {
 		const {machine, term} = environment;
-		this.table = new ownership.OwnershipTable(term, now);
+		this.table = new ownership.OwnershipTable(term, now, environment.faults);
 		this.#sets = new serverSets.ServerSets(this.table, machine, (group) =>
 			environment.hasProposal(group),
 		);
+		this.#failover = new failovers.Failover({
+			machine,
+			table: this.table,
+			callServer: environment.callServer,
+			faults: environment.faults,
+			propose(command) {
+				environment.propose(command);
+			},
+			hasProposal: (group) => environment.hasProposal(group),
+			log(message) {
+				environment.log(message);
+			},
+		});
+	}
+
+	/** Handles the answer of a server. */
+	handleAnswer(now: number, call: number, answer: control.ServerAnswer): void {
+		this.#failover.handleAnswer(now, call, answer);
 	}
 
 	/** Answers a renewal. */
@@ -56,17 +81,24 @@
 		}
 	}
 
+	/** Handles a lease that was given back. */
 	handleReleased(from: ids.PeerId, message: leases.Released): void {
 		this.table.handleReleased(from, message);
 	}
 
+	/** Goes on with promotions, which may have waited for a released lease. */
+	stepFailover(now: number): void {
+		this.#failover.step(now);
+	}
+
 	/** Acts on what is due. Called every tick. */
 	step(now: number): void {
 		this.table.expire(now);
 		for (const command of this.#sets.step(now)) {
-			this.environment.propose(command as GroupCommand);
+			this.environment.propose(command);
 		}
 
+		this.#failover.step(now);
 		this.#placeServers(now);
 		if (this.#isGrantDue) {
 			this.#sendGrants(now);
@@ -92,6 +124,7 @@
 			this.#sets.recordRegistration(now, command.group);
 		}
 
+		this.#failover.handleApplied(now, command, isOwn);
 		if (
 			command.type === 'beginPromotion' ||
 			command.type === 'completePromotion'
--- a/src/common/control/leases.ts
+++ b/src/common/control/leases.ts
@@ -109,8 +109,10 @@
 		return promotion === undefined;
 	}
 
+	// A lease that ran out counts as over for the promotion and may not come back.
 	return (
 		promotion?.planned === true &&
+		now < lease.until &&
 		now - lease.revokedAt < timing.plannedReleaseMs
 	);
 }
--- a/src/common/control/ownership.ts
+++ b/src/common/control/ownership.ts
@@ -26,13 +26,18 @@
 	readonly startedAt: number;
 	readonly proxies = new Map<ids.PeerId, leases.ProxyRecord>();
 	readonly servers = new Map<ids.UpstreamId, leases.ServerRecord>();
-	readonly #writeLeases = new writeLeases.WriteLeases();
+	readonly #writeLeases: writeLeases.WriteLeases;
 	readonly #owned = new Map<ids.PeerId, Set<ids.UpstreamId>>();
 	#epochCounter = 0;
 	#ownerChange = 0;
 
 	/** `startedAt` is the begin of the leadership. */
-	constructor(consensusTerm: number, startedAt: number) {
+	constructor(
+		consensusTerm: number,
+		startedAt: number,
+		faults: control.FaultInjection = {},
+	) {
+		this.#writeLeases = new writeLeases.WriteLeases(faults);
 		this.consensusTerm = consensusTerm;
 		this.startedAt = startedAt;
 	}
--- /dev/null
+++ b/src/common/control/promotion.ts
@@ -0,0 +1,278 @@
+/**
+ * One promotion, from the commit of `beginPromotion` to the proposal of `completePromotion`.
+ *
+ * A leader runs only promotions that it began itself: in a term that an earlier leader began, a
+ * server may have been promoted without anybody knowing.
+ */
+import type * as ids from '../ids.js';
+import type * as types from '../types.js';
+import * as position from '../position.js';
+import type * as calls from './calls.js';
+import type * as control from './types.js';
+import type * as ownership from './ownership.js';
+import * as machines from './machine.js';
+import * as timing from './timing.js';
+
+/** What a promotion needs. */
+export type PromotionEnvironment = {
+	readonly table: ownership.OwnershipTable;
+	readonly calls: calls.ServerCalls;
+	readonly faults: control.FaultInjection;
+};
+
+/** The steps of one promotion of a group to one term. */
+export class PromotionRun {
+	readonly term: number;
+	readonly #environment: PromotionEnvironment;
+	readonly #group: control.GroupState;
+	readonly #planned: boolean;
+	readonly #startedAt: number;
+	readonly #fenced = new Map<ids.UpstreamId, types.UpstreamStatus>();
+	/** Statuses before the fence, for the catch-up of a planned change. */
+	readonly #statuses = new Map<ids.UpstreamId, types.UpstreamStatus>();
+	#majorityAt: number | undefined;
+	#target: {server: ids.UpstreamId; offset: number; at: number} | undefined;
+	#isPromoted = false;
+	/** Highest term seen at a server that refused the fence. */
+	#higherTerm = 0;
+
+	/** `group` is the group's state after `beginPromotion`. */
+	constructor(
+		environment: PromotionEnvironment,
+		group: control.GroupState,
+		promotion: control.Promotion,
+		now: number,
+	) {
+		this.#environment = environment;
+		this.#group = group;
+		this.term = promotion.term;
+		this.#planned = promotion.planned;
+		this.#startedAt = now;
+	}
+
+	/**
+	 * Carries out what is due.
+	 *
+	 * @returns The next command to propose, if any: the completion, or a new begin when this term
+	 * cannot be completed.
+	 */
+	step(
+		now: number,
+	):
+		| Extract<
+				control.ControlCommand,
+				{type: 'beginPromotion' | 'completePromotion'}
+		  >
+		| undefined {
+		const {group} = this.#group;
+		const {table} = this.#environment;
+		if (this.#isPromoted) {
+			const {server, offset} = this.#target!;
+			return {
+				type: 'completePromotion',
+				group,
+				term: this.term,
+				primary: server,
+				termStart: offset,
+			};
+		}
+
+		if (this.#hasFailed(now)) {
+			return {
+				type: 'beginPromotion',
+				group,
+				term: Math.max(this.term, this.#higherTerm) + 1,
+				planned: this.#planned,
+			};
+		}
+
+		table.revokeWrite(now, group);
+		const isReleased =
+			this.#environment.faults.isLeaseWaitOff === true ||
+			table.isWriteLeaseOver(now, group);
+		if (this.#planned && !(isReleased && this.#isCaughtUp(now))) {
+			return undefined;
+		}
+
+		this.#fence(now);
+		if (isReleased && this.#target === undefined && this.#canChoose(now)) {
+			this.#choose(now);
+		}
+
+		if (this.#target) {
+			this.#call(now, this.#target.server, {type: 'promote', term: this.term});
+		}
+
+		return undefined;
+	}
+
+	/** Takes in the answer to a call of this run. */
+	handleAnswer(call: calls.PendingCall, answer: control.ServerAnswer): void {
+		const {request, server} = call;
+		if (request.type === 'fence' && request.term === this.term) {
+			if (answer.type === 'answered' && answer.status) {
+				this.#fenced.set(server, answer.status);
+			} else if (answer.type === 'failed' && answer.sqlState === 'HK101') {
+				this.#higherTerm = Math.max(this.#higherTerm, this.term);
+			}
+		}
+
+		if (
+			request.type === 'status' &&
+			answer.type === 'answered' &&
+			answer.status
+		) {
+			this.#statuses.set(server, answer.status);
+		}
+
+		if (
+			request.type === 'promote' &&
+			request.term === this.term &&
+			server === this.#target?.server
+		) {
+			this.#isPromoted = answer.type === 'answered';
+		}
+	}
+
+	/** A server with a higher term, or one that did not confirm its promotion: needs a new term. */
+	#hasFailed(now: number): boolean {
+		return (
+			this.#higherTerm >= this.term ||
+			(this.#target !== undefined &&
+				now - this.#target.at >= timing.promoteTimeoutMs)
+		);
+	}
+
+	#call(
+		now: number,
+		server: ids.UpstreamId,
+		request: control.ServerRequest,
+	): void {
+		const {calls, table} = this.#environment;
+		const address = table.servers.get(server)?.announcement?.address;
+		if (address !== undefined) {
+			calls.call(now, {group: this.#group.group, server, address}, request);
+		}
+	}
+
+	#fence(now: number): void {
+		for (const server of this.#group.servers) {
+			if (!this.#fenced.has(server)) {
+				this.#call(now, server, {type: 'fence', term: this.term});
+			}
+		}
+	}
+
+	/** The old primary and departing servers are chosen only when the rest is no majority. */
+	#isAvoided(server: ids.UpstreamId): boolean {
+		const record = this.#environment.table.servers.get(server);
+		return (
+			server === this.#group.primary || record?.announcement?.departing === true
+		);
+	}
+
+	#countMajority(): number {
+		return this.#environment.faults.isFenceMajorityOff === true
+			? 1
+			: machines.computeMajority(this.#group.servers.length);
+	}
+
+	/**
+	 * In a planned change the old primary answers as a rule and holds everything. When its successor
+	 * has to be chosen with the old primary in the fenced majority, the fence waits until a replica
+	 * holds as much.
+	 */
+	#isCaughtUp(now: number): boolean {
+		const {servers, primary} = this.#group;
+		const {table} = this.#environment;
+		const others = servers.filter((server) => !this.#isAvoided(server));
+		const reachable = others.filter((server) => {
+			const age = table.servers.get(server)?.health?.answerAgeMs;
+			return age !== undefined && age < timing.primarySilentMs;
+		});
+		if (
+			reachable.length >= this.#countMajority() ||
+			this.#fenced.size > 0 ||
+			now - this.#startedAt >= timing.catchUpMs
+		) {
+			return true;
+		}
+
+		const goal = this.#statuses.get(primary);
+		if (
+			goal &&
+			others.some((server) => {
+				const status = this.#statuses.get(server);
+				return status && compareStatuses(status, goal) >= 0;
+			})
+		) {
+			return true;
+		}
+
+		for (const server of servers) {
+			this.#call(now, server, {type: 'status'});
+		}
+
+		return false;
+	}
+
+	#canChoose(now: number): boolean {
+		if (this.#fenced.size < this.#countMajority()) {
+			return false;
+		}
+
+		this.#majorityAt ??= now;
+		return (
+			this.#fenced.size === this.#group.servers.length ||
+			now - this.#majorityAt >= timing.fenceGraceMs
+		);
+	}
+
+	/** Chooses the most advanced server of a fenced majority. */
+	#choose(now: number): void {
+		const all = [...this.#fenced.keys()];
+		const preferred = all.filter((server) => !this.#isAvoided(server));
+		const majority =
+			preferred.length >= this.#countMajority() ? preferred : all;
+		const [best] = majority.sort((left, right) =>
+			this.#compareCandidates(left, right),
+		);
+		const status = best === undefined ? undefined : this.#fenced.get(best);
+		if (best !== undefined && status) {
+			this.#target = {server: best, offset: status.position, at: now};
+		}
+	}
+
+	/** Negative when `left` is the better choice. */
+	#compareCandidates(left: ids.UpstreamId, right: ids.UpstreamId): number {
+		const byPosition = compareStatuses(
+			this.#fenced.get(right)!,
+			this.#fenced.get(left)!,
+		);
+		return (
+			byPosition ||
+			Number(this.#isAvoided(left)) - Number(this.#isAvoided(right)) ||
+			this.#countProxies(right) - this.#countProxies(left) ||
+			(left < right ? -1 : 1)
+		);
+	}
+
+	/** Counts the proxies in the data centre of a server. */
+	#countProxies(server: ids.UpstreamId): number {
+		const {table} = this.#environment;
+		const dataCentre = table.servers.get(server)?.announcement?.dataCentre;
+		return [...table.proxies.values()].filter(
+			(proxy) => proxy.dataCentre === dataCentre,
+		).length;
+	}
+}
+
+function compareStatuses(
+	left: types.UpstreamStatus,
+	right: types.UpstreamStatus,
+): number {
+	return position.comparePositions(
+		{term: left.term, offset: left.position},
+		{term: right.term, offset: right.position},
+	);
+}
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -18,6 +18,7 @@
 export type ControlOptions = {
 	readonly peer: ids.PeerId;
 	readonly log: control.ReplicatedLog;
+	readonly faults?: control.FaultInjection;
 };
 
 const consensusTypes: ReadonlySet<string> = new Set<
@@ -44,6 +45,7 @@
 export class ControlReducer {
 	readonly #peer: ids.PeerId;
 	readonly #log: control.ReplicatedLog;
+	readonly #faults: control.FaultInjection;
 	readonly #machine = new machines.ControlMachine();
 	readonly #operations: operations.Operations;
 	/** Proposals about groups whose outcome is not known yet. */
@@ -53,14 +55,19 @@
 	#appliedTerm = 0;
 	#snapshotIndex = 0;
 	#proposalCounter = 0;
+	#callCounter = 0;
 	#isDraining = false;
 	#health = '';
+	readonly #logEvents: Array<consensus.ConsensusEvent<control.ControlCommand>> =
+		[];
+
 	#effects: control.ControlEffect[] = [];
 	#now = 0;
 
 	constructor(options: ControlOptions) {
 		this.#peer = options.peer;
 		this.#log = options.log;
+		this.#faults = options.faults ?? {};
 		this.#operations = new operations.Operations({
 			createProposal: () => ++this.#proposalCounter,
 			findAnswer: ({member, changeId}) =>
@@ -103,6 +110,11 @@
 			}
 
 			case 'serverAnswered': {
+				this.#findActiveLeader()?.handleAnswer(
+					event.now,
+					event.call,
+					event.answer,
+				);
 				return;
 			}
 
@@ -149,6 +161,7 @@
 
 		if (message.type === 'leaseReleased') {
 			this.#leader?.handleReleased(from, message);
+			this.#findActiveLeader()?.stepFailover(this.#now);
 		}
 
 		if (message.type === 'templateFetch') {
@@ -292,6 +305,7 @@
 		return {
 			machine: this.#machine,
 			term: this.#log.term,
+			faults: this.#faults,
 			send: (to, message) => {
 				this.#send(to, message);
 			},
@@ -300,24 +314,55 @@
 				this.#groupProposals.set(proposal, command.group);
 				this.#propose(proposal, command);
 			},
+			callServer: (server, address, request) =>
+				this.#callServer(server, address, request),
+			log: (message) => {
+				this.#logRecord('info', message);
+			},
 			hasProposal: (group) =>
 				[...this.#groupProposals.values()].includes(group),
 		};
 	}
 
+	#callServer(
+		server: ids.UpstreamId,
+		address: string,
+		request: control.ServerRequest,
+	): number {
+		const call = ++this.#callCounter;
+		this.#effects.push({type: 'callServer', call, server, address, request});
+		return call;
+	}
+
 	#propose(proposal: number, command: control.ControlCommand): void {
 		this.#runLog({type: 'propose', now: this.#now, proposal, command});
 	}
 
+	/**
+	 * Steps the log. An event that arises while the effects of another one are handled waits for
+	 * its turn, so that entries are applied in order.
+	 */
 	#runLog(event: consensus.ConsensusEvent<control.ControlCommand>): void {
-		for (const effect of this.#log.step(event)) {
-			this.#handleLogEffect(effect);
+		this.#logEvents.push(event);
+		if (this.#logEvents.length > 1) {
+			return;
 		}
 
+		while (this.#logEvents[0]) {
+			for (const effect of this.#log.step(this.#logEvents[0])) {
+				this.#handleLogEffect(effect);
+			}
+
+			this.#offerSnapshot();
+			this.#logEvents.shift();
+		}
+	}
+
+	#offerSnapshot(): void {
 		const {appliedIndex} = this.#machine;
 		if (appliedIndex - this.#snapshotIndex >= timing.snapshotInterval) {
 			this.#snapshotIndex = appliedIndex;
-			this.#runLog({
+			this.#logEvents.push({
 				type: 'compact',
 				now: this.#now,
 				index: appliedIndex,
--- a/src/common/control/server-sets.ts
+++ b/src/common/control/server-sets.ts
@@ -16,6 +16,8 @@
 import * as machines from './machine.js';
 import * as timing from './timing.js';
 
+type GroupCommand = Exclude<control.ControlCommand, {type: 'changeTemplate'}>;
+
 /** Progress of a group's set towards its next change. */
 type Guard = {
 	/** `serversChangedAt` of the set that the guard is about. */
@@ -69,7 +71,7 @@
 	}
 
 	/** Proposes at most one command per group. */
-	step(now: number): control.ControlCommand[] {
+	step(now: number): GroupCommand[] {
 		const records = new Map<ids.GroupId, leases.ServerRecord[]>();
 		for (const record of this.table.servers.values()) {
 			const group = record.announcement?.group;
@@ -80,7 +82,7 @@
 			}
 		}
 
-		const commands: control.ControlCommand[] = [];
+		const commands: GroupCommand[] = [];
 		for (const [group, list] of records) {
 			if (!this.hasProposal(group)) {
 				const state = this.machine.getGroup(group);
@@ -100,7 +102,7 @@
 		now: number,
 		group: control.GroupState,
 		records: readonly leases.ServerRecord[],
-	): control.ControlCommand | undefined {
+	): GroupCommand | undefined {
 		if (group.promotion) {
 			return undefined;
 		}
@@ -186,7 +188,7 @@
 	now: number,
 	group: ids.GroupId,
 	records: readonly leases.ServerRecord[],
-): control.ControlCommand | undefined {
+): GroupCommand | undefined {
 	let best: types.Announcement | undefined;
 	for (const {announcement, lastSeenAt} of records) {
 		if (
--- /dev/null
+++ b/src/common/control/simulation.ts
@@ -0,0 +1,432 @@
+/**
+ * A control group with proxies and database servers in simulated time, for tests. After each step
+ * it checks the leases; `problems` collects what was violated.
+ */
+import type * as ids from '../ids.js';
+import type * as messages from '../messages.js';
+import type * as types from '../types.js';
+import * as consensus from '../consensus/consensus.js';
+import * as network from '../consensus/fake-network.js';
+import type * as control from './types.js';
+import * as fakeProxies from './fake-proxy.js';
+import * as fakeServers from './fake-server.js';
+import * as reducers from './reducer.js';
+
+/** Simulated time of one step, in ms. */
+const stepMs = 5;
+const tickMs = 25;
+const replicationIntervalMs = 20;
+/** Records that a replica receives per interval. */
+const replicationLimit = 50;
+/** Time after which a call to a server that cannot be reached fails, in ms. */
+const connectTimeoutMs = 300;
+
+export type SimulationOptions = {
+	readonly seed: number;
+	readonly faults?: control.FaultInjection;
+	/** Relative clock error, by peer; 0 for those that are missing. */
+	readonly clockErrors?: Readonly<Record<string, number>>;
+	readonly proxies?: number;
+	readonly servers?: number;
+	/** See `FakeProxyEnvironment`; 100 by default. */
+	readonly releaseDelayMs?: number;
+};
+
+type ControlPeer = {
+	readonly peer: ids.PeerId;
+	readonly disk: network.FakeDisk<control.ControlCommand>;
+	log: consensus.Consensus<control.ControlCommand> | undefined;
+	reducer: reducers.ControlReducer | undefined;
+	nextTick: number;
+	/** Distinguishes the starts of the process. */
+	starts: number;
+};
+
+type Timer = {readonly at: number; readonly run: () => void};
+
+/** An answered template change. */
+export type ChangeAnswer = {
+	readonly change: types.TemplateChange;
+	readonly result: types.TemplateChangeResult;
+};
+
+/** Three control peers, proxies and the servers of one group. */
+export class Simulation {
+	now = 0;
+	readonly random: network.Random;
+	readonly network: network.FakeNetwork<messages.PeerMessage>;
+	readonly controls: ControlPeer[];
+	readonly proxies = new Map<ids.PeerId, fakeProxies.FakeProxy | undefined>();
+	readonly servers: fakeServers.FakeServer[];
+	readonly answers: ChangeAnswer[] = [];
+	readonly acknowledged: number[] = [];
+	readonly problems: string[] = [];
+	/** Pairs of a peer and a server that cannot reach each other. */
+	readonly cuts = new Set<string>();
+	/** Rate of lost answers of server calls. */
+	callLossRate = 0;
+	readonly #options: SimulationOptions;
+	readonly #changes = new Map<number, types.TemplateChange>();
+	#timers: Timer[] = [];
+	#counter = 0;
+
+	constructor(options: SimulationOptions) {
+		this.#options = options;
+		this.random = network.makeRandom(options.seed);
+		this.network = new network.FakeNetwork(this.random);
+		const controlIds = ['k1', 'k2', 'k3'] as unknown as ids.PeerId[];
+		this.controls = controlIds.map((peer) => ({
+			peer,
+			disk: new network.FakeDisk(this.random),
+			log: undefined,
+			reducer: undefined,
+			nextTick: 0,
+			starts: 0,
+		}));
+		this.servers = Array.from({length: options.servers ?? 3}, (_, index) =>
+			makeServer(index),
+		);
+		for (const control of this.controls) {
+			this.startControl(control);
+		}
+
+		for (let index = 1; index <= (options.proxies ?? 3); index++) {
+			this.startProxy(`p${index}` as ids.PeerId);
+		}
+	}
+
+	get controlIds(): ids.PeerId[] {
+		return this.controls.map(({peer}) => peer);
+	}
+
+	/** The control peer that may act as leader now. */
+	get leader(): ControlPeer | undefined {
+		return this.controls.find((control) =>
+			control.log?.isLeaderLeaseValid(this.readClock(control.peer)),
+		);
+	}
+
+	get group(): control.GroupState | undefined {
+		return this.leader?.reducer?.machine.getGroup('g1' as ids.GroupId);
+	}
+
+	/** The peer's own clock. */
+	readClock(peer: ids.PeerId): number {
+		return this.now * (1 + (this.#options.clockErrors?.[peer] ?? 0));
+	}
+
+	getServer(server: string): fakeServers.FakeServer {
+		return this.servers.find((candidate) => candidate.server === server)!;
+	}
+
+	getProxy(peer: string): fakeProxies.FakeProxy | undefined {
+		return this.proxies.get(peer as ids.PeerId);
+	}
+
+	/** Owners with a valid lease, by server. */
+	listOwners(): Record<string, string> {
+		const owners: Record<string, string> = {};
+		for (const [peer, proxy] of this.proxies) {
+			for (const {server} of proxy?.listValid(this.readClock(peer)) ?? []) {
+				owners[server] = peer;
+			}
+		}
+
+		return owners;
+	}
+
+	run(durationMs: number): void {
+		const end = this.now + durationMs;
+		while (this.now < end) {
+			this.#runStep();
+		}
+	}
+
+	/** Runs until the condition holds; returns the time it took, or undefined. */
+	runUntil(condition: () => boolean, limitMs: number): number | undefined {
+		const start = this.now;
+		while (this.now < start + limitMs) {
+			if (condition()) {
+				return this.now - start;
+			}
+
+			this.#runStep();
+		}
+
+		return undefined;
+	}
+
+	/** Sends a template change to one control peer. */
+	requestChange(peer: string, change: types.TemplateChange): void {
+		const control = this.controls.find((candidate) => candidate.peer === peer)!;
+		const operation = ++this.#counter;
+		this.#changes.set(operation, change);
+		this.#stepControl(control, {
+			type: 'templateChangeRequested',
+			now: this.readClock(control.peer),
+			operation,
+			change,
+		});
+	}
+
+	startControl(control: ControlPeer): void {
+		control.starts++;
+		control.nextTick = this.now;
+		control.log = new consensus.Consensus<control.ControlCommand>({
+			peer: control.peer,
+			initialVoters: this.controlIds,
+			stored: structuredClone(control.disk.load()),
+			incarnation: control.starts,
+		});
+		control.reducer = new reducers.ControlReducer({
+			peer: control.peer,
+			log: control.log,
+			faults: this.#options.faults,
+		});
+	}
+
+	/** Ends a control process; it starts again after `downMs`. */
+	crashControl(control: ControlPeer, downMs: number): void {
+		if (!control.reducer) {
+			return;
+		}
+
+		control.reducer = undefined;
+		control.log = undefined;
+		control.disk.crash();
+		this.schedule(downMs, () => {
+			this.startControl(control);
+		});
+	}
+
+	startProxy(peer: ids.PeerId): void {
+		const number = Number(peer.slice(1));
+		const identity = {
+			peer,
+			dataCentre: `d${((number - 1) % 3) + 1}` as ids.DataCentre,
+			incarnation: this.now + 1,
+		};
+		this.proxies.set(
+			peer,
+			new fakeProxies.FakeProxy(identity, {
+				controlPeers: this.controlIds,
+				send: (to, message) => {
+					this.#send(peer, to, message);
+				},
+				findServer: (server) => this.#findServer(peer, server),
+				listServers: () =>
+					this.servers.filter(({server}) => this.#findServer(peer, server)),
+				createWrite: () => ++this.#counter,
+				acknowledge: (write) => {
+					this.acknowledged.push(write);
+				},
+				random: this.random,
+				releaseDelayMs: this.#options.releaseDelayMs ?? 100,
+			}),
+		);
+	}
+
+	/** Ends a proxy process; it starts again after `downMs`. */
+	crashProxy(peer: ids.PeerId, downMs: number): void {
+		if (this.proxies.get(peer)) {
+			this.proxies.set(peer, undefined);
+			this.schedule(downMs, () => {
+				this.startProxy(peer);
+			});
+		}
+	}
+
+	schedule(delayMs: number, run: () => void): void {
+		this.#timers.push({at: this.now + delayMs, run});
+	}
+
+	/** Acknowledged writes that a server does not hold. */
+	listLost(server: fakeServers.FakeServer): number[] {
+		const held = new Set(server.records.map(({write}) => write));
+		return this.acknowledged.filter((write) => !held.has(write));
+	}
+
+	#runStep(): void {
+		this.now += stepMs;
+		const due = this.#timers.filter(({at}) => at <= this.now);
+		this.#timers = this.#timers.filter(({at}) => at > this.now);
+		for (const timer of due) {
+			timer.run();
+		}
+
+		for (const {from, to, message} of this.network.takeDue(this.now)) {
+			this.#deliver(from, to, message);
+		}
+
+		for (const control of this.controls) {
+			this.#runControl(control);
+		}
+
+		for (const [peer, proxy] of this.proxies) {
+			proxy?.tick(this.readClock(peer));
+		}
+
+		if (this.now % replicationIntervalMs === 0) {
+			this.#replicate();
+		}
+
+		this.#checkLeases();
+	}
+
+	#runControl(control: ControlPeer): void {
+		for (const write of control.disk.takeSynced(this.now)) {
+			this.#stepControl(control, {
+				type: 'written',
+				now: this.readClock(control.peer),
+				write,
+			});
+		}
+
+		if (control.reducer && this.now >= control.nextTick) {
+			control.nextTick += tickMs;
+			this.#stepControl(control, {
+				type: 'tick',
+				now: this.readClock(control.peer),
+				random: this.random(),
+			});
+		}
+	}
+
+	#deliver(
+		from: ids.PeerId,
+		to: ids.PeerId,
+		message: messages.PeerMessage,
+	): void {
+		const now = this.readClock(to);
+		const control = this.controls.find(({peer}) => peer === to);
+		if (control) {
+			this.#stepControl(control, {type: 'peerMessage', now, from, message});
+		} else {
+			this.proxies.get(to)?.handleMessage(now, message);
+		}
+	}
+
+	#stepControl(control: ControlPeer, event: control.ControlEvent): void {
+		for (const effect of control.reducer?.step(event) ?? []) {
+			this.#handleEffect(control, effect);
+		}
+	}
+
+	#handleEffect(control: ControlPeer, effect: control.ControlEffect): void {
+		if (effect.type === 'sendPeer') {
+			this.#send(control.peer, effect.to, effect.message);
+		}
+
+		if (effect.type === 'write') {
+			control.disk.write(this.now, effect.write, structuredClone(effect.data));
+		}
+
+		if (effect.type === 'callServer') {
+			this.#callServer(control, effect);
+		}
+
+		if (effect.type === 'answerTemplateChange') {
+			const change = this.#changes.get(effect.operation);
+			if (change) {
+				this.answers.push({change, result: effect.result});
+			}
+		}
+	}
+
+	#send(from: ids.PeerId, to: ids.PeerId, message: messages.PeerMessage): void {
+		this.network.send(this.now, from, to, structuredClone(message));
+	}
+
+	#callServer(
+		control: ControlPeer,
+		effect: Extract<control.ControlEffect, {type: 'callServer'}>,
+	): void {
+		const {starts} = control;
+		const answer = (delayMs: number, content: control.ServerAnswer) => {
+			this.schedule(delayMs, () => {
+				if (control.starts === starts) {
+					this.#stepControl(control, {
+						type: 'serverAnswered',
+						now: this.readClock(control.peer),
+						call: effect.call,
+						answer: content,
+					});
+				}
+			});
+		};
+
+		const {minDelayMs, maxDelayMs} = this.network.faults;
+		const delayMs = minDelayMs + this.random() * (maxDelayMs - minDelayMs);
+		this.schedule(delayMs, () => {
+			const server = this.#findServer(control.peer, effect.server);
+			const content = server?.run(effect.request);
+			if (!content || this.random() < this.callLossRate) {
+				answer(connectTimeoutMs, {type: 'failed', message: 'timeout'});
+			} else {
+				answer(delayMs, content);
+			}
+		});
+	}
+
+	#findServer(
+		peer: ids.PeerId,
+		server: ids.UpstreamId,
+	): fakeServers.FakeServer | undefined {
+		const found = this.servers.find((candidate) => candidate.server === server);
+		return found?.isRunning && !this.cuts.has(`${peer} ${server}`)
+			? found
+			: undefined;
+	}
+
+	#replicate(): void {
+		for (const replica of this.servers) {
+			const primary = this.servers.find(
+				({server}) => server === replica.upstream,
+			);
+			const isCut =
+				!primary ||
+				this.cuts.has(`${replica.server} ${primary.server}`) ||
+				this.cuts.has(`${primary.server} ${replica.server}`);
+			if (!isCut && primary.isRunning && replica.isRunning) {
+				replica.replicateFrom(primary, replicationLimit);
+			}
+		}
+	}
+
+	/** No server has two owners, and the group has no two write leases, at any time. */
+	#checkLeases(): void {
+		const owners = new Map<ids.UpstreamId, ids.PeerId>();
+		const terms = new Map<number, ids.PeerId>();
+		for (const [peer, proxy] of this.proxies) {
+			for (const hold of proxy?.listValid(this.readClock(peer)) ?? []) {
+				const other = owners.get(hold.server);
+				if (other !== undefined) {
+					this.#report(`${hold.server} is owned by ${other} and ${peer}`);
+				}
+
+				owners.set(hold.server, peer);
+				if (hold.writeTerm !== undefined) {
+					terms.set(hold.writeTerm, peer);
+				}
+			}
+		}
+
+		if (terms.size > 1) {
+			this.#report(`write leases of terms ${[...terms.keys()].join(', ')}`);
+		}
+	}
+
+	#report(problem: string): void {
+		if (this.problems.length < 20) {
+			this.problems.push(`${this.now}: ${problem}`);
+		}
+	}
+}
+
+function makeServer(index: number): fakeServers.FakeServer {
+	return new fakeServers.FakeServer(
+		`s${index + 1}` as ids.UpstreamId,
+		`d${(index % 3) + 1}` as ids.DataCentre,
+		index === 0 ? undefined : ('s1' as ids.UpstreamId),
+	);
+}
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -123,6 +123,14 @@
 			readonly message: string;
 	  };
 
+/** Switches off a safety rule; only for tests that show that the checks find the fault. */
+export type FaultInjection = {
+	/** A promotion does not wait for the end of the write lease, nor does the next write lease. */
+	readonly isLeaseWaitOff?: boolean;
+	/** A promotion is content with one fenced server. */
+	readonly isFenceMajorityOff?: boolean;
+};
+
 /** A question of an operator that changes nothing. */
 export type ControlQuery =
 	| {readonly type: 'status' | 'templates'}
--- a/src/common/control/write-leases.ts
+++ b/src/common/control/write-leases.ts
@@ -24,6 +24,11 @@
 /** The last write lease of each group that this leader granted. */
 export class WriteLeases {
 	readonly #leases = new Map<ids.GroupId, leases.WriteLease>();
+	readonly #faults: control.FaultInjection;
+
+	constructor(faults: control.FaultInjection = {}) {
+		this.#faults = faults;
+	}
 
 	/**
 	 * Grants or prolongs the write lease to the owner of the group's primary.
@@ -47,7 +52,7 @@
 		}
 
 		const isGrantable =
-			this.isOver(now, group.group) &&
+			(this.#faults.isLeaseWaitOff === true || this.isOver(now, group.group)) &&
 			group.promotion === undefined &&
 			ownership.revokedAt === undefined;
 		if (!isGrantable) {
