--- /dev/null
+++ b/src/cli/cli.test.ts
@@ -0,0 +1,282 @@
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as path from 'node:path';
+import process from 'node:process';
+import * as readline from 'node:readline';
+import * as stream from 'node:stream';
+import pg from 'pg';
+import tap, {type Test} from 'tap';
+import * as run from './run.js';
+
+const templateFile = 'samples/kalahari/templates/bloom-member.ini';
+
+async function runCli(
+	args: readonly string[],
+	input = '',
+): Promise<{code: number; output: string; errors: string}> {
+	const result = {code: 0, output: '', errors: ''};
+	const makeSink = (name: 'output' | 'errors') =>
+		new stream.Writable({
+			write(chunk, _encoding, done) {
+				result[name] += String(chunk);
+				done();
+			},
+		});
+	result.code = await run.runCommandLine(args, {
+		stdin: stream.Readable.from([input]),
+		stdout: makeSink('output'),
+		stderr: makeSink('errors'),
+	});
+	return result;
+}
+
+/** Starts a peer whose answer to each request is decided by `handle`; undefined drops the request. */
+async function startPeer(
+	t: Test,
+	handle: (
+		request: {method: string; url: string; body: Record<string, unknown>},
+		count: number,
+	) => {status: number; body: unknown} | undefined,
+): Promise<string> {
+	let count = 0;
+	const server = http.createServer((request, response) => {
+		const chunks: Uint8Array[] = [];
+		request.on('data', (chunk: Uint8Array) => {
+			chunks.push(chunk);
+		});
+		request.on('end', () => {
+			const text = new TextDecoder().decode(
+				Uint8Array.from(chunks.flatMap((chunk) => [...chunk])),
+			);
+			const answer = handle(
+				{
+					method: request.method!,
+					url: request.url!,
+					body: JSON.parse(text || '{}') as Record<string, unknown>,
+				},
+				++count,
+			);
+			if (answer) {
+				response.writeHead(answer.status);
+				response.end(JSON.stringify(answer.body));
+			} else {
+				request.socket.destroy();
+			}
+		});
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	t.teardown(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+}
+
+// Guards against usage errors that look like failures, or that take more than one line.
+tap.test('usage errors', async (t) => {
+	const set = ['ctl', 'template', 'set', 'sanna'];
+	const cases: ReadonlyArray<readonly [readonly string[], RegExp]> = [
+		[['bogus'], /Command not found/v],
+		[['ctl', 'status', '--colour'], /--colour/v],
+		[['ctl', 'status', '--peer', 'example.org:1'], /--peer.*ip:port/v],
+		[['ctl', 'status', '--timeout-ms', '0'], /--timeout-ms: found 0/v],
+		[[...set, templateFile], /--expected-version is required/v],
+		[[...set, templateFile, '--expected-version', '-'], /--expected-version/v],
+		[[...set, 'no.ini', '--expected-version', '1'], /no\.ini/v],
+		[
+			[...set, 'samples/kalahari/proxy-1.ini', '--expected-version', '1'],
+			/unknown section/v,
+		],
+		[['proxy', '--settings', 'samples/kalahari/control-1.ini'], /role/v],
+		[['proxy', '--settings', templateFile], /unknown section/v],
+		[['stand-in', '--group', 'g', '--server', 's', '--slots', '0'], /--slots/v],
+	];
+	for (const [args, pattern] of cases) {
+		const result = await runCli(args);
+		t.equal(result.code, 2, args.join(' '));
+		t.match(result.errors, pattern);
+		t.match(result.errors, /^(?:hemlockarch: .+\n)+$/v);
+		t.equal(result.output, '');
+	}
+});
+
+// Guards against a check that passes over problems or that scripts cannot read.
+tap.test('check-config', async (t) => {
+	const folder = t.testdir({'bad.ini': '[limits]\nspeed = 3\n'});
+	const bad = path.join(folder, 'bad.ini');
+	const good = 'samples/birbhum/proxy-1.ini';
+	const fine = await runCli(['check-config', good]);
+	t.equal(fine.code, 0);
+	const result = await runCli(['check-config', good, bad, '--json']);
+	t.equal(result.code, 2);
+	const report = JSON.parse(result.output) as {
+		ok: boolean;
+		files: Array<{problems: Array<{key: string}>}>;
+	};
+	t.equal(report.ok, false);
+	t.same(report.files[0].problems, []);
+	t.ok(report.files[1].problems.some(({key}) => key === 'speed'));
+	const template = await runCli(['check-config', '--template', templateFile]);
+	t.equal(template.code, 0);
+});
+
+// Guards against a second change after a lost answer.
+tap.test('template set resends with the same change id', async (t) => {
+	const ids: unknown[] = [];
+	const peer = await startPeer(t, ({method, url, body}, count) => {
+		t.equal(`${method} ${url}`, 'PUT /templates/sanna');
+		ids.push(body.changeId);
+		return count === 1 ? undefined : {status: 200, body: {version: 4}};
+	});
+	const result = await runCli(
+		[
+			'ctl',
+			'template',
+			'set',
+			'sanna',
+			'-',
+			'--json',
+			'--expected-version',
+			'3',
+			'--peer',
+			peer,
+		],
+		fs.readFileSync(templateFile, 'utf8'),
+	);
+	t.equal(result.code, 0);
+	t.equal(ids.length, 2);
+	t.equal(ids[0], ids[1]);
+	t.match(JSON.parse(result.output), {
+		type: 'accepted',
+		version: 4,
+		changeId: ids[0],
+	});
+});
+
+// Guards against an unknown outcome that is reported as a refusal, and the other way round.
+tap.test('outcomes of template set', async (t) => {
+	const set = async (
+		tries: number,
+		handle: Parameters<typeof startPeer>[1],
+	) => {
+		const peer = await startPeer(t, handle);
+		return runCli([
+			'ctl',
+			'template',
+			'set',
+			'sanna',
+			templateFile,
+			'--expected-version',
+			'3',
+			'--change-id',
+			'c1',
+			'--peer',
+			peer,
+			'--tries',
+			String(tries),
+		]);
+	};
+
+	const error = (code: string) => ({error: {code, message: 'no'}});
+	const unknown = await set(1, () => undefined);
+	t.equal(unknown.code, 3);
+	t.match(unknown.errors, '--change-id c1');
+	const timeout = await set(1, () => ({
+		status: 504,
+		body: error('outcomeUnknown'),
+	}));
+	t.equal(timeout.code, 3);
+	const conflict = await set(5, (_, count) => {
+		t.equal(count, 1);
+		return {status: 409, body: error('versionConflict')};
+	});
+	t.equal(conflict.code, 1);
+	const unavailable = await set(1, () => ({
+		status: 503,
+		body: error('unavailable'),
+	}));
+	t.equal(unavailable.code, 1);
+	const mixed = await set(2, (_, count) =>
+		count === 1 ? undefined : {status: 503, body: error('unavailable')},
+	);
+	t.equal(mixed.code, 3);
+});
+
+// Guards against reads that give up although another peer answers.
+tap.test('reads from peers', async (t) => {
+	const template = {member: 'sanna', version: 2, text: '[member]\n'};
+	const peer = await startPeer(t, ({url}) => {
+		const bodies: Record<string, unknown> = {
+			'/templates/sanna': template,
+			'/templates/sanna/history': {
+				history: [{version: 1, changeId: 'c1'}],
+			},
+			'/status': {peer: 'p1'},
+			'/metrics.json': {series: []},
+		};
+		return url in bodies
+			? {status: 200, body: bodies[url]}
+			: {status: 404, body: {error: {code: 'noTemplate', message: 'none'}}};
+	});
+	const peers = ['--peer', '127.0.0.1:1', '--peer', peer];
+	const get = await runCli(['ctl', 'template', 'get', 'sanna', ...peers]);
+	t.same(get, {code: 0, output: '[member]\n', errors: 'version 2\n'});
+	const history = await runCli([
+		'ctl',
+		'template',
+		'history',
+		'sanna',
+		...peers,
+	]);
+	t.equal(history.output, '1\tc1\n');
+	const status = await runCli(['ctl', 'status', '--json', ...peers]);
+	t.same(JSON.parse(status.output), {peer: 'p1'});
+	const metrics = await runCli(['ctl', 'metrics', '--json', ...peers]);
+	t.same(JSON.parse(metrics.output), {series: []});
+	const missing = await runCli(['ctl', 'template', 'get', 'x', ...peers]);
+	t.equal(missing.code, 1);
+	t.match(missing.errors, 'noTemplate');
+});
+
+// Guards against a drain that reaches a peer that was not named.
+tap.test('drain', async (t) => {
+	const requests: string[] = [];
+	const peer = await startPeer(t, ({method, url}) => {
+		requests.push(`${method} ${url}`);
+		return {status: 202, body: {draining: true}};
+	});
+	const result = await runCli(['ctl', 'drain', '--peer', peer]);
+	t.equal(result.code, 0);
+	t.same(requests, ['POST /drain']);
+	const two = await runCli(['ctl', 'drain', '--peer', peer, '--peer', peer]);
+	t.equal(two.code, 2);
+	t.equal(requests.length, 1);
+});
+
+// Guards against a stand-in command that cannot be used by a script or does not end.
+tap.test('stand-in', async (t) => {
+	const child = childProcess.spawn(
+		process.execPath,
+		['dist/cli/main.js', 'stand-in', '--group', 'g', '--server', 's', '--json'],
+		{stdio: ['ignore', 'pipe', 'inherit']},
+	);
+	t.teardown(() => child.kill('SIGKILL'));
+	const line = await new Promise<string>((resolve) => {
+		readline.createInterface({input: child.stdout}).once('line', resolve);
+	});
+	const {port} = JSON.parse(line) as {port: number};
+	const client = new pg.Client({host: '127.0.0.1', port, user: 'a'});
+	await client.connect();
+	const status = await client.query('SELECT * FROM hemlockarch.status()');
+	t.match(status.rows[0], {server: 's', role: 'primary'});
+	await client.end();
+	const ended = new Promise((resolve) => {
+		child.on('exit', resolve);
+	});
+	child.kill('SIGTERM');
+	t.equal(await ended, 0);
+});
--- /dev/null
+++ b/src/cli/daemon-commands.ts
@@ -0,0 +1,95 @@
+/**
+ * `proxy` and `control`: run a daemon in the foreground until it is drained. SIGTERM and SIGINT
+ * begin the drain; a second signal ends the process at once.
+ */
+import process from 'node:process';
+import * as settings from '../node/settings/settings.js';
+import type * as settingsTypes from '../node/settings/types.js';
+import * as base from './base-command.js';
+import * as daemons from './daemons.js';
+import * as exits from './exit-codes.js';
+import * as options from './options.js';
+
+const signals = ['SIGTERM', 'SIGINT'] as const;
+
+abstract class DaemonCommand extends base.BaseCommand {
+	settingsFile = options.buildText('--settings', {
+		description: 'settings file of this process',
+	});
+
+	protected abstract get role(): settingsTypes.ProcessRole;
+
+	protected async runCommand(): Promise<exits.ExitCode> {
+		const file = base.readRequired('--settings', this.settingsFile);
+		const loaded = settings.loadSettings(file);
+		if (loaded.isErr()) {
+			for (const problem of loaded.error) {
+				this.printError(settings.formatProblem(problem));
+			}
+
+			return exits.exitCodes.usage;
+		}
+
+		const {role} = loaded.value.process;
+		if (role !== this.role) {
+			throw new exits.CommandError(
+				exits.exitCodes.usage,
+				`${file} [process] role: found ${role}; allowed is ${this.role} for this command`,
+			);
+		}
+
+		const start = await daemons.loadDaemon(role);
+		const daemon = await start(loaded.value);
+		const code = await waitForEnd(daemon);
+		return code === 0 ? exits.exitCodes.done : exits.exitCodes.failed;
+	}
+}
+
+export class ProxyCommand extends DaemonCommand {
+	static override paths = [['proxy']];
+	static override usage = options.buildUsage({
+		category: 'Daemons',
+		description: 'run a proxy',
+	});
+
+	protected get role(): settingsTypes.ProcessRole {
+		return 'proxy';
+	}
+}
+
+export class ControlCommand extends DaemonCommand {
+	static override paths = [['control']];
+	static override usage = options.buildUsage({
+		category: 'Daemons',
+		description: 'run a control peer',
+	});
+
+	protected get role(): settingsTypes.ProcessRole {
+		return 'control';
+	}
+}
+
+/** Passes signals on as a drain; resolves with the exit code of the daemon. */
+async function waitForEnd(daemon: daemons.RunningDaemon): Promise<number> {
+	let isDraining = false;
+	const handleSignal = () => {
+		if (isDraining) {
+			process.exit(exits.exitCodes.failed);
+		}
+
+		isDraining = true;
+		daemon.startDrain();
+	};
+
+	for (const signal of signals) {
+		process.on(signal, handleSignal);
+	}
+
+	try {
+		return await daemon.finished;
+	} finally {
+		for (const signal of signals) {
+			process.off(signal, handleSignal);
+		}
+	}
+}
--- a/src/node/logging/logger.test.ts
+++ b/src/node/logging/logger.test.ts
@@ -2,7 +2,7 @@
 import tap from 'tap';
 import * as logging from './logger.js';
 
-function collect(): {output: stream.Writable; lines: string[]} {
+function createOutput(): {output: stream.Writable; lines: string[]} {
 	const lines: string[] = [];
 	const output = new stream.Writable({
 		write(chunk, _encoding, done) {
@@ -15,7 +15,7 @@
 
 // Guards against records below the level, a missing prefix and messages that forge lines.
 tap.test('text', async (t) => {
-	const {output, lines} = collect();
+	const {output, lines} = createOutput();
 	const logger = logging.createLogger({level: 'info', format: 'text', output});
 	logger.write({level: 'info', part: 'lease', message: 'Lease granted.'});
 	logger.write({level: 'debug', part: 'lease', message: 'Not shown.'});
@@ -27,7 +27,7 @@
 
 // Guards against JSON lines that a collector cannot read.
 tap.test('json', async (t) => {
-	const {output, lines} = collect();
+	const {output, lines} = createOutput();
 	const logger = logging.createLogger({level: 'debug', format: 'json', output});
 	logger.write({level: 'debug', part: 'lease', message: 'Renewed.'});
 	t.match(JSON.parse(lines[0]), {
--- a/src/standin/announcer.ts
+++ b/src/standin/announcer.ts
@@ -60,14 +60,14 @@
 		const {next, proxies} = this;
 		this.next = (next + 1) % proxies.length;
 		for (const proxy of [...proxies.slice(next), ...proxies.slice(0, next)]) {
-			if ((await this.post(proxy, body)) || !this.timer) {
+			if ((await this.sendTo(proxy, body)) || !this.timer) {
 				return;
 			}
 		}
 	}
 
 	/** Returns true when the proxy accepted the announcement. */
-	private async post(proxy: string, body: string): Promise<boolean> {
+	private async sendTo(proxy: string, body: string): Promise<boolean> {
 		return new Promise((resolve) => {
 			const request = http.request(
 				`http://${proxy}/announce`,
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -223,12 +223,12 @@
 		}
 
 		sortRows(selected, statement.orderBy, scope);
-		const limited = limitRows(selected, statement, scope);
+		const limited = takeRows(selected, statement, scope);
 		return {
 			fields,
 			rows: statement.source
-				? projectRows(statement.items, limited, scope)
-				: projectRows(statement.items, call ? limited : [[]], scope),
+				? buildRows(statement.items, limited, scope)
+				: buildRows(statement.items, call ? limited : [[]], scope),
 			tag: 'SELECT',
 		};
 	}
@@ -527,12 +527,12 @@
 	);
 }
 
-function projectRows(
+function buildRows(
 	items: readonly types.SelectItem[],
 	rows: readonly types.Row[],
 	scope: evaluator.Scope,
 ): types.Row[] {
-	const projectRow = (inner: evaluator.Scope): types.Row =>
+	const buildRow = (inner: evaluator.Scope): types.Row =>
 		items.flatMap((item) =>
 			item.type === 'star'
 				? (inner.row ?? [])
@@ -543,8 +543,8 @@
 			item.type === 'expression' && evaluator.hasAggregate(item.expression),
 	);
 	return isAggregate
-		? [projectRow({...scope, group: rows})]
-		: rows.map((row) => projectRow({...scope, row}));
+		? [buildRow({...scope, group: rows})]
+		: rows.map((row) => buildRow({...scope, row}));
 }
 
 function sortRows(
@@ -571,7 +571,7 @@
 	});
 }
 
-function limitRows(
+function takeRows(
 	rows: types.Row[],
 	statement: Extract<types.Statement, {type: 'select'}>,
 	scope: evaluator.Scope,
@@ -711,7 +711,7 @@
 	const {returning} = statement;
 	return {
 		fields: returning && listFields(returning, scope.columns),
-		rows: returning ? projectRows(returning, rows, scope) : [],
+		rows: returning ? buildRows(returning, rows, scope) : [],
 		tag,
 	};
 }
--- a/src/standin/wire.ts
+++ b/src/standin/wire.ts
@@ -157,21 +157,21 @@
 
 	writeAuthenticationOk(): void {
 		this.open('R');
-		this.putInt32(0);
+		this.writeInt32(0);
 		this.finish();
 	}
 
 	writeParameterStatus(name: string, value: string): void {
 		this.open('S');
-		this.putText(name);
-		this.putText(value);
+		this.writeText(name);
+		this.writeText(value);
 		this.finish();
 	}
 
 	writeBackendKey(processId: number, secret: number): void {
 		this.open('K');
-		this.putInt32(processId);
-		this.putInt32(secret);
+		this.writeInt32(processId);
+		this.writeInt32(secret);
 		this.finish();
 	}
 
@@ -194,7 +194,7 @@
 			`C${sqlState}`,
 			`M${message}`,
 		]) {
-			this.putText(field);
+			this.writeText(field);
 		}
 
 		this.writeRaw('\0', 'latin1');
@@ -209,15 +209,15 @@
 
 	writeCommandComplete(tag: string): void {
 		this.open('C');
-		this.putText(tag);
+		this.writeText(tag);
 		this.finish();
 	}
 
 	writeParameterDescription(oids: readonly number[]): void {
 		this.open('t');
-		this.putInt16(oids.length);
+		this.writeInt16(oids.length);
 		for (const oid of oids) {
-			this.putInt32(oid);
+			this.writeInt32(oid);
 		}
 
 		this.finish();
@@ -225,15 +225,15 @@
 
 	writeRowDescription(fields: readonly types.ResultField[]): void {
 		this.open('T');
-		this.putInt16(fields.length);
+		this.writeInt16(fields.length);
 		for (const field of fields) {
-			this.putText(field.name);
-			this.putInt32(0);
-			this.putInt16(0);
-			this.putInt32(typeOids[field.type]);
-			this.putInt16(-1);
-			this.putInt32(-1);
-			this.putInt16(0);
+			this.writeText(field.name);
+			this.writeInt32(0);
+			this.writeInt16(0);
+			this.writeInt32(typeOids[field.type]);
+			this.writeInt16(-1);
+			this.writeInt32(-1);
+			this.writeInt16(0);
 		}
 
 		this.finish();
@@ -241,16 +241,16 @@
 
 	writeDataRow(row: types.Row): void {
 		this.open('D');
-		this.putInt16(row.length);
+		this.writeInt16(row.length);
 		for (const value of row) {
 			if (value === null) {
-				this.putInt32(-1);
+				this.writeInt32(-1);
 				continue;
 			}
 
 			const text = formatValue(value);
 			const bytes = Buffer.byteLength(text);
-			this.putInt32(bytes);
+			this.writeInt32(bytes);
 			this.writeRaw(text, 'utf8');
 		}
 
@@ -267,7 +267,7 @@
 	private open(code: string): void {
 		this.writeRaw(code, 'latin1');
 		this.messageStart = this.length;
-		this.putInt32(0);
+		this.writeInt32(0);
 	}
 
 	private finish(): void {
@@ -277,28 +277,28 @@
 		);
 	}
 
-	private putInt16(value: number): void {
-		this.reserve(2);
+	private writeInt16(value: number): void {
+		this.extend(2);
 		this.length = this.buffer.writeInt16BE(value, this.length);
 	}
 
-	private putInt32(value: number): void {
-		this.reserve(4);
+	private writeInt32(value: number): void {
+		this.extend(4);
 		this.length = this.buffer.writeInt32BE(value, this.length);
 	}
 
-	private putText(text: string): void {
+	private writeText(text: string): void {
 		this.writeRaw(text, 'utf8');
 		this.writeRaw('\0', 'latin1');
 	}
 
 	private writeRaw(text: string, encoding: 'latin1' | 'utf8'): void {
 		// A UTF-16 code unit takes at most 3 bytes in UTF-8.
-		this.reserve(text.length * 3);
+		this.extend(text.length * 3);
 		this.length += this.buffer.write(text, this.length, encoding);
 	}
 
-	private reserve(bytes: number): void {
+	private extend(bytes: number): void {
 		if (this.length + bytes <= this.buffer.length) {
 			return;
 		}
