--- /dev/null
+++ b/src/scenario/fleet/control-process.ts
@@ -0,0 +1,299 @@
+/**
+ * A control reducer as a process of the fake fleet: with a disk that survives restarts, and calls to
+ * the fake servers.
+ */
+import * as consensus from '../../common/consensus/consensus.js';
+import * as disks from '../../common/consensus/fake-network.js';
+import * as controlPeer from '../../common/control/peer.js';
+import type * as control from '../../common/control/types.js';
+import type * as ids from '../../common/ids.js';
+import type * as messages from '../../common/messages.js';
+import * as random from '../../common/random.js';
+import type * as types from '../../common/types.js';
+import type * as fakeServer from './fake-server.js';
+import type * as links from './links.js';
+import type * as timeline from './timeline.js';
+
+const tickMs = 25;
+const callMs = 2;
+
+export type ControlProcessOptions = {
+	readonly peer: ids.PeerId;
+	readonly dataCentre: ids.DataCentre;
+	readonly controlPeers: readonly ids.PeerId[];
+	readonly seed: number;
+};
+
+export class ControlProcess implements links.LinkedProcess {
+	condition: 'up' | 'frozen' | 'dead' = 'up';
+	readonly peer: ids.PeerId;
+	readonly logs: string[] = [];
+	private readonly disk: disks.FakeDisk<control.ControlCommand>;
+	private readonly random: random.RandomSource;
+	private reducer: controlPeer.ControlPeer | undefined;
+	private log: consensus.Consensus<control.ControlCommand> | undefined;
+	private waiting: Array<() => void> = [];
+	private generation = 0;
+	private nextOperation = 1;
+	private readonly changes = new Map<
+		number,
+		(result: types.TemplateChangeResult) => void
+	>();
+
+	constructor(
+		private readonly options: ControlProcessOptions,
+		private readonly timeline: timeline.Timeline,
+		private readonly links: links.Links,
+		private readonly servers: ReadonlyMap<string, fakeServer.FakeServer>,
+		/** Called when a promotion of a server is complete on the server. */
+		private readonly handlePromotion: (server: ids.UpstreamId) => void,
+	) {
+		this.peer = options.peer;
+		this.random = random.createRandom(options.seed);
+		this.disk = new disks.FakeDisk(() => this.random.readFloat());
+		this.start();
+		timeline.scheduleEvery(1, () => {
+			this.syncDisk();
+		});
+		timeline.scheduleEvery(tickMs, () => {
+			if (this.condition === 'up') {
+				this.step({
+					type: 'tick',
+					now: timeline.now,
+					random: this.random.readFloat(),
+				});
+			}
+		});
+	}
+
+	get isLeader(): boolean {
+		return (
+			this.condition === 'up' && this.log!.isLeaderLeaseValid(this.timeline.now)
+		);
+	}
+
+	get machine(): controlPeer.ControlPeer['control']['machine'] {
+		return this.reducer!.control.machine;
+	}
+
+	handleMessage(from: ids.PeerId, message: messages.PeerMessage): void {
+		this.receive(() => {
+			this.step({type: 'peerMessage', now: this.timeline.now, from, message});
+		});
+	}
+
+	handleLinkChange(peer: ids.PeerId, up: boolean): void {
+		this.receive(() => {
+			this.step({type: 'peerLinkChanged', now: this.timeline.now, peer, up});
+		});
+	}
+
+	freeze(): void {
+		this.condition = 'frozen';
+	}
+
+	thaw(): void {
+		this.condition = 'up';
+		for (const run of this.waiting.splice(0)) {
+			run();
+		}
+	}
+
+	kill(): void {
+		this.condition = 'dead';
+		this.generation++;
+		this.waiting = [];
+		this.disk.crash();
+		this.links.handleDeath(this.peer);
+		for (const answer of this.changes.values()) {
+			answer({type: 'unavailable', mayHaveRun: true});
+		}
+
+		this.changes.clear();
+	}
+
+	/** Starts the process again, with or without what its disk held. */
+	restart(isDiskLost = false): void {
+		if (isDiskLost) {
+			this.disk.clear();
+		}
+
+		this.condition = 'up';
+		this.generation++;
+		this.start();
+	}
+
+	requestChange(
+		change: types.TemplateChange,
+		callback: (result: types.TemplateChangeResult) => void,
+	): void {
+		const operation = this.nextOperation++;
+		this.changes.set(operation, callback);
+		this.receive(() => {
+			this.step({
+				type: 'templateChangeRequested',
+				now: this.timeline.now,
+				operation,
+				change,
+			});
+		});
+	}
+
+	private start(): void {
+		const {peer, dataCentre, controlPeers} = this.options;
+		this.log = new consensus.Consensus<control.ControlCommand>({
+			peer,
+			initialVoters: controlPeers,
+			stored: this.disk.load(),
+			incarnation: this.generation + 1,
+		});
+		this.reducer = new controlPeer.ControlPeer({
+			peer,
+			address: peer,
+			dataCentre,
+			incarnation: this.generation + 1,
+			controlPeers: controlPeers.map((id) => ({peer: id, address: id})),
+			log: this.log,
+			random: this.random,
+		});
+		this.carryOut(this.reducer.start(this.timeline.now));
+	}
+
+	private step(event: controlPeer.ControlPeerEvent): void {
+		this.carryOut(this.reducer!.step(event));
+	}
+
+	private receive(run: () => void): void {
+		if (this.condition === 'up') {
+			run();
+		} else if (this.condition === 'frozen') {
+			this.waiting.push(run);
+		}
+	}
+
+	private syncDisk(): void {
+		if (this.condition === 'up') {
+			for (const write of this.disk.takeSynced(this.timeline.now)) {
+				this.step({type: 'written', now: this.timeline.now, write});
+			}
+		}
+	}
+
+	private carryOut(effects: readonly controlPeer.ControlPeerEffect[]): void {
+		for (const effect of effects) {
+			this.carryOutOne(effect);
+		}
+	}
+
+	private carryOutOne(effect: controlPeer.ControlPeerEffect): void {
+		switch (effect.type) {
+			case 'sendPeer': {
+				this.links.send(this.peer, effect.to, effect.message);
+				return;
+			}
+
+			case 'write': {
+				this.disk.write(this.timeline.now, effect.write, effect.data);
+				return;
+			}
+
+			case 'callServer': {
+				this.callServer(effect);
+				return;
+			}
+
+			case 'answerTemplateChange': {
+				this.changes.get(effect.operation)?.(effect.result);
+				this.changes.delete(effect.operation);
+				return;
+			}
+
+			case 'connectPeer': {
+				this.links.connect(this.peer, effect.peer);
+				return;
+			}
+
+			case 'disconnectPeer': {
+				this.links.disconnect(this.peer, effect.peer);
+				return;
+			}
+
+			case 'log': {
+				this.logs.push(`${this.timeline.now} ${effect.record.message}`);
+				return;
+			}
+
+			case 'answerQuery':
+			case 'setHealth':
+			case 'drained': {
+				break;
+			}
+		}
+	}
+
+	private callServer(
+		effect: Extract<control.ControlEffect, {type: 'callServer'}>,
+	): void {
+		const {generation} = this;
+		const server = this.servers.get(effect.server);
+		const answer = (result: control.ServerAnswer) => {
+			this.timeline.schedule(callMs, () => {
+				if (generation === this.generation) {
+					this.receive(() => {
+						this.step({
+							type: 'serverAnswered',
+							now: this.timeline.now,
+							call: effect.call,
+							answer: result,
+						});
+					});
+				}
+			});
+		};
+
+		this.timeline.schedule(callMs, () => {
+			if (!server || server.isDown) {
+				answer({type: 'failed', message: 'connection refused'});
+			} else if (server.isFrozen || !server.isReachableFrom(this.peer)) {
+				this.timeline.schedule(500, () => {
+					answer({type: 'failed', message: 'timeout'});
+				});
+			} else {
+				answer(this.runCall(server, effect.request));
+			}
+		});
+	}
+
+	private runCall(
+		server: fakeServer.FakeServer,
+		request: control.ServerRequest,
+	): control.ServerAnswer {
+		switch (request.type) {
+			case 'status': {
+				return {type: 'answered', status: server.status()};
+			}
+
+			case 'fence': {
+				return server.fence(request.term)
+					? {type: 'answered', status: server.status()}
+					: {type: 'failed', sqlState: 'HK101', message: 'higher term'};
+			}
+
+			case 'promote': {
+				if (!server.promote(request.term)) {
+					return {type: 'failed', sqlState: 'HK101', message: 'not fenced'};
+				}
+
+				this.handlePromotion(server.id);
+				return {type: 'answered', status: server.status()};
+			}
+
+			case 'follow': {
+				const source = this.servers.get(request.server);
+				return source && server.follow(request.term, source)
+					? {type: 'answered', status: server.status()}
+					: {type: 'failed', sqlState: 'HK101', message: 'higher term'};
+			}
+		}
+	}
+}
