--- /dev/null
+++ b/src/scenario/fleet/callers.ts
@@ -0,0 +1,300 @@
+/**
+ * Callers of a scenario. Each name is one user, who may move from one proxy to another; statements
+ * of one user run one after the other. Everything that they are told goes into the history.
+ */
+import type * as ids from '../../common/ids.js';
+import * as positions from '../../common/position.js';
+import type * as proxy from '../../common/proxy/types.js';
+import type * as fakeServer from './fake-server.js';
+import type * as fleetTypes from './fleet-types.js';
+import type * as history from './history.js';
+import type * as proxyProcess from './proxy-process.js';
+
+/** States that say that the request did not run. */
+const notRunStates = /^(?:HK0\d\d|28000|57014|25006)$/v;
+
+type User = {
+	readonly name: string;
+	proxy: string;
+	session: ids.SessionId;
+	token: string | undefined;
+	/** Newest acknowledged value per key. */
+	readonly own: Map<string, string>;
+	readonly queue: Array<() => void>;
+	isBusy: boolean;
+	transaction: string | undefined;
+	pendingWrites: history.WriteRecord[];
+};
+
+export class Callers {
+	unanswered = 0;
+	wrongAnswers = 0;
+	keysUsed = 0;
+	closedInFlight = 0;
+	private readonly users = new Map<string, User>();
+	private counter = 0;
+
+	constructor(
+		private readonly fleet: fleetTypes.ScenarioFleet,
+		private readonly history: history.History,
+	) {}
+
+	open(name: string, proxyName: string): void {
+		const user: User = {
+			name,
+			proxy: proxyName,
+			session: 0 as ids.SessionId,
+			token: undefined,
+			own: new Map(),
+			queue: [],
+			isBusy: false,
+			transaction: undefined,
+			pendingWrites: [],
+		};
+		user.session = this.openSession(user, undefined);
+		this.users.set(name, user);
+	}
+
+	/** The user connects to another proxy, with or without its token. */
+	move(name: string, proxyName: string, keepsToken: boolean): void {
+		const user = this.getUser(name);
+		this.enqueue(user, () => {
+			this.fleet.proxies.get(user.proxy)!.closeSession(user.session);
+			user.proxy = proxyName;
+			user.session = this.openSession(
+				user,
+				keepsToken ? user.token : undefined,
+			);
+			this.finish(user);
+		});
+	}
+
+	/** The user's connection vanishes, whatever is in flight. */
+	vanish(name: string): void {
+		const user = this.getUser(name);
+		this.fleet.proxies.get(user.proxy)!.closeSession(user.session);
+		user.queue.length = 0;
+	}
+
+	write(
+		name: string,
+		key: string,
+		attributes: proxy.RequestAttributes,
+		reusedValue?: string,
+	): void {
+		const user = this.getUser(name);
+		this.enqueue(user, () => {
+			const value = reusedValue ?? `${name}-${++this.counter}`;
+			const record: history.WriteRecord = {
+				user: name,
+				key,
+				value,
+				sentAt: this.fleet.timeline.now,
+				transaction: user.transaction,
+				outcome: undefined,
+				answeredAt: undefined,
+				term: undefined,
+			};
+			this.history.writes.push(record);
+			this.send(user, {type: 'put', key, value}, attributes, (answer) => {
+				this.handleWriteAnswer(user, record, answer);
+			});
+		});
+	}
+
+	read(name: string, key: string, attributes: proxy.RequestAttributes): void {
+		const user = this.getUser(name);
+		this.enqueue(user, () => {
+			const own = user.own.get(key);
+			this.send(user, {type: 'get', key}, attributes, (answer) => {
+				if (answer.type === 'answered' && answer.answer.type === 'ok') {
+					const found = answer.answer.value;
+					this.history.reads.push({user: name, key, own, found});
+				}
+			});
+		});
+	}
+
+	control(name: string, type: 'begin' | 'commit' | 'rollback'): void {
+		const user = this.getUser(name);
+		this.enqueue(user, () => {
+			if (type === 'begin') {
+				user.transaction = `${name}/${++this.counter}`;
+				user.pendingWrites = [];
+			}
+
+			this.send(user, {type}, {deadlineMs: 2000}, (answer) => {
+				if (type !== 'begin') {
+					this.finishTransaction(user, type, answer);
+				}
+			});
+		});
+	}
+
+	private handleWriteAnswer(
+		user: User,
+		record: history.WriteRecord,
+		answer: proxyProcess.CallerAnswer,
+	): void {
+		const isOk = answer.type === 'answered' && answer.answer.type === 'ok';
+		if (isOk && user.transaction !== undefined) {
+			user.pendingWrites.push(record);
+			return;
+		}
+
+		record.answeredAt = this.fleet.timeline.now;
+		if (isOk) {
+			this.acknowledge(user, record, answer.token);
+			return;
+		}
+
+		record.outcome = classifyFailure(answer);
+		if (answer.type === 'refused' && answer.sqlState === 'HK008') {
+			this.keysUsed++;
+			// Another request with this key ran, so the value may be in the log.
+			record.outcome = undefined;
+		}
+
+		if (answer.type === 'closed') {
+			this.closedInFlight++;
+		}
+	}
+
+	private finishTransaction(
+		user: User,
+		type: 'commit' | 'rollback',
+		answer: proxyProcess.CallerAnswer,
+	): void {
+		const isOk = answer.type === 'answered' && answer.answer.type === 'ok';
+		for (const record of user.pendingWrites) {
+			record.answeredAt = this.fleet.timeline.now;
+			if (isOk && type === 'commit') {
+				this.acknowledge(user, record, answer.token);
+			} else {
+				record.outcome = isOk ? 'notRun' : classifyFailure(answer);
+			}
+		}
+
+		user.transaction = undefined;
+		user.pendingWrites = [];
+	}
+
+	private acknowledge(
+		user: User,
+		record: history.WriteRecord,
+		token: string | undefined,
+	): void {
+		record.outcome = 'acknowledged';
+		user.own.set(record.key, record.value);
+		if (token !== undefined) {
+			user.token = token;
+			record.term = positions
+				.parsePosition(token)
+				.unwrapOr(positions.zeroPosition).term;
+		}
+	}
+
+	private send(
+		user: User,
+		statement: fakeServer.FakeStatement,
+		attributes: proxy.RequestAttributes,
+		callback: (answer: proxyProcess.CallerAnswer) => void,
+	): void {
+		const {session} = user;
+		let isAnswered = false;
+		this.unanswered++;
+		this.fleet.proxies
+			.get(user.proxy)!
+			.send(session, statement, attributes, (answer) => {
+				if (isAnswered) {
+					this.wrongAnswers++;
+					return;
+				}
+
+				isAnswered = true;
+				this.unanswered--;
+				callback(answer);
+				this.finish(user);
+			});
+	}
+
+	/** A client whose connection broke connects again, to any proxy that lives. */
+	private reconnect(user: User): void {
+		for (const record of user.pendingWrites) {
+			record.outcome = 'unknown';
+		}
+
+		user.pendingWrites = [];
+		user.transaction = undefined;
+		const live = [...this.fleet.proxies].find(
+			([, process]) => process.condition === 'up',
+		);
+		if (live) {
+			[user.proxy] = live;
+			user.session = this.openSession(user, undefined);
+		}
+	}
+
+	private openSession(user: User, token: string | undefined): ids.SessionId {
+		const position =
+			token === undefined
+				? undefined
+				: positions.parsePosition(token).unwrapOr(undefined);
+		const session: ids.SessionId = this.fleet.proxies
+			.get(user.proxy)!
+			.openSession(
+				{
+					member: this.fleet.member,
+					group: this.fleet.group,
+					...(position ? {token: position} : {}),
+				},
+				() => {
+					if (user.session === session) {
+						this.reconnect(user);
+					}
+				},
+			);
+		return session;
+	}
+
+	private enqueue(user: User, run: () => void): void {
+		if (user.isBusy) {
+			user.queue.push(run);
+		} else {
+			user.isBusy = true;
+			run();
+		}
+	}
+
+	private finish(user: User): void {
+		const next = user.queue.shift();
+		if (next) {
+			next();
+		} else {
+			user.isBusy = false;
+		}
+	}
+
+	private getUser(name: string): User {
+		const user = this.users.get(name);
+		if (!user) {
+			throw new Error(`no session "${name}"`);
+		}
+
+		return user;
+	}
+}
+
+function classifyFailure(
+	answer: proxyProcess.CallerAnswer,
+): history.WriteOutcome {
+	if (answer.type === 'refused') {
+		return notRunStates.test(answer.sqlState) ? 'notRun' : 'unknown';
+	}
+
+	if (answer.type === 'answered' && answer.answer.type === 'error') {
+		return 'notRun';
+	}
+
+	return 'unknown';
+}
--- a/src/scenario/fleet/fake-server.ts
+++ b/src/scenario/fleet/fake-server.ts
@@ -53,6 +53,10 @@
 	applyLagMs = 0;
 	serviceMs = 1;
 	startedAt = 1;
+	/** Values that this server committed as a primary, also those that a promotion dropped. */
+	readonly everCommitted: string[] = [];
+	/** The same with their terms. */
+	readonly everLogged: LogRecord[] = [];
 	/** Times at which statements were executed. */
 	readonly executedAt: number[] = [];
 	/** The primary that this replica follows. */
@@ -269,12 +273,15 @@
 		}
 
 		for (const {key, value} of writes) {
-			this.log.push({
+			const record = {
 				term: this.term,
 				offset: this.position + offsetStep,
 				key,
 				value,
-			});
+			};
+			this.log.push(record);
+			this.everCommitted.push(value);
+			this.everLogged.push(record);
 		}
 
 		return {type: 'ok', inTransaction: false};
--- /dev/null
+++ b/src/scenario/fleet/fleet-types.ts
@@ -0,0 +1,74 @@
+/**
+ * What the scenario interpreter needs of a fleet, so that the same scenarios run on the production
+ * reducers and on the naive version.
+ */
+import type * as ids from '../../common/ids.js';
+import type * as proxy from '../../common/proxy/types.js';
+import type * as types from '../../common/types.js';
+import type * as fakeServer from './fake-server.js';
+import type * as links from './links.js';
+import type * as proxyProcess from './proxy-process.js';
+import type * as timeline from './timeline.js';
+
+/** A process that faults can hit. */
+export type FleetProcess = {
+	readonly condition: 'up' | 'frozen' | 'dead';
+	freeze(): void;
+	thaw(): void;
+	kill(): void;
+	restart(isDiskLost?: boolean): void;
+};
+
+export type FleetProxy = FleetProcess & {
+	/** Version of the template in force; 0 without one. */
+	readonly templateVersion: number;
+	/** What its requests reported: role of the server that answered. */
+	readonly records: readonly proxy.RequestRecord[];
+	/** `handleClose` is called when the proxy closes the connection. */
+	openSession(
+		attributes: proxy.SessionAttributes,
+		handleClose: () => void,
+	): ids.SessionId;
+	closeSession(session: ids.SessionId): void;
+	send(
+		session: ids.SessionId,
+		statement: fakeServer.FakeStatement,
+		attributes: proxy.RequestAttributes,
+		callback: (answer: proxyProcess.CallerAnswer) => void,
+	): void;
+	drain(): void;
+};
+
+export type FleetControl = FleetProcess & {
+	requestChange(
+		change: types.TemplateChange,
+		callback: (result: types.TemplateChangeResult) => void,
+	): void;
+};
+
+/** A promotion as it took effect on the promoted server. */
+export type PromotionRecord = {
+	readonly at: number;
+	readonly term: number;
+	readonly server: ids.UpstreamId;
+};
+
+export type ScenarioFleet = {
+	readonly timeline: timeline.Timeline;
+	readonly links: links.Links;
+	readonly servers: ReadonlyMap<string, fakeServer.FakeServer>;
+	readonly proxies: ReadonlyMap<string, FleetProxy>;
+	readonly controls: ReadonlyMap<string, FleetControl>;
+	readonly promotions: readonly PromotionRecord[];
+	readonly group: ids.GroupId;
+	readonly member: ids.MemberId;
+	startUp(): void;
+	findPrimary(): fakeServer.FakeServer | undefined;
+	changeTemplate(
+		control: string,
+		expectedVersion: number,
+		changeId: string,
+		callback: (result: types.TemplateChangeResult) => void,
+	): void;
+	restartServer(server: fakeServer.FakeServer): void;
+};
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -7,6 +7,7 @@
 import type * as types from '../../common/types.js';
 import * as controlProcess from './control-process.js';
 import * as fakeServer from './fake-server.js';
+import type * as fleetTypes from './fleet-types.js';
 import * as links from './links.js';
 import * as proxyProcess from './proxy-process.js';
 import * as smallFleet from './small-fleet.js';
@@ -24,20 +25,13 @@
 	readonly parameters?: types.TemplateParameters;
 };
 
-/** A promotion as it took effect on the promoted server. */
-export type PromotionRecord = {
-	readonly at: number;
-	readonly term: number;
-	readonly server: ids.UpstreamId;
-};
-
-export class Fleet {
+export class Fleet implements fleetTypes.ScenarioFleet {
 	readonly timeline = new timeline.Timeline();
 	readonly links: links.Links;
 	readonly servers = new Map<string, fakeServer.FakeServer>();
 	readonly proxies = new Map<string, proxyProcess.ProxyProcess>();
 	readonly controls = new Map<string, controlProcess.ControlProcess>();
-	readonly promotions: PromotionRecord[] = [];
+	readonly promotions: fleetTypes.PromotionRecord[] = [];
 	readonly group = 'ledger' as ids.GroupId;
 	readonly member = 'm' as ids.MemberId;
 
--- /dev/null
+++ b/src/scenario/fleet/naive-fleet.ts
@@ -0,0 +1,369 @@
+/**
+ * The baseline of the differential tests: proxies that share one connection per server, read from
+ * any replica, acknowledge as soon as the primary answers, resend after a lost connection and call
+ * every time-out "not run"; and a control process that promotes the first replica as soon as the
+ * primary is silent.
+ */
+import type * as ids from '../../common/ids.js';
+import type * as proxy from '../../common/proxy/types.js';
+import type * as types from '../../common/types.js';
+import * as fakeServer from './fake-server.js';
+import type * as fleetTypes from './fleet-types.js';
+import * as links from './links.js';
+import type * as proxyProcess from './proxy-process.js';
+import * as timeline from './timeline.js';
+
+const networkMs = 1;
+const silenceMs = 500;
+const defaultDeadlineMs = 1000;
+const serverCount = 3;
+
+/** Processes of the naive version share what they know through this object. */
+type SharedView = {
+	primary: fakeServer.FakeServer;
+	readonly versions: Map<string, number>;
+};
+
+class NaiveProcess implements fleetTypes.FleetProcess {
+	condition: 'up' | 'frozen' | 'dead' = 'up';
+	protected waiting: Array<() => void> = [];
+
+	freeze(): void {
+		this.condition = 'frozen';
+	}
+
+	thaw(): void {
+		this.condition = 'up';
+		for (const run of this.waiting.splice(0)) {
+			run();
+		}
+	}
+
+	kill(): void {
+		this.condition = 'dead';
+		this.waiting = [];
+	}
+
+	restart(): void {
+		this.condition = 'up';
+	}
+
+	protected receive(run: () => void): void {
+		if (this.condition === 'up') {
+			run();
+		} else if (this.condition === 'frozen') {
+			this.waiting.push(run);
+		}
+	}
+}
+
+class NaiveProxy extends NaiveProcess implements fleetTypes.FleetProxy {
+	readonly records: proxy.RequestRecord[] = [];
+	private nextSession = 1;
+	private nextReplica = 0;
+	private readonly connections = new Map<
+		fakeServer.FakeServer,
+		fakeServer.ServerSession
+	>();
+
+	constructor(
+		private readonly peer: string,
+		private readonly timeline: timeline.Timeline,
+		private readonly servers: ReadonlyMap<string, fakeServer.FakeServer>,
+		private readonly view: SharedView,
+	) {
+		super();
+	}
+
+	get templateVersion(): number {
+		return this.view.versions.get(this.peer) ?? 0;
+	}
+
+	openSession(): ids.SessionId {
+		return this.nextSession++ as ids.SessionId;
+	}
+
+	closeSession(): void {
+		// The shared connection stays as the session left it.
+	}
+
+	drain(): void {
+		this.kill();
+	}
+
+	send(
+		_session: ids.SessionId,
+		statement: fakeServer.FakeStatement,
+		attributes: proxy.RequestAttributes,
+		callback: (answer: proxyProcess.CallerAnswer) => void,
+	): void {
+		let isAnswered = false;
+		const answerOnce = (answer: proxyProcess.CallerAnswer) => {
+			if (!isAnswered) {
+				isAnswered = true;
+				callback(answer);
+			}
+		};
+
+		this.receive(() => {
+			this.execute(statement, answerOnce);
+		});
+		this.timeline.schedule(attributes.deadlineMs ?? defaultDeadlineMs, () => {
+			answerOnce(
+				this.condition === 'dead'
+					? {type: 'closed', sqlState: '08006'}
+					: {type: 'refused', sqlState: 'HK002'},
+			);
+		});
+	}
+
+	private execute(
+		statement: fakeServer.FakeStatement,
+		answer: (answer: proxyProcess.CallerAnswer) => void,
+	): void {
+		const server =
+			statement.type === 'get' ? this.chooseReplica() : this.view.primary;
+		const connection = this.getConnection(server);
+		this.timeline.schedule(networkMs + server.serviceMs, () => {
+			this.arrive(server, connection, statement, answer);
+		});
+	}
+
+	private arrive(
+		server: fakeServer.FakeServer,
+		connection: fakeServer.ServerSession,
+		statement: fakeServer.FakeStatement,
+		answer: (answer: proxyProcess.CallerAnswer) => void,
+	): void {
+		if (!server.isReachableFrom(this.peer)) {
+			return;
+		}
+
+		if (server.isDown) {
+			this.timeline.schedule(20, () => {
+				this.receive(() => {
+					this.execute(statement, answer);
+				});
+			});
+			return;
+		}
+
+		if (server.isFrozen) {
+			this.timeline.schedule(10, () => {
+				this.arrive(server, connection, statement, answer);
+			});
+			return;
+		}
+
+		const result = server.execute(connection, statement);
+		this.timeline.schedule(networkMs, () => {
+			this.receive(() => {
+				if (server.isDown) {
+					// The answer was lost, so the statement is sent again.
+					this.execute(statement, answer);
+				} else if (result !== 'keyUsed') {
+					answer({type: 'answered', answer: result, token: undefined});
+				}
+			});
+		});
+	}
+
+	private chooseReplica(): fakeServer.FakeServer {
+		const replicas = [...this.servers.values()].filter(
+			(server) => server.role === 'replica' && !server.isDown,
+		);
+		this.nextReplica++;
+		return replicas[this.nextReplica % replicas.length] ?? this.view.primary;
+	}
+
+	private getConnection(
+		server: fakeServer.FakeServer,
+	): fakeServer.ServerSession {
+		let connection = this.connections.get(server);
+		if (!connection) {
+			connection = {pending: undefined, isOpen: true};
+			server.sessions.add(connection);
+			this.connections.set(server, connection);
+		}
+
+		return connection;
+	}
+}
+
+class NaiveControl extends NaiveProcess implements fleetTypes.FleetControl {
+	private silentSince: number | undefined;
+	private version = 0;
+
+	constructor(
+		private readonly peer: string,
+		private readonly timeline: timeline.Timeline,
+		private readonly servers: ReadonlyMap<string, fakeServer.FakeServer>,
+		private readonly view: SharedView,
+		private readonly handlePromotion: (server: fakeServer.FakeServer) => void,
+	) {
+		super();
+		timeline.scheduleEvery(50, () => {
+			if (this.condition === 'up') {
+				this.checkPrimary();
+			}
+		});
+	}
+
+	override restart(): void {
+		super.restart();
+		this.version = 0;
+	}
+
+	requestChange(
+		change: types.TemplateChange,
+		callback: (result: types.TemplateChangeResult) => void,
+	): void {
+		this.receive(() => {
+			if (change.expectedVersion !== this.version) {
+				callback({type: 'versionConflict', currentVersion: this.version});
+				return;
+			}
+
+			this.version++;
+			const {version} = this;
+			for (const name of this.view.versions.keys()) {
+				this.timeline.schedule(5, () => {
+					this.view.versions.set(name, version);
+				});
+			}
+
+			callback({type: 'accepted', version});
+		});
+	}
+
+	private checkPrimary(): void {
+		const {primary} = this.view;
+		const isSilent = !primary.isRunning || !primary.isReachableFrom(this.peer);
+		if (!isSilent) {
+			this.silentSince = undefined;
+			return;
+		}
+
+		this.silentSince ??= this.timeline.now;
+		if (this.timeline.now - this.silentSince >= silenceMs) {
+			this.promoteFirst(primary);
+		}
+	}
+
+	private promoteFirst(old: fakeServer.FakeServer): void {
+		const chosen = [...this.servers.values()].find(
+			(server) => server !== old && server.isRunning,
+		);
+		if (!chosen) {
+			return;
+		}
+
+		const term = old.term + 1;
+		chosen.fence(term);
+		chosen.promote(term);
+		this.view.primary = chosen;
+		this.handlePromotion(chosen);
+		for (const server of this.servers.values()) {
+			if (server !== chosen && server !== old) {
+				server.follow(term, chosen);
+			}
+		}
+	}
+}
+
+export class NaiveFleet implements fleetTypes.ScenarioFleet {
+	readonly timeline = new timeline.Timeline();
+	readonly links = new links.Links(this.timeline, () => networkMs);
+	readonly servers = new Map<string, fakeServer.FakeServer>();
+	readonly proxies = new Map<string, NaiveProxy>();
+	readonly controls = new Map<string, NaiveControl>();
+	readonly promotions: fleetTypes.PromotionRecord[] = [];
+	readonly group = 'ledger' as ids.GroupId;
+	readonly member = 'm' as ids.MemberId;
+	private readonly view: SharedView;
+
+	constructor(options: {readonly proxies: number; readonly controls: number}) {
+		this.addServers();
+		this.view = {
+			primary: this.servers.get('s1')!,
+			versions: new Map(),
+		};
+		for (let index = 1; index <= options.proxies; index++) {
+			this.view.versions.set(`p${index}`, 0);
+			this.proxies.set(
+				`p${index}`,
+				new NaiveProxy(`p${index}`, this.timeline, this.servers, this.view),
+			);
+		}
+
+		for (let index = 1; index <= options.controls; index++) {
+			this.controls.set(
+				`c${index}`,
+				new NaiveControl(
+					`c${index}`,
+					this.timeline,
+					this.servers,
+					this.view,
+					(server) => {
+						this.promotions.push({
+							at: this.timeline.now,
+							term: server.term,
+							server: server.id,
+						});
+					},
+				),
+			);
+		}
+	}
+
+	startUp(): void {
+		this.changeTemplate('c1', 0, 'first', () => undefined);
+		this.timeline.runUntil(8000);
+	}
+
+	findPrimary(): fakeServer.FakeServer {
+		return this.view.primary;
+	}
+
+	changeTemplate(
+		control: string,
+		expectedVersion: number,
+		changeId: string,
+		callback: (result: types.TemplateChangeResult) => void,
+	): void {
+		this.controls.get(control)!.requestChange(
+			{
+				member: this.member,
+				text: '',
+				expectedVersion,
+				changeId: changeId as ids.ChangeId,
+			},
+			callback,
+		);
+	}
+
+	restartServer(server: fakeServer.FakeServer): void {
+		server.restart();
+	}
+
+	private addServers(): void {
+		for (let index = 1; index <= serverCount; index++) {
+			const server = new fakeServer.FakeServer(
+				`s${index}` as ids.UpstreamId,
+				this.group,
+				`dc${index}` as ids.DataCentre,
+				this.timeline,
+			);
+			this.servers.set(server.id, server);
+		}
+
+		const primary = this.servers.get('s1')!;
+		primary.fence(1);
+		primary.promote(1);
+		for (const server of this.servers.values()) {
+			if (server !== primary) {
+				server.follow(1, primary);
+			}
+		}
+	}
+}
--- a/src/scenario/fleet/proxy-process.ts
+++ b/src/scenario/fleet/proxy-process.ts
@@ -41,6 +41,8 @@
 	private nextSession = 1;
 	private nextRequest = 1;
 	private readonly calls = new Map<ids.RequestId, PendingCall>();
+	/** Open sessions, with what their callers do when the connection closes. */
+	private readonly sessions = new Map<ids.SessionId, () => void>();
 
 	constructor(
 		readonly peer: ids.PeerId,
@@ -61,6 +63,11 @@
 		});
 	}
 
+	/** Version of the template in force; 0 without one. */
+	get templateVersion(): number {
+		return this.reducer.templates.listVersions()[0]?.[1] ?? 0;
+	}
+
 	handleMessage(from: ids.PeerId, message: messages.PeerMessage): void {
 		this.receive(() => {
 			this.step({
@@ -101,6 +108,11 @@
 		}
 
 		this.calls.clear();
+		const closed = [...this.sessions.values()];
+		this.sessions.clear();
+		for (const handleClose of closed) {
+			handleClose();
+		}
 	}
 
 	restart(): void {
@@ -111,8 +123,12 @@
 		this.start();
 	}
 
-	openSession(attributes: proxy.SessionAttributes): ids.SessionId {
+	openSession(
+		attributes: proxy.SessionAttributes,
+		handleClose: () => void = () => undefined,
+	): ids.SessionId {
 		const session = this.nextSession++ as ids.SessionId;
+		this.sessions.set(session, handleClose);
 		this.receive(() => {
 			this.step({
 				type: 'sessionOpened',
@@ -125,6 +141,7 @@
 	}
 
 	closeSession(session: ids.SessionId): void {
+		this.sessions.delete(session);
 		this.receive(() => {
 			this.step({type: 'sessionClosed', now: this.timeline.now, session});
 		});
@@ -136,7 +153,7 @@
 		attributes: proxy.RequestAttributes,
 		callback: (answer: CallerAnswer) => void,
 	): void {
-		if (this.condition === 'dead') {
+		if (this.condition === 'dead' || !this.sessions.has(session)) {
 			callback({type: 'closed', sqlState: '08006'});
 			return;
 		}
@@ -315,12 +332,16 @@
 	}
 
 	private closeCalls(session: ids.SessionId, sqlState: string): void {
+		const handleClose = this.sessions.get(session);
+		this.sessions.delete(session);
 		for (const [request, call] of this.calls) {
 			if (call.session === session) {
 				this.calls.delete(request);
 				call.callback({type: 'closed', sqlState});
 			}
 		}
+
+		handleClose?.();
 	}
 }
 
