--- a/src/bench/direct-driver.ts
+++ b/src/bench/direct-driver.ts
@@ -270,6 +270,10 @@
 		connection.running = undefined;
 		this.#running.delete(session);
 		if (outcome.type === 'answered') {
+			const isCommitted =
+				kind === 'write' &&
+				outcome.transactionStatus === 'idle' &&
+				outcome.sqlState === undefined;
 			connection.isInTransaction = outcome.transactionStatus !== 'idle';
 			connection.isPinned ||= kind === 'sessionState';
 			this.#updateBinding(
@@ -283,7 +287,7 @@
 				request,
 				attempt,
 				tail: outcome.tail,
-				token: kind === 'write' ? {term: 1, offset: 7} : undefined,
+				token: isCommitted ? {term: 1, offset: 7} : undefined,
 			});
 			return;
 		}
--- a/src/node/caller/classify.ts
+++ b/src/node/caller/classify.ts
@@ -183,7 +183,9 @@
 				token.text === 'pg_temp' ||
 				((token.text === 'temp' || token.text === 'temporary') &&
 					(isCreate
-						? index <= 4
+						? ['table', 'view', 'sequence', 'recursive'].includes(
+								tokens[index + 1]?.text ?? '',
+							)
 						: ['into', 'local', 'global'].includes(
 								tokens[index - 1]?.text ?? '',
 							)))),
