--- /dev/null
+++ b/src/node/caller/caller-adapter.test.ts
@@ -0,0 +1,274 @@
+import {Buffer} from 'node:buffer';
+import * as net from 'node:net';
+import * as serializer from 'pg-protocol/dist/serializer';
+import tap, {type Test} from 'tap';
+import * as directDriver from '../../bench/direct-driver.js';
+import type * as ids from '../../common/ids.js';
+import type * as proxy from '../../common/proxy/types.js';
+import * as messages from '../wire/messages.js';
+import * as callerAdapter from './caller-adapter.js';
+import type * as types from './types.js';
+
+const {serialize} = serializer;
+const host = '127.0.0.1';
+
+type Event = Parameters<types.CallerOptions['dispatch']>[0];
+type Arrived = Extract<proxy.ProxyEvent, {type: 'requestArrived'}>;
+
+type Setup = {
+	readonly adapter: callerAdapter.CallerAdapter;
+	readonly events: Event[];
+	readonly drained: ids.AttemptId[];
+	readonly socket: net.Socket;
+	/** Everything that the caller received. */
+	readText(): string;
+	wait(check: () => boolean): Promise<void>;
+	waitRequest(count: number): Promise<Arrived>;
+};
+
+async function start(
+	t: Test,
+	limits: Partial<types.CallerLimits> = {},
+): Promise<Setup> {
+	const events: Event[] = [];
+	const drained: ids.AttemptId[] = [];
+	const adapter = callerAdapter.createCallerAdapter({
+		dispatch(event) {
+			events.push(event);
+		},
+		clock: directDriver.monotonicClock,
+		logger: {write: () => undefined},
+		processTag: 'p1',
+		limits,
+		handleDrain(attempt) {
+			drained.push(attempt);
+		},
+	});
+	const port = await adapter.listen(host, 0);
+	const socket = net.connect(port, host);
+	const received: Buffer[] = [];
+	socket.on('error', () => undefined);
+	socket.on('data', (chunk: Buffer) => {
+		received.push(chunk);
+	});
+	socket.write(serialize.startup({user: 'sanna', database: 'ledger'}));
+	t.teardown(async () => {
+		socket.destroy();
+		await adapter.dispose();
+	});
+	const wait = async (check: () => boolean): Promise<void> => {
+		while (!check()) {
+			await new Promise((resolve) => {
+				setTimeout(resolve, 1);
+			});
+		}
+	};
+
+	const setup: Setup = {
+		adapter,
+		events,
+		drained,
+		socket,
+		readText: () => Buffer.concat(received).toString('latin1'),
+		wait,
+		async waitRequest(count) {
+			const list = () =>
+				events.filter((event) => event.type === 'requestArrived');
+			await wait(() => list().length >= count);
+			return list()[count - 1];
+		},
+	};
+	await wait(() => setup.readText().endsWith('Z\0\0\0\u0005I'));
+	received.length = 0;
+	return setup;
+}
+
+function startAttempt(setup: Setup, request: Arrived, attempt: number): void {
+	setup.adapter.handle({
+		type: 'startAttempt',
+		session: request.session,
+		request: request.request,
+		attempt: attempt as ids.AttemptId,
+	});
+}
+
+function finish(
+	setup: Setup,
+	request: Arrived,
+	attempt: number,
+	tail: string,
+): void {
+	setup.adapter.handle({
+		type: 'finishRequest',
+		session: request.session,
+		request: request.request,
+		attempt: attempt as ids.AttemptId,
+		tail: Buffer.concat([
+			messages.buildCommandComplete(tail),
+			messages.getReadyForQuery('idle'),
+		]),
+	});
+}
+
+// Guards against answers of two copies of a request that mix, and late bytes in a later answer.
+tap.test('one attempt answers', async (t) => {
+	const setup = await start(t);
+	setup.socket.write(serialize.query('SELECT 1'));
+	const request = await setup.waitRequest(1);
+	startAttempt(setup, request, 1);
+	startAttempt(setup, request, 2);
+	setup.adapter.relay(2 as ids.AttemptId, messages.buildTextRow('second'));
+	setup.adapter.relay(1 as ids.AttemptId, messages.buildTextRow('first'));
+	finish(setup, request, 2, 'done');
+	setup.adapter.relay(1 as ids.AttemptId, messages.buildTextRow('late'));
+	finish(setup, request, 1, 'again');
+	setup.socket.write(serialize.query('SELECT 2'));
+	const next = await setup.waitRequest(2);
+	setup.adapter.relay(1 as ids.AttemptId, messages.buildTextRow('late'));
+	startAttempt(setup, next, 3);
+	finish(setup, next, 3, 'next');
+	await setup.wait(() => setup.readText().includes('next'));
+	t.match(setup.readText(), /second.*done.*next/sv);
+	t.notMatch(setup.readText(), /first|late|again/v);
+});
+
+// Guards against an answer that begins with one execution and ends with another.
+tap.test('a mixed answer ends the session', async (t) => {
+	const setup = await start(t);
+	setup.socket.write(serialize.query('SELECT 1'));
+	const request = await setup.waitRequest(1);
+	startAttempt(setup, request, 1);
+	startAttempt(setup, request, 2);
+	setup.adapter.relay(1 as ids.AttemptId, messages.buildTextRow('first'));
+	finish(setup, request, 2, 'other');
+	await setup.wait(() => setup.socket.destroyed);
+	t.match(setup.readText(), /first.*FATAL.*08007/sv);
+	t.notMatch(setup.readText(), /other/v);
+	t.equal(setup.events.at(-1)?.type, 'sessionClosed');
+});
+
+// Guards against a refusal after which the caller and the proxy disagree about whose turn it is.
+tap.test('refusals', async (t) => {
+	const setup = await start(t);
+	const parse = serialize.parse({text: 'INSERT INTO t VALUES (1)'});
+	const run = Buffer.concat([serialize.bind({}), serialize.execute()]);
+	const refuse = (request: Arrived, status: proxy.TransactionStatus): void => {
+		setup.adapter.handle({
+			type: 'refuseRequest',
+			session: request.session,
+			request: request.request,
+			sqlState: 'HK001',
+			message: 'queue full',
+			transactionStatus: status,
+		});
+	};
+
+	const list = (): string =>
+		setup
+			.readText()
+			.replaceAll(/E[\s\S]{4}S(?:ERROR)[\s\S]*?\0\0/gv, 'E')
+			.replaceAll('Z\0\0\0\u0005', 'Z');
+	setup.socket.write(Buffer.concat([parse, run, serialize.sync()]));
+	refuse(await setup.waitRequest(1), 'idle');
+	await setup.wait(() => list() === 'EZI');
+	setup.socket.write(
+		Buffer.concat([parse, run, serialize.flush(), run, serialize.flush()]),
+	);
+	refuse(await setup.waitRequest(2), 'idle');
+	await setup.wait(() => list() === 'EZIE');
+	setup.socket.write(Buffer.concat([run, serialize.sync()]));
+	await setup.wait(() => list() === 'EZIEZI');
+	setup.socket.write(serialize.query('SELECT 1'));
+	const last = await setup.waitRequest(3);
+	t.equal(last.kind, 'read', 'frames up to Sync were ignored');
+});
+
+// Guards against a caller that sends without end while its first request waits.
+tap.test('reading pauses', async (t) => {
+	const setup = await start(t, {queuedRequests: 5});
+	const one = serialize.query(`SELECT '${'x'.repeat(60_000)}'`);
+	let sent = 0;
+	while (setup.socket.writableLength < 3_000_000) {
+		setup.socket.write(one);
+		sent++;
+		await new Promise((resolve) => {
+			setImmediate(resolve);
+		});
+	}
+
+	const first = await setup.waitRequest(1);
+	t.equal(
+		setup.events.filter((event) => event.type === 'requestArrived').length,
+		1,
+		'one request at a time',
+	);
+	let request = first;
+	for (let index = 1; index <= sent; index++) {
+		startAttempt(setup, request, index);
+		finish(setup, request, index, `tag${index}`);
+		if (index < sent) {
+			request = await setup.waitRequest(index + 1);
+		}
+	}
+
+	await setup.wait(() => setup.readText().includes(`tag${sent}\0`));
+	t.ok(sent > 20);
+});
+
+// Guards against memory that grows for a caller that does not read its results.
+tap.test('a caller that does not read', async (t) => {
+	const setup = await start(t, {sendBufferBytes: 500_000});
+	setup.socket.write(serialize.query('SELECT 1'));
+	const request = await setup.waitRequest(1);
+	startAttempt(setup, request, 1);
+	setup.socket.pause();
+	const data = messages.buildTextRow('x'.repeat(100_000));
+	let refused = 0;
+	while (setup.events.at(-1)?.type !== 'sessionClosed') {
+		refused += setup.adapter.relay(1 as ids.AttemptId, data) ? 0 : 1;
+	}
+
+	t.ok(refused > 0, 'producers are asked to pause first');
+	t.strictSame(setup.drained, [1], 'and to go on when the caller is gone');
+});
+
+// Guards against requests of a session that run under the class of another text.
+tap.test('classes of extended requests', async (t) => {
+	const setup = await start(t);
+	const sequences: ReadonlyArray<readonly [proxy.RequestKind, Uint8Array[]]> = [
+		['read', [serialize.parse({name: 'w', text: 'DELETE FROM t'})]],
+		['write', [serialize.bind({statement: 'w'}), serialize.execute()]],
+		['read', [serialize.describe({type: 'S', name: 'w'})]],
+		[
+			'read',
+			[serialize.parse({text: 'SELECT 1'}), serialize.bind({portal: 'p'})],
+		],
+		['read', [serialize.execute({portal: 'p'})]],
+		['write', [serialize.execute({portal: 'unknown'})]],
+		['write', [serialize.bind({statement: 'unknown'})]],
+		[
+			'write',
+			[
+				serialize.bind({}),
+				serialize.execute(),
+				serialize.bind({statement: 'w'}),
+				serialize.execute(),
+			],
+		],
+		['read', []],
+	];
+	for (const [index, [kind, frames]] of sequences.entries()) {
+		setup.socket.write(Buffer.concat([...frames, serialize.sync()]));
+		const request = await setup.waitRequest(index + 1);
+		t.equal(request.kind, kind, `sequence ${index}`);
+		if (index === 1) {
+			t.strictSame(
+				request.payload.prepared?.map(({name}) => name),
+				['hp1_1_1'],
+			);
+		}
+
+		startAttempt(setup, request, index + 1);
+		finish(setup, request, index + 1, 'x');
+	}
+});
--- a/src/node/caller/classify.ts
+++ b/src/node/caller/classify.ts
@@ -13,6 +13,20 @@
 const cachedTexts = 2000;
 const cache = new Map<string, types.StatementClass>();
 
+export const lateBeginMessage =
+	'a transaction can only begin with the first statement of a request, and COMMIT AND CHAIN is not supported by hemlockarch';
+
+/** Commands of the replication protocol. */
+const replicationCommands = new Set([
+	'start_replication',
+	'identify_system',
+	'create_replication_slot',
+	'drop_replication_slot',
+	'read_replication_slot',
+	'base_backup',
+	'timeline_history',
+]);
+
 /** Commands whose first word decides. */
 const commandKinds = new Map<string, proxy.RequestKind>([
 	['show', 'read'],
@@ -83,6 +97,53 @@
 	return kind !== 'read' && kind !== 'write' && kind !== 'sessionState';
 }
 
+/**
+ * Tells whether a request may commit and then leave another transaction open. Its answer would not
+ * show that the commit has to be waited for.
+ */
+function opensAfterCommit(
+	kinds: readonly proxy.RequestKind[],
+	statements: readonly Tokens[],
+): boolean {
+	return (
+		hasLateBegin(kinds) ||
+		statements.some(
+			(tokens, index) =>
+				kinds[index] === 'commit' &&
+				hasWord(tokens, 'chain') &&
+				!hasWord(tokens, 'no'),
+		)
+	);
+}
+
+function findRefusal(
+	kinds: readonly proxy.RequestKind[],
+	statements: readonly Tokens[],
+	settings: number,
+): string | undefined {
+	if (statements.some((tokens) => tokens[0].text === 'copy')) {
+		return 'COPY is not supported by hemlockarch';
+	}
+
+	if (statements.some((tokens) => replicationCommands.has(tokens[0].text))) {
+		return 'the replication protocol is not supported by hemlockarch';
+	}
+
+	if (statements.length > 1 && settings > 0) {
+		return 'SET and SHOW of hemlockarch settings must be sent as requests of their own';
+	}
+
+	return opensAfterCommit(kinds, statements) ? lateBeginMessage : undefined;
+}
+
+/** Tells whether a transaction begins after other statements of the same request. */
+export function hasLateBegin(kinds: readonly proxy.RequestKind[]): boolean {
+	return kinds.some(
+		(kind, index) =>
+			index > 0 && (kind === 'begin' || kind === 'beginReadOnly'),
+	);
+}
+
 function classifyUnknownText(text: string): types.StatementClass {
 	const scanned = sqlScanner.parseTokens(text);
 	const kinds = scanned.statements.map((tokens) => classifyStatement(tokens));
@@ -91,13 +152,12 @@
 	return {
 		kind: scanned.isCertain ? classifySequence(kinds) : chooseUncertain(kinds),
 		isEmpty: scanned.statements.length === 0,
-		isCopy: scanned.statements.some((tokens) => tokens[0]?.text === 'copy'),
+		refusal: findRefusal(kinds, scanned.statements, settings.length),
 		mixesControl: kinds.length > 1 && controls,
 		setting:
 			scanned.statements.length === 1 && settings[0]
 				? parseSetting(settings[0])
 				: undefined,
-		mixesSetting: scanned.statements.length > 1 && settings.length > 0,
 		preparesStatement: scanned.statements.some(
 			(tokens) => tokens[0]?.text === 'prepare',
 		),
--- a/src/node/caller/request-splitter.ts
+++ b/src/node/caller/request-splitter.ts
@@ -16,12 +16,10 @@
 	readonly message: string;
 };
 
-const copyMessage = 'COPY is not supported by hemlockarch';
 const mixedMessage =
 	'SET and SHOW of hemlockarch settings must be sent as requests of their own';
 const functionCallMessage = 'function calls are not supported by hemlockarch';
-const replicationWords =
-	/^\s*(?:start_replication|identify_system|create_replication_slot|drop_replication_slot|base_backup|timeline_history)\b/iv;
+const notSupported = '0A000';
 
 /** Collects the frames of one session; `add` returns the item that a frame completes. */
 export class RequestSplitter {
@@ -122,9 +120,8 @@
 
 		this.#size = 0;
 		const statementClass = classify.classifyText(text);
-		const refusal = findRefusal(statementClass, text);
-		if (refusal !== undefined) {
-			return createRefusal(refusal);
+		if (statementClass.refusal !== undefined) {
+			return createRefusal(statementClass.refusal);
 		}
 
 		if (statementClass.setting) {
@@ -160,10 +157,7 @@
 		}
 
 		const statementClass = classify.classifyText(text);
-		const refusal = findRefusal(statementClass, text);
-		if (refusal !== undefined) {
-			this.#refusal ??= {sqlState: '0A000', message: refusal};
-		}
+		this.#checkRefusal(statementClass);
 
 		const statement = this.#table.add(name, frame, statementClass);
 		if (!statement) {
@@ -196,17 +190,8 @@
 		}
 
 		const statementClass = this.#table.get(name)?.statementClass;
-		if (
-			statementClass &&
-			(statementClass.isCopy || statementClass.mixesSetting)
-		) {
-			this.#refusal ??= {
-				sqlState: '0A000',
-				message: statementClass.isCopy ? copyMessage : mixedMessage,
-			};
-		}
-
 		if (statementClass) {
+			this.#checkRefusal(statementClass);
 			this.#table.setPortal(portal, statementClass);
 			this.#attributes.push(...statementClass.attributes);
 		}
@@ -376,16 +361,28 @@
 		return item;
 	}
 
+	#checkRefusal({refusal}: types.StatementClass): void {
+		if (refusal !== undefined) {
+			this.#refusal ??= {sqlState: notSupported, message: refusal};
+		}
+	}
+
 	#findMix(): {sqlState: string; message: string} | undefined {
-		return this.#steps.length > 0 && this.#hasRemote
-			? {sqlState: '0A000', message: mixedMessage}
+		if (this.#steps.length > 0 && this.#hasRemote) {
+			return {sqlState: notSupported, message: mixedMessage};
+		}
+
+		return classify.hasLateBegin(this.#kinds)
+			? {sqlState: notSupported, message: classify.lateBeginMessage}
 			: undefined;
 	}
 
 	/** A Sync after Flush commits what ran since the implicit transaction was opened. */
 	#chooseKind(isFlush: boolean): proxy.RequestKind {
 		const kind = classify.classifySequence(this.#kinds);
-		const wroteBefore = this.#openKinds.includes('write');
+		const wroteBefore = this.#openKinds.some(
+			(one) => one === 'write' || one === 'sessionState',
+		);
 		this.#openKinds = isFlush ? [...this.#openKinds, kind] : [];
 		return !isFlush && wroteBefore && kind === 'read' ? 'commit' : kind;
 	}
@@ -413,22 +410,5 @@
 }
 
 function createRefusal(message: string): types.Item {
-	return {type: 'refusal', sqlState: '0A000', message, isFlush: false};
-}
-
-function findRefusal(
-	statementClass: types.StatementClass,
-	text: string,
-): string | undefined {
-	if (statementClass.isCopy) {
-		return copyMessage;
-	}
-
-	if (statementClass.mixesSetting) {
-		return mixedMessage;
-	}
-
-	return replicationWords.test(text)
-		? 'the replication protocol is not supported by hemlockarch'
-		: undefined;
+	return {type: 'refusal', sqlState: notSupported, message, isFlush: false};
 }
--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -233,13 +233,26 @@
 		this.#running = undefined;
 	}
 
+	/** Passes on the parameters that the startup SET changed; an error ends the session. */
 	#finishHidden(tail: Uint8Array): void {
-		if (tail[0] === messages.codes.error) {
-			this.close(
-				messages.findErrorField(tail, 'C') ?? '22023',
-				messages.findErrorField(tail, 'M') ?? 'invalid startup parameter',
-			);
-			return;
+		const reader = new frameReader.FrameReader(tail.length);
+		reader.push(Buffer.from(tail));
+		for (
+			let message = reader.read();
+			message instanceof Buffer;
+			message = reader.read()
+		) {
+			if (message[0] === messages.codes.error) {
+				this.close(
+					messages.findErrorField(message, 'C') ?? '22023',
+					messages.findErrorField(message, 'M') ?? 'invalid startup parameter',
+				);
+				return;
+			}
+
+			if (message[0] === messages.codes.parameterStatus) {
+				this.socket.write(message);
+			}
 		}
 
 		this.#running = undefined;
--- a/src/node/caller/types.ts
+++ b/src/node/caller/types.ts
@@ -21,13 +21,12 @@
 export type StatementClass = {
 	readonly kind: proxy.RequestKind;
 	readonly isEmpty: boolean;
-	readonly isCopy: boolean;
+	/** Why the proxy does not pass the text on, if so. */
+	readonly refusal: string | undefined;
 	/** Several statements, at least one of them begins or ends a transaction. */
 	readonly mixesControl: boolean;
 	/** Set when the text is one statement on a `hemlockarch.*` setting. */
 	readonly setting: SettingStatement | undefined;
-	/** Several statements, at least one of them on a `hemlockarch.*` setting. */
-	readonly mixesSetting: boolean;
 	/** The text contains an SQL PREPARE. */
 	readonly preparesStatement: boolean;
 	/** Names and values of sqlcommenter comments, not checked yet. */
--- a/src/node/upstream/connection.ts
+++ b/src/node/upstream/connection.ts
@@ -25,6 +25,8 @@
 	readonly #prepared = new Set<string>();
 	#execution: executions.Execution | undefined;
 	#status: proxy.TransactionStatus = 'idle';
+	/** The key that the open transaction has claimed. */
+	#claimedKey: string | undefined;
 	/** A Flush request failed: the server ignores everything up to Sync. */
 	#skipsToSync = false;
 	/** ReadyForQuery messages that a reset still waits for. */
@@ -92,6 +94,7 @@
 
 		const plan = requestPlan.createPlan(
 			effect,
+			this.#needsClaim(effect),
 			this.#prepared,
 			this.limits.preparedStatements,
 		);
@@ -146,6 +149,7 @@
 		}
 
 		bytes.push(pgProtocol.serialize.query('DISCARD ALL'));
+		this.#claimedKey = undefined;
 		this.#resetAnswers = bytes.length;
 		this.#resetFailed = false;
 		this.#notifications = [];
@@ -199,6 +203,36 @@
 		this.handleGone();
 	}
 
+	/**
+	 * Only writes claim their key: a read changes nothing that could happen twice. A transaction
+	 * claims a key once, so that all its statements may carry it.
+	 */
+	#needsClaim(effect: types.Execute): boolean {
+		if (effect.claimKey === undefined || effect.kind !== 'write') {
+			return false;
+		}
+
+		return !effect.inTransaction || this.#claimedKey !== effect.claimKey;
+	}
+
+	/** Follows whether the open transaction holds a claim. */
+	#updateClaim(
+		{effect, plan}: executions.Execution,
+		outcome: Extract<proxy.ExecutionOutcome, {type: 'answered'}>,
+	): void {
+		if (outcome.transactionStatus !== 'inTransaction') {
+			this.#claimedKey = undefined;
+		} else if (plan.segments.length > 1 && effect.inTransaction) {
+			this.#claimedKey = effect.claimKey;
+		} else if (
+			this.#claimedKey !== undefined &&
+			requestPlan.mayRollBack(effect.payload)
+		) {
+			// ROLLBACK TO a savepoint may have undone the claim.
+			this.#claimedKey = undefined;
+		}
+	}
+
 	#write(parts: readonly Uint8Array[]): void {
 		const {socket} = this.#server;
 		if (parts.length === 1) {
@@ -317,6 +351,7 @@
 		this.#updatePrepared(execution);
 		if (outcome.type === 'answered') {
 			this.#status = outcome.transactionStatus;
+			this.#updateClaim(execution, outcome);
 			this.#skipsToSync =
 				plan.flushAnswers !== undefined && outcome.sqlState !== undefined;
 		}
@@ -326,6 +361,15 @@
 
 	#updatePrepared(execution: executions.Execution): void {
 		const {effect, plan} = execution;
+		if (effect.kind === 'read' && plan.bytes.length === 1) {
+			const usesNames =
+				plan.created.length + plan.removed.length > 0 ||
+				effect.payload.prepared !== undefined;
+			if (!usesNames) {
+				return;
+			}
+		}
+
 		if (effect.kind === 'sessionState') {
 			// The request may have removed statements, as DISCARD ALL and DEALLOCATE do.
 			this.#prepared.clear();
--- a/src/node/upstream/execution.ts
+++ b/src/node/upstream/execution.ts
@@ -114,18 +114,33 @@
 
 	#handleExtra(code: number, message: Buffer): void {
 		const segment = this.plan.segments[this.#segment];
-		if (code === messages.codes.error) {
-			if (segment === 'begin') {
-				this.#beginFailed = true;
-			} else if (segment === 'claim') {
-				this.#claimState = messages.findErrorField(message, 'C') ?? '';
-				this.#claimError = Buffer.from(message);
-			} else {
-				this.#commitError = Buffer.from(message);
-				this.#sqlState ??= messages.findErrorField(message, 'C') ?? '';
+		switch (code) {
+			case messages.codes.error: {
+				if (segment === 'begin') {
+					this.#beginFailed = true;
+				} else if (segment === 'claim') {
+					this.#claimState = messages.findErrorField(message, 'C') ?? '';
+					this.#claimError = Buffer.from(message);
+				} else {
+					this.#commitError = Buffer.from(message);
+					this.#sqlState ??= messages.findErrorField(message, 'C') ?? '';
+				}
+
+				break;
+			}
+
+			case messages.codes.notification: {
+				this.#keep(message, 0, message.length);
+
+				break;
+			}
+
+			case messages.codes.readyForQuery: {
+				this.#finishSegment(message[5]);
+
+				break;
 			}
-		} else if (code === messages.codes.readyForQuery) {
-			this.#finishSegment(message[5]);
+			// No default
 		}
 	}
 
--- a/src/node/upstream/request-plan.ts
+++ b/src/node/upstream/request-plan.ts
@@ -79,6 +79,20 @@
 	removed: [],
 };
 
+/** Tells whether the frames or the statements that they use contain the word ROLLBACK. */
+export function mayRollBack(payload: types.Execute['payload']): boolean {
+	return [
+		payload.frames,
+		...(payload.prepared ?? []).map(({parse}) => parse),
+	].some((bytes) =>
+		/rollback/iv.test(
+			Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString(
+				'latin1',
+			),
+		),
+	);
+}
+
 /** Names that fall out of the connection's set to make room. */
 function listOldest(
 	known: ReadonlySet<string>,
@@ -99,15 +113,23 @@
 	return oldest;
 }
 
-/** Plans one execution on a connection that has the statements `known`, oldest first. */
+/**
+ * Plans one execution on a connection that has the statements `known`, oldest first. `isClaimed`
+ * says that the request claims its key.
+ */
 export function createPlan(
 	effect: types.Execute,
+	isClaimed: boolean,
 	known: ReadonlySet<string>,
 	limit: number,
 ): RequestPlan {
 	const {payload} = effect;
 	const {frames} = payload;
 	const isSimple = frames[0] === messages.codes.query;
+	if (isSimple && !isClaimed) {
+		return {...plainPlan, bytes: [frames]};
+	}
+
 	const summary = isSimple
 		? undefined
 		: readFrames(
@@ -115,13 +137,6 @@
 			);
 	const segments: Segment[] = ['main'];
 	const bytes: Uint8Array[] = [];
-	const isClaimed =
-		effect.claimKey !== undefined &&
-		(effect.kind === 'read' || effect.kind === 'write');
-	if (isSimple && !isClaimed) {
-		return {...plainPlan, bytes: [frames]};
-	}
-
 	if (isClaimed && !effect.inTransaction) {
 		segments.unshift('begin');
 		bytes.push(begin);
@@ -129,7 +144,7 @@
 
 	if (isClaimed) {
 		segments.splice(-1, 0, 'claim');
-		bytes.push(...buildClaim(effect.claimKey));
+		bytes.push(...buildClaim(effect.claimKey ?? ''));
 	}
 
 	const missing = (payload.prepared ?? []).filter(
