Reconnect to a peer that was taken as dead and speaks again

Cause: after a partition healed, control peers held every proxy as dead and had closed their links, so proxies never heard that and never refuted; no lease was renewed and all writes were refused for good. Found by the scenario of a control VM behind a partition. Ruled out: the election and the promotion, which both completed. Before: the scenario ended with all writes refused (HK004) from 16 s on. After: it holds.

--- a/src/bench/control-stub.ts
+++ b/src/bench/control-stub.ts
@@ -65,6 +65,7 @@
 			send: options.send,
 			listener: {
 				handlePeerChange: () => undefined,
+				handleContact: () => undefined,
 				handleAnnouncement: () => true,
 				handleTemplateVersion: () => undefined,
 				listDeltas: () => [],
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -122,6 +122,13 @@
 				handlePeerChange: (state) => {
 					this.handlePeerChange(state);
 				},
+				handleContact: ({peer, address}) => {
+					this.effects.push({
+						type: 'connectPeer',
+						peer,
+						address,
+					});
+				},
 				handleAnnouncement: (announcement) =>
 					this.mergeAnnouncement(announcement),
 				handleTemplateVersion() {
--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -25,6 +25,11 @@
 /** What the owner of a `Membership` is told. */
 export type MembershipListener = {
 	handlePeerChange(state: membership.PeerState): void;
+	/**
+	 * A peer that is taken as dead sent a message. A link to it lets it hear that, so that it can
+	 * refute; without one, both sides of a healed partition would ignore each other for good.
+	 */
+	handleContact(state: membership.PeerState): void;
 	/** Returns true when the announcement was news here and must be spread on. */
 	handleAnnouncement(announcement: types.VersionedAnnouncement): boolean;
 	/** The sender knows this version of a template. */
@@ -154,6 +159,11 @@
 			this.applyDelta(delta, from, now);
 		}
 
+		const sender = this.peers.get(from)?.state;
+		if (sender?.condition === 'dead') {
+			this.options.listener.handleContact(sender);
+		}
+
 		switch (message.type) {
 			case 'ping': {
 				this.options.send(from, {
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -514,6 +514,13 @@
 				handlePeerChange: (state) => {
 					this.handlePeerChange(state);
 				},
+				handleContact: ({peer, address}) => {
+					this.context.emit({
+						type: 'connectPeer',
+						peer,
+						address,
+					});
+				},
 				handleAnnouncement: (announcement) =>
 					this.directory.mergeAnnouncement(announcement),
 				handleTemplateVersion: (member, version, from) => {
--- a/src/scenario/fleet/callers.ts
+++ b/src/scenario/fleet/callers.ts
@@ -10,13 +10,18 @@
 import type * as history from './history.js';
 import type * as proxyProcess from './proxy-process.js';
 
+/** Time until a client connects again. */
+const reconnectMs = 5;
+
 /** States that say that the request did not run. */
 const notRunStates = /^(?:HK0\d\d|28000|57014|25006)$/v;
 
 type User = {
 	readonly name: string;
 	proxy: string;
-	session: ids.SessionId;
+	/** Undefined while the user has no connection. */
+	session: ids.SessionId | undefined;
+	connection: {isCurrent: boolean};
 	token: string | undefined;
 	/** Newest acknowledged value per key. */
 	readonly own: Map<string, string>;
@@ -43,7 +48,8 @@
 		const user: User = {
 			name,
 			proxy: proxyName,
-			session: 0 as ids.SessionId,
+			session: undefined,
+			connection: {isCurrent: false},
 			token: undefined,
 			own: new Map(),
 			queue: [],
@@ -51,7 +57,7 @@
 			transaction: undefined,
 			pendingWrites: [],
 		};
-		user.session = this.openSession(user, undefined);
+		this.openSession(user, undefined);
 		this.users.set(name, user);
 	}
 
@@ -59,12 +65,9 @@
 	move(name: string, proxyName: string, keepsToken: boolean): void {
 		const user = this.getUser(name);
 		this.enqueue(user, () => {
-			this.fleet.proxies.get(user.proxy)!.closeSession(user.session);
+			this.disconnect(user);
 			user.proxy = proxyName;
-			user.session = this.openSession(
-				user,
-				keepsToken ? user.token : undefined,
-			);
+			this.openSession(user, keepsToken ? user.token : undefined);
 			this.finish(user);
 		});
 	}
@@ -72,7 +75,7 @@
 	/** The user's connection vanishes, whatever is in flight. */
 	vanish(name: string): void {
 		const user = this.getUser(name);
-		this.fleet.proxies.get(user.proxy)!.closeSession(user.session);
+		this.disconnect(user);
 		user.queue.length = 0;
 	}
 
@@ -131,6 +134,13 @@
 		});
 	}
 
+	private disconnect(user: User): void {
+		user.connection.isCurrent = false;
+		if (user.session !== undefined) {
+			this.fleet.proxies.get(user.proxy)!.closeSession(user.session);
+		}
+	}
+
 	private handleWriteAnswer(
 		user: User,
 		record: history.WriteRecord,
@@ -200,12 +210,11 @@
 		attributes: proxy.RequestAttributes,
 		callback: (answer: proxyProcess.CallerAnswer) => void,
 	): void {
-		const {session} = user;
 		let isAnswered = false;
 		this.unanswered++;
 		this.fleet.proxies
 			.get(user.proxy)!
-			.send(session, statement, attributes, (answer) => {
+			.send(user.session!, statement, attributes, (answer) => {
 				if (isAnswered) {
 					this.wrongAnswers++;
 					return;
@@ -218,7 +227,7 @@
 			});
 	}
 
-	/** A client whose connection broke connects again, to any proxy that lives. */
+	/** A client whose connection broke connects again, through the load balancer. */
 	private reconnect(user: User): void {
 		for (const record of user.pendingWrites) {
 			record.outcome = 'unknown';
@@ -226,53 +235,71 @@
 
 		user.pendingWrites = [];
 		user.transaction = undefined;
-		const live = [...this.fleet.proxies].find(
-			([, process]) => process.condition === 'up',
+		user.session = undefined;
+		this.fleet.timeline.schedule(reconnectMs, () => {
+			this.tryConnect(user);
+		});
+	}
+
+	private tryConnect(user: User): void {
+		const ready = [...this.fleet.proxies].find(
+			([, process]) => process.condition === 'up' && process.isReady,
 		);
-		if (live) {
-			[user.proxy] = live;
-			user.session = this.openSession(user, undefined);
+		if (!ready) {
+			this.fleet.timeline.schedule(reconnectMs, () => {
+				this.tryConnect(user);
+			});
+			return;
+		}
+
+		[user.proxy] = ready;
+		this.openSession(user, undefined);
+		if (!user.isBusy) {
+			this.startNext(user);
 		}
 	}
 
-	private openSession(user: User, token: string | undefined): ids.SessionId {
+	private openSession(user: User, token: string | undefined): void {
 		const position =
 			token === undefined
 				? undefined
 				: positions.parsePosition(token).unwrapOr(undefined);
-		const session: ids.SessionId = this.fleet.proxies
-			.get(user.proxy)!
-			.openSession(
-				{
-					member: this.fleet.member,
-					group: this.fleet.group,
-					...(position ? {token: position} : {}),
-				},
-				() => {
-					if (user.session === session) {
-						this.reconnect(user);
-					}
-				},
-			);
-		return session;
+		const connection = {isCurrent: true};
+		user.connection.isCurrent = false;
+		user.connection = connection;
+		user.session = this.fleet.proxies.get(user.proxy)!.openSession(
+			{
+				member: this.fleet.member,
+				group: this.fleet.group,
+				...(position ? {token: position} : {}),
+			},
+			() => {
+				if (connection.isCurrent) {
+					connection.isCurrent = false;
+					this.reconnect(user);
+				}
+			},
+		);
+		if (!connection.isCurrent) {
+			user.session = undefined;
+		}
 	}
 
 	private enqueue(user: User, run: () => void): void {
-		if (user.isBusy) {
-			user.queue.push(run);
-		} else {
-			user.isBusy = true;
-			run();
+		user.queue.push(run);
+		if (!user.isBusy) {
+			this.startNext(user);
 		}
 	}
 
+	private startNext(user: User): void {
+		const next = user.session === undefined ? undefined : user.queue.shift();
+		user.isBusy = next !== undefined;
+		next?.();
+	}
+
 	private finish(user: User): void {
-		const next = user.queue.shift();
-		if (next) {
-			next();
-		} else {
-			user.isBusy = false;
-		}
+		this.startNext(user);
 	}
 
 	private getUser(name: string): User {
--- a/src/scenario/fleet/fleet-types.ts
+++ b/src/scenario/fleet/fleet-types.ts
@@ -20,6 +20,8 @@
 };
 
 export type FleetProxy = FleetProcess & {
+	/** What the load balancer reads. */
+	readonly isReady: boolean;
 	/** Version of the template in force; 0 without one. */
 	readonly templateVersion: number;
 	/** What its requests reported: role of the server that answered. */
--- a/src/scenario/fleet/naive-fleet.ts
+++ b/src/scenario/fleet/naive-fleet.ts
@@ -58,6 +58,7 @@
 }
 
 class NaiveProxy extends NaiveProcess implements fleetTypes.FleetProxy {
+	readonly isReady = true;
 	readonly records: proxy.RequestRecord[] = [];
 	private nextSession = 1;
 	private nextReplica = 0;
--- a/src/scenario/fleet/scripted-control.ts
+++ b/src/scenario/fleet/scripted-control.ts
@@ -114,6 +114,9 @@
 				handlePeerChange: ({peer}) => {
 					this.links.connect(this.peer, peer);
 				},
+				handleContact: ({peer}) => {
+					this.links.connect(this.peer, peer);
+				},
 				handleAnnouncement: (announcement) => {
 					const known = this.announcements.get(announcement.server);
 					const isNews = (known?.version ?? 0) < announcement.version;
