Drop queued requests that would probably end late

The queue dropped a request only when even a fast run (mean - 2 deviations) would be late, so many slots ran work that ended after its deadline. The mean service time is the threshold now.

--- a/src/common/policy/admission.ts
+++ b/src/common/policy/admission.ts
@@ -245,7 +245,7 @@
 	#expireQueued(now: number): void {
 		for (;;) {
 			const node = this.#deadlines.first;
-			if (!node || node.deadlineAt > now + node.flow.service.lowMs) {
+			if (!node || node.deadlineAt > now + node.flow.service.meanMs) {
 				return;
 			}
 
