Let reads wait up to 275 ms for a fresh replica

At a lag of 200 ms, evidence that a replica holds a write reaches the entries 250 to 400 ms after it, so a wait of 50 ms never helped. The wait is no longer bound to the price of a primary read, which also decides between fresh servers and has to stay small there.

The price is latency of the reads that follow a write closely.

--- a/src/common/policy/routing.ts
+++ b/src/common/policy/routing.ts
@@ -28,10 +28,14 @@
 const minWaitStepMs = 2;
 
 /** Share of the remaining time that a read may spend on waiting for a replica. */
-const maxWaitShare = 0.25;
+const maxWaitShare = 0.3;
 
-/** Longest total wait for a replica. */
-const maxFreshnessWaitMs = 50;
+/**
+ * A read waits this long for a replica rather than use the primary, and longer when the primary is
+ * slower. At a lag of 200 ms, evidence of a write reaches the entries after 250 to 400 ms; below
+ * about 260 ms most reads that follow a write closely went to the primary.
+ */
+const maxFreshnessWaitMs = 275;
 
 /** A report older than this says nothing about the present wait. */
 const maxReportAgeMs = 1000;
@@ -130,9 +134,8 @@
 			now,
 		);
 		const limitMs = Math.min(
-			this.#options.maxFreshnessWaitMs,
+			Math.max(this.#options.maxFreshnessWaitMs, best?.costMs ?? Infinity),
 			request.remainingMs * maxWaitShare,
-			best?.costMs ?? Infinity,
 		);
 		if (delayMs <= limitMs) {
 			return {
