Add the safety search and fix the faults that it found

The search runs 3 and 5 reducers over the fake network and disk with loss, duplication, reordering, cut links, crashes, power losses, frozen processes, lost disks and voter changes, then ends the faults and expects the group to recover.

Found and fixed in the reducer: - A new leader sent its first entry only with the next heartbeat, up to 75 ms late. - A leader that removed itself and lost contact before the removal was committed no longer campaigned, although no other peer could win; the group stood still. It now takes part until the removal is committed, and a later leadership does not end before that.

Corrected in the search itself: the check that a leader has all committed entries counted entries of later terms, which a leader of an earlier term that wins late need not have; and the disk fake delayed each queued write after the one before, so that a queue took minutes instead of one sync.

--- a/src/common/consensus/consensus.ts
+++ b/src/common/consensus/consensus.ts
@@ -55,7 +55,10 @@
 		const {stored, faults} = options;
 		this.#options = options;
 		this.#log = new log.Log(stored, options.initialVoters);
-		this.#writes = new writeQueue.WriteQueue(this.#log.lastIndex);
+		this.#writes = new writeQueue.WriteQueue(
+			this.#log.lastIndex,
+			faults?.isWriteOrderOff ?? false,
+		);
 		this.#commits = new commits.Commits(this.#log);
 		this.#joining = new joining.Joining({
 			peer: options.peer,
@@ -194,7 +197,9 @@
 			if (this.#leadership.hasLostQuorum(this.#now)) {
 				this.#stopLeading();
 			}
-		} else if (this.#voting.isCampaignDue(this.#now, random)) {
+		} else if (
+			this.#voting.isCampaignDue(this.#now, random, this.commitIndex)
+		) {
 			this.#leader = undefined;
 			this.#tryLead(this.#voting.startCampaign(this.#now));
 		}
@@ -433,10 +438,6 @@
 	}
 
 	#sendAfterWrites(to: ids.PeerId, message: types.ConsensusMessage): void {
-		if (this.#options.faults?.isWriteOrderOff) {
-			this.#send(to, message);
-		} else {
-			this.#writes.addDependent({type: 'send', to, message});
-		}
+		this.#writes.addDependent({type: 'send', to, message});
 	}
 }
--- a/src/common/consensus/fake-network.ts
+++ b/src/common/consensus/fake-network.ts
@@ -13,6 +13,11 @@
 /** Creates a generator that returns the same numbers for the same seed. */
 export function makeRandom(seed: number): Random {
 	const generator = xoroshiro.xoroshiro128plus(seed);
+	// The first numbers of neighbouring seeds are alike.
+	for (let skipped = 0; skipped < 32; skipped++) {
+		uniformFloat.uniformFloat32(generator);
+	}
+
 	return () => uniformFloat.uniformFloat32(generator);
 }
 
@@ -45,6 +50,7 @@
 	readonly #random: Random;
 	#deliveries: Array<Delivery<Message>> = [];
 	#sides: ReadonlyArray<ReadonlySet<ids.PeerId>> = [];
+	readonly #cutLinks = new Set<string>();
 
 	constructor(random: Random) {
 		this.#random = random;
@@ -55,6 +61,15 @@
 		this.#sides = sides.map((side) => new Set(side));
 	}
 
+	/** Cuts or heals what one peer sends to another. */
+	setLinkCut(from: ids.PeerId, to: ids.PeerId, isCut: boolean): void {
+		if (isCut) {
+			this.#cutLinks.add(`${from}>${to}`);
+		} else {
+			this.#cutLinks.delete(`${from}>${to}`);
+		}
+	}
+
 	send(now: number, from: ids.PeerId, to: ids.PeerId, message: Message): void {
 		const {lossRate, duplicateRate, minDelayMs, maxDelayMs} = this.faults;
 		if (this.#random() < lossRate) {
@@ -81,7 +96,10 @@
 	}
 
 	#isCut(from: ids.PeerId, to: ids.PeerId): boolean {
-		return this.#sides.some((side) => side.has(from) !== side.has(to));
+		return (
+			this.#cutLinks.has(`${from}>${to}`) ||
+			this.#sides.some((side) => side.has(from) !== side.has(to))
+		);
 	}
 }
 
@@ -126,9 +144,10 @@
 	}
 
 	write(now: number, write: number, data: types.StorageWrite<Command>): void {
-		const earliest = Math.max(now, this.#pending.at(-1)?.at ?? now);
-		const at = earliest + this.#random() * this.maxDelayMs;
-		this.#pending.push({write, data, at});
+		// Writes share syncs, so that a queue of them takes no longer than the slowest.
+		const at = now + this.#random() * this.maxDelayMs;
+		const previous = this.#pending.at(-1)?.at ?? at;
+		this.#pending.push({write, data, at: Math.max(at, previous)});
 	}
 
 	/** Syncs the writes that are done by now and returns their numbers. */
--- a/src/common/consensus/leadership.ts
+++ b/src/common/consensus/leadership.ts
@@ -24,14 +24,17 @@
 	/** Incarnations of peers without state that asked to be added anew. */
 	readonly #lost = new Map<ids.PeerId, number>();
 	readonly #firstIndex: number;
-	#changeIndex = 0;
+	#changeIndex: number;
 	#target: readonly ids.PeerId[] | undefined;
 
 	constructor(options: LeadershipOptions<Command>, now: number) {
 		this.#options = options;
+		// Replication begins with the entry below, so that it is sent in the same step.
+		this.#replication = new replication.Replication(options, now);
 		// Earlier entries count as committed only together with one of the leader's own term.
 		this.#firstIndex = this.#append({type: 'noop'});
-		this.#replication = new replication.Replication(options, now);
+		// Any change of an earlier leader comes before this entry and is committed with it.
+		this.#changeIndex = this.#firstIndex;
 	}
 
 	addProposal(proposal: number, command: Command): void {
@@ -91,7 +94,7 @@
 
 	/** Makes the next change of the voters when the last one is committed, and sends new entries. */
 	sendChanges(now: number, commitIndex: number): void {
-		if (commitIndex >= Math.max(this.#firstIndex, this.#changeIndex)) {
+		if (commitIndex >= this.#changeIndex) {
 			this.#tryChange(commitIndex);
 		}
 
--- a/src/common/consensus/log.ts
+++ b/src/common/consensus/log.ts
@@ -27,7 +27,7 @@
 		this.#snapshot = stored.snapshot;
 		this.#entries = [...stored.entries];
 		this.#initial = {voters: initialVoters, learners: []};
-		this.#configuration = this.#findConfiguration(this.lastIndex);
+		this.#configuration = this.getConfiguration(this.lastIndex);
 	}
 
 	get snapshot(): types.Snapshot | undefined {
@@ -98,7 +98,7 @@
 	/** Removes the entries from `from` on. */
 	removeFrom(from: number): void {
 		this.#entries.length = from - this.baseIndex - 1;
-		this.#configuration = this.#findConfiguration(this.lastIndex);
+		this.#configuration = this.getConfiguration(this.lastIndex);
 	}
 
 	/** Replaces everything up to the snapshot; entries after it stay when they continue it. */
@@ -108,7 +108,7 @@
 			? this.#entries.slice(snapshot.index - this.baseIndex)
 			: [];
 		this.#snapshot = snapshot;
-		this.#configuration = this.#findConfiguration(this.lastIndex);
+		this.#configuration = this.getConfiguration(this.lastIndex);
 	}
 
 	/** Builds a snapshot at a committed index above the present one. */
@@ -116,7 +116,7 @@
 		return {
 			index,
 			term: this.getTerm(index)!,
-			...this.#findConfiguration(index),
+			...this.getConfiguration(index),
 			state,
 		};
 	}
@@ -139,7 +139,8 @@
 		);
 	}
 
-	#findConfiguration(index: number): Configuration {
+	/** Returns the configuration that was in force at an index at or above the snapshot's. */
+	getConfiguration(index: number): Configuration {
 		for (let at = index; at > this.baseIndex; at--) {
 			const {payload} = this.getEntry(at)!;
 			if (payload.type === 'voters') {
--- /dev/null
+++ b/src/common/consensus/membership.test.ts
@@ -0,0 +1,182 @@
+import tap from 'tap';
+import type * as ids from '../ids.js';
+import type * as types from './types.js';
+import * as simulation from './simulation.js';
+import * as timing from './timing.js';
+
+const [a, b, c, d] = ['a', 'b', 'c', 'd'] as ids.PeerId[];
+
+function makeGroup(
+	peers: ids.PeerId[],
+	initialVoters = peers,
+): simulation.Simulation {
+	const group = new simulation.Simulation({peers, initialVoters, seed: 3});
+	group.run(1500);
+	return group;
+}
+
+function proposeMany(group: simulation.Simulation, count: number): void {
+	for (let proposed = 0; proposed < count; proposed++) {
+		group.propose(group.leader!);
+	}
+}
+
+function getFollowers(
+	group: simulation.Simulation,
+): simulation.SimulatedPeer[] {
+	const {leader} = group;
+	return group.peers.filter((peer) => peer !== leader);
+}
+
+/** Hands every message that is sent from now on to an observer. */
+function observeMessages(
+	group: simulation.Simulation,
+	observe: (message: types.ConsensusMessage) => void,
+): void {
+	const {network} = group;
+	const send = network.send.bind(network);
+	network.send = (now, from, to, message) => {
+		observe(message);
+		send(now, from, to, message);
+	};
+}
+
+/** Collects the configurations that the leaders append, each as `voters+learners`. */
+function collectChanges(group: simulation.Simulation): Set<string> {
+	const changes = new Set<string>();
+	observeMessages(group, (message) => {
+		for (const {payload} of message.type === 'append' ? message.entries : []) {
+			if (payload.type === 'voters') {
+				const {voters, learners = []} = payload;
+				changes.add(`${voters.toSorted().join('')}+${learners.join('')}`);
+			}
+		}
+	});
+	return changes;
+}
+
+// Guards against a peer that votes with the identity that it lost with its disk.
+tap.test('lost disk does not vote', async (t) => {
+	const group = makeGroup([a, b, c]);
+	proposeMany(group, 5);
+	group.run(200);
+	const old = group.leader!;
+	const [lost, other] = getFollowers(group) as [
+		simulation.SimulatedPeer,
+		simulation.SimulatedPeer,
+	];
+	group.crash(lost, 0);
+	group.clearDisk(lost);
+	group.crash(old, 4000);
+	group.run(3000);
+	t.ok(lost.process?.isJoining);
+	t.equal(group.leader, undefined, 'one voter with state is no majority');
+	group.run(4000);
+	t.ok(group.leader);
+	t.notOk(lost.process?.isJoining);
+	t.equal(lost.machine.index, other.machine.index);
+});
+
+// Guards against a returning peer that counts before it caught up, or two changes at once.
+tap.test('lost disk is added anew', async (t) => {
+	const group = makeGroup([a, b, c]);
+	proposeMany(group, 5);
+	group.run(200);
+	const changes = collectChanges(group);
+	const lost = getFollowers(group)[0];
+	const rest = [a, b, c].filter((peer) => peer !== lost.id).join('');
+	group.crash(lost, 0);
+	group.clearDisk(lost);
+	group.run(2000);
+	t.same([...changes], [`${rest}+${lost.id}`, 'abc+']);
+	t.notOk(lost.process?.isJoining);
+	t.same(lost.machine, group.leader!.machine);
+	t.match(lost.disk.load().hardState, {votedFor: group.leader!.id});
+});
+
+// Guards against peers of an old group that found a second one next to it.
+tap.test('lost majority does not found a group', async (t) => {
+	const group = makeGroup([a, b, c]);
+	proposeMany(group, 5);
+	group.run(200);
+	for (const peer of getFollowers(group)) {
+		group.crash(peer, 0);
+		group.clearDisk(peer);
+	}
+
+	group.run(5000);
+	t.equal(group.leader, undefined);
+	const joining = group.peers.filter((peer) => peer.process?.isJoining);
+	t.equal(joining.length, 2);
+});
+
+// Guards against voter changes that are not made one by one, or a removed leader that stays.
+tap.test('voters change one by one', async (t) => {
+	const group = makeGroup([a, b, c, d], [a, b, c]);
+	const changes = collectChanges(group);
+	const old = group.leader!;
+	const wanted = [a, b, c, d].filter((peer) => peer !== old.id);
+	group.changeVoters(old, wanted);
+	group.run(3000);
+	t.same([...changes], ['abc+d', 'abcd+', `${wanted.join('')}+`]);
+	t.not(group.leader?.id, old.id);
+	t.same(group.leader?.process?.voters.toSorted(), wanted);
+	proposeMany(group, 1);
+	group.run(200);
+	t.equal(group.checks.appliedCount, 1);
+});
+
+// Guards against a removal that only the removed peer could commit and that it gives up.
+tap.test('removed leader commits its removal', async (t) => {
+	const group = makeGroup([a, b]);
+	const old = group.leader!;
+	const other = getFollowers(group)[0];
+	group.network.setLinkCut(old.id, other.id, true);
+	group.changeVoters(old, [other.id]);
+	group.run(1500);
+	t.not(old.process?.role, 'leader', 'it cannot reach the other voter');
+	group.network.setLinkCut(old.id, other.id, false);
+	group.run(3000);
+	t.equal(group.leader, other);
+	t.same(other.process?.voters, [other.id]);
+});
+
+// Guards against a peer that needs entries which the leader has cut off.
+tap.test('snapshot reaches a peer that is behind', async (t) => {
+	const group = makeGroup([a, b, c]);
+	const behind = getFollowers(group)[0];
+	const others = [a, b, c].filter((peer) => peer !== behind.id);
+	group.network.setPartition([[behind.id], others]);
+	proposeMany(group, 50);
+	group.run(500);
+	group.storeSnapshot(group.leader!);
+	const types = new Set<string>();
+	observeMessages(group, ({type}) => {
+		types.add(type);
+	});
+	group.network.setPartition([]);
+	group.run(1500);
+	t.ok(types.has('installSnapshot'));
+	t.same(behind.machine, group.leader?.machine);
+	t.ok(behind.disk.load().snapshot);
+	group.crash(behind, 0);
+	group.run(1000);
+	t.same(behind.machine, group.leader?.machine, 'also after a restart');
+});
+
+// Guards against appends that grow with the length of the log.
+tap.test('appends are bounded', async (t) => {
+	const group = makeGroup([a, b, c]);
+	let largest = 0;
+	let messages = 0;
+	observeMessages(group, (message) => {
+		const count = message.type === 'append' ? message.entries.length : 0;
+		largest = Math.max(largest, count);
+		messages += count > 0 ? 1 : 0;
+	});
+	proposeMany(group, 1000);
+	group.run(500);
+	t.equal(group.checks.appliedCount, 1000);
+	t.equal(largest, timing.maxAppendEntries);
+	t.ok(messages < 100, 'entries share messages');
+});
--- a/src/common/consensus/safety-checks.ts
+++ b/src/common/consensus/safety-checks.ts
@@ -15,7 +15,8 @@
 type Peer = {
 	readonly id: ids.PeerId;
 	readonly machine: Machine;
-	readonly process: {readonly lastIndex: number} | undefined;
+	readonly process:
+		{readonly lastIndex: number; readonly term: number} | undefined;
 };
 
 /** A safety property did not hold. */
@@ -30,6 +31,8 @@
 	readonly #leaders = new Map<number, ids.PeerId>();
 	readonly #applied = new Set<number>();
 	readonly #refused = new Set<number>();
+	/** Highest index that was applied by a peer of each term; it was committed in that term or before. */
+	readonly #highestIndexes = new Map<number, number>();
 	#highestIndex = 0;
 
 	/** Number of distinct commands that were applied. */
@@ -63,7 +66,11 @@
 		}
 
 		this.#digests.set(entry.index, digest);
-		this.#highestIndex = Math.max(this.#highestIndex, entry.index);
+		if (entry.index > this.#highestIndex) {
+			this.#highestIndex = entry.index;
+			this.#highestIndexes.set(peer.process!.term, entry.index);
+		}
+
 		this.#recordCommand(entry, proposal, now);
 		return {index: entry.index, digest};
 	}
@@ -96,7 +103,7 @@
 		}
 	}
 
-	/** A term has one leader, and a new leader's log reaches the last committed entry. */
+	/** A term has one leader, and its log reaches the last entry that was committed in an earlier term. */
 	checkRole(
 		peer: Peer,
 		effect: Extract<types.ConsensusEffect, {type: 'roleChanged'}>,
@@ -114,7 +121,11 @@
 		}
 
 		this.#leaders.set(effect.term, peer.id);
-		if (peer.process!.lastIndex < this.#highestIndex) {
+		const earlier = [...this.#highestIndexes].filter(
+			([term]) => term < effect.term,
+		);
+		const committed = Math.max(0, ...earlier.map(([, index]) => index));
+		if (peer.process!.lastIndex < committed) {
 			throw new SafetyViolation(
 				`${now}: ${peer.id} leads term ${effect.term} without committed entries`,
 			);
--- a/src/common/consensus/simulation.ts
+++ b/src/common/consensus/simulation.ts
@@ -56,6 +56,8 @@
 		Array<{from: ids.PeerId; message: types.ConsensusMessage}>
 	>();
 
+	/** Peers whose disk was lost and that are not voters again yet. */
+	readonly #cleared = new Set<SimulatedPeer>();
 	#incarnation = 0;
 	#proposal = 0;
 
@@ -131,6 +133,17 @@
 		this.#queued.delete(peer.id);
 	}
 
+	/** Loses the disk of a stopped peer. */
+	clearDisk(peer: SimulatedPeer): void {
+		peer.disk.clear();
+		this.#cleared.add(peer);
+	}
+
+	/** Tells whether a peer has all that it may have lost with its disk. */
+	isRepaired(peer: SimulatedPeer): boolean {
+		return !this.#cleared.has(peer);
+	}
+
 	start(peer: SimulatedPeer): void {
 		this.#incarnation++;
 		peer.machine = safetyChecks.initialMachine;
@@ -205,6 +218,10 @@
 			peer.nextTickAt = this.now + tickMs;
 			this.step(peer, {type: 'tick', now, random: this.random()});
 		}
+
+		if (peer.disk.load().hardState.term > 0) {
+			this.#cleared.delete(peer);
+		}
 	}
 
 	#applyEffect(
--- a/src/common/consensus/voting.ts
+++ b/src/common/consensus/voting.ts
@@ -67,13 +67,17 @@
 		this.#election.resetTimer(now);
 	}
 
-	/** Tells whether it is time to become a candidate. */
-	isCampaignDue(now: number, random: number): boolean {
+	/**
+	 * Tells whether it is time to become a candidate. A peer whose removal is not committed yet
+	 * goes on taking part, because it may be the only one that can still commit it.
+	 */
+	isCampaignDue(now: number, random: number, commitIndex: number): boolean {
 		const {joining: joiningPeer, log: target, self} = this.#context;
 		return (
 			this.#election.isDue(now, random) &&
 			!joiningPeer.isPending &&
-			target.configuration.voters.includes(self)
+			(target.configuration.voters.includes(self) ||
+				target.getConfiguration(commitIndex).voters.includes(self))
 		);
 	}
 
--- a/src/common/consensus/write-queue.ts
+++ b/src/common/consensus/write-queue.ts
@@ -34,8 +34,15 @@
 	#outstanding: Outstanding[] = [];
 	#syncedIndex: number;
 
-	constructor(syncedIndex: number) {
+	readonly #isOrderOff: boolean;
+
+	/**
+	 * @param syncedIndex - The last log index on disk.
+	 * @param isOrderOff - Fault injection: takes every write for synced at once.
+	 */
+	constructor(syncedIndex: number, isOrderOff: boolean) {
 		this.#syncedIndex = syncedIndex;
+		this.#isOrderOff = isOrderOff;
 	}
 
 	/** The last log index that is synced. */
@@ -87,6 +94,12 @@
 		const data = this.#batch;
 		this.#batchDependents = [];
 		this.#batch = undefined;
+		if (data && this.#isOrderOff) {
+			this.#lastWrite++;
+			this.#syncedIndex = lastIndex;
+			return {write: {number: this.#lastWrite, data}, ready: dependents};
+		}
+
 		if (data) {
 			this.#lastWrite++;
 			this.#outstanding.push({
