--- /dev/null
+++ b/scripts/quickstart/cluster.mjs
@@ -0,0 +1,280 @@
+/**
+ * Starts the processes of the quickstart on loopback and stops them again. Only scripts start
+ * processes; daemons never do.
+ */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import process from 'node:process';
+
+const program = path.join('dist', 'cli', 'main.js');
+const dataCentres = ['khomas-a', 'erongo-a', 'otjo-a'];
+const regions = ['khomas', 'erongo', 'otjozondjupa'];
+const stopLimitMs = 40_000;
+
+/** Asks the system for free ports and gives them back for the processes. */
+async function reservePorts(count) {
+	const servers = await Promise.all(
+		Array.from(
+			{length: count},
+			async () =>
+				new Promise((resolve, reject) => {
+					const server = net.createServer();
+					server.once('error', reject);
+					server.listen(0, '127.0.0.1', () => {
+						resolve(server);
+					});
+				}),
+		),
+	);
+	const ports = servers.map((server) => server.address().port);
+	await Promise.all(
+		servers.map(
+			async (server) =>
+				new Promise((resolve) => {
+					server.close(resolve);
+				}),
+		),
+	);
+	return ports;
+}
+
+/** Resolves when `check` resolves with a truthy value; rejects after the limit. */
+export async function waitFor(what, limitMs, check) {
+	const end = Date.now() + limitMs;
+	for (;;) {
+		try {
+			const value = await check();
+			if (value) {
+				return value;
+			}
+		} catch {
+			// Not ready yet.
+		}
+
+		if (Date.now() > end) {
+			throw new Error(`${what} did not happen within ${limitMs / 1000} s`);
+		}
+
+		await new Promise((resolve) => {
+			setTimeout(resolve, 20);
+		});
+	}
+}
+
+export class Cluster {
+	/** Running child processes by name. */
+	children = new Map();
+	/** Ports by name of the process. */
+	ports = new Map();
+
+	/**
+	 * @param options - `controls`, `proxies`: how many; `log`: level of the daemons;
+	 * `standIn`: further arguments of the stand-ins.
+	 */
+	constructor(options) {
+		this.options = options;
+		this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'hemlockarch-'));
+	}
+
+	/** Starts control peers and proxies, then one group of three stand-ins. */
+	async start() {
+		const {controls, proxies} = this.options;
+		for (let index = 1; index <= controls; index++) {
+			const [peers, http] = await reservePorts(2);
+			this.ports.set(`control-${index}`, {peers, http});
+		}
+
+		for (let index = 1; index <= proxies; index++) {
+			const [callers, peers, http] = await reservePorts(3);
+			this.ports.set(`proxy-${index}`, {callers, peers, http});
+		}
+
+		for (const name of this.ports.keys()) {
+			this.startDaemon(name);
+		}
+
+		const first = await this.startStandIn(1, undefined);
+		for (const index of [2, 3]) {
+			await this.startStandIn(index, first.port);
+		}
+	}
+
+	startDaemon(name) {
+		const [role, index] = name.split('-');
+		const file = path.join(this.folder, `${name}.ini`);
+		fs.writeFileSync(file, this.formatSettings(name, role, Number(index) - 1));
+		this.startProcess(name, [role, '--settings', file]);
+	}
+
+	async startStandIn(index, primaryPort) {
+		const name = `ledger-${index}`;
+		const announce = [...this.ports]
+			.filter(([other]) => other.startsWith('proxy'))
+			.flatMap(([, {http}]) => ['--announce', `127.0.0.1:${http}`]);
+		const child = this.startProcess(name, [
+			'stand-in',
+			'--json',
+			'--group',
+			'bloom-ledger',
+			'--server',
+			name,
+			'--data-centre',
+			dataCentres[index - 1],
+			...(primaryPort === undefined
+				? []
+				: ['--primary', `ledger-1@127.0.0.1:${primaryPort}`]),
+			...(this.options.standIn ?? []),
+			...announce,
+		]);
+		const line = await readLine(child.stdout);
+		const ports = JSON.parse(line);
+		this.ports.set(name, {callers: ports.port, control: ports.controlPort});
+		return ports;
+	}
+
+	/** Kills a process without warning. */
+	async kill(name) {
+		const child = this.children.get(name);
+		this.children.delete(name);
+		const ended = waitForEnd(child);
+		child.kill('SIGKILL');
+		await ended;
+	}
+
+	signal(name, signal) {
+		this.children.get(name).kill(signal);
+	}
+
+	async readStatus(name) {
+		const {http} = this.ports.get(name);
+		const response = await fetch(`http://127.0.0.1:${http}/status`);
+		return response.json();
+	}
+
+	async isReady(name) {
+		const {http} = this.ports.get(name);
+		const response = await fetch(`http://127.0.0.1:${http}/health`);
+		return response.status === 200;
+	}
+
+	/** Runs the command-line client; resolves with its exit code and output. */
+	async runClient(args) {
+		const child = childProcess.spawn(process.execPath, [program, ...args], {
+			stdio: ['ignore', 'pipe', 'pipe'],
+		});
+		let output = '';
+		child.stdout.on('data', (data) => {
+			output += data;
+		});
+		child.stderr.on('data', (data) => {
+			output += data;
+		});
+		const code = await waitForEnd(child);
+		return {code, output};
+	}
+
+	/** Stops everything; resolves with the exit codes by name. */
+	async stop() {
+		const codes = new Map();
+		const order = ['proxy', 'control', 'ledger'];
+		for (const prefix of order) {
+			await Promise.all(
+				[...this.children]
+					.filter(([name]) => name.startsWith(prefix))
+					.map(async ([name, child]) => {
+						codes.set(name, await stopChild(child));
+					}),
+			);
+		}
+
+		this.children.clear();
+		fs.rmSync(this.folder, {recursive: true, force: true});
+		return codes;
+	}
+
+	startProcess(name, args) {
+		const logFile = fs.openSync(path.join(this.folder, `${name}.log`), 'a');
+		const child = childProcess.spawn(process.execPath, [program, ...args], {
+			stdio: ['ignore', 'pipe', logFile],
+		});
+		fs.closeSync(logFile);
+		this.children.set(name, child);
+		return child;
+	}
+
+	formatSettings(name, role, index) {
+		const ports = this.ports.get(name);
+		const peers = [...this.ports]
+			.filter(([other]) => other.startsWith('control'))
+			.map(([other, {peers: port}]) => `${other}@127.0.0.1:${port}`)
+			.join(', ');
+		const lines = [
+			'[process]',
+			`id = ${name}`,
+			`role = ${role}`,
+			`vm = entry-${index + 1}`,
+			`data_centre = ${dataCentres[index % 3]}`,
+			`region = ${regions[index % 3]}`,
+			...(role === 'control'
+				? [`data_folder = ${path.join(this.folder, name)}`]
+				: []),
+			'[listen]',
+			'address = 127.0.0.1',
+			...(role === 'proxy' ? [`callers_port = ${ports.callers}`] : []),
+			`peers_port = ${ports.peers}`,
+			`http_port = ${ports.http}`,
+			'[control]',
+			`peers = ${peers}`,
+			'[limits]',
+			'drain_deadline_s = 10',
+			'[log]',
+			`level = ${this.options.log ?? 'info'}`,
+			'format = text',
+		];
+		return `${lines.join('\n')}\n`;
+	}
+}
+
+async function readLine(stream) {
+	return new Promise((resolve, reject) => {
+		let text = '';
+		stream.setEncoding('utf8');
+		stream.on('data', (data) => {
+			text += data;
+			const end = text.indexOf('\n');
+			if (end !== -1) {
+				resolve(text.slice(0, end));
+			}
+		});
+		stream.once('close', () => {
+			reject(new Error('the process ended before it was ready'));
+		});
+	});
+}
+
+async function waitForEnd(child) {
+	if (child.exitCode !== null || child.signalCode !== null) {
+		return child.exitCode ?? child.signalCode;
+	}
+
+	return new Promise((resolve) => {
+		child.once('exit', (code, signal) => {
+			resolve(code ?? signal);
+		});
+	});
+}
+
+async function stopChild(child) {
+	const ended = waitForEnd(child);
+	child.kill('SIGCONT');
+	child.kill('SIGTERM');
+	const timer = setTimeout(() => {
+		child.kill('SIGKILL');
+	}, stopLimitMs);
+	const code = await ended;
+	clearTimeout(timer);
+	return code;
+}
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -79,6 +79,7 @@
 		this.finishDrain = () => {
 			drained.resolve(undefined);
 		};
+
 		this.reducer = this.createReducer(incarnation);
 		this.driver = new proxyDriver.ProxyDriver(this.reducer, () => {
 			this.finishDrain();
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -179,7 +179,7 @@
 			if (server.isRunning && live.length > 0) {
 				live[
 					(index + Math.floor(this.timeline.now / 1000)) % live.length
-				]!.announce(server);
+				].announce(server);
 			}
 		}
 	}
--- a/src/scenario/fleet/history.ts
+++ b/src/scenario/fleet/history.ts
@@ -129,7 +129,7 @@
 		for (const server of servers) {
 			const log = server.log.map(({value}) => value);
 			for (const values of transactions.values()) {
-				const first = log.indexOf(values[0]!);
+				const first = log.indexOf(values[0]);
 				const isWhole =
 					first !== -1 &&
 					values.every((value, index) => log[first + index] === value);
