Add the control daemon's core and the calls to database servers

Cause: the control reducer had no driver. `startControl` connects it to storage, peer links, the `pg` client and an injected HTTP listener; all adapters come from outside, so that tests run three daemons in one process. A failed write stops the daemon, because the content of the disk is not known afterwards. During a planned change the holder of the write lease now gets no grants until it released, for at most 600 ms. Ruled out: a grant without the write term, which cuts off the writes in flight.

--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -172,7 +172,7 @@
 
 	#sendGrant(now: number, peer: ids.PeerId): void {
 		const proxy = this.table.proxies.get(peer);
-		if (proxy) {
+		if (proxy && !this.table.isReleasingWrite(now, peer)) {
 			const message = grants.buildGrant(
 				now,
 				this.table,
--- a/src/common/control/leases.ts
+++ b/src/common/control/leases.ts
@@ -95,7 +95,10 @@
 	);
 }
 
-/** A revoked write lease is prolonged only for a planned change, and only for a short time. */
+/**
+ * A write lease is not prolonged once its revocation was sent: a grant that crosses the holder's
+ * release would give the lease back to it.
+ */
 export function canProlongWrite(
 	now: number,
 	lease: WriteLease,
@@ -113,7 +116,7 @@
 	return (
 		promotion?.planned === true &&
 		now < lease.until &&
-		now - lease.revokedAt < timing.plannedReleaseMs
+		lease.revocationSentAt === Number.NEGATIVE_INFINITY
 	);
 }
 
--- a/src/common/control/ownership.ts
+++ b/src/common/control/ownership.ts
@@ -129,8 +129,8 @@
 	}
 
 	/** Starts to take the write lease of a group back; without effect when it was begun before. */
-	revokeWrite(now: number, group: ids.GroupId): void {
-		this.#writeLeases.revoke(now, group);
+	revokeWrite(now: number, group: ids.GroupId, isPlanned = false): void {
+		this.#writeLeases.revoke(now, group, isPlanned);
 	}
 
 	/** True when no proxy can hold the write lease of a term of the group up to `term`. */
@@ -138,6 +138,14 @@
 		return this.isTakeoverOver(now) && this.#writeLeases.isOver(now, group);
 	}
 
+	/**
+	 * True while a proxy finishes the writes of a planned change. A grant without the write lease
+	 * would cut them off, one with it could cross the release.
+	 */
+	isReleasingWrite(now: number, peer: ids.PeerId): boolean {
+		return this.#writeLeases.isReleasing(now, peer);
+	}
+
 	/** Starts to take a server back from its owner. */
 	revokeOwnership(now: number, server: ids.UpstreamId): void {
 		const ownership = this.servers.get(server)?.ownership;
--- a/src/common/control/promotion.ts
+++ b/src/common/control/promotion.ts
@@ -86,7 +86,7 @@
 			};
 		}
 
-		table.revokeWrite(now, group);
+		table.revokeWrite(now, group, this.#planned);
 		const isReleased =
 			this.#environment.faults.isLeaseWaitOff === true ||
 			table.isWriteLeaseOver(now, group);
--- a/src/common/control/reducer.test.ts
+++ b/src/common/control/reducer.test.ts
@@ -3,33 +3,36 @@
 import type * as messages from '../messages.js';
 import type * as types from '../types.js';
 import * as consensus from '../consensus/consensus.js';
+import * as network from '../consensus/fake-network.js';
+import type * as consensusTypes from '../consensus/types.js';
 import type * as control from './types.js';
 import * as reducers from './reducer.js';
+import * as simulations from './simulation.js';
 
 const peer = 'k1' as ids.PeerId;
 const proxy = 'p1' as ids.PeerId;
 
 /** A single voter whose writes complete at once. */
-function startSingle() {
+function startSingle(
+	start: consensusTypes.StoredLog<control.ControlCommand> = network.makeEmptyStoredLog(),
+) {
 	const reducer = new reducers.ControlReducer({
 		peer,
 		log: new consensus.Consensus<control.ControlCommand>({
 			peer,
 			initialVoters: [peer],
-			stored: {
-				hardState: {term: 0, votedFor: undefined},
-				snapshot: undefined,
-				entries: [],
-			},
+			stored: start,
 			incarnation: 1,
 		}),
 	});
 	let now = 0;
+	let stored = start;
 	const effects: control.ControlEffect[] = [];
 	const step = (event: control.ControlEvent) => {
 		for (const effect of reducer.step(event)) {
 			effects.push(effect);
 			if (effect.type === 'write') {
+				stored = network.applyWrite(stored, effect.data);
 				step({type: 'written', now, write: effect.write});
 			}
 		}
@@ -47,9 +50,35 @@
 		get now() {
 			return now;
 		},
+		get stored() {
+			return structuredClone(stored);
+		},
 		take() {
 			return effects.splice(0);
 		},
+		change(number: number, expectedVersion: number) {
+			step({
+				type: 'templateChangeRequested',
+				now,
+				operation: number,
+				change: makeChange(number, expectedVersion),
+			});
+			return effects
+				.splice(0)
+				.find((effect) => effect.type === 'answerTemplateChange')?.result;
+		},
+	};
+}
+
+function makeChange(
+	number: number,
+	expectedVersion: number,
+): types.TemplateChange {
+	return {
+		member: 'm1' as ids.MemberId,
+		text: `; change ${number}`,
+		expectedVersion,
+		changeId: `c${number}` as ids.ChangeId,
 	};
 }
 
@@ -166,3 +195,94 @@
 		{operation: 3, result: {type: 'accepted', version: 1}},
 	]);
 });
+
+// Guards against answers and versions that a restart forgets.
+tap.test('restart after 500 changes', async (t) => {
+	const first = startSingle();
+	first.run(1000);
+	for (let number = 1; number <= 500; number++) {
+		t.strictSame(first.change(number, number - 1), {
+			type: 'accepted',
+			version: number,
+		});
+	}
+
+	t.ok(first.stored.snapshot);
+	t.ok(first.stored.entries.length > 0);
+	const second = startSingle(first.stored);
+	second.run(1500);
+	t.strictSame(second.change(3, 2), {type: 'accepted', version: 3});
+	t.strictSame(second.change(500, 499), {type: 'accepted', version: 500});
+	t.strictSame(second.change(501, 499), {
+		type: 'versionConflict',
+		currentVersion: 500,
+	});
+	t.strictSame(second.change(502, 500), {type: 'accepted', version: 501});
+});
+
+function listResults(simulation: simulations.Simulation): string[] {
+	return simulation.answers.map(({result}) => result.type);
+}
+
+// Guards against two operators who both change the same version.
+tap.test('race through two control peers', async (t) => {
+	const simulation = new simulations.Simulation({seed: 4});
+	simulation.run(3000);
+	simulation.requestChange('k1', makeChange(1, 0));
+	simulation.requestChange('k2', makeChange(2, 0));
+	simulation.requestChange('k3', makeChange(3, 0));
+	simulation.run(1000);
+	t.strictSame(listResults(simulation).sort(), [
+		'accepted',
+		'versionConflict',
+		'versionConflict',
+	]);
+	for (const [, proxy] of simulation.proxies) {
+		t.equal(proxy?.templates.get('m1' as ids.MemberId)?.version, 1);
+	}
+});
+
+// Guards against a resend after a lost answer that is refused or applied twice.
+tap.test('resend after the leader is lost', async (t) => {
+	for (let seed = 1; seed <= 6; seed++) {
+		const simulation = new simulations.Simulation({seed});
+		simulation.run(3000);
+		const leader = simulation.leader!;
+		simulation.requestChange(leader.peer, makeChange(1, 0));
+		simulation.run(seed * 5);
+		simulation.crashControl(leader, 30_000);
+		const other = simulation.controlIds.find((id) => id !== leader.peer)!;
+		simulation.requestChange(other, makeChange(1, 0));
+		simulation.run(4000);
+		t.match(simulation.answers.at(-1)?.result, {type: 'accepted', version: 1});
+		simulation.requestChange(other, makeChange(2, 1));
+		simulation.run(1000);
+		t.match(simulation.answers.at(-1)?.result, {type: 'accepted', version: 2});
+	}
+});
+
+// Guards against "not accepted" for a change that may still be accepted later.
+tap.test('unknown outcome', async (t) => {
+	const simulation = new simulations.Simulation({seed: 2});
+	simulation.run(3000);
+	const leader = simulation.leader!;
+	simulation.network.setPartition([[leader.peer]]);
+	simulation.requestChange(leader.peer, makeChange(1, 0));
+	simulation.run(6000);
+	t.strictSame(simulation.answers[0]?.result, {
+		type: 'unavailable',
+		mayHaveRun: true,
+	});
+	// This one was never proposed or sent.
+	simulation.requestChange(leader.peer, makeChange(2, 0));
+	simulation.run(6000);
+	t.strictSame(simulation.answers[1]?.result, {
+		type: 'unavailable',
+		mayHaveRun: false,
+	});
+	simulation.network.setPartition([]);
+	simulation.run(2000);
+	simulation.requestChange(leader.peer, makeChange(1, 0));
+	simulation.run(1000);
+	t.match(simulation.answers[2]?.result, {type: 'accepted', version: 1});
+});
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -41,6 +41,19 @@
 	return consensusTypes.has(message.type);
 }
 
+const otherTypes: ReadonlySet<string> = new Set<messages.PeerMessage['type']>([
+	'renewLease',
+	'leaseReleased',
+	'templateFetch',
+	'proposeChange',
+	'changeResult',
+]);
+
+/** True for the messages that the control reducer handles. */
+export function isControlMessage(message: messages.PeerMessage): boolean {
+	return isConsensusMessage(message) || otherTypes.has(message.type);
+}
+
 /** One control peer. */
 export class ControlReducer {
 	readonly #peer: ids.PeerId;
--- a/src/common/control/timing.ts
+++ b/src/common/control/timing.ts
@@ -33,10 +33,10 @@
 export const ownershipReleaseMs = 32_000;
 
 /**
- * In a planned change the write lease is prolonged this long after its revocation, so that writes
- * in flight can be acknowledged.
+ * In a planned change the holder of the write lease gets no grants for at most this long, so that
+ * writes in flight can be acknowledged before it gives the lease back. Its leases last longer.
  */
-export const plannedReleaseMs = 1000;
+export const plannedReleaseMs = 600;
 
 /** A proxy must have been present this long before servers are moved to it. */
 export const proxyStableMs = 10_000;
--- a/src/common/control/write-leases.ts
+++ b/src/common/control/write-leases.ts
@@ -24,6 +24,8 @@
 /** The last write lease of each group that this leader granted. */
 export class WriteLeases {
 	readonly #leases = new Map<ids.GroupId, leases.WriteLease>();
+	/** Leases that are being released in a planned change. */
+	readonly #planned = new Set<leases.WriteLease>();
 	readonly #faults: control.FaultInjection;
 
 	constructor(faults: control.FaultInjection = {}) {
@@ -73,13 +75,36 @@
 	}
 
 	/** Starts to take a lease back; without effect when that was begun before. */
-	revoke(now: number, group: ids.GroupId): void {
+	revoke(now: number, group: ids.GroupId, isPlanned: boolean): void {
 		const lease = this.#leases.get(group);
-		if (lease) {
-			lease.revokedAt ??= now;
+		if (lease && lease.revokedAt === undefined) {
+			lease.revokedAt = now;
+			if (isPlanned) {
+				this.#planned.add(lease);
+			}
 		}
 	}
 
+	/** True while a proxy finishes the writes of a planned change. */
+	isReleasing(now: number, peer: ids.PeerId): boolean {
+		let isReleasing = false;
+		for (const lease of this.#planned) {
+			const isOver =
+				lease.released ||
+				now - (lease.revokedAt ?? now) >= timing.plannedReleaseMs;
+			if (isOver) {
+				this.#planned.delete(lease);
+			} else if (
+				lease.peer === peer &&
+				lease.revocationSentAt > Number.NEGATIVE_INFINITY
+			) {
+				isReleasing = true;
+			}
+		}
+
+		return isReleasing;
+	}
+
 	/** Marks the lease that belongs to an ownership as given back; `term` narrows it down. */
 	release(
 		server: ids.UpstreamId,
--- /dev/null
+++ b/src/daemon/control.test.ts
@@ -0,0 +1,230 @@
+import * as perfHooks from 'node:perf_hooks';
+import * as timers from 'node:timers/promises';
+import tap from 'tap';
+import type * as ids from '../common/ids.js';
+import type * as types from '../common/types.js';
+import type * as messages from '../common/messages.js';
+import type * as consensusTypes from '../common/consensus/types.js';
+import * as network from '../common/consensus/fake-network.js';
+import type * as control from '../common/control/types.js';
+import type * as node from '../node/types.js';
+import * as controlDaemon from './control.js';
+import type * as daemon from './types.js';
+
+/** Storage in memory that outlives the daemon. */
+class MemoryStorage implements consensusTypes.LogStorage<control.ControlCommand> {
+	stored = network.makeEmptyStoredLog<control.ControlCommand>();
+	isBroken = false;
+
+	async load() {
+		return this.stored;
+	}
+
+	async write(
+		write: consensusTypes.StorageWrite<control.ControlCommand>,
+	): Promise<void> {
+		await timers.setImmediate();
+		if (this.isBroken) {
+			throw new Error('no space left');
+		}
+
+		this.stored = network.applyWrite(this.stored, structuredClone(write));
+	}
+
+	async close() {
+		// Nothing to close.
+	}
+}
+
+/** Delivers messages between the daemons of one test. */
+class Hub {
+	readonly listeners = new Map<ids.PeerId, node.PeerLinkListener>();
+	readonly #addresses = new Map<ids.PeerId, string>();
+
+	createLinks(
+		self: ids.PeerId,
+		listener: node.PeerLinkListener,
+	): node.PeerLinks {
+		const {listeners} = this;
+		const addresses = this.#addresses;
+		return {
+			async listen(_address, port) {
+				listeners.set(self, listener);
+				return port;
+			},
+			setAddress(peer, address) {
+				addresses.set(peer, address);
+			},
+			removePeer(peer) {
+				addresses.delete(peer);
+			},
+			send(to, message) {
+				const receiver = addresses.has(to) ? listeners.get(to) : undefined;
+				setImmediate(() => {
+					receiver?.handleMessage(self, structuredClone(message));
+				});
+				return receiver !== undefined;
+			},
+			async dispose() {
+				listeners.delete(self);
+			},
+		};
+	}
+}
+
+const controlPeers = ['k1', 'k2', 'k3'].map((peer, index) => ({
+	peer: peer as ids.PeerId,
+	address: `127.0.0.1:${index + 1}`,
+}));
+
+type Started = {
+	readonly daemon: daemon.ControlDaemon;
+	readonly storage: MemoryStorage;
+	readonly others: messages.PeerMessage[];
+};
+
+async function startDaemon(
+	hub: Hub,
+	peer: ids.PeerId,
+	storage = new MemoryStorage(),
+): Promise<Started> {
+	const others: messages.PeerMessage[] = [];
+	const started = await controlDaemon.startControl(
+		{
+			peer,
+			controlPeers,
+			peerListener: {address: '127.0.0.1', port: 4},
+			httpListener: {address: '127.0.0.1', port: 5},
+		},
+		{
+			clock: {
+				now: () => perfHooks.performance.now(),
+				readWallClock: () => Date.now(),
+			},
+			logger: {
+				write() {
+					// The tests read no log.
+				},
+			},
+			storage,
+			serverCaller: {
+				async call() {
+					return {type: 'failed', message: 'no server'};
+				},
+				async dispose() {
+					// Nothing to close.
+				},
+			},
+			createLinks: (listener) => hub.createLinks(peer, listener),
+			createHttp: () => ({
+				listen: async (_address, port) => port,
+				async dispose() {
+					// Nothing to close.
+				},
+			}),
+			random: network.makeRandom(peer.codePointAt(1) ?? 0),
+			handleOtherMessage(_from, message) {
+				others.push(message);
+			},
+		},
+	);
+	return {daemon: started, storage, others};
+}
+
+async function startAll(hub: Hub): Promise<Started[]> {
+	return Promise.all(
+		controlPeers.map(async ({peer}) => startDaemon(hub, peer)),
+	);
+}
+
+function makeChange(number: number): types.TemplateChange {
+	return {
+		member: 'm1' as ids.MemberId,
+		text: `; ${number}\n`,
+		expectedVersion: number - 1,
+		changeId: `c${number}` as ids.ChangeId,
+	};
+}
+
+async function readHistory(
+	source: daemon.ControlDaemon,
+): Promise<readonly control.HistoryEntry[]> {
+	const result = await source.runQuery({
+		type: 'history',
+		member: 'm1' as ids.MemberId,
+	});
+	return result.type === 'history' ? result.history : [];
+}
+
+// Guards against wiring that loses events or effects, and against state that a restart loses.
+tap.test('three daemons accept changes and restart', async (t) => {
+	const hub = new Hub();
+	const started = await startAll(hub);
+	t.equal(started[0].daemon.peerPort, 4);
+	t.equal(started[0].daemon.httpPort, 5);
+	for (const [index, {daemon}] of started.entries()) {
+		t.strictSame(await daemon.requestChange(makeChange(index + 1)), {
+			type: 'accepted',
+			version: index + 1,
+		});
+	}
+
+	t.strictSame(started[1].daemon.readHealth(), {ready: true, reason: 'ready'});
+	await Promise.all(started.map(async ({daemon}) => daemon.dispose()));
+	const again = await Promise.all(
+		controlPeers.map(async ({peer}, index) =>
+			startDaemon(hub, peer, started[index].storage),
+		),
+	);
+	t.strictSame(await again[2].daemon.requestChange(makeChange(1)), {
+		type: 'accepted',
+		version: 1,
+	});
+	// A follower answers from its own state, which may be a moment behind the leader's.
+	let history = await readHistory(again[2].daemon);
+	for (let poll = 0; poll < 100 && history.length < 3; poll++) {
+		await timers.setTimeout(20);
+		history = await readHistory(again[2].daemon);
+	}
+
+	t.match(history, [{version: 1}, {version: 2}, {version: 3}]);
+	hub.listeners.get(controlPeers[0].peer)?.handleMessage(controlPeers[1].peer, {
+		type: 'ping',
+		sequence: 1,
+		deltas: [],
+	});
+	t.match(again[0].others, [{type: 'ping'}]);
+	await Promise.all(again.map(async ({daemon}) => daemon.dispose()));
+	t.equal(await again[0].daemon.stopped, undefined);
+});
+
+// Guards against a daemon that goes on after its storage failed.
+tap.test('a storage failure stops the daemon', async (t) => {
+	const hub = new Hub();
+	const started = await startAll(hub);
+	await started[0].daemon.requestChange(makeChange(1));
+	for (const {storage} of started) {
+		storage.isBroken = true;
+	}
+
+	const answer = await started[0].daemon.requestChange(makeChange(2));
+	t.strictSame(answer, {type: 'unavailable', mayHaveRun: true});
+	const failures = await Promise.race(
+		started.map(async ({daemon}) => daemon.stopped),
+	);
+	t.match(failures, {message: 'no space left'});
+	await Promise.all(started.map(async ({daemon}) => daemon.dispose()));
+});
+
+// Guards against a drain that never ends, or leaves the health check green.
+tap.test('drain', async (t) => {
+	const hub = new Hub();
+	const started = await startAll(hub);
+	await started[1].daemon.requestChange(makeChange(1));
+	await started[1].daemon.drain();
+	t.strictSame(started[1].daemon.readHealth(), {
+		ready: false,
+		reason: 'draining',
+	});
+	await Promise.all(started.map(async ({daemon}) => daemon.dispose()));
+});
--- /dev/null
+++ b/src/daemon/control.ts
@@ -0,0 +1,302 @@
+/**
+ * The control daemon: it turns messages, timers, synced writes and operators' requests into events
+ * of the control reducer and carries out its effects.
+ */
+import type * as ids from '../common/ids.js';
+import {assertNever} from '../common/assert-never.js';
+import type * as types from '../common/types.js';
+import type * as messages from '../common/messages.js';
+import type * as control from '../common/control/types.js';
+import * as consensus from '../common/consensus/consensus.js';
+import * as reducers from '../common/control/reducer.js';
+import type * as node from '../node/types.js';
+import type * as daemon from './types.js';
+import * as deferred from './deferred.js';
+
+/** Interval of the reducer's `tick` events. */
+const tickIntervalMs = 25;
+
+/**
+ * Starts a control daemon on what its storage holds.
+ *
+ * @throws An error when the storage is damaged or a listener cannot be opened.
+ */
+export async function startControl(
+	settings: daemon.ControlSettings,
+	adapters: daemon.ControlAdapters,
+): Promise<daemon.ControlDaemon> {
+	const stored = await adapters.storage.load();
+	const log = new consensus.Consensus<control.ControlCommand>({
+		peer: settings.peer,
+		initialVoters: settings.controlPeers.map(({peer}) => peer),
+		stored,
+		incarnation: adapters.clock.readWallClock(),
+	});
+	const instance = new ControlProcess(
+		new reducers.ControlReducer({peer: settings.peer, log}),
+		adapters,
+	);
+	try {
+		await instance.open(settings);
+	} catch (error) {
+		await instance.dispose();
+		throw error;
+	}
+
+	return instance;
+}
+
+class ControlProcess implements daemon.ControlDaemon {
+	readonly links: node.PeerLinks;
+	readonly stopped: Promise<Error | undefined>;
+	readonly #reducer: reducers.ControlReducer;
+	readonly #adapters: daemon.ControlAdapters;
+	readonly #http: daemon.ControlHttp;
+	readonly #changes = new Map<
+		number,
+		(result: types.TemplateChangeResult) => void
+	>();
+
+	readonly #queries = new Map<
+		number,
+		(result: control.ControlQueryResult) => void
+	>();
+
+	readonly #drained = deferred.createDeferred<void>();
+	readonly #stop = deferred.createDeferred<Error | undefined>();
+	#timer: NodeJS.Timeout | undefined;
+	#operation = 0;
+	#peerPort = 0;
+	#httpPort = 0;
+	#health = {ready: false, reason: 'starting'};
+	#disposal: Promise<void> | undefined;
+
+	constructor(
+		reducer: reducers.ControlReducer,
+		adapters: daemon.ControlAdapters,
+	) {
+		this.#reducer = reducer;
+		this.#adapters = adapters;
+		this.stopped = this.#stop.promise;
+		this.links = adapters.createLinks({
+			handleMessage: (from, message) => {
+				this.#handleMessage(from, message);
+			},
+			handleLinkChange() {
+				// Lost messages are repeated by the reducer.
+			},
+			handleHello() {
+				// The address of a peer comes from the settings or from membership.
+			},
+		});
+		this.#http = adapters.createHttp(this);
+	}
+
+	get peerPort(): number {
+		return this.#peerPort;
+	}
+
+	get httpPort(): number {
+		return this.#httpPort;
+	}
+
+	async open(settings: daemon.ControlSettings): Promise<void> {
+		const {peerListener, httpListener} = settings;
+		this.#peerPort = await this.links.listen(
+			peerListener.address,
+			peerListener.port,
+		);
+		this.#httpPort = await this.#http.listen(
+			httpListener.address,
+			httpListener.port,
+		);
+		for (const {peer, address} of settings.controlPeers) {
+			if (peer !== settings.peer) {
+				this.links.setAddress(peer, address);
+			}
+		}
+
+		this.#timer = setInterval(() => {
+			this.#dispatch({
+				type: 'tick',
+				now: this.#adapters.clock.now(),
+				random: this.#adapters.random(),
+			});
+		}, tickIntervalMs);
+	}
+
+	readHealth(): {readonly ready: boolean; readonly reason: string} {
+		return this.#health;
+	}
+
+	async requestChange(
+		change: types.TemplateChange,
+	): Promise<types.TemplateChangeResult> {
+		const operation = ++this.#operation;
+		return new Promise((resolve) => {
+			this.#changes.set(operation, resolve);
+			this.#dispatch({
+				type: 'templateChangeRequested',
+				now: this.#adapters.clock.now(),
+				operation,
+				change,
+			});
+		});
+	}
+
+	async runQuery(
+		query: control.ControlQuery,
+	): Promise<control.ControlQueryResult> {
+		const operation = ++this.#operation;
+		return new Promise((resolve) => {
+			this.#queries.set(operation, resolve);
+			this.#dispatch({
+				type: 'queryRequested',
+				now: this.#adapters.clock.now(),
+				operation,
+				query,
+			});
+		});
+	}
+
+	async drain(): Promise<void> {
+		this.#dispatch({type: 'drainRequested', now: this.#adapters.clock.now()});
+		return this.#drained.promise;
+	}
+
+	async dispose(): Promise<void> {
+		this.#disposal ??= this.#close();
+		return this.#disposal;
+	}
+
+	async #close(): Promise<void> {
+		clearInterval(this.#timer);
+		for (const resolve of this.#changes.values()) {
+			resolve({type: 'unavailable', mayHaveRun: true});
+		}
+
+		this.#changes.clear();
+		await this.#http.dispose();
+		await this.links.dispose();
+		await this.#adapters.serverCaller.dispose();
+		await this.#adapters.storage.close();
+		this.#stop.resolve(undefined);
+	}
+
+	#dispatch(event: control.ControlEvent): void {
+		if (this.#disposal) {
+			return;
+		}
+
+		for (const effect of this.#reducer.step(event)) {
+			this.#handleEffect(effect);
+		}
+	}
+
+	#handleMessage(from: ids.PeerId, message: messages.PeerMessage): void {
+		if (reducers.isControlMessage(message)) {
+			const now = this.#adapters.clock.now();
+			this.#dispatch({type: 'peerMessage', now, from, message});
+		} else {
+			this.#adapters.handleOtherMessage?.(from, message);
+		}
+	}
+
+	#handleEffect(effect: control.ControlEffect): void {
+		switch (effect.type) {
+			case 'sendPeer': {
+				this.links.send(effect.to, effect.message);
+				return;
+			}
+
+			case 'write': {
+				void this.#write(effect);
+				return;
+			}
+
+			case 'callServer': {
+				void this.#callServer(effect);
+				return;
+			}
+
+			case 'answerTemplateChange': {
+				this.#changes.get(effect.operation)?.(effect.result);
+				this.#changes.delete(effect.operation);
+				return;
+			}
+
+			case 'answerQuery': {
+				this.#queries.get(effect.operation)?.(effect.result);
+				this.#queries.delete(effect.operation);
+				return;
+			}
+
+			case 'setHealth': {
+				this.#health = {ready: effect.ready, reason: effect.reason};
+				return;
+			}
+
+			case 'log': {
+				this.#adapters.logger.write(effect.record);
+				return;
+			}
+
+			case 'drained': {
+				this.#drained.resolve();
+				return;
+			}
+		}
+
+		assertNever(effect);
+	}
+
+	/** After a failed write the content of the disk is not known, so the daemon stops. */
+	async #write(
+		effect: Extract<control.ControlEffect, {type: 'write'}>,
+	): Promise<void> {
+		try {
+			await this.#adapters.storage.write(effect.data);
+		} catch (error) {
+			this.#fail(error);
+			return;
+		}
+
+		this.#dispatch({
+			type: 'written',
+			now: this.#adapters.clock.now(),
+			write: effect.write,
+		});
+	}
+
+	#fail(error: unknown): void {
+		if (this.#disposal) {
+			return;
+		}
+
+		const cause = error instanceof Error ? error : new Error(String(error));
+		this.#adapters.logger.write({
+			level: 'error',
+			part: 'control',
+			message: `The storage failed: ${cause.message}`,
+		});
+		this.#health = {ready: false, reason: 'storage failed'};
+		this.#stop.resolve(cause);
+		void this.dispose();
+	}
+
+	async #callServer(
+		effect: Extract<control.ControlEffect, {type: 'callServer'}>,
+	): Promise<void> {
+		const answer = await this.#adapters.serverCaller.call(
+			effect.server,
+			effect.address,
+			effect.request,
+		);
+		this.#dispatch({
+			type: 'serverAnswered',
+			now: this.#adapters.clock.now(),
+			call: effect.call,
+			answer,
+		});
+	}
+}
--- /dev/null
+++ b/src/daemon/server-calls.ts
@@ -0,0 +1,208 @@
+/**
+ * Calls of the control leader to database servers, through the `pg` client. Each server has at most
+ * one connection, opened on demand from the reserve of two, and closed when idle or in doubt.
+ */
+import * as pg from 'pg';
+import * as zod from 'zod';
+import type * as ids from '../common/ids.js';
+import type * as types from '../common/types.js';
+import type * as control from '../common/control/types.js';
+import type * as daemon from './types.js';
+
+/** Time for a new connection, in ms; a cut-off server must not hold up a failover. */
+const connectTimeoutMs = 300;
+/** Time for one statement, in ms. */
+const statementTimeoutMs = 500;
+/** Idle time after which a connection is closed, in ms. */
+const idleTimeoutMs = 30_000;
+/** Not of the form `hemlockarch/<epoch>`, so that `end_other_sessions` of an owner spares it. */
+const applicationName = 'hemlockarch-control';
+
+const replicasSchema = zod.array(
+	zod.object({server: zod.string(), position: zod.coerce.number()}),
+);
+
+const statusSchema = zod.object({
+	server: zod.string(),
+	role: zod.enum(['primary', 'replica']),
+	term: zod.coerce.number(),
+	position: zod.coerce.number(),
+	applied: zod.coerce.number(),
+	replicas: zod.preprocess(
+		(value) =>
+			typeof value === 'string' ? (JSON.parse(value) as unknown) : value,
+		replicasSchema.nullish(),
+	),
+});
+
+/** Makes a caller that logs in at every server with the same name. */
+export function createServerCaller(
+	login: daemon.ServerLogin,
+): daemon.ServerCaller {
+	return new PgServerCaller(login);
+}
+
+type Connection = {
+	readonly address: string;
+	readonly client: pg.Client;
+	readonly ready: Promise<unknown>;
+	idleTimer: NodeJS.Timeout | undefined;
+};
+
+class PgServerCaller implements daemon.ServerCaller {
+	readonly #login: daemon.ServerLogin;
+	readonly #connections = new Map<ids.UpstreamId, Connection>();
+
+	constructor(login: daemon.ServerLogin) {
+		this.#login = login;
+	}
+
+	async call(
+		server: ids.UpstreamId,
+		address: string,
+		request: control.ServerRequest,
+	): Promise<control.ServerAnswer> {
+		const connection = this.#getConnection(server, address);
+		try {
+			await connection.ready;
+			const result = await connection.client.query<Record<string, unknown>>(
+				buildStatement(request),
+			);
+			const [row] = result.rows;
+			return {
+				type: 'answered',
+				...(row === undefined ? {} : {status: parseStatus(row)}),
+			};
+		} catch (error) {
+			this.#handleError(server, connection, error);
+			return buildFailure(error);
+		} finally {
+			this.#restartIdleTimer(server, connection);
+		}
+	}
+
+	async dispose(): Promise<void> {
+		for (const [server, connection] of this.#connections) {
+			this.#close(server, connection);
+		}
+	}
+
+	#getConnection(server: ids.UpstreamId, address: string): Connection {
+		const existing = this.#connections.get(server);
+		if (existing?.address === address) {
+			return existing;
+		}
+
+		if (existing) {
+			this.#close(server, existing);
+		}
+
+		const connection = this.#openConnection(server, address);
+		this.#connections.set(server, connection);
+		return connection;
+	}
+
+	#openConnection(server: ids.UpstreamId, address: string): Connection {
+		const separator = address.lastIndexOf(':');
+		const client = new pg.Client({
+			...this.#login,
+			host: address.slice(0, separator),
+			port: Number(address.slice(separator + 1)),
+			application_name: applicationName,
+			connectionTimeoutMillis: connectTimeoutMs,
+			query_timeout: statementTimeoutMs,
+			statement_timeout: statementTimeoutMs,
+		});
+		const connection: Connection = {
+			address,
+			client,
+			ready: client.connect(),
+			idleTimer: undefined,
+		};
+		client.on('error', () => {
+			this.#close(server, connection);
+		});
+		return connection;
+	}
+
+	/** A connection stays open only after an error that the server itself reported. */
+	#handleError(
+		server: ids.UpstreamId,
+		connection: Connection,
+		error: unknown,
+	): void {
+		if (!(error instanceof pg.DatabaseError) || error.severity === 'FATAL') {
+			this.#close(server, connection);
+		}
+	}
+
+	#restartIdleTimer(server: ids.UpstreamId, connection: Connection): void {
+		clearTimeout(connection.idleTimer);
+		if (this.#connections.get(server) === connection) {
+			connection.idleTimer = setTimeout(() => {
+				this.#close(server, connection);
+			}, idleTimeoutMs);
+			connection.idleTimer.unref();
+		}
+	}
+
+	/** Ends a connection without waiting for the server, which may be silent. */
+	#close(server: ids.UpstreamId, connection: Connection): void {
+		clearTimeout(connection.idleTimer);
+		if (this.#connections.get(server) === connection) {
+			this.#connections.delete(server);
+		}
+
+		const {client} = connection as {
+			readonly client: pg.Client & {
+				readonly connection?: {readonly stream?: {destroy(): void}};
+			};
+		};
+		client.end().catch(() => undefined);
+		client.connection?.stream?.destroy();
+	}
+}
+
+function buildStatement(request: control.ServerRequest): string {
+	switch (request.type) {
+		case 'status': {
+			return 'SELECT * FROM hemlockarch.status()';
+		}
+
+		case 'fence':
+		case 'promote': {
+			return `SELECT * FROM hemlockarch.${request.type}(${request.term})`;
+		}
+
+		case 'follow': {
+			const server = pg.escapeLiteral(request.server);
+			const address = pg.escapeLiteral(request.address);
+			return `SELECT * FROM hemlockarch.follow(${request.term}, ${server}, ${address})`;
+		}
+	}
+}
+
+function parseStatus(
+	row: Record<string, unknown>,
+): types.UpstreamStatus | undefined {
+	const parsed = statusSchema.safeParse(row);
+	if (!parsed.success) {
+		return undefined;
+	}
+
+	return {
+		...parsed.data,
+		server: parsed.data.server as ids.UpstreamId,
+		replicas: (parsed.data.replicas ?? []).map(({server, position}) => ({
+			server: server as ids.UpstreamId,
+			position,
+		})),
+	};
+}
+
+function buildFailure(error: unknown): control.ServerAnswer {
+	const message = error instanceof Error ? error.message : String(error);
+	return error instanceof pg.DatabaseError && error.code !== undefined
+		? {type: 'failed', sqlState: error.code, message}
+		: {type: 'failed', message};
+}
--- /dev/null
+++ b/src/daemon/types.ts
@@ -0,0 +1,89 @@
+/**
+ * Settings and adapters of the daemons.
+ */
+import type * as ids from '../common/ids.js';
+import type * as types from '../common/types.js';
+import type * as messages from '../common/messages.js';
+import type * as consensus from '../common/consensus/types.js';
+import type * as control from '../common/control/types.js';
+import type * as node from '../node/types.js';
+
+/** An `ip:port` and the port to listen on; port 0 lets the system choose. */
+export type ListenSettings = {
+	readonly address: string;
+	readonly port: number;
+};
+
+/** How control logs in at the database servers. */
+export type ServerLogin = {
+	readonly user: string;
+	readonly database: string;
+	readonly password?: string;
+};
+
+/** Settings of a control daemon. */
+export type ControlSettings = {
+	readonly peer: ids.PeerId;
+	/** The control peers of a new installation, this one included, with their peer addresses. */
+	readonly controlPeers: ReadonlyArray<{
+		readonly peer: ids.PeerId;
+		/** `ip:port` of its peer listener. */
+		readonly address: string;
+	}>;
+	readonly peerListener: ListenSettings;
+	readonly httpListener: ListenSettings;
+};
+
+/** Calls functions of database servers. Answers within a second, also when a server is silent. */
+export type ServerCaller = {
+	call(
+		server: ids.UpstreamId,
+		address: string,
+		request: control.ServerRequest,
+	): Promise<control.ServerAnswer>;
+	dispose(): Promise<void>;
+};
+
+/** What an operator can ask of a control daemon; the HTTP adapter calls it. */
+export type ControlHandler = {
+	/** What `GET /health` answers. */
+	readHealth(): {readonly ready: boolean; readonly reason: string};
+	requestChange(
+		change: types.TemplateChange,
+	): Promise<types.TemplateChangeResult>;
+	runQuery(query: control.ControlQuery): Promise<control.ControlQueryResult>;
+	/** Starts to drain; resolves when the process may exit with 0. */
+	drain(): Promise<void>;
+};
+
+/** The HTTP listener of a control daemon. */
+export type ControlHttp = {
+	listen(address: string, port: number): Promise<number>;
+	dispose(): Promise<void>;
+};
+
+/** Adapters of a control daemon, made by the caller. */
+export type ControlAdapters = {
+	readonly clock: node.Clock;
+	readonly logger: node.Logger;
+	readonly storage: consensus.LogStorage<control.ControlCommand>;
+	readonly serverCaller: ServerCaller;
+	createLinks(listener: node.PeerLinkListener): node.PeerLinks;
+	createHttp(handler: ControlHandler): ControlHttp;
+	/** Uniform in [0, 1). */
+	random(): number;
+	/** Takes the messages that are not for control, such as those of membership. */
+	handleOtherMessage?(from: ids.PeerId, message: messages.PeerMessage): void;
+};
+
+/** A running control daemon. */
+export type ControlDaemon = ControlHandler & {
+	readonly peerPort: number;
+	readonly httpPort: number;
+	/** Links to other peers; whoever learns the address of a proxy sets it here. */
+	readonly links: node.PeerLinks;
+	/** Resolves when the daemon has stopped; with an error when its storage failed. */
+	readonly stopped: Promise<Error | undefined>;
+	/** Closes everything. The storage may be opened again afterwards. */
+	dispose(): Promise<void>;
+};
