--- /dev/null
+++ b/src/daemon/control.ts
@@ -0,0 +1,125 @@
+/**
+ * The control daemon with its adapters, started from checked settings.
+ */
+import type * as control from '../common/control/types.js';
+import * as metrics from '../common/metrics/metrics.js';
+import * as httpServer from '../node/http/server.js';
+import type * as http from '../node/http/types.js';
+import * as logger from '../node/logging/logger.js';
+import * as peerLinks from '../node/peer/peer-links.js';
+import type * as settings from '../node/settings/types.js';
+import * as logStorage from '../node/storage/log-storage.js';
+import * as clock from './clock.js';
+import * as controlDaemon from './control-daemon.js';
+import type * as controlTypes from './control-types.js';
+import * as serverCalls from './server-calls.js';
+import type * as daemon from './types.js';
+
+const protocolVersion = 1;
+/** Name and database of control's connections; servers trust the control VMs. */
+const upstreamUser = 'hemlockarch';
+/** The process ends with this code when its storage failed. */
+const failedExitCode = 1;
+
+/**
+ * Starts a control peer.
+ *
+ * @throws Error of the storage when the data folder is damaged or in use, or of the system when a
+ * listener cannot be opened.
+ */
+export async function startControl(
+	settings: settings.Settings,
+): Promise<daemon.RunningDaemon> {
+	const {process, listen} = settings;
+	if (process.dataFolder === undefined) {
+		throw new Error('a control peer needs a data folder');
+	}
+
+	const opened = await controlDaemon.openControl(
+		{
+			peer: process.id,
+			dataCentre: process.dataCentre,
+			address: `${listen.address}:${listen.peersPort}`,
+			controlPeers: settings.control.peers.map(({id, address}) => ({
+				peer: id,
+				address,
+			})),
+			peerListener: {address: listen.address, port: listen.peersPort},
+			httpListener: {address: listen.address, port: listen.httpPort},
+		},
+		await createAdapters(settings, process.dataFolder),
+	);
+	return {
+		finished: waitForEnd(opened),
+		startDrain() {
+			void opened.drain();
+		},
+	};
+}
+
+async function waitForEnd(opened: controlTypes.ControlDaemon): Promise<number> {
+	const failure = await opened.stopped;
+	await opened.dispose();
+	return failure === undefined ? 0 : failedExitCode;
+}
+
+async function createAdapters(
+	settings: settings.Settings,
+	dataFolder: string,
+): Promise<controlTypes.ControlAdapters> {
+	const daemonLogger = logger.createLogger(settings.log);
+	return {
+		clock: clock.systemClock,
+		logger: daemonLogger,
+		storage: await logStorage.openLogStorage<control.ControlCommand, unknown>(
+			dataFolder,
+		),
+		serverCaller: serverCalls.createServerCaller({
+			user: upstreamUser,
+			database: upstreamUser,
+		}),
+		createLinks: (listener) =>
+			peerLinks.createPeerLinks({
+				hello: {
+					type: 'hello',
+					peer: settings.process.id,
+					role: 'control',
+					incarnation: clock.systemClock.readWallClock(),
+					protocol: protocolVersion,
+				},
+				listener,
+				clock: clock.systemClock,
+				logger: daemonLogger,
+				random: Math.random,
+			}),
+		createHttp: (handler) =>
+			new httpServer.HttpServer(createEndpoints(handler), daemonLogger),
+		random: Math.random,
+	};
+}
+
+function createEndpoints(
+	handler: controlTypes.ControlHandler,
+): http.DaemonEndpoints {
+	return {
+		metrics: new metrics.Metrics(),
+		readHealth: () => handler.readHealth(),
+		readStatus: () => handler.readStatus(),
+		startDrain() {
+			void handler.drain();
+		},
+		async listTemplates() {
+			const result = await handler.runQuery({type: 'templates'});
+			return result.type === 'templates' ? result.templates : [];
+		},
+		async fetchTemplate(member) {
+			const result = await handler.runQuery({type: 'template', member});
+			return result.type === 'template' ? result.template : undefined;
+		},
+		async fetchHistory(member) {
+			const result = await handler.runQuery({type: 'history', member});
+			return result.type === 'history' ? result.history : [];
+		},
+		requestChange: async (change) => handler.requestChange(change),
+	};
+}
