Replace a primary that its replicas cannot reach; strengthen the scenarios

Cause: a primary that is cut off from its replicas and from control but reachable by its owner is never silent, so nothing replaced it and no write was ever acknowledged again. Owners now report how long commits wait without progress of the replicas; control promotes after 1 s of that. Ruled out: control's own probes, which would load every server at the design scale.

--- a/scripts/quickstart/cluster.mjs
+++ b/scripts/quickstart/cluster.mjs
@@ -229,7 +229,7 @@
 			'[control]',
 			`peers = ${peers}`,
 			'[limits]',
-			'drain_deadline_s = 10',
+			'drain_deadline_s = 30',
 			'[log]',
 			`level = ${this.options.log ?? 'info'}`,
 			'format = text',
--- a/src/common/control/failover.ts
+++ b/src/common/control/failover.ts
@@ -27,7 +27,7 @@
 };
 
 /** Why a group needs a new primary. */
-type Reason = 'silent' | 'departing';
+type Reason = 'silent' | 'stalled' | 'departing';
 
 /** Failover of all groups during one term of leadership. */
 export class Failover {
@@ -288,11 +288,34 @@
 		return 'silent';
 	}
 
+	if (
+		isSettled &&
+		health.stalledMs >= timing.replicationStalledMs &&
+		countAnswering(group, table) > group.servers.length / 2
+	) {
+		return 'stalled';
+	}
+
 	return record.announcement?.departing === true && hasSuccessor(group, table)
 		? 'departing'
 		: undefined;
 }
 
+/** Servers other than the primary that answer their owners. */
+function countAnswering(
+	group: control.GroupState,
+	table: ownership.OwnershipTable,
+): number {
+	return group.servers.filter((server) => {
+		const age = table.servers.get(server)?.health?.answerAgeMs;
+		return (
+			server !== group.primary &&
+			age !== undefined &&
+			age < timing.primarySilentMs
+		);
+	}).length;
+}
+
 /** True when a server that stays answers its owner. */
 function hasSuccessor(
 	group: control.GroupState,
--- a/src/common/control/leases.ts
+++ b/src/common/control/leases.ts
@@ -57,6 +57,8 @@
 	/** Age of the last answer when it was reported; undefined when there was none. */
 	readonly answerAgeMs: number | undefined;
 	readonly status: types.UpstreamStatus | undefined;
+	/** How long commits have waited without any progress of the replicas, in ms. */
+	readonly stalledMs: number;
 };
 
 /** A server that was announced or claimed. */
--- a/src/common/control/ownership.ts
+++ b/src/common/control/ownership.ts
@@ -352,8 +352,8 @@
 		claim: messages.OwnedServer,
 		record: leases.ServerRecord,
 	): void {
-		const {answerAgeMs, status} = claim;
-		record.health = {reportedAt: now, answerAgeMs, status};
+		const {answerAgeMs, status, stalledMs = 0} = claim;
+		record.health = {reportedAt: now, answerAgeMs, status, stalledMs};
 		if (answerAgeMs !== undefined && answerAgeMs < timing.primarySilentMs) {
 			record.lastSeenAt = now;
 		}
--- a/src/common/control/timing.ts
+++ b/src/common/control/timing.ts
@@ -53,6 +53,12 @@
 /** Failover starts when the primary has not answered its owner for this long. */
 export const primarySilentMs = 500;
 
+/**
+ * Failover starts when commits have waited for this long while no replica made progress, because a
+ * primary that its replicas cannot reach can never acknowledge a write.
+ */
+export const replicationStalledMs = 1000;
+
 /** A call to a server is repeated after this pause. */
 export const callRepeatMs = 200;
 
--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -74,6 +74,11 @@
 	readonly epoch: types.Epoch;
 	/** Term of the write lease that the owner claims to hold, if any. */
 	readonly writeTerm?: number;
+	/**
+	 * On a primary: time for which commits have waited while no further log position reached a
+	 * majority, in ms; 0 when nothing waits.
+	 */
+	readonly stalledMs?: number;
 	/** Time since the last answer to a poll, in ms; undefined when it never answered. */
 	readonly answerAgeMs?: number;
 	readonly status?: types.UpstreamStatus;
--- a/src/common/proxy/owned-server.ts
+++ b/src/common/proxy/owned-server.ts
@@ -77,6 +77,9 @@
 	readonly evidence = new evidence.StalenessEvidence();
 	status: types.UpstreamStatus | undefined;
 	lastAnswerAt: number | undefined;
+	/** The position that a majority holds, and since when positions beyond it wait. */
+	majorityOffset = 0;
+	stalledSince: number | undefined;
 	pollInFlight = false;
 	lastPollAt = Number.NEGATIVE_INFINITY;
 	markRequested = false;
@@ -157,6 +160,23 @@
 		return count;
 	}
 
+	/** Notes whether the replicas of a primary make progress. */
+	recordReplication(servers: readonly ids.UpstreamId[], now: number): void {
+		const {status} = this;
+		if (status?.role !== 'primary') {
+			this.stalledSince = undefined;
+			return;
+		}
+
+		const majorityOffset = computeMajorityOffset(status, servers);
+		const isWaiting = status.position > majorityOffset;
+		if (!isWaiting || majorityOffset !== this.majorityOffset) {
+			this.stalledSince = isWaiting ? now : undefined;
+		}
+
+		this.majorityOffset = majorityOffset;
+	}
+
 	/** The applied position as of the last poll. */
 	getApplied(): types.Position | undefined {
 		return this.status
--- a/src/common/proxy/ownership.ts
+++ b/src/common/proxy/ownership.ts
@@ -119,6 +119,9 @@
 			server: server.server,
 			epoch: server.epoch,
 			...(server.writeTerm === undefined ? {} : {writeTerm: server.writeTerm}),
+			...(server.stalledSince === undefined
+				? {}
+				: {stalledMs: now - server.stalledSince}),
 			...(server.lastAnswerAt === undefined
 				? {}
 				: {answerAgeMs: now - server.lastAnswerAt}),
--- a/src/common/proxy/poller.ts
+++ b/src/common/proxy/poller.ts
@@ -75,11 +75,9 @@
 			term: status.term,
 			offset: status.applied,
 		});
-		this.owner.handlePolled(
-			server,
-			sentAt,
-			this.directory.groups.get(server.group),
-		);
+		const view = this.directory.groups.get(server.group);
+		server.recordReplication(view?.servers ?? [serverId], this.context.now);
+		this.owner.handlePolled(server, sentAt, view);
 		this.handleWork(server);
 		if (!wasWritable && this.owner.rules.isWritable(server)) {
 			this.owner.dispatcher.dispatchNext(server);
--- a/src/scenario/fleet/fake-server.ts
+++ b/src/scenario/fleet/fake-server.ts
@@ -320,6 +320,8 @@
 	private receive(source: FakeServer, records: readonly LogRecord[]): void {
 		if (
 			!this.isRunning ||
+			// What a crashed primary had not sent yet is lost.
+			source.isDown ||
 			this.source !== source ||
 			this.fencedTerm > source.term
 		) {
--- a/src/scenario/fleet/links.ts
+++ b/src/scenario/fleet/links.ts
@@ -52,6 +52,10 @@
 		this.cuts.add(`${from}>${to}`);
 	}
 
+	isCut(from: ids.PeerId, to: ids.PeerId): boolean {
+		return this.cuts.has(`${from}>${to}`);
+	}
+
 	heal(): void {
 		this.cuts.clear();
 	}
@@ -110,7 +114,7 @@
 		message: messages.PeerMessage,
 	): void {
 		const process = this.processes.get(to);
-		if (process && !this.cuts.has(`${from}>${to}`)) {
+		if (process && !this.isCut(from, to)) {
 			process.handleMessage(from, message);
 		}
 	}
--- a/src/scenario/fleet/naive-fleet.ts
+++ b/src/scenario/fleet/naive-fleet.ts
@@ -13,7 +13,7 @@
 import type * as proxyProcess from './proxy-process.js';
 import * as timeline from './timeline.js';
 
-const networkMs = 1;
+const networkMs = 5;
 const silenceMs = 500;
 const defaultDeadlineMs = 1000;
 const serverCount = 3;
@@ -21,7 +21,9 @@
 /** Processes of the naive version share what they know through this object. */
 type SharedView = {
 	primary: fakeServer.FakeServer;
+	/** Template version by proxy and by control process. */
 	readonly versions: Map<string, number>;
+	isCut(from: string, to: string): boolean;
 };
 
 class NaiveProcess implements fleetTypes.FleetProcess {
@@ -58,7 +60,6 @@
 }
 
 class NaiveProxy extends NaiveProcess implements fleetTypes.FleetProxy {
-	readonly isReady = true;
 	readonly records: proxy.RequestRecord[] = [];
 	private nextSession = 1;
 	private nextReplica = 0;
@@ -76,6 +77,10 @@
 		super();
 	}
 
+	get isReady(): boolean {
+		return this.condition === 'up';
+	}
+
 	get templateVersion(): number {
 		return this.view.versions.get(this.peer) ?? 0;
 	}
@@ -92,6 +97,11 @@
 		this.kill();
 	}
 
+	override restart(): void {
+		super.restart();
+		this.view.versions.set(this.peer, 0);
+	}
+
 	send(
 		_session: ids.SessionId,
 		statement: fakeServer.FakeStatement,
@@ -193,7 +203,6 @@
 
 class NaiveControl extends NaiveProcess implements fleetTypes.FleetControl {
 	private silentSince: number | undefined;
-	private version = 0;
 
 	constructor(
 		private readonly peer: string,
@@ -212,7 +221,7 @@
 
 	override restart(): void {
 		super.restart();
-		this.version = 0;
+		this.view.versions.set(this.peer, 0);
 	}
 
 	requestChange(
@@ -220,23 +229,30 @@
 		callback: (result: types.TemplateChangeResult) => void,
 	): void {
 		this.receive(() => {
-			if (change.expectedVersion !== this.version) {
-				callback({type: 'versionConflict', currentVersion: this.version});
+			const current = this.view.versions.get(this.peer) ?? 0;
+			if (change.expectedVersion !== current) {
+				callback({type: 'versionConflict', currentVersion: current});
 				return;
 			}
 
-			this.version++;
-			const {version} = this;
+			const version = current + 1;
+			this.view.versions.set(this.peer, version);
 			for (const name of this.view.versions.keys()) {
-				this.timeline.schedule(5, () => {
-					this.view.versions.set(name, version);
-				});
+				this.push(name, version);
 			}
 
 			callback({type: 'accepted', version});
 		});
 	}
 
+	private push(name: string, version: number): void {
+		this.timeline.schedule(networkMs, () => {
+			if (!this.view.isCut(this.peer, name)) {
+				this.view.versions.set(name, version);
+			}
+		});
+	}
+
 	private checkPrimary(): void {
 		const {primary} = this.view;
 		const isSilent = !primary.isRunning || !primary.isReachableFrom(this.peer);
@@ -288,6 +304,8 @@
 		this.view = {
 			primary: this.servers.get('s1')!,
 			versions: new Map(),
+			isCut: (from, to) =>
+				this.links.isCut(from as ids.PeerId, to as ids.PeerId),
 		};
 		for (let index = 1; index <= options.proxies; index++) {
 			this.view.versions.set(`p${index}`, 0);
@@ -298,6 +316,7 @@
 		}
 
 		for (let index = 1; index <= options.controls; index++) {
+			this.view.versions.set(`c${index}`, 0);
 			this.controls.set(
 				`c${index}`,
 				new NaiveControl(
