Split the stand-in into smaller modules and test more of it

Matching of rows, constraints, result rows, SELECT, the extended protocol and the writing of results are modules of their own now.

Faults found on the way: - `SELECT generate_series(a, b) LIMIT n` failed, because the select list was computed a second time. - The table of claimed keys was created by the first claim, which made concurrent first claims wait for each other; every server has it from the start now. - A primary that was told to follow another one kept its replicas' connections open without sending anything; it closes them now. - A server whose port was taken while it was crashed ended the process; it stays crashed now.

The pipeline test encodes its messages itself, because the ES module of pg-protocol cannot be loaded under tap.

--- a/src/standin/evaluator.ts
+++ b/src/standin/evaluator.ts
@@ -2,6 +2,7 @@
  * Evaluates expressions over a row, or over a set of rows for aggregate functions.
  */
 import {assertNever} from '../common/assert-never.js';
+import * as expressionTypes from './expression-types.js';
 import * as types from './types.js';
 import * as values from './values.js';
 
@@ -19,114 +20,6 @@
 	) => types.SqlValue;
 };
 
-const aggregates = new Set(['count', 'sum', 'min', 'max', 'avg']);
-
-const callTypes: Readonly<Record<string, types.ColumnType>> = {
-	count: 'int8',
-	sum: 'int8',
-	avg: 'numeric',
-	generate_series: 'int4',
-	length: 'int4',
-	now: 'timestamptz',
-	pg_backend_pid: 'int4',
-	pg_sleep: 'void',
-	'hemlockarch.claim_key': 'void',
-	'hemlockarch.end_other_sessions': 'int4',
-};
-
-/** Tells whether an expression contains an aggregate function. */
-export function hasAggregate(expression: types.Expression): boolean {
-	switch (expression.type) {
-		case 'call': {
-			return (
-				aggregates.has(expression.name) ||
-				expression.args.some((arg) => hasAggregate(arg))
-			);
-		}
-
-		case 'binary': {
-			return hasAggregate(expression.left) || hasAggregate(expression.right);
-		}
-
-		case 'cast':
-		case 'not':
-		case 'isNull': {
-			return hasAggregate(expression.operand);
-		}
-
-		case 'literal':
-		case 'parameter':
-		case 'column':
-		case 'in': {
-			return false;
-		}
-	}
-
-	return assertNever(expression);
-}
-
-/** Finds the result type; a parameter counts as text. */
-export function findType(
-	expression: types.Expression,
-	columns: readonly types.ResultField[],
-): types.ColumnType {
-	switch (expression.type) {
-		case 'literal': {
-			return expression.valueType;
-		}
-
-		case 'parameter': {
-			return 'text';
-		}
-
-		case 'column': {
-			return columns[findField(columns, expression.name)].type;
-		}
-
-		case 'call': {
-			const {name, args} = expression;
-			if (name === 'min' || name === 'max' || name === 'coalesce') {
-				return args.length > 0 ? findType(args[0], columns) : 'text';
-			}
-
-			return Object.hasOwn(callTypes, name) ? callTypes[name] : 'text';
-		}
-
-		case 'binary': {
-			if (['+', '-', '*', '/'].includes(expression.operator)) {
-				const left = findType(expression.left, columns);
-				return left === 'text' ? findType(expression.right, columns) : left;
-			}
-
-			return expression.operator === '||' ? 'text' : 'bool';
-		}
-
-		case 'not':
-		case 'isNull':
-		case 'in': {
-			return 'bool';
-		}
-
-		case 'cast': {
-			return expression.target;
-		}
-	}
-
-	return assertNever(expression);
-}
-
-function findField(
-	columns: readonly types.ResultField[],
-	name: string,
-): number {
-	const index = columns.findIndex((column) => column.name === name);
-	if (index === -1) {
-		throw new types.SqlError('42703', `column "${name}" does not exist`);
-	}
-
-	return index;
-}
-
 /** Computes an expression; throws `SqlError` for a missing column, parameter or function. */
 export function computeValue(
 	expression: types.Expression,
@@ -150,12 +43,12 @@
 		}
 
 		case 'column': {
-			const index = findField(scope.columns, expression.name);
+			const index = expressionTypes.findField(scope.columns, expression.name);
 			return (scope.row ?? scope.group?.[0])?.[index] ?? null;
 		}
 
 		case 'call': {
-			return aggregates.has(expression.name)
+			return expressionTypes.aggregates.has(expression.name)
 				? computeAggregate(expression, scope)
 				: computeCall(expression, scope);
 		}
--- /dev/null
+++ b/src/standin/extended-protocol.ts
@@ -0,0 +1,181 @@
+/**
+ * Prepared statements and portals of a session (PostgreSQL documentation, "Extended Query").
+ */
+import * as parser from './parser.js';
+import type * as statements from './statement-runner.js';
+import * as types from './types.js';
+import type * as wire from './wire.js';
+
+/** The type OID `text`, used for parameters whose type the caller leaves open. */
+const textOid = 25;
+
+type PreparedStatement = {
+	readonly statement: types.Statement;
+	readonly parameterOids: readonly number[];
+};
+
+export type Portal = {
+	readonly statement: types.Statement;
+	readonly parameters: readonly types.SqlValue[];
+	/** Rest of a result that was fetched in part. */
+	pending?: {
+		readonly rows: Iterator<types.Row>;
+		readonly result: types.StatementResult;
+	};
+};
+
+export class ExtendedProtocol {
+	private readonly prepared = new Map<string, PreparedStatement>();
+	private readonly portals = new Map<string, Portal>();
+
+	private readonly writer: wire.MessageWriter;
+	private readonly runner: statements.StatementRunner;
+
+	constructor(writer: wire.MessageWriter, runner: statements.StatementRunner) {
+		this.writer = writer;
+		this.runner = runner;
+	}
+
+	/** Forgets prepared statements and portals. */
+	clear(): void {
+		this.prepared.clear();
+		this.portals.clear();
+	}
+
+	/** Forgets the portals, which end with their transaction. */
+	clearPortals(): void {
+		this.portals.clear();
+	}
+
+	handleClose(body: wire.BodyReader): void {
+		const kind = body.readByte();
+		(kind === 'S' ? this.prepared : this.portals).delete(body.readText());
+		this.writer.writeEmpty('3');
+	}
+
+	handleParse(body: wire.BodyReader): void {
+		const name = body.readText();
+		const list = parser.parseStatements(body.readText());
+		if (list.length > 1) {
+			throw new types.SqlError(
+				'42601',
+				'cannot insert multiple commands into a prepared statement',
+			);
+		}
+
+		if (name !== '' && this.prepared.has(name)) {
+			throw new types.SqlError(
+				'42P05',
+				`prepared statement "${name}" already exists`,
+			);
+		}
+
+		const statement = list.at(0) ?? {type: 'empty'};
+		const given = Array.from({length: body.readInt16()}, () =>
+			body.readInt32(),
+		);
+		const count = Math.max(given.length, countParameters(statement));
+		const parameterOids = Array.from(
+			{length: count},
+			(_, index) => given[index] || textOid,
+		);
+		this.prepared.set(name, {statement, parameterOids});
+		this.writer.writeEmpty('1');
+	}
+
+	handleBind(body: wire.BodyReader): void {
+		const name = body.readText();
+		const prepared = this.findPrepared(body.readText());
+		const formats = Array.from({length: body.readInt16()}, () =>
+			body.readInt16(),
+		);
+		const parameters = Array.from(
+			{length: body.readInt16()},
+			(_, index): types.SqlValue => {
+				const length = body.readInt32();
+				if (length === -1) {
+					return null;
+				}
+
+				const bytes = body.readBytes(length);
+				const format = formats.length > 1 ? formats[index] : formats[0];
+				return format === 1
+					? String.raw`\x${bytes.toString('hex')}`
+					: bytes.toString('utf8');
+			},
+		);
+		const resultFormats = Array.from({length: body.readInt16()}, () =>
+			body.readInt16(),
+		);
+		if (resultFormats.includes(1)) {
+			throw new types.SqlError('0A000', 'binary results are not supported');
+		}
+
+		if (parameters.length !== prepared.parameterOids.length) {
+			throw new types.SqlError(
+				'08P01',
+				`bind message supplies ${parameters.length} parameters, but prepared statement requires ${prepared.parameterOids.length}`,
+			);
+		}
+
+		this.portals.set(name, {statement: prepared.statement, parameters});
+		this.writer.writeEmpty('2');
+	}
+
+	handleDescribe(body: wire.BodyReader): void {
+		const kind = body.readByte();
+		const name = body.readText();
+		const source =
+			kind === 'S' ? this.findPrepared(name) : this.findPortal(name);
+		if ('parameterOids' in source) {
+			this.writer.writeParameterDescription(source.parameterOids);
+		}
+
+		const fields = this.runner.findFields(source.statement);
+		if (fields) {
+			this.writer.writeRowDescription(fields);
+		} else {
+			this.writer.writeEmpty('n');
+		}
+	}
+
+	findPortal(name: string): Portal {
+		const portal = this.portals.get(name);
+		if (!portal) {
+			throw new types.SqlError('34000', `portal "${name}" does not exist`);
+		}
+
+		return portal;
+	}
+
+	private findPrepared(name: string): PreparedStatement {
+		const prepared = this.prepared.get(name);
+		if (!prepared) {
+			throw new types.SqlError(
+				'26000',
+				`prepared statement "${name}" does not exist`,
+			);
+		}
+
+		return prepared;
+	}
+}
+
+/** Counts the parameters that a statement uses. */
+function countParameters(statement: types.Statement): number {
+	let count = 0;
+	JSON.stringify(statement, (_, value: unknown) => {
+		if (
+			typeof value === 'object' &&
+			value !== null &&
+			'type' in value &&
+			value.type === 'parameter' &&
+			'index' in value
+		) {
+			count = Math.max(count, Number(value.index) + 1);
+		}
+
+		return value;
+	});
+	return count;
+}
--- a/src/standin/parser.ts
+++ b/src/standin/parser.ts
@@ -3,6 +3,7 @@
  */
 import * as expressions from './expression-parser.js';
 import * as lexer from './lexer.js';
+import * as select from './select-parser.js';
 import * as types from './types.js';
 
 /** Texts kept in the parse cache; measurements repeat a few statements very often. */
@@ -43,7 +44,7 @@
 	const word = token?.type === 'word' ? token.text : '';
 	switch (word) {
 		case 'select': {
-			return parseSelect(cursor);
+			return select.parseSelect(cursor);
 		}
 
 		case 'insert': {
@@ -57,12 +58,12 @@
 		case 'delete': {
 			cursor.assertWord('from');
 			const table = cursor.readName();
-			const where = parseWhere(cursor);
+			const where = select.parseWhere(cursor);
 			return {
 				type: 'delete',
 				table,
 				where,
-				returning: parseReturning(cursor),
+				returning: select.parseReturning(cursor),
 			};
 		}
 
@@ -89,7 +90,7 @@
 	switch (word) {
 		case 'begin':
 		case 'start': {
-			const words = readRest(cursor).map((text) => text.toLowerCase());
+			const words = select.readRest(cursor).map((text) => text.toLowerCase());
 			const readOnly = words.join(' ').includes('read only');
 			const tag = word === 'begin' ? 'BEGIN' : 'START TRANSACTION';
 			return {type: 'begin', readOnly, tag};
@@ -97,13 +98,13 @@
 
 		case 'commit':
 		case 'end': {
-			readRest(cursor);
+			select.readRest(cursor);
 			return {type: 'commit'};
 		}
 
 		case 'rollback':
 		case 'abort': {
-			readRest(cursor);
+			select.readRest(cursor);
 			return {type: 'rollback'};
 		}
 
@@ -126,7 +127,7 @@
 
 		case 'listen':
 		case 'unlisten': {
-			readRest(cursor);
+			select.readRest(cursor);
 			return {type: 'listen', tag: word.toUpperCase()};
 		}
 
@@ -136,17 +137,6 @@
 	}
 }
 
-/** Reads the tokens up to the end of the statement as texts. */
-function readRest(cursor: expressions.Cursor): string[] {
-	const texts: string[] = [];
-	while (!cursor.isAtEnd && !cursor.isSymbol(';')) {
-		const token = cursor.readNext();
-		texts.push(token && token.type !== 'parameter' ? token.text : '');
-	}
-
-	return texts;
-}
-
 function parseSet(cursor: expressions.Cursor): types.Statement {
 	if (!cursor.tryWord('session')) {
 		cursor.tryWord('local');
@@ -157,123 +147,12 @@
 		throw cursor.makeError();
 	}
 
-	const value = readRest(cursor).join('');
+	const value = select.readRest(cursor).join('');
 	return value === 'default'
 		? {type: 'reset', name}
 		: {type: 'set', name, value};
 }
 
-function parseItems(cursor: expressions.Cursor): types.SelectItem[] {
-	const items: types.SelectItem[] = [];
-	do {
-		if (cursor.trySymbol('*')) {
-			items.push({type: 'star'});
-			continue;
-		}
-
-		const expression = expressions.parseExpression(cursor);
-		const name = parseAlias(cursor) ?? findDefaultName(expression);
-		items.push({type: 'expression', expression, name});
-	} while (cursor.trySymbol(','));
-
-	return items;
-}
-
-const reservedAfterItem = new Set([
-	'from',
-	'where',
-	'order',
-	'limit',
-	'offset',
-	'for',
-]);
-
-function parseAlias(cursor: expressions.Cursor): string | undefined {
-	if (cursor.tryWord('as')) {
-		return cursor.readName();
-	}
-
-	const next = cursor.findNext();
-	return next?.type === 'word' && !reservedAfterItem.has(next.text)
-		? cursor.readName()
-		: undefined;
-}
-
-function findDefaultName(expression: types.Expression): string {
-	if (expression.type === 'column') {
-		return expression.name;
-	}
-
-	if (expression.type === 'cast') {
-		return findDefaultName(expression.operand);
-	}
-
-	return expression.type === 'call'
-		? expression.name.slice(expression.name.lastIndexOf('.') + 1)
-		: '?column?';
-}
-
-function parseSelect(cursor: expressions.Cursor): types.Statement {
-	const items = parseItems(cursor);
-	const source = cursor.tryWord('from') ? parseSource(cursor) : undefined;
-	const where = parseWhere(cursor);
-	const orderBy = cursor.tryWord('order', 'by') ? parseOrder(cursor) : [];
-	const limit = cursor.tryWord('limit')
-		? expressions.parseExpression(cursor)
-		: undefined;
-	const offset = cursor.tryWord('offset')
-		? expressions.parseExpression(cursor)
-		: undefined;
-	if (cursor.tryWord('for')) {
-		// Row locks are taken by writes only.
-		readRest(cursor);
-	}
-
-	return {type: 'select', items, source, where, orderBy, limit, offset};
-}
-
-function parseSource(cursor: expressions.Cursor): types.SelectSource {
-	const name = cursor.readName();
-	if (!cursor.trySymbol('(')) {
-		parseAlias(cursor);
-		return {type: 'table', name};
-	}
-
-	const args = expressions.parseList(cursor);
-	const call = {type: 'call', name, args} as const;
-	const alias = parseAlias(cursor) ?? findDefaultName(call);
-	return {type: 'function', call, alias};
-}
-
-function parseOrder(
-	cursor: expressions.Cursor,
-): Array<{expression: types.Expression; descending: boolean}> {
-	const list: Array<{expression: types.Expression; descending: boolean}> = [];
-	do {
-		const expression = expressions.parseExpression(cursor);
-		const descending = cursor.tryWord('desc');
-		if (!descending) {
-			cursor.tryWord('asc');
-		}
-
-		list.push({expression, descending});
-	} while (cursor.trySymbol(','));
-
-	return list;
-}
-
-function parseWhere(cursor: expressions.Cursor): types.Expression | undefined {
-	return cursor.tryWord('where')
-		? expressions.parseExpression(cursor)
-		: undefined;
-}
-
-function parseReturning(
-	cursor: expressions.Cursor,
-): types.SelectItem[] | undefined {
-	return cursor.tryWord('returning') ? parseItems(cursor) : undefined;
-}
-
 function parseNames(cursor: expressions.Cursor): string[] {
 	const names: string[] = [];
 	cursor.assertSymbol('(');
@@ -308,7 +187,7 @@
 		cursor.assertWord('do', 'nothing');
 	}
 
-	const returning = parseReturning(cursor);
+	const returning = select.parseReturning(cursor);
 	return {type: 'insert', table, columns, rows, ignoreConflicts, returning};
 }
 
@@ -339,8 +218,8 @@
 		assignments.push([name, expressions.parseExpression(cursor)]);
 	} while (cursor.trySymbol(','));
 
-	const where = parseWhere(cursor);
-	const returning = parseReturning(cursor);
+	const where = select.parseWhere(cursor);
+	const returning = select.parseReturning(cursor);
 	return {type: 'update', table, assignments, where, returning};
 }
 
--- a/src/standin/replication-role.ts
+++ b/src/standin/replication-role.ts
@@ -166,6 +166,10 @@
 		}
 
 		this.closeFollower();
+		for (const feed of this.feeds) {
+			feed.dispose();
+		}
+
 		this.feeds.clear();
 		this.fence = term;
 		this.currentRole = 'replica';
--- a/src/standin/replication.ts
+++ b/src/standin/replication.ts
@@ -318,6 +318,11 @@
 		}
 	}
 
+	/** Closes the connection; the replica tries again. */
+	dispose(): void {
+		this.connection.dispose();
+	}
+
 	sendRecord(record: types.LogRecord): void {
 		if (this.isStarted) {
 			this.send({type: 'record', record});
--- /dev/null
+++ b/src/standin/result-rows.ts
@@ -0,0 +1,115 @@
+/**
+ * Result columns and result rows: select lists, ORDER BY and LIMIT.
+ */
+import * as evaluator from './evaluator.js';
+import * as expressionTypes from './expression-types.js';
+import type * as contexts from './statement-context.js';
+import * as types from './types.js';
+import * as values from './values.js';
+
+export const noFields: readonly types.ResultField[] = [];
+
+export function findCallColumns(
+	name: string,
+	alias: string,
+	host: contexts.FunctionHost,
+): readonly types.ResultField[] {
+	const fields = host.findFunctionFields(name);
+	if (!fields) {
+		throw new types.SqlError('42883', `function ${name}() does not exist`);
+	}
+
+	return fields.length === 1 ? [{name: alias, type: fields[0].type}] : fields;
+}
+
+export function makeScope(
+	context: contexts.StatementContext,
+	columns: readonly types.ResultField[],
+): evaluator.Scope {
+	const {host, parameters, transaction} = context;
+	return {
+		parameters,
+		columns,
+		row: undefined,
+		group: undefined,
+		callFunction: (name, args) => host.callFunction(name, args, transaction),
+	};
+}
+
+export function listFields(
+	items: readonly types.SelectItem[],
+	columns: readonly types.ResultField[],
+): readonly types.ResultField[] {
+	return items.flatMap((item) =>
+		item.type === 'star'
+			? columns.map(({name, type}) => ({name, type}))
+			: [
+					{
+						name: item.name,
+						type: expressionTypes.findType(item.expression, columns),
+					},
+				],
+	);
+}
+
+export function buildRows(
+	items: readonly types.SelectItem[],
+	rows: readonly types.Row[],
+	scope: evaluator.Scope,
+): types.Row[] {
+	const buildRow = (inner: evaluator.Scope): types.Row =>
+		items.flatMap((item) =>
+			item.type === 'star'
+				? (inner.row ?? [])
+				: [evaluator.computeValue(item.expression, inner)],
+		);
+	const isAggregate = items.some(
+		(item) =>
+			item.type === 'expression' &&
+			expressionTypes.hasAggregate(item.expression),
+	);
+	return isAggregate
+		? [buildRow({...scope, group: rows})]
+		: rows.map((row) => buildRow({...scope, row}));
+}
+
+export function sortRows(
+	rows: types.Row[],
+	orderBy: Extract<types.Statement, {type: 'select'}>['orderBy'],
+	scope: evaluator.Scope,
+): void {
+	if (orderBy.length === 0) {
+		return;
+	}
+
+	rows.sort((left, right) => {
+		for (const {expression, descending} of orderBy) {
+			const order = values.compareForSort(
+				evaluator.computeValue(expression, {...scope, row: left}),
+				evaluator.computeValue(expression, {...scope, row: right}),
+			);
+			if (order !== 0) {
+				return descending ? -order : order;
+			}
+		}
+
+		return 0;
+	});
+}
+
+export function takeRows(
+	rows: types.Row[],
+	statement: Extract<types.Statement, {type: 'select'}>,
+	scope: evaluator.Scope,
+): types.Row[] {
+	const {limit, offset} = statement;
+	if (!limit && !offset) {
+		return rows;
+	}
+
+	const start = offset ? Number(evaluator.computeValue(offset, scope)) : 0;
+	const count = limit
+		? Number(evaluator.computeValue(limit, scope))
+		: rows.length;
+	return rows.slice(start, start + count);
+}
--- a/src/standin/server-functions.ts
+++ b/src/standin/server-functions.ts
@@ -98,7 +98,9 @@
 
 	if (isControl && name === 'standin.set') {
 		const change = faults.parseFault(String(args[0]), String(args[1]));
-		void target.setFaults(change);
+		target.setFaults(change).catch(() => {
+			// The server stays crashed, as `standin.state()` shows.
+		});
 		return 'done';
 	}
 
--- a/src/standin/server.test.ts
+++ b/src/standin/server.test.ts
@@ -1,75 +1,15 @@
 import type {Buffer} from 'node:buffer';
-import type * as net from 'node:net';
 import * as http from 'node:http';
-import pg from 'pg';
-import tap, {type Test} from 'tap';
-import * as standin from './index.js';
-
-const base = {group: 'ledger', dataCentre: 'khomas-a'};
-
-async function startServer(
-	t: Test,
-	options: Partial<standin.StandInOptions> = {},
-): Promise<standin.StandInServer> {
-	const server = new standin.StandInServer({
-		...base,
-		server: 'ledger-1',
-		...options,
-		faults: {connectTimeMs: 0, ...options.faults},
-	});
-	await server.start();
-	t.teardown(async () => server.stop());
-	return server;
-}
-
-async function connect(
-	t: Test,
-	port: number,
-	applicationName = 'test',
-): Promise<pg.Client> {
-	const client = new pg.Client({
-		host: '127.0.0.1',
-		port,
-		user: 'sanna',
-		database: 'ledger',
-		application_name: applicationName,
-	});
-	client.on('error', () => undefined);
-	await client.connect();
-	t.teardown(async () => client.end().catch(() => undefined));
-	return client;
-}
-
-async function waitUntil(check: () => boolean | Promise<boolean>) {
-	while (!(await check())) {
-		await new Promise((resolve) => {
-			setTimeout(resolve, 2);
-		});
-	}
-}
-
-async function startGroup(t: Test): Promise<standin.StandInServer[]> {
-	const primary = await startServer(t, {server: 's1'});
-	const source = {server: 's1', address: primary.address};
-	const replicas = [
-		await startServer(t, {server: 's2', primary: source}),
-		await startServer(t, {server: 's3', primary: source}),
-	];
-	await waitUntil(() => primary.readStatus().replicas.length === 2);
-	return [primary, ...replicas];
-}
-
-async function createOrders(client: pg.Client): Promise<void> {
-	await client.query(
-		'CREATE TABLE orders (id int PRIMARY KEY, item text NOT NULL, amount int DEFAULT 1)',
-	);
-}
+import type * as net from 'node:net';
+import type pg from 'pg';
+import tap from 'tap';
+import * as support from './test-support.js';
 
 // Guards against a stand-in that parses or computes the statements of the workloads wrongly.
 tap.test('statements over the simple protocol', async (t) => {
-	const server = await startServer(t);
-	const client = await connect(t, server.port);
-	await createOrders(client);
+	const server = await support.startServer(t);
+	const client = await support.connect(t, server.port);
+	await support.createOrders(client);
 	const inserted = await client.query(
 		"INSERT INTO orders (id, item) VALUES (1, 'aloe'), (2, 'it''s') RETURNING id, amount",
 	);
@@ -101,9 +41,9 @@
 
 // Guards against wrong answers to named statements, portals and errors before Sync.
 tap.test('extended protocol', async (t) => {
-	const server = await startServer(t);
-	const client = await connect(t, server.port);
-	await createOrders(client);
+	const server = await support.startServer(t);
+	const client = await support.connect(t, server.port);
+	await support.createOrders(client);
 	for (const id of [1, 2]) {
 		await client.query({
 			name: 'add',
@@ -128,8 +68,8 @@
 
 // Guards against lost or repeated rows when a portal is fetched in parts.
 tap.test('portal with a row limit', async (t) => {
-	const server = await startServer(t);
-	const client = await connect(t, server.port);
+	const server = await support.startServer(t);
+	const client = await support.connect(t, server.port);
 	const result = await client.query({
 		text: 'SELECT generate_series(1, 10)',
 		values: [],
@@ -141,10 +81,10 @@
 
 // Guards against sessions that see or mix each other's uncommitted writes.
 tap.test('transaction isolation', async (t) => {
-	const server = await startServer(t);
-	const first = await connect(t, server.port);
-	const second = await connect(t, server.port);
-	await createOrders(first);
+	const server = await support.startServer(t);
+	const first = await support.connect(t, server.port);
+	const second = await support.connect(t, server.port);
+	await support.createOrders(first);
 	await first.query('BEGIN');
 	await first.query("INSERT INTO orders VALUES (1, 'a', 1)");
 	const own = await first.query('SELECT id FROM orders');
@@ -179,17 +119,17 @@
 
 // Guards against two waiting transactions that block each other for good.
 tap.test('deadlock', async (t) => {
-	const server = await startServer(t);
-	const first = await connect(t, server.port);
-	const second = await connect(t, server.port);
-	await createOrders(first);
+	const server = await support.startServer(t);
+	const first = await support.connect(t, server.port);
+	const second = await support.connect(t, server.port);
+	await support.createOrders(first);
 	await first.query("INSERT INTO orders VALUES (1, 'a'), (2, 'b')");
 	await first.query('BEGIN');
 	await second.query('BEGIN');
 	await first.query('DELETE FROM orders WHERE id = 1');
 	await second.query('DELETE FROM orders WHERE id = 2');
 	const waiting = first.query('DELETE FROM orders WHERE id = 2');
-	await waitUntil(() => server.readState().running === 0);
+	await support.waitUntil(() => server.readState().running === 0);
 	await t.rejects(second.query('DELETE FROM orders WHERE id = 1'), {
 		code: '40P01',
 	});
@@ -200,8 +140,8 @@
 
 // Guards against a key that is claimed twice or survives a rollback.
 tap.test('claim_key', async (t) => {
-	const server = await startServer(t);
-	const client = await connect(t, server.port);
+	const server = await support.startServer(t);
+	const client = await support.connect(t, server.port);
 	await client.query('BEGIN');
 	await client.query("SELECT hemlockarch.claim_key('k1')");
 	await client.query('ROLLBACK');
@@ -211,133 +151,13 @@
 	});
 });
 
-// Guards against reads that see records before the apply lag, and against writes on a replica.
-tap.test('replication with an apply lag', async (t) => {
-	const [primary, replica] = await startGroup(t);
-	const writer = await connect(t, primary.port);
-	const reader = await connect(t, replica.port);
-	await createOrders(writer);
-	await waitUntil(
-		() => replica.readStatus().applied === primary.readStatus().position,
-	);
-	await replica.setFaults({applyLagMs: 3_600_000});
-	await writer.query("INSERT INTO orders VALUES (1, 'a')");
-	await waitUntil(
-		() => replica.readStatus().position === primary.readStatus().position,
-	);
-	const before = await reader.query('SELECT id FROM orders');
-	t.equal(before.rows.length, 0);
-	await replica.setFaults({applyLagMs: 0});
-	await waitUntil(
-		() => replica.readStatus().applied === primary.readStatus().position,
-	);
-	const after = await reader.query('SELECT id FROM orders');
-	t.equal(after.rows.length, 1);
-	await t.rejects(reader.query('DELETE FROM orders'), {code: '25006'});
-	await t.rejects(reader.query("SELECT hemlockarch.claim_key('k')"), {
-		code: '25006',
-	});
-
-	await replica.setFaults({receiveLagMs: 3_600_000});
-	const {position} = replica.readStatus();
-	await writer.query("INSERT INTO orders VALUES (2, 'b')");
-	await waitUntil(async () => {
-		const status = await writer.query('SELECT * FROM hemlockarch.status()');
-		const row = status.rows[0] as {position: string; replicas: string};
-		const replicas = JSON.parse(row.replicas) as Array<{position: number}>;
-		return replicas.some((item) => item.position === Number(row.position));
-	});
-	t.equal(replica.readStatus().position, position);
-});
-
-// Guards against writes on a fenced primary and against a fence that a lower term undoes.
-tap.test('fencing', async (t) => {
-	const [primary, replica] = await startGroup(t);
-	const client = await connect(t, primary.port);
-	await createOrders(client);
-	await client.query('BEGIN');
-	await client.query("INSERT INTO orders VALUES (1, 'open')");
-	const admin = await connect(t, primary.port);
-	const fenced = await admin.query('SELECT * FROM hemlockarch.fence(3)');
-	t.match(fenced.rows[0], {server: 's1', role: 'primary', term: '1'});
-	await t.rejects(client.query('COMMIT'), {code: '25006'});
-	await t.rejects(client.query("INSERT INTO orders VALUES (2, 'b')"), {
-		code: '25006',
-	});
-	await t.rejects(admin.query('SELECT hemlockarch.fence(2)'), {code: 'HK101'});
-	await t.rejects(admin.query('SELECT hemlockarch.promote(2)'), {
-		code: 'HK101',
-	});
-	t.throws(() => {
-		replica.promote(2);
-	}, /not fenced/v);
-	replica.setFence(2);
-	replica.promote(2);
-	t.match(replica.readStatus(), {role: 'primary', term: 2});
-});
-
-// Guards against records that a fenced replica accepts from a primary of a lower term.
-tap.test('a fenced replica receives nothing more', async (t) => {
-	const [primary, replica, other] = await startGroup(t);
-	const client = await connect(t, primary.port);
-	await createOrders(client);
-	await waitUntil(
-		() => replica.readStatus().position === primary.readStatus().position,
-	);
-	replica.setFence(2);
-	const {position} = replica.readStatus();
-	await client.query("INSERT INTO orders VALUES (1, 'a')");
-	await waitUntil(
-		() => other.readStatus().position === primary.readStatus().position,
-	);
-	t.equal(replica.readStatus().position, position);
-});
-
-// Guards against a divergent tail that survives a change of the primary.
-tap.test('promotion drops a divergent tail', async (t) => {
-	const [primary, second, third] = await startGroup(t);
-	const client = await connect(t, primary.port);
-	await createOrders(client);
-	await client.query("INSERT INTO orders VALUES (1, 'kept')");
-	await waitUntil(
-		() => second.readStatus().applied === primary.readStatus().position,
-	);
-	second.setFence(2);
-	third.setFence(2);
-	await client.query("INSERT INTO orders VALUES (2, 'lost')");
-	await client.query("UPDATE orders SET item = 'changed' WHERE id = 1");
-	await client.query('DROP TABLE IF EXISTS orders');
-	second.promote(2);
-	const writer = await connect(t, second.port);
-	await writer.query("INSERT INTO orders VALUES (3, 'new')");
-	primary.follow(2, 's2', second.address);
-	third.follow(2, 's2', second.address);
-	await waitUntil(() => primary.readStatus().term === 2);
-	await waitUntil(() => {
-		const {position} = second.readStatus();
-		return [primary, third].every(
-			(server) => server.readStatus().applied === position,
-		);
-	});
-	for (const server of [primary, third]) {
-		const reader = await connect(t, server.port);
-		const rows = await reader.query('SELECT id, item FROM orders ORDER BY id');
-		t.same(rows.rows, [
-			{id: 1, item: 'kept'},
-			{id: 3, item: 'new'},
-		]);
-	}
-
-	await t.rejects(client.query('DELETE FROM orders'), {code: '25006'});
-});
-
 // Guards against more statements at once than the server has slots, and against a lost order.
 tap.test('slots', async (t) => {
-	const server = await startServer(t, {slots: 1});
+	const server = await support.startServer(t, {slots: 1});
 	const clients = [
-		await connect(t, server.port),
-		await connect(t, server.port),
-		await connect(t, server.port),
+		await support.connect(t, server.port),
+		await support.connect(t, server.port),
+		await support.connect(t, server.port),
 	];
 	const [first, second, third] = clients;
 	const finished: number[] = [];
@@ -347,12 +167,12 @@
 	};
 
 	const runs = [run(first, 1, 0.05)];
-	await waitUntil(() => server.readState().running === 1);
+	await support.waitUntil(() => server.readState().running === 1);
 	runs.push(run(second, 2, 0.02));
-	await waitUntil(() => server.readState().waiting === 1);
+	await support.waitUntil(() => server.readState().waiting === 1);
 	runs.push(run(third, 3, 0));
-	await waitUntil(() => server.readState().waiting === 2);
-	const poll = await connect(t, server.port);
+	await support.waitUntil(() => server.readState().waiting === 2);
+	const poll = await support.connect(t, server.port);
 	const status = await poll.query('SELECT * FROM hemlockarch.status()');
 	t.equal(status.rows.length, 1);
 	t.same(finished, []);
@@ -363,10 +183,10 @@
 
 // Guards against a cancel request that is ignored or leaves its slot taken.
 tap.test('cancel', async (t) => {
-	const server = await startServer(t, {slots: 1});
-	const client = await connect(t, server.port);
+	const server = await support.startServer(t, {slots: 1});
+	const client = await support.connect(t, server.port);
 	const running = client.query('SELECT pg_sleep(3600)');
-	await waitUntil(() => server.readState().running === 1);
+	await support.waitUntil(() => server.readState().running === 1);
 	const {processID, secretKey} = client as unknown as {
 		processID: number;
 		secretKey: number;
@@ -378,21 +198,21 @@
 
 // Guards against a server that accepts more connections than its limit.
 tap.test('connection limit', async (t) => {
-	const server = await startServer(t, {connectionLimit: 2});
-	const first = await connect(t, server.port);
-	await connect(t, server.port);
-	await t.rejects(connect(t, server.port), {code: '53300'});
+	const server = await support.startServer(t, {connectionLimit: 2});
+	const first = await support.connect(t, server.port);
+	await support.connect(t, server.port);
+	await t.rejects(support.connect(t, server.port), {code: '53300'});
 	await first.end();
-	await waitUntil(() => server.readState().sessions === 1);
-	await connect(t, server.port);
+	await support.waitUntil(() => server.readState().sessions === 1);
+	await support.connect(t, server.port);
 });
 
 // Guards against an old owner that keeps its connections after a new one took over.
 tap.test('end_other_sessions', async (t) => {
-	const server = await startServer(t);
-	const older = await connect(t, server.port, 'hemlockarch/2.9');
-	const newer = await connect(t, server.port, 'hemlockarch/3.1');
-	const plain = await connect(t, server.port, 'psql');
+	const server = await support.startServer(t);
+	const older = await support.connect(t, server.port, 'hemlockarch/2.9');
+	const newer = await support.connect(t, server.port, 'hemlockarch/3.1');
+	const plain = await support.connect(t, server.port, 'psql');
 	const ended = await newer.query(
 		"SELECT hemlockarch.end_other_sessions('3.1')",
 	);
@@ -404,10 +224,10 @@
 
 // Guards against faults that act on the control port or do not act at all.
 tap.test('faults through the control port', async (t) => {
-	const server = await startServer(t);
-	const client = await connect(t, server.port);
-	await createOrders(client);
-	const control = await connect(t, server.controlPort);
+	const server = await support.startServer(t);
+	const client = await support.connect(t, server.port);
+	await support.createOrders(client);
+	const control = await support.connect(t, server.controlPort);
 	await control.query("SELECT standin.set('freeze', 'true')");
 	let answered = false;
 	const write = (async () => {
@@ -429,17 +249,17 @@
 	});
 	await control.query("SELECT standin.set('crash', 'true')");
 	await t.rejects(client.query('SELECT 1'));
-	await t.rejects(connect(t, server.port));
+	await t.rejects(support.connect(t, server.port));
 	await server.setFaults({crash: false});
-	const again = await connect(t, server.port);
+	const again = await support.connect(t, server.port);
 	const rows = await again.query('SELECT id FROM orders');
 	t.same(rows.rows, [{id: 1}]);
 });
 
 // Guards against DISCARD ALL that leaves state behind, and against settings that are not kept.
 tap.test('settings', async (t) => {
-	const server = await startServer(t);
-	const client = await connect(t, server.port);
+	const server = await support.startServer(t);
+	const client = await support.connect(t, server.port);
 	await client.query("SET hemlockarch.rank = 'urgent'");
 	const shown = await client.query('SHOW hemlockarch.rank');
 	t.same(shown.rows, [{'hemlockarch.rank': 'urgent'}]);
@@ -468,11 +288,11 @@
 		proxy.close();
 	});
 	const {port} = proxy.address() as net.AddressInfo;
-	const server = await startServer(t, {
+	const server = await support.startServer(t, {
 		announceTo: [`127.0.0.1:${port}`],
 		announceIntervalMs: 3_600_000,
 	});
-	await waitUntil(() => received.length === 1);
+	await support.waitUntil(() => received.length === 1);
 	t.match(received[0], {
 		group: 'ledger',
 		server: 'ledger-1',
@@ -483,10 +303,10 @@
 		departing: false,
 	});
 	await server.setFaults({departing: true});
-	await waitUntil(() => received.length === 2);
+	await support.waitUntil(() => received.length === 2);
 	t.equal(received[1].departing, true);
 	server.setFence(2);
 	server.promote(2);
-	await waitUntil(() => received.length === 3);
+	await support.waitUntil(() => received.length === 3);
 	t.equal(received[2].term, 2);
 });
--- a/src/standin/server.ts
+++ b/src/standin/server.ts
@@ -135,7 +135,12 @@
 		} else if (!this.faults.crash && wasCrashed) {
 			this.startedAt = Date.now();
 			this.faults.departing = false;
-			await this.open();
+			try {
+				await this.open();
+			} catch (error) {
+				this.faults.crash = true;
+				throw error;
+			}
 		}
 	}
 
--- a/src/standin/session.ts
+++ b/src/standin/session.ts
@@ -3,33 +3,15 @@
  * were received before the caller closed its side are still executed, as PostgreSQL does.
  */
 import type {Buffer} from 'node:buffer';
+import * as extended from './extended-protocol.js';
 import type * as gates from './gate.js';
 import * as statements from './statement-runner.js';
 import type * as server from './session-host.js';
+import * as results from './result-writer.js';
 import * as parser from './parser.js';
 import * as types from './types.js';
 import * as wire from './wire.js';
 
-/** Rows are sent in pieces of about this size. */
-const flushBytes = 64 * 1024;
-/** The type OID `text`, used for parameters whose type the caller leaves open. */
-const textOid = 25;
-
-type PreparedStatement = {
-	readonly statement: types.Statement;
-	readonly parameterOids: readonly number[];
-};
-
-type Portal = {
-	readonly statement: types.Statement;
-	readonly parameters: readonly types.SqlValue[];
-	/** Rest of a result that was fetched in part. */
-	pending?: {
-		readonly rows: Iterator<types.Row>;
-		readonly result: types.StatementResult;
-	};
-};
-
 export class Session {
 	readonly processId: number;
 	readonly secret = Math.trunc(Math.random() * 2 ** 31);
@@ -38,8 +20,8 @@
 	isReady = false;
 	private readonly reader = new wire.MessageReader();
 	private readonly writer = new wire.MessageWriter();
-	private readonly prepared = new Map<string, PreparedStatement>();
-	private readonly portals = new Map<string, Portal>();
+	private readonly extended: extended.ExtendedProtocol;
+	private readonly results: results.ResultWriter;
 	private readonly runner: statements.StatementRunner;
 	private isBusy = false;
 	private isEnded = false;
@@ -53,7 +35,9 @@
 		private readonly isControl: boolean,
 	) {
 		this.processId = processId;
+		this.results = new results.ResultWriter(this.writer, connection);
 		this.runner = new statements.StatementRunner(host, this, isControl);
+		this.extended = new extended.ExtendedProtocol(this.writer, this.runner);
 		const {socket} = connection;
 		socket.on('data', (data) => {
 			this.reader.add(data);
@@ -86,7 +70,7 @@
 	/** Ends the session at once with a FATAL error. */
 	stop(sqlState: string, message: string): void {
 		this.writer.writeError(sqlState, message, 'FATAL');
-		this.flush();
+		this.results.flush();
 		this.connection.close();
 		this.dispose();
 	}
@@ -105,8 +89,7 @@
 
 	/** Forgets prepared statements, portals and settings, for DISCARD ALL. */
 	reset(): void {
-		this.prepared.clear();
-		this.portals.clear();
+		this.extended.clear();
 		this.settings.clear();
 	}
 
@@ -138,19 +121,19 @@
 
 				const pending = this.handleMessage(message);
 				if (pending) {
-					this.flush();
+					this.results.flush();
 					await pending;
 				}
 
-				if (this.writer.size > flushBytes) {
-					this.flush();
+				if (this.writer.size > results.flushBytes) {
+					this.results.flush();
 				}
 			}
 		} catch (error) {
 			this.stop('08P01', `protocol violation: ${String(error)}`);
 		}
 
-		this.flush();
+		this.results.flush();
 		this.isBusy = false;
 		if (this.isEnded) {
 			this.dispose();
@@ -188,17 +171,17 @@
 			}
 
 			case 'P': {
-				this.handleParse(body);
+				this.extended.handleParse(body);
 				return;
 			}
 
 			case 'B': {
-				this.handleBind(body);
+				this.extended.handleBind(body);
 				return;
 			}
 
 			case 'D': {
-				this.handleDescribe(body);
+				this.extended.handleDescribe(body);
 				return;
 			}
 
@@ -207,14 +190,12 @@
 			}
 
 			case 'C': {
-				const kind = body.readByte();
-				(kind === 'S' ? this.prepared : this.portals).delete(body.readText());
-				this.writer.writeEmpty('3');
+				this.extended.handleClose(body);
 				return;
 			}
 
 			case 'H': {
-				this.flush();
+				this.results.flush();
 				return;
 			}
 
@@ -338,7 +319,7 @@
 
 		this.writer.writeBackendKey(this.processId, this.secret);
 		this.writeReady();
-		this.flush();
+		this.results.flush();
 	}
 
 	/** Runs the statements of a Query message from `index` on. */
@@ -354,8 +335,8 @@
 			const result = this.runner.run(list[next], []);
 			const sent =
 				result instanceof Promise
-					? result.then(async (value) => this.writeResult(value, true))
-					: this.writeResult(result, true);
+					? result.then(async (value) => this.results.writeResult(value, true))
+					: this.results.writeResult(result, true);
 			if (sent) {
 				return sent.then(async () => this.runQuery(list, next + 1));
 			}
@@ -365,94 +346,8 @@
 		this.writeReady();
 	}
 
-	private handleParse(body: wire.BodyReader): void {
-		const name = body.readText();
-		const list = parser.parseStatements(body.readText());
-		if (list.length > 1) {
-			throw new types.SqlError(
-				'42601',
-				'cannot insert multiple commands into a prepared statement',
-			);
-		}
-
-		if (name !== '' && this.prepared.has(name)) {
-			throw new types.SqlError(
-				'42P05',
-				`prepared statement "${name}" already exists`,
-			);
-		}
-
-		const statement = list.at(0) ?? {type: 'empty'};
-		const given = Array.from({length: body.readInt16()}, () =>
-			body.readInt32(),
-		);
-		const count = Math.max(given.length, countParameters(statement));
-		const parameterOids = Array.from(
-			{length: count},
-			(_, index) => given[index] || textOid,
-		);
-		this.prepared.set(name, {statement, parameterOids});
-		this.writer.writeEmpty('1');
-	}
-
-	private handleBind(body: wire.BodyReader): void {
-		const name = body.readText();
-		const prepared = this.findPrepared(body.readText());
-		const formats = Array.from({length: body.readInt16()}, () =>
-			body.readInt16(),
-		);
-		const parameters = Array.from(
-			{length: body.readInt16()},
-			(_, index): types.SqlValue => {
-				const length = body.readInt32();
-				if (length === -1) {
-					return null;
-				}
-
-				const bytes = body.readBytes(length);
-				const format = formats.length > 1 ? formats[index] : formats[0];
-				return format === 1
-					? String.raw`\x${bytes.toString('hex')}`
-					: bytes.toString('utf8');
-			},
-		);
-		const resultFormats = Array.from({length: body.readInt16()}, () =>
-			body.readInt16(),
-		);
-		if (resultFormats.includes(1)) {
-			throw new types.SqlError('0A000', 'binary results are not supported');
-		}
-
-		if (parameters.length !== prepared.parameterOids.length) {
-			throw new types.SqlError(
-				'08P01',
-				`bind message supplies ${parameters.length} parameters, but prepared statement requires ${prepared.parameterOids.length}`,
-			);
-		}
-
-		this.portals.set(name, {statement: prepared.statement, parameters});
-		this.writer.writeEmpty('2');
-	}
-
-	private handleDescribe(body: wire.BodyReader): void {
-		const kind = body.readByte();
-		const name = body.readText();
-		const source =
-			kind === 'S' ? this.findPrepared(name) : this.findPortal(name);
-		if ('parameterOids' in source) {
-			this.writer.writeParameterDescription(source.parameterOids);
-		}
-
-		const fields = this.runner.findFields(source.statement);
-		if (fields) {
-			this.writer.writeRowDescription(fields);
-		} else {
-			this.writer.writeEmpty('n');
-		}
-	}
-
 	private handleExecute(body: wire.BodyReader): Promise<void> | void {
-		const portal = this.findPortal(body.readText());
+		const portal = this.extended.findPortal(body.readText());
 		const maxRows = body.readInt32();
 		if (portal.statement.type === 'empty') {
 			this.writer.writeEmpty('I');
@@ -461,115 +356,22 @@
 
 		if (portal.pending) {
 			const {rows, result} = portal.pending;
-			return this.writeRows(result, rows, {count: 0, maxRows, portal});
+			return this.results.writeRows(result, rows, {count: 0, maxRows, portal});
 		}
 
 		const result = this.runner.run(portal.statement, portal.parameters);
 		return result instanceof Promise
 			? result.then(async (value) =>
-					this.writeResult(value, false, portal, maxRows),
+					this.results.writeResult(value, false, portal, maxRows),
 				)
-			: this.writeResult(result, false, portal, maxRows);
-	}
-
-	private writeResult(
-		result: types.StatementResult,
-		isDescribed: boolean,
-		portal?: Portal,
-		maxRows = 0,
-	): Promise<void> | void {
-		if (result.fields && isDescribed) {
-			this.writer.writeRowDescription(result.fields);
-		}
-
-		return this.writeRows(result, result.rows[Symbol.iterator](), {
-			count: 0,
-			maxRows,
-			portal,
-		});
-	}
-
-	/** Writes rows until the end, the limit of the Execute message, or a slow receiver. */
-	private writeRows(
-		result: types.StatementResult,
-		rows: Iterator<types.Row>,
-		progress: {count: number; maxRows: number; portal?: Portal},
-	): Promise<void> | void {
-		for (;;) {
-			if (progress.maxRows > 0 && progress.count === progress.maxRows) {
-				progress.portal!.pending = {rows, result};
-				this.writer.writeEmpty('s');
-				return;
-			}
-
-			const next = rows.next();
-			if (next.done) {
-				break;
-			}
-
-			this.writer.writeDataRow(next.value);
-			progress.count++;
-			if (this.writer.size > flushBytes && !this.flush()) {
-				return this.connection
-					.waitDrain()
-					.then(async () => this.writeRows(result, rows, progress));
-			}
-		}
-
-		const tag =
-			result.tag === 'SELECT' ? `SELECT ${progress.count}` : result.tag;
-		this.writer.writeCommandComplete(tag);
-	}
-
-	private findPrepared(name: string): PreparedStatement {
-		const prepared = this.prepared.get(name);
-		if (!prepared) {
-			throw new types.SqlError(
-				'26000',
-				`prepared statement "${name}" does not exist`,
-			);
-		}
-
-		return prepared;
-	}
-
-	private findPortal(name: string): Portal {
-		const portal = this.portals.get(name);
-		if (!portal) {
-			throw new types.SqlError('34000', `portal "${name}" does not exist`);
-		}
-
-		return portal;
+			: this.results.writeResult(result, false, portal, maxRows);
 	}
 
 	private writeReady(): void {
 		if (!this.runner.isInTransaction) {
-			this.portals.clear();
+			this.extended.clearPortals();
 		}
 
 		this.writer.writeReadyForQuery(this.runner.status);
 	}
-
-	private flush(): boolean {
-		return this.writer.size === 0 || this.connection.write(this.writer.take());
-	}
-}
-
-/** Counts the parameters that a statement uses. */
-function countParameters(statement: types.Statement): number {
-	let count = 0;
-	JSON.stringify(statement, (_, value: unknown) => {
-		if (
-			typeof value === 'object' &&
-			value !== null &&
-			'type' in value &&
-			value.type === 'parameter' &&
-			'index' in value
-		) {
-			count = Math.max(count, Number(value.index) + 1);
-		}
-
-		return value;
-	});
-	return count;
 }
--- a/src/standin/slots.ts
+++ b/src/standin/slots.ts
@@ -2,6 +2,8 @@
  * Execution slots of a server: at most N statements run at once, the others wait in the order of
  * their arrival.
  */
+import type * as types from './types.js';
+
 export class SlotPool {
 	private readonly waiting = new Set<() => void>();
 	private running = 0;
@@ -47,3 +49,25 @@
 		this.running--;
 	}
 }
+
+/**
+ * Tells whether a statement takes a slot. Functions of the schema `hemlockarch` do not, so that
+ * status polls and fencing work while all slots are busy.
+ */
+export function hasSlot(statement: types.Statement): boolean {
+	if (statement.type !== 'select') {
+		return statement.type !== 'createTable' && statement.type !== 'dropTable';
+	}
+
+	const isInternal = (expression: types.Expression) =>
+		expression.type === 'call' && expression.name.startsWith('hemlockarch.');
+	if (statement.source) {
+		return !(
+			statement.source.type === 'function' && isInternal(statement.source.call)
+		);
+	}
+
+	return !statement.items.some(
+		(item) => item.type === 'expression' && isInternal(item.expression),
+	);
+}
--- a/src/standin/statement-runner.ts
+++ b/src/standin/statement-runner.ts
@@ -4,9 +4,12 @@
  */
 import type * as engine from './engine.js';
 import type * as server from './session-host.js';
+import type * as contexts from './statement-context.js';
 import * as transactions from './transaction.js';
+import * as settings from './settings.js';
+import * as slotPool from './slots.js';
 import * as types from './types.js';
-import * as wire from './wire.js';
+import * as waits from './cancellable-wait.js';
 
 /** The parts of a session that statements change. */
 export type SessionState = {
@@ -16,20 +19,11 @@
 	reset(): void;
 };
 
-const defaultSettings: Readonly<Record<string, string>> = {
-	server_version: '16.0 (stand-in)',
-	client_encoding: wire.utf8Name,
-	timezone: 'UTC',
-	transaction_isolation: 'read committed',
-	standard_conforming_strings: 'on',
-	search_path: 'public',
-};
-
 export class StatementRunner {
 	private transaction: transactions.Transaction | undefined;
-	private cancelWait: ((error: types.SqlError) => void) | undefined;
+	private readonly waits = new waits.CancellableWait();
 	private sleepMs = 0;
-	private readonly functions: engine.FunctionHost;
+	private readonly functions: contexts.FunctionHost;
 
 	constructor(
 		private readonly host: server.SessionHost,
@@ -60,7 +54,7 @@
 
 	/** Ends the wait of the running statement with an error. */
 	cancel(error: types.SqlError): void {
-		this.cancelWait?.(error);
+		this.waits.cancel(error);
 	}
 
 	findFields(
@@ -207,7 +201,7 @@
 		parameters: readonly types.SqlValue[],
 	): types.StatementResult | Promise<types.StatementResult> {
 		this.transaction ??= new transactions.Transaction(false, false);
-		if (!hasSlot(statement) || this.isControl) {
+		if (!slotPool.hasSlot(statement) || this.isControl) {
 			return this.runNow(statement, parameters, this.transaction);
 		}
 
@@ -246,13 +240,13 @@
 	): Promise<types.StatementResult> {
 		const {slots, faults, executionGate} = this.host;
 		if (!slots.tryTake()) {
-			await this.wait((resolve) => slots.add(resolve));
+			await this.waits.wait((resolve) => slots.add(resolve));
 		}
 
 		let result: types.StatementResult;
 		try {
 			if (faults.serviceTimeMs > 0 && !isRetry) {
-				await this.waitTime(faults.serviceTimeMs);
+				await this.waits.waitTime(faults.serviceTimeMs);
 			}
 
 			await executionGate.wait();
@@ -276,7 +270,7 @@
 	): Promise<types.StatementResult> {
 		try {
 			if (result.sleepMs > 0) {
-				await this.waitTime(result.sleepMs);
+				await this.waits.waitTime(result.sleepMs);
 				await this.host.executionGate.wait();
 			}
 		} finally {
@@ -298,7 +292,7 @@
 		}
 
 		try {
-			await this.wait((resolve) => holder.addWaiter(resolve));
+			await this.waits.wait((resolve) => holder.addWaiter(resolve));
 		} finally {
 			if (transaction) {
 				transaction.waitsFor = undefined;
@@ -379,77 +373,12 @@
 	}
 
 	private readSetting(name: string): string {
-		if (name === 'transaction_read_only') {
-			const readOnly =
-				!this.host.isWritable || (this.transaction?.isReadOnly ?? false);
-			return readOnly ? 'on' : 'off';
-		}
-
-		const value =
-			this.session.settings.get(name) ??
-			(Object.hasOwn(defaultSettings, name)
-				? defaultSettings[name]
-				: undefined) ??
-			(name.includes('.') ? '' : undefined);
-		if (value === undefined) {
-			throw new types.SqlError(
-				'42704',
-				`unrecognized configuration parameter "${name}"`,
-			);
-		}
-
-		return value;
-	}
-
-	private async waitTime(ms: number): Promise<void> {
-		await this.wait((resolve) => {
-			const timer = setTimeout(resolve, ms);
-			return () => {
-				clearTimeout(timer);
-			};
-		});
-	}
-
-	/** Waits for `start` to call back; `cancel` ends the wait with an error. */
-	private async wait(
-		start: (resolve: () => void) => () => void,
-	): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			const stop = start(() => {
-				this.cancelWait = undefined;
-				resolve();
-			});
-			this.cancelWait = (error) => {
-				this.cancelWait = undefined;
-				stop();
-				reject(error);
-			};
-		});
+		const isReadOnly =
+			!this.host.isWritable || (this.transaction?.isReadOnly ?? false);
+		return settings.readSetting(this.session.settings, name, isReadOnly);
 	}
 }
 
 function makeResult(tag: string): types.StatementResult {
 	return {fields: undefined, rows: [], tag, sleepMs: 0};
 }
-
-/**
- * Tells whether a statement takes a slot. Functions of the schema `hemlockarch` do not, so that
- * status polls and fencing work while all slots are busy.
- */
-function hasSlot(statement: engine.DataStatement): boolean {
-	if (statement.type !== 'select') {
-		return statement.type !== 'createTable' && statement.type !== 'dropTable';
-	}
-
-	const isInternal = (expression: types.Expression) =>
-		expression.type === 'call' && expression.name.startsWith('hemlockarch.');
-	if (statement.source) {
-		return !(
-			statement.source.type === 'function' && isInternal(statement.source.call)
-		);
-	}
-
-	return !statement.items.some(
-		(item) => item.type === 'expression' && isInternal(item.expression),
-	);
-}
--- a/src/standin/store.ts
+++ b/src/standin/store.ts
@@ -55,9 +55,18 @@
 	return values.map(String).join('\0');
 }
 
+/** The table of `hemlockarch.claim_key`; every server has it from the start. */
+export const keyTable = 'hemlockarch.claimed_keys';
+
+const keyDefinition: types.TableDefinition = {
+	name: keyTable,
+	columns: [{name: 'key', type: 'text', notNull: true, serial: false}],
+	uniqueIndexes: [[0]],
+};
+
 /** All tables of a server. */
 export class Store {
-	private tables = new Map<string, Table>();
+	private tables = new Map([[keyTable, new Table(keyDefinition)]]);
 
 	getTable(name: string): Table | undefined {
 		return this.tables.get(name);
