Finish the last HTTP answers before the server closes

A trial with one control peer answered `ctl drain` with "socket hang up": the daemon had nothing to drain and closed its HTTP server before the answer had left. The server now closes idle connections at once, lets answers that are being written finish with `connection: close`, and closes the rest after 500 ms.

--- a/src/node/http/server.test.ts
+++ b/src/node/http/server.test.ts
@@ -18,6 +18,15 @@
 	other: Partial<types.DaemonEndpoints> = {},
 	options: types.HttpServerOptions = {},
 ): Promise<string> {
+	const {url} = await startDisposable(t, other, options);
+	return url;
+}
+
+async function startDisposable(
+	t: Test,
+	other: Partial<types.DaemonEndpoints> = {},
+	options: types.HttpServerOptions = {},
+): Promise<{url: string; server: HttpServer}> {
 	const endpoints: types.DaemonEndpoints = {
 		readHealth: () => ({ready: true, reason: 'ready'}),
 		metrics: new Metrics(),
@@ -39,7 +48,7 @@
 	const server = new HttpServer(endpoints, logger, options);
 	const port = await server.listen('127.0.0.1', 0);
 	t.teardown(async () => server.dispose());
-	return `http://127.0.0.1:${port}`;
+	return {url: `http://127.0.0.1:${port}`, server};
 }
 
 async function fetchJson(
@@ -110,6 +119,20 @@
 	t.match(await fetchJson(`${url}/health`), {status: 503});
 });
 
+// Guards against a drain whose answer is lost because the daemon closes at once.
+tap.test('dispose finishes the last answer', async (t) => {
+	let disposed: Promise<void> | undefined;
+	const {url, server} = await startDisposable(t, {
+		startDrain() {
+			disposed = server.dispose();
+		},
+	});
+	const answer = await fetchJson(`${url}/drain`, {method: 'POST'});
+	t.equal(answer.status, 202);
+	await disposed;
+	await t.rejects(fetchJson(`${url}/health`));
+});
+
 // Guards against damaged announcements that reach the directory.
 tap.test('announcements', async (t) => {
 	const received: commonTypes.Announcement[] = [];
--- a/src/node/http/server.ts
+++ b/src/node/http/server.ts
@@ -13,6 +13,11 @@
 const requestTimeoutMs = 10_000;
 /** Above the interval of announcements and health checks, so that they reuse connections. */
 const keepAliveTimeoutMs = 30_000;
+/**
+ * Longest time for the last answers. A daemon that has nothing to drain closes while its answer to
+ * `POST /drain` is still on its way.
+ */
+const closeTimeoutMs = 500;
 const defaultOperationTimeoutMs = 10_000;
 /** Connections beyond these are closed at once; the endpoints serve few clients. */
 const maxConnections = 1024;
@@ -53,13 +58,17 @@
 		});
 	}
 
-	/** Closes the listener and all connections. */
+	/** Closes the listener and all connections; answers that are being written are finished. */
 	async dispose(): Promise<void> {
 		await new Promise<void>((resolve) => {
+			const timer = setTimeout(() => {
+				this.server.closeAllConnections();
+			}, closeTimeoutMs);
 			this.server.close(() => {
+				clearTimeout(timer);
 				resolve();
 			});
-			this.server.closeAllConnections();
+			this.server.closeIdleConnections();
 		});
 	}
 
@@ -80,6 +89,7 @@
 			'content-type': answer.contentType ?? 'application/json',
 			'content-length': Buffer.byteLength(body),
 			'cache-control': 'no-store',
+			...(this.server.listening ? {} : {connection: 'close'}),
 			...answer.headers,
 		});
 		response.end(request.method === 'HEAD' ? undefined : body);
