--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -3,6 +3,7 @@
 import type * as types from './types.js';
 import * as consensus from './consensus.js';
 import * as fakeNetwork from './fake-network.js';
+import * as progress from './progress.js';
 import * as simulation from './simulation.js';
 
 const [a, b, c] = ['a', 'b', 'c'] as ids.PeerId[];
@@ -107,3 +108,43 @@
 		{type: 'roleChanged', role: 'follower', term: 1, leader: undefined},
 	]);
 });
+
+// Guards against a peer that confirms entries although it lost what it had confirmed before.
+tap.test('peer without state needs its mark', async (t) => {
+	const joining = new consensus.Consensus<string>({
+		peer: a,
+		initialVoters: [a, b, c],
+		stored: fakeNetwork.makeEmptyStoredLog(),
+		incarnation: 5,
+	});
+	const append = {
+		type: 'append',
+		term: 2,
+		previousIndex: 0,
+		previousTerm: 0,
+		entries: [],
+		commitIndex: 0,
+		round: 1,
+	} as const;
+	for (const mark of [{}, {joining: 4}]) {
+		const message = {...append, ...mark};
+		const event = {type: 'message', now: 1, from: b, message} as const;
+		t.notOk(joining.step(event).some(({type}) => type === 'send'));
+	}
+
+	const message = {...append, joining: 5};
+	t.match(joining.step({type: 'message', now: 2, from: b, message}), [
+		{type: 'send', to: b, message: {type: 'appendReply', success: true}},
+	]);
+});
+
+// Guards against an answer from before the loss of a disk that counts for the returned peer.
+tap.test('old answers do not count', async (t) => {
+	const record = new progress.Progress(10, 7);
+	const reply = {success: true, matchIndex: 9};
+	t.notOk(record.applyReply({...reply, round: 6}, 100));
+	t.equal(record.match, 0);
+	t.equal(record.answeredSentAt, Number.NEGATIVE_INFINITY);
+	t.ok(record.applyReply({...reply, round: 7}, 100));
+	t.equal(record.match, 9);
+});
--- a/src/common/consensus/simulation.ts
+++ b/src/common/consensus/simulation.ts
@@ -56,8 +56,8 @@
 		Array<{from: ids.PeerId; message: types.ConsensusMessage}>
 	>();
 
-	/** Peers whose disk was lost and that are not voters again yet. */
-	readonly #cleared = new Set<SimulatedPeer>();
+	/** Peers whose disk was lost and whose return is not committed, with the last process before. */
+	readonly #cleared = new Map<ids.PeerId, number>();
 	#incarnation = 0;
 	#proposal = 0;
 
@@ -136,12 +136,13 @@
 	/** Loses the disk of a stopped peer. */
 	clearDisk(peer: SimulatedPeer): void {
 		peer.disk.clear();
-		this.#cleared.add(peer);
+		this.#cleared.set(peer.id, this.#incarnation);
 	}
 
 	/** Tells whether a peer has all that it may have lost with its disk. */
 	isRepaired(peer: SimulatedPeer): boolean {
-		return !this.#cleared.has(peer);
+		const isVoter = peer.disk.load().hardState.term > 0;
+		return isVoter && !this.#cleared.has(peer.id);
 	}
 
 	start(peer: SimulatedPeer): void {
@@ -218,9 +219,14 @@
 			peer.nextTickAt = this.now + tickMs;
 			this.step(peer, {type: 'tick', now, random: this.random()});
 		}
+	}
 
-		if (peer.disk.load().hardState.term > 0) {
-			this.#cleared.delete(peer);
+	/** A peer has its data back once its return as a voter is committed. */
+	#recordRepair({payload}: types.LogEntry<Command>): void {
+		const joined = payload.type === 'voters' ? payload.joined : undefined;
+		const lostBy = joined && this.#cleared.get(joined.peer);
+		if (lostBy !== undefined && (joined?.incarnation ?? 0) > lostBy) {
+			this.#cleared.delete(joined!.peer);
 		}
 	}
 
@@ -241,6 +247,7 @@
 
 			case 'applied': {
 				peer.machine = this.checks.checkApplied(peer, effect, this.now);
+				this.#recordRepair(effect.entry);
 				return;
 			}
 
