--- a/src/common/consensus/consensus.ts
+++ b/src/common/consensus/consensus.ts
@@ -10,10 +10,11 @@
 import {assertNever} from '../assert-never.js';
 import type * as types from './types.js';
 import * as commits from './commits.js';
+import * as follower from './follower.js';
 import * as joining from './joining.js';
 import * as leadership from './leadership.js';
 import * as log from './log.js';
-import * as replica from './replica.js';
+import type * as replica from './replica.js';
 import * as timing from './timing.js';
 import * as voting from './voting.js';
 import * as writeQueue from './write-queue.js';
@@ -44,6 +45,7 @@
 	readonly #commits: commits.Commits<Command>;
 	readonly #joining: joining.Joining;
 	readonly #voting: voting.Voting<Command>;
+	readonly #follower: follower.Follower<Command>;
 	#leadership: leadership.Leadership<Command> | undefined;
 	#effects: Array<types.ConsensusEffect<Command>> = [];
 	#now = Number.NEGATIVE_INFINITY;
@@ -67,20 +69,31 @@
 			isPending: stored.hardState.term === 0,
 			canFound: this.#log.lastIndex === 0 && !stored.isDataLost,
 		});
-		this.#voting = new voting.Voting({
+		const context = {
 			self: options.peer,
-			hardState: stored.hardState,
 			log: this.#log,
 			writes: this.#writes,
 			joining: this.#joining,
-			isStickinessOff: faults?.isStickinessOff ?? false,
-			send: (to, message) => {
-				this.#sendAfterWrites(to, message);
+			sendAfterWrites: (to: ids.PeerId, message: types.ConsensusMessage) => {
+				this.#writes.addDependent({type: 'send', to, message});
 			},
+		};
+		this.#voting = new voting.Voting({
+			...context,
+			hardState: stored.hardState,
+			isStickinessOff: faults?.isStickinessOff ?? false,
 			stopLeading: () => {
 				this.#stopLeading();
 			},
 		});
+		this.#follower = new follower.Follower({
+			...context,
+			incarnation: options.incarnation,
+			voting: this.#voting,
+			send: (to, message) => {
+				this.#send(to, message);
+			},
+		});
 	}
 
 	get role(): types.ConsensusRole {
@@ -282,63 +295,15 @@
 	}
 
 	#handleLeaderMessage(from: ids.PeerId, message: replica.LeaderMessage): void {
-		if (!this.#joining.isAccepted(message.joining)) {
-			return;
-		}
-
-		const {round} = message;
-		if (message.term < this.term) {
-			this.#sendAfterWrites(from, {
-				type: 'appendReply',
-				term: this.term,
-				success: false,
-				matchIndex: 0,
-				round,
-			});
-			return;
-		}
-
-		this.#voting.setTerm(message.term, this.#now);
-		this.#voting.stop(this.#now);
-		this.#voting.recordLeader(this.#now);
-		this.#leader = from;
-		const outcome = replica.applyLeaderMessage(
-			this.#log,
-			this.#writes,
-			message as replica.LeaderMessage<Command>,
+		const commitIndex = this.#follower.handleLeaderMessage(
+			from,
+			message,
+			this.#now,
 			this.commitIndex,
 		);
-		this.#tryCompleteJoin(outcome, from);
-		this.#sendOutcome(from, outcome, round);
-		this.#setCommitIndex(outcome.commitIndex);
-	}
-
-	#sendOutcome(to: ids.PeerId, outcome: replica.Outcome, round: number): void {
-		const {success, matchIndex, hasWritten} = outcome;
-		const reply = {
-			type: 'appendReply',
-			term: this.term,
-			success,
-			round,
-		} as const;
-		if (hasWritten || !this.#writes.isHardStateSynced) {
-			this.#sendAfterWrites(to, {...reply, matchIndex});
-			return;
-		}
-
-		// A heartbeat is answered while entries are being synced, so that a slow disk does not
-		// look like a lost peer.
-		const {syncedIndex} = this.#writes;
-		this.#send(to, {...reply, matchIndex: Math.min(matchIndex, syncedIndex)});
-	}
-
-	/** The entry that makes this process a voter and its first term are stored together. */
-	#tryCompleteJoin({joined}: replica.Outcome, leader: ids.PeerId): void {
-		const {peer, incarnation} = this.#options;
-		const isOwn = joined?.peer === peer && joined.incarnation === incarnation;
-		if (this.#joining.isPending && isOwn) {
-			this.#joining.complete();
-			this.#voting.storeVote(leader);
+		if (commitIndex !== undefined) {
+			this.#leader = from;
+			this.#setCommitIndex(commitIndex);
 		}
 	}
 
@@ -436,8 +401,4 @@
 	#send(to: ids.PeerId, message: types.ConsensusMessage): void {
 		this.#effects.push({type: 'send', to, message});
 	}
-
-	#sendAfterWrites(to: ids.PeerId, message: types.ConsensusMessage): void {
-		this.#writes.addDependent({type: 'send', to, message});
-	}
 }
--- a/src/common/consensus/voting.ts
+++ b/src/common/consensus/voting.ts
@@ -24,7 +24,10 @@
 	readonly joining: joining.Joining;
 	readonly isStickinessOff: boolean;
 	/** Sends after everything written so far is synced. */
-	readonly send: (to: ids.PeerId, message: types.ConsensusMessage) => void;
+	readonly sendAfterWrites: (
+		to: ids.PeerId,
+		message: types.ConsensusMessage,
+	) => void;
 	/** Ends a leadership of the term that is about to end. */
 	readonly stopLeading: () => void;
 };
@@ -111,7 +114,11 @@
 		if (message.type === 'preVote') {
 			const granted = this.#isUpToDate(message) && message.term > this.term;
 			const term = granted ? message.term : this.term;
-			this.#context.send(from, {type: 'preVoteReply', term, granted});
+			this.#context.sendAfterWrites(from, {
+				type: 'preVoteReply',
+				term,
+				granted,
+			});
 			return;
 		}
 
@@ -125,7 +132,11 @@
 			this.#election.resetTimer(now);
 		}
 
-		this.#context.send(from, {type: 'voteReply', term: this.term, granted});
+		this.#context.sendAfterWrites(from, {
+			type: 'voteReply',
+			term: this.term,
+			granted,
+		});
 	}
 
 	/**
@@ -202,7 +213,7 @@
 		const {lastIndex, lastTerm, configuration} = this.#context.log;
 		for (const peer of configuration.voters) {
 			if (peer !== this.#context.self) {
-				this.#context.send(peer, {type, term, lastIndex, lastTerm});
+				this.#context.sendAfterWrites(peer, {type, term, lastIndex, lastTerm});
 			}
 		}
 	}
