Name functions by the verbs of the verb list

Some functions of the consensus and storage folders began with verbs that docs/verbs.md does not have (draw, append, needs, lose, collect). No change of behaviour.

--- a/src/common/consensus/leadership.ts
+++ b/src/common/consensus/leadership.ts
@@ -32,13 +32,13 @@
 		// Replication begins with the entry below, so that it is sent in the same step.
 		this.#replication = new replication.Replication(options, now);
 		// Earlier entries count as committed only together with one of the leader's own term.
-		this.#firstIndex = this.#append({type: 'noop'});
+		this.#firstIndex = this.#addEntry({type: 'noop'});
 		// Any change of an earlier leader comes before this entry and is committed with it.
 		this.#changeIndex = this.#firstIndex;
 	}
 
 	addProposal(proposal: number, command: Command): void {
-		const index = this.#append({type: 'command', command});
+		const index = this.#addEntry({type: 'command', command});
 		this.#proposals.set(index, proposal);
 	}
 
@@ -134,7 +134,7 @@
 		}
 
 		const before = target.configuration.learners;
-		this.#changeIndex = this.#append(change);
+		this.#changeIndex = this.#addEntry(change);
 		this.#replication.updatePeers();
 		for (const learner of change.learners ?? []) {
 			if (!before.includes(learner)) {
@@ -144,7 +144,7 @@
 		}
 	}
 
-	#append(payload: types.LogPayload<Command>): number {
+	#addEntry(payload: types.LogPayload<Command>): number {
 		const {log: target, term, writes} = this.#options;
 		const entry = {index: target.lastIndex + 1, term, payload};
 		target.addEntry(entry);
--- a/src/common/consensus/membership.test.ts
+++ b/src/common/consensus/membership.test.ts
@@ -42,7 +42,7 @@
 }
 
 /** Collects the configurations that the leaders append, each as `voters+learners`. */
-function collectChanges(group: simulation.Simulation): Set<string> {
+function listChanges(group: simulation.Simulation): Set<string> {
 	const changes = new Set<string>();
 	observeMessages(group, (message) => {
 		for (const {payload} of message.type === 'append' ? message.entries : []) {
@@ -82,7 +82,7 @@
 	const group = makeGroup([a, b, c]);
 	proposeMany(group, 5);
 	group.run(200);
-	const changes = collectChanges(group);
+	const changes = listChanges(group);
 	const lost = getFollowers(group)[0];
 	const rest = [a, b, c].filter((peer) => peer !== lost.id).join('');
 	group.crash(lost, 0);
@@ -113,7 +113,7 @@
 // Guards against voter changes that are not made one by one, or a removed leader that stays.
 tap.test('voters change one by one', async (t) => {
 	const group = makeGroup([a, b, c, d], [a, b, c]);
-	const changes = collectChanges(group);
+	const changes = listChanges(group);
 	const old = group.leader!;
 	const wanted = [a, b, c, d].filter((peer) => peer !== old.id);
 	group.changeVoters(old, wanted);
--- a/src/common/consensus/replication.ts
+++ b/src/common/consensus/replication.ts
@@ -165,7 +165,7 @@
 		commitIndex: number,
 	): void {
 		const isKnown = this.#log.getTerm(record.match) !== undefined;
-		const isProbing = record.match === 0 && !this.#needsSnapshot(record);
+		const isProbing = record.match === 0 && !this.#isBehindSnapshot(record);
 		const previousIndex = isProbing
 			? record.next - 1
 			: isKnown
@@ -181,7 +181,7 @@
 		commitIndex: number,
 	): void {
 		const {snapshot} = this.#log;
-		if (snapshot && this.#needsSnapshot(record)) {
+		if (snapshot && this.#isBehindSnapshot(record)) {
 			this.#send(peer, {
 				type: 'installSnapshot',
 				term: this.#term,
@@ -199,7 +199,7 @@
 		record.recordSent(previousIndex + entries.length, this.#round, now);
 	}
 
-	#needsSnapshot(record: progress.Progress): boolean {
+	#isBehindSnapshot(record: progress.Progress): boolean {
 		return record.next <= this.#log.baseIndex;
 	}
 
--- a/src/common/consensus/safety-search.ts
+++ b/src/common/consensus/safety-search.ts
@@ -101,7 +101,7 @@
 		this.#simulation.run(1000);
 		this.#changeDisks();
 		this.#simulation.run(faultPhaseMs, () => {
-			this.#drawFaults();
+			this.#tryFaults();
 		});
 		this.#stopFaults();
 		this.#simulation.run(recoveryMs, () => {
@@ -114,7 +114,7 @@
 		return {applied: appliedCount, ...this.#counts};
 	}
 
-	#drawFaults(): void {
+	#tryFaults(): void {
 		const {now, network, peers} = this.#simulation;
 		this.#tryKind('propose', () => {
 			if (this.#isProposing) {
@@ -133,7 +133,8 @@
 			}
 		});
 		this.#tryKind('freeze', () => {
-			this.#choosePeer().frozenUntil = now + this.#draw(longestFreezeMs);
+			this.#choosePeer().frozenUntil =
+				now + this.#chooseNumber(longestFreezeMs);
 		});
 		this.#tryKind('partition', () => {
 			this.#setPartition();
@@ -155,13 +156,13 @@
 			this.#counts.snapshots++;
 			this.#simulation.storeSnapshot(this.#choosePeer());
 		});
-		this.#drawVoterFaults();
+		this.#tryVoterFaults();
 	}
 
-	#drawVoterFaults(): void {
+	#tryVoterFaults(): void {
 		if (this.#losesDisks) {
 			this.#tryKind('loseDisk', () => {
-				this.#loseDisk(this.#choosePeer());
+				this.#tryClearDisk(this.#choosePeer());
 			});
 		} else {
 			this.#tryKind('changeVoters', () => {
@@ -176,7 +177,7 @@
 		}
 	}
 
-	#draw(limit: number): number {
+	#chooseNumber(limit: number): number {
 		return this.#simulation.random() * limit;
 	}
 
@@ -186,7 +187,7 @@
 		const {leader} = this.#simulation;
 		return leader && this.#simulation.random() < 0.3
 			? leader
-			: peers[Math.floor(this.#draw(peers.length))];
+			: peers[Math.floor(this.#chooseNumber(peers.length))];
 	}
 
 	#propose(): void {
@@ -201,11 +202,11 @@
 	#crash(peer: simulation.SimulatedPeer): void {
 		if (peer.process) {
 			this.#counts.crashes++;
-			this.#simulation.crash(peer, this.#draw(longestDownMs));
+			this.#simulation.crash(peer, this.#chooseNumber(longestDownMs));
 		}
 	}
 
-	#loseDisk(peer: simulation.SimulatedPeer): void {
+	#tryClearDisk(peer: simulation.SimulatedPeer): void {
 		const tolerated = Math.floor((this.#peerIds.length - 1) / 2);
 		const unrepaired = this.#simulation.peers.filter(
 			(other) => !this.#simulation.isRepaired(other),
@@ -215,7 +216,7 @@
 			(unrepaired.length === tolerated && unrepaired.includes(peer));
 		if (isTolerated) {
 			this.#counts.lostDisks++;
-			this.#simulation.crash(peer, this.#draw(longestDownMs));
+			this.#simulation.crash(peer, this.#chooseNumber(longestDownMs));
 			this.#simulation.clearDisk(peer);
 		}
 	}
@@ -240,17 +241,18 @@
 
 	#changeNetwork(): void {
 		this.#simulation.network.faults = {
-			lossRate: this.#draw(0.3),
-			duplicateRate: this.#draw(0.3),
-			minDelayMs: this.#draw(5),
-			maxDelayMs: 5 + this.#draw(this.#simulation.random() < 0.2 ? 800 : 60),
+			lossRate: this.#chooseNumber(0.3),
+			duplicateRate: this.#chooseNumber(0.3),
+			minDelayMs: this.#chooseNumber(5),
+			maxDelayMs:
+				5 + this.#chooseNumber(this.#simulation.random() < 0.2 ? 800 : 60),
 		};
 	}
 
 	#changeDisks(): void {
 		const slowest = this.#simulation.random() < 0.5 ? 400 : 10;
 		for (const {disk} of this.#simulation.peers) {
-			disk.maxDelayMs = this.#draw(slowest);
+			disk.maxDelayMs = this.#chooseNumber(slowest);
 		}
 	}
 
--- a/src/node/storage/log-storage.ts
+++ b/src/node/storage/log-storage.ts
@@ -212,7 +212,7 @@
 		}
 
 		if (changes.length > 0) {
-			await this.#segment!.append(changes);
+			await this.#segment!.writeEntries(changes);
 		}
 	}
 
--- a/src/node/storage/segment.ts
+++ b/src/node/storage/segment.ts
@@ -104,7 +104,7 @@
 	}
 
 	/** Appends the truncations and entries of several writes and syncs them once. */
-	async append(writes: readonly types.StorageWrite[]): Promise<void> {
+	async writeEntries(writes: readonly types.StorageWrite[]): Promise<void> {
 		await this.#handle!.appendFile(
 			Buffer.concat(writes.map((write) => encodeEntries(write))),
 		);
