Give a new control leader the announcements that membership knows

Cause: proxies send an announcement to control once; a new leader had none of those that the old one had confirmed, so a server whose owner died with the leader was never owned again, and a primary lost at that moment was never replaced. Announcements are also no longer spread every 3 s: at 3,900 servers that would exceed 7 KB/s a node. Ruled out: proxies resending all announcements to a new leader (1,100 times 3,900 messages).

--- a/src/common/control/ownership.ts
+++ b/src/common/control/ownership.ts
@@ -81,7 +81,7 @@
 			renewal,
 		});
 		for (const announcement of renewal.announcements) {
-			this.#storeAnnouncement(now, announcement);
+			this.addAnnouncement(now, announcement);
 		}
 
 		this.#applyClaims(now, peer, renewal.owned);
@@ -237,7 +237,8 @@
 			.map(({server, ownership}) => ({server, owner: ownership?.peer}));
 	}
 
-	#storeAnnouncement(
+	/** Takes in news about a server, also news that came past the renewals. */
+	addAnnouncement(
 		now: number,
 		announcement: types.VersionedAnnouncement,
 	): void {
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -12,7 +12,7 @@
 import * as reducer from './reducer.js';
 
 /** Announcements of servers that were not heard of for this long are forgotten. */
-const announcementMemoryMs = 600_000;
+const announcementMemoryMs = 7_200_000;
 
 export type ControlPeerOptions = {
 	readonly peer: ids.PeerId;
@@ -163,6 +163,13 @@
 			announcement,
 			receivedAt: this.now,
 		});
+		this.effects.push(
+			...this.control.step({
+				type: 'announcementHeard',
+				now: this.now,
+				announcement,
+			}),
+		);
 		return true;
 	}
 
@@ -170,6 +177,7 @@
 		for (const [server, {receivedAt}] of this.announcements) {
 			if (this.now - receivedAt > announcementMemoryMs) {
 				this.announcements.delete(server);
+				this.control.removeAnnouncement(server);
 			}
 		}
 	}
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -50,6 +50,12 @@
 	readonly #operations: operations.Operations;
 	/** Proposals about groups whose outcome is not known yet. */
 	readonly #groupProposals = new Map<number, ids.GroupId>();
+	/** What membership said of servers; a new leader starts from it. */
+	readonly #announcements = new Map<
+		ids.UpstreamId,
+		types.VersionedAnnouncement
+	>();
+
 	#leader: leaders.Leader | undefined;
 	/** Term of the last applied entry; a leader acts once it applied an entry of its own term. */
 	#appliedTerm = 0;
@@ -89,6 +95,11 @@
 		return this.#effects;
 	}
 
+	/** Forgets a server that was not heard of for long. */
+	removeAnnouncement(server: ids.UpstreamId): void {
+		this.#announcements.delete(server);
+	}
+
 	#handleEvent(event: control.ControlEvent): void {
 		switch (event.type) {
 			case 'tick': {
@@ -104,6 +115,12 @@
 				return;
 			}
 
+			case 'announcementHeard': {
+				this.#announcements.set(event.announcement.server, event.announcement);
+				this.#leader?.table.addAnnouncement(event.now, event.announcement);
+				return;
+			}
+
 			case 'written': {
 				this.#runLog({type: 'written', now: event.now, write: event.write});
 				return;
@@ -297,6 +314,10 @@
 
 		if (!this.#leader && this.#appliedTerm === term) {
 			this.#leader = new leaders.Leader(this.#buildEnvironment(), this.#now);
+			for (const announcement of this.#announcements.values()) {
+				this.#leader.table.addAnnouncement(this.#now, announcement);
+			}
+
 			this.#logRecord('info', `leading in consensus term ${term}`);
 		}
 	}
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -183,6 +183,12 @@
 			readonly from: ids.PeerId;
 			readonly message: messages.PeerMessage;
 	  }
+	| {
+			/** Membership brought an announcement, which a new leader may not get from renewals. */
+			readonly type: 'announcementHeard';
+			readonly now: number;
+			readonly announcement: types.VersionedAnnouncement;
+	  }
 	| {
 			/** The storage write with this number is synced. */
 			readonly type: 'written';
--- a/src/common/proxy/directory.ts
+++ b/src/common/proxy/directory.ts
@@ -7,10 +7,20 @@
 import type * as types from '../types.js';
 import type * as context from './context.js';
 
-/** A server that has not announced itself for this long is taken as gone, unless its owner polls it. */
-export const announcementLifetimeMs = 10_000;
-/** Unchanged announcements are spread again at this interval, so that they do not expire elsewhere. */
-const refreshIntervalMs = 3000;
+/**
+ * Announcements are forgotten after this time. Whether a server is usable in between is decided by
+ * the status polls of its owner.
+ */
+const announcementMemoryMs = 7_200_000;
+/** A departed server is forgotten after this time. */
+const departedMemoryMs = 60_000;
+/**
+ * Unchanged announcements are spread again at this interval. It is long because at the design scale
+ * of 3,900 servers each spread costs every node about 200 bytes several times.
+ */
+const refreshIntervalMs = 1_800_000;
+/** Control hears about a server without owner at this interval. */
+const unownedIntervalMs = 3000;
 
 type KnownAnnouncement = {
 	announcement: types.VersionedAnnouncement;
@@ -87,20 +97,24 @@
 			announcement.departing ||
 			(known?.announcement.departing === true &&
 				known.announcement.startedAt === announcement.startedAt);
-		const version = Math.max(wallClock, (known?.announcement.version ?? 0) + 1);
-		const changed =
+		const current = {...announcement, departing};
+		const age = wallClock - (known?.announcement.version ?? 0);
+		const isNews =
 			known === undefined ||
-			hasChanged(known.announcement, {...announcement, departing}) ||
-			wallClock - known.announcement.version >= refreshIntervalMs;
-		if (!changed) {
+			hasChanged(known.announcement, current) ||
+			age >= refreshIntervalMs;
+		const isUnowned =
+			!this.owners.has(announcement.server) && age >= unownedIntervalMs;
+		if (known && !isNews && !isUnowned) {
 			known.receivedAt = this.context.now;
 			return undefined;
 		}
 
-		const versioned = {...announcement, departing, version};
+		const version = Math.max(wallClock, (known?.announcement.version ?? 0) + 1);
+		const versioned = {...current, version};
 		this.storeAnnouncement(versioned);
 		this.unconfirmed.set(announcement.server, version);
-		return versioned;
+		return isNews ? versioned : undefined;
 	}
 
 	/** Takes an announcement from a peer; returns true when it is news. */
@@ -155,12 +169,11 @@
 	expireAnnouncements(): void {
 		const {now} = this.context;
 		for (const [server, known] of this.announcements) {
-			const lastSeen = Math.max(
-				known.receivedAt,
-				this.reports.get(server)?.receivedAt ?? 0,
-			);
+			const limitMs = known.announcement.departing
+				? departedMemoryMs
+				: announcementMemoryMs;
 			if (
-				now - lastSeen > announcementLifetimeMs &&
+				now - known.receivedAt > limitMs &&
 				this.owners.get(server) !== this.context.config.peer
 			) {
 				this.announcements.delete(server);
--- a/src/scenario/fleet/callers.ts
+++ b/src/scenario/fleet/callers.ts
@@ -10,6 +10,8 @@
 import type * as history from './history.js';
 import type * as proxyProcess from './proxy-process.js';
 
+/** The longest deadline of a scenario and some more. */
+const answerLimitMs = 8000;
 /** Time until a client connects again. */
 const reconnectMs = 5;
 
@@ -32,11 +34,12 @@
 };
 
 export class Callers {
-	unanswered = 0;
 	wrongAnswers = 0;
 	keysUsed = 0;
 	closedInFlight = 0;
 	private readonly users = new Map<string, User>();
+	/** Statements without an answer, with the times at which they were sent. */
+	private readonly outstanding = new Map<number, number>();
 	private counter = 0;
 
 	constructor(
@@ -44,6 +47,12 @@
 		private readonly history: history.History,
 	) {}
 
+	/** Statements that should have been answered long ago. */
+	countUnanswered(): number {
+		const limit = this.fleet.timeline.now - answerLimitMs;
+		return [...this.outstanding.values()].filter((at) => at < limit).length;
+	}
+
 	open(name: string, proxyName: string): void {
 		const user: User = {
 			name,
@@ -211,7 +220,8 @@
 		callback: (answer: proxyProcess.CallerAnswer) => void,
 	): void {
 		let isAnswered = false;
-		this.unanswered++;
+		const number = ++this.counter;
+		this.outstanding.set(number, this.fleet.timeline.now);
 		this.fleet.proxies
 			.get(user.proxy)!
 			.send(user.session!, statement, attributes, (answer) => {
@@ -221,7 +231,7 @@
 				}
 
 				isAnswered = true;
-				this.unanswered--;
+				this.outstanding.delete(number);
 				callback(answer);
 				this.finish(user);
 			});
--- a/src/scenario/fleet/interpreter.ts
+++ b/src/scenario/fleet/interpreter.ts
@@ -123,7 +123,7 @@
 			}
 
 			case 'unanswered statements': {
-				return this.callers.unanswered;
+				return this.callers.countUnanswered();
 			}
 
 			case 'second answers': {
