End running writes with the write lease, and claim nothing after a lapsed lease

Cause: a grant without the write lease cleared it silently, so a write on a frozen primary was answered only at its deadline. A renewal listed servers although the lease had run out, which a new control leader may accept although another proxy owns them. A grant that arrived after a release could revive the released epoch, and a drain without control waited for good. Ruled out: a shorter answer deadline, which would cut slow statements as well.

--- a/src/common/proxy/drain.ts
+++ b/src/common/proxy/drain.ts
@@ -4,6 +4,7 @@
  */
 import type * as context from './context.js';
 import type * as entry from './entry.js';
+import type * as leaseClient from './lease-client.js';
 import type * as owner from './owner.js';
 
 const part = 'drain';
@@ -18,6 +19,7 @@
 		private readonly context: context.ProxyContext,
 		private readonly entry: entry.Entry,
 		private readonly owner: owner.Owner,
+		private readonly lease: leaseClient.LeaseClient,
 		private readonly leaveMembership: () => void,
 	) {}
 
@@ -45,6 +47,7 @@
 			return;
 		}
 
+		this.removeUngranted();
 		const elapsed = this.context.now - this.startedAt;
 		const isLate = elapsed >= this.context.config.drainDeadlineMs;
 		this.entry.closeIdleSessions(isLate);
@@ -58,4 +61,17 @@
 			this.context.emit({type: 'drained'});
 		}
 	}
+
+	/** Without control nobody takes the servers; an expired lease is as good as a release. */
+	private removeUngranted(): void {
+		if (this.lease.isValid(this.context.now)) {
+			return;
+		}
+
+		for (const server of this.owner.servers.values()) {
+			if (server.countWork() === 0 && server.countBound() === 0) {
+				this.owner.removeServer(server);
+			}
+		}
+	}
 }
--- a/src/common/proxy/executor.ts
+++ b/src/common/proxy/executor.ts
@@ -123,10 +123,19 @@
 		this.finishConnection(found.server, connection, true);
 	}
 
-	/** Closes the connections of read-write transactions; their sessions are told. */
-	abandonWriteTransactions(server: owned.OwnedServer): void {
+	/**
+	 * Ends everything that could still commit on the server: this owner can never acknowledge it.
+	 * Callers of running writes learn at once that the outcome is unknown, instead of waiting for a
+	 * primary that may be silent.
+	 */
+	abandonWrites(server: owned.OwnedServer): void {
 		for (const connection of server.connections.values()) {
-			if (connection.binding && !connection.binding.readOnly) {
+			const {binding, item} = connection;
+			const isWriting =
+				binding === undefined
+					? item !== undefined && item.request.kind !== 'read'
+					: !binding.readOnly;
+			if (isWriting) {
 				this.abandonConnection(server, connection);
 			}
 		}
--- a/src/common/proxy/ownership.ts
+++ b/src/common/proxy/ownership.ts
@@ -26,6 +26,12 @@
 		messages.OwnershipGrant
 	>();
 
+	/** Epochs up to these were given back; a grant that arrives later must not revive them. */
+	private readonly releasedEpochs = new Map<
+		ids.UpstreamId,
+		owned.OwnedServer['epoch']
+	>();
+
 	private controlPeer: ids.PeerId | undefined;
 
 	constructor(
@@ -61,6 +67,10 @@
 		this.controlPeer = from;
 		const server = this.owner.servers.get(message.server);
 		if (!server || compareEpochs(server.epoch, message.epoch) > 0) {
+			if (message.scope === 'ownership') {
+				this.releasedEpochs.set(message.server, message.epoch);
+			}
+
 			this.context.send(from, {
 				type: 'leaseReleased',
 				server: message.server,
@@ -113,8 +123,13 @@
 		}
 	}
 
-	listOwned(): messages.OwnedServer[] {
+	/** What the proxy claims. A lapsed lease is no claim: control may have given the servers away. */
+	listOwned(isLeaseValid: boolean): messages.OwnedServer[] {
 		const {now} = this.context;
+		if (!isLeaseValid) {
+			return [];
+		}
+
 		return [...this.owner.servers.values()].map((server) => ({
 			server: server.server,
 			epoch: server.epoch,
@@ -130,6 +145,12 @@
 	}
 
 	private applyGrant(grant: messages.OwnershipGrant): void {
+		const released = this.releasedEpochs.get(grant.server);
+		if (released && compareEpochs(grant.epoch, released) <= 0) {
+			this.unplaced.delete(grant.server);
+			return;
+		}
+
 		const server = this.owner.servers.get(grant.server);
 		if (!server) {
 			const announcement = this.directory.getServer(grant.server);
@@ -151,8 +172,8 @@
 		server.epoch = grant.epoch;
 		const isReleasing = server.releasingWriteSince !== undefined;
 		if (grant.writeTerm === undefined) {
-			server.writeTerm = undefined;
-			server.releasingWriteSince = undefined;
+			// The renewal did not prolong the write lease, so it must not outlive this grant.
+			this.endWriteLease(server);
 		} else if (!isReleasing || grant.writeTerm !== server.writeTerm) {
 			server.writeTerm = grant.writeTerm;
 			server.releasingWriteSince = undefined;
@@ -174,6 +195,7 @@
 		const isIdle = server.countWork() === 0 && server.countBound() === 0;
 		if (server.writeTerm === undefined && (isIdle || isLate)) {
 			const {epoch} = server;
+			this.releasedEpochs.set(server.server, epoch);
 			this.owner.removeServer(server);
 			this.sendReleased(server.server, epoch, 'ownership');
 		}
@@ -209,10 +231,17 @@
 		}
 
 		const {writeTerm} = server;
+		this.endWriteLease(server);
+		this.sendReleased(server.server, server.epoch, 'write', writeTerm);
+	}
+
+	private endWriteLease(server: owned.OwnedServer): void {
+		const hadLease = server.writeTerm !== undefined;
 		server.writeTerm = undefined;
 		server.releasingWriteSince = undefined;
-		this.owner.executor.abandonWriteTransactions(server);
-		this.sendReleased(server.server, server.epoch, 'write', writeTerm);
+		if (hadLease) {
+			this.owner.executor.abandonWrites(server);
+		}
 	}
 
 	private sendReleased(
--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -226,3 +226,40 @@
 	return fleet.getServer(name).executedAt.filter((at) => at > since + 200)
 		.length;
 }
+
+// Guards against a drain that waits for good because control stopped first.
+tap.test('drain without control', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	fleet.control.condition = 'dead';
+	fleet.proxies[0].drain();
+	fleet.timeline.runUntil(fleet.timeline.now + 6000);
+	t.equal(fleet.proxies[0].condition, 'dead');
+});
+
+// Guards against a caller that waits for its deadline although its write can never be acknowledged.
+tap.test('write on a frozen primary ends with the lease', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	const session = fleet.openSession(1);
+	fleet.getServer('s1').isFrozen = true;
+	let answer: proxyProcess.CallerAnswer | undefined;
+	fleet.proxies[1].send(session, put('1'), {deadlineMs: 9000}, (result) => {
+		answer = result;
+	});
+	fleet.timeline.runUntil(fleet.timeline.now + 1000);
+	fleet.control.revokeWrite(fleet.getServer('s1').id);
+	fleet.timeline.runUntil(fleet.timeline.now + 500);
+	t.same(answer, {type: 'refused', sqlState: '08007'});
+});
+
+// Guards against a proxy that claims servers whose lease has run out at a new control leader.
+tap.test('no claim after the lease', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	fleet.control.condition = 'frozen';
+	fleet.timeline.runUntil(fleet.timeline.now + 3000);
+	fleet.control.condition = 'up';
+	fleet.control.claims.length = 0;
+	fleet.timeline.runUntil(fleet.timeline.now + 1);
+	fleet.control.condition = 'up';
+	fleet.timeline.runUntil(fleet.timeline.now + 260);
+	t.same(fleet.control.claims[0], []);
+});
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -65,7 +65,8 @@
 		this.directory = new directory.Directory(this.context);
 		this.membership = this.createMembership(config, randomSource);
 		this.lease = new leaseClient.LeaseClient(this.context, {
-			listOwned: () => this.ownership.listOwned(),
+			listOwned: () =>
+				this.ownership.listOwned(this.lease.isValid(this.context.now)),
 			listAnnouncements: () => this.directory.listUnconfirmed(),
 			listTemplateVersions: () => this.templates.listVersions(),
 			isDraining: () => this.drain.isDraining,
@@ -110,6 +111,7 @@
 			this.context,
 			this.entry,
 			this.owner,
+			this.lease,
 			() => {
 				this.membership.leave();
 			},
--- a/src/scenario/fleet/scripted-control.ts
+++ b/src/scenario/fleet/scripted-control.ts
@@ -15,6 +15,8 @@
 export class ScriptedControl implements links.LinkedProcess {
 	condition: 'up' | 'frozen' | 'dead' = 'up';
 	readonly released: string[] = [];
+	/** The servers that each renewal claimed. */
+	readonly claims: string[][] = [];
 	groups: types.GroupView[] = [];
 	templates: types.Template[] = [];
 	private index = 1;
@@ -141,6 +143,7 @@
 		from: ids.PeerId,
 		renewal: Extract<messages.ControlMessage, {type: 'renewLease'}>,
 	): void {
+		this.claims.push(renewal.owned.map(({server}) => server));
 		const owned = [...this.owners]
 			.filter(([, owner]) => owner === from)
 			.map(([server]) => ({
