--- a/src/common/control/failover.ts
+++ b/src/common/control/failover.ts
@@ -7,7 +7,6 @@
 import type * as control from './types.js';
 import type * as leases from './leases.js';
 import type * as ownership from './ownership.js';
-import * as cutOff from './cut-off.js';
 import * as holdDowns from './hold-down.js';
 import type * as machines from './machine.js';
 import * as promotions from './promotion.js';
@@ -28,13 +27,12 @@
 };
 
 /** Why a group needs a new primary. */
-type Reason = 'silent' | 'cut off' | 'departing';
+type Reason = 'silent' | 'departing';
 
 /** Failover of all groups during one term of leadership. */
 export class Failover {
 	readonly #environment: FailoverEnvironment;
 	readonly #calls: callTracking.ServerCalls;
-	readonly #cutOff = new cutOff.CutOffDetector();
 	readonly #holdDown = new holdDowns.HoldDown();
 	readonly #runs = new Map<ids.GroupId, promotions.PromotionRun>();
 
@@ -105,10 +103,6 @@
 		}
 
 		this.#runs.get(call.group)?.handleAnswer(call, answer);
-		if (call.request.type === 'status' && call.server === group.primary) {
-			this.#cutOff.recordProbe(call.group, answer.type === 'answered');
-		}
-
 		if (call.request.type === 'follow' && answer.type === 'answered') {
 			this.#followed.set(call.server, {
 				target: formatTarget(call.request.term, call.request.address),
@@ -181,9 +175,7 @@
 
 	#considerPromotion(now: number, group: control.GroupState): void {
 		const {hasProposal, propose, table} = this.#environment;
-		const reason =
-			findReason(group, table, this.#completedAt) ??
-			this.#findCutOff(now, group);
+		const reason = findReason(group, table, this.#completedAt);
 		if (
 			reason === undefined ||
 			hasProposal(group.group) ||
@@ -203,32 +195,6 @@
 		});
 	}
 
-	/** Probes a primary whose writes no majority receives; a reason once the probes failed. */
-	#findCutOff(now: number, group: control.GroupState): Reason | undefined {
-		const {table} = this.#environment;
-		const {health, announcement} = table.servers.get(group.primary) ?? {};
-		if (!health || !announcement) {
-			this.#cutOff.clear(group.group);
-			return undefined;
-		}
-
-		if (this.#cutOff.update(now, group, health)) {
-			this.#calls.call(
-				now,
-				{
-					group: group.group,
-					server: group.primary,
-					address: announcement.address,
-				},
-				{type: 'status'},
-			);
-		}
-
-		return this.#cutOff.isCutOff(now, group.group) && hasSuccessor(group, table)
-			? 'cut off'
-			: undefined;
-	}
-
 	/** Calls `follow` on every server that is not known to replicate from the primary. */
 	#sendFollows(now: number, group: control.GroupState): void {
 		const {table} = this.#environment;
--- a/src/common/control/timing.ts
+++ b/src/common/control/timing.ts
@@ -53,9 +53,6 @@
 /** Failover starts when the primary has not answered its owner for this long. */
 export const primarySilentMs = 500;
 
-/** Probes that a primary without replication must fail, at the leader, to count as cut off. */
-export const failedProbes = 2;
-
 /** A call to a server is repeated after this pause. */
 export const callRepeatMs = 200;
 
