Report stalled replication from the fake proxy of the control tests

Cause: main detects a primary that its replicas cannot reach through `stalledMs` in renewals; the fake proxy did not send it, so the test of a primary that only its owner reaches would fail.

--- a/src/common/control/fake-proxy.ts
+++ b/src/common/control/fake-proxy.ts
@@ -27,6 +27,8 @@
 	releaseScope: 'write' | 'ownership' | undefined;
 	lastAnswerAt: number | undefined;
 	status: types.UpstreamStatus | undefined;
+	/** Begin of the time in which no replica made progress although the primary is ahead. */
+	stalledSince: number | undefined;
 	isPolled: boolean;
 };
 
@@ -172,6 +174,9 @@
 					? {}
 					: {answerAgeMs: now - hold.lastAnswerAt}),
 				...(hold.status ? {status: hold.status} : {}),
+				...(hold.stalledSince === undefined
+					? {}
+					: {stalledMs: now - hold.stalledSince}),
 			})),
 			announcements: [...this.#announcements.values()],
 			templateVersions: [...this.templates].map(
@@ -240,6 +245,7 @@
 				releaseScope: undefined,
 				lastAnswerAt: undefined,
 				status: undefined,
+				stalledSince: undefined,
 				isPolled: false,
 			};
 			this.holds.set(grant.server, hold);
@@ -364,7 +370,12 @@
 			const reached = this.#environment.findServer(server);
 			if (reached) {
 				hold.lastAnswerAt = now;
-				hold.status = reached.readStatus();
+				const status = reached.readStatus();
+				const isStalled =
+					computeReplicated(status) < status.position &&
+					computeReplicated(status) === computeReplicated(hold.status);
+				hold.stalledSince = isStalled ? (hold.stalledSince ?? now) : undefined;
+				hold.status = status;
 			}
 		}
 	}
@@ -409,6 +420,11 @@
 	}
 }
 
+/** The largest offset that any replica of a primary holds. */
+function computeReplicated(status: types.UpstreamStatus | undefined): number {
+	return Math.max(0, ...(status?.replicas ?? []).map(({position}) => position));
+}
+
 function formatEpoch(server: ids.UpstreamId, epoch: types.Epoch): string {
 	return `${server} ${epoch.consensusTerm} ${epoch.counter}`;
 }
