--- a/src/common/control/failover.test.ts
+++ b/src/common/control/failover.test.ts
@@ -126,6 +126,23 @@
 	t.equal(simulation.getServer('s1').role, 'replica');
 });
 
+// Guards against a primary that its owner reaches while no write can be acknowledged.
+tap.test('primary cut off but reachable by its owner', async (t) => {
+	const simulation = startGroup();
+	for (const peer of [...simulation.controlIds, 's2', 's3']) {
+		simulation.cuts.add(`${peer} s1`);
+	}
+
+	const gap = measureGap(simulation, 's1');
+	t.comment(`primary cut off: gap ${gap} ms`);
+	t.ok(gap !== undefined && gap <= 3000);
+	simulation.run(3000);
+	simulation.cuts.clear();
+	simulation.run(5000);
+	t.equal(simulation.getServer('s1').role, 'replica');
+	checkHealthy(t, simulation);
+});
+
 // Guards against one promotion after another.
 tap.test('a flapping primary is held down', async (t) => {
 	const simulation = startGroup();
