Bound statements and frames of the adapters

Cause: PostgreSQL compares only 63 bytes of statement names, and the tag of a process may be longer; the names carry 16 hexadecimal digits of its hash now. A caller's request of 64 MiB did not fit into a peer frame of 64 MiB with its envelope and closed the link for everybody: callers may send 55 MiB, their prepared statements take 8 MiB, an answer that is kept back 60 MiB, and a message beyond the limit is dropped with an error in the log while the link stays.

A key together with writes and session state in one request is refused with 0A000, because the claim cannot be in the transaction of such a request.

--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -20,6 +20,9 @@
 // eslint-disable-next-line unicorn/text-encoding-identifier-case
 const utf8 = 'UTF8';
 
+/** PostgreSQL compares only the first 63 bytes of statement names, so the tag is short. */
+const statementTagLength = 16;
+
 /** Reported when the daemon gives no parameters of its own. */
 const defaultServerParameters: Readonly<Record<string, string>> = {
 	server_version: '16.0',
@@ -54,6 +57,7 @@
 class TcpCallerAdapter implements CallerAdapter {
 	readonly #limits: types.CallerLimits;
 	readonly #parameters: Readonly<Record<string, string>>;
+	readonly #statementTag: string;
 	readonly #server: net.Server;
 	readonly #sockets = new Set<net.Socket>();
 	readonly #sessions = new Map<ids.SessionId, sessions.Session>();
@@ -65,6 +69,11 @@
 
 	constructor(private readonly options: types.CallerOptions) {
 		this.#limits = {...types.defaultLimits, ...options.limits};
+		this.#statementTag = crypto
+			.createHash('sha256')
+			.update(options.processTag)
+			.digest('hex')
+			.slice(0, statementTagLength);
 		this.#parameters = options.serverParameters ?? defaultServerParameters;
 		this.#server = net.createServer((socket) => {
 			this.#accept(socket);
@@ -287,7 +296,7 @@
 					dispatch({type: 'sessionClosed', now: clock.now(), session: id});
 				},
 			},
-			`h${this.options.processTag}_${id}`,
+			`h${this.#statementTag}_${id}`,
 		);
 		this.#sessions.set(id, session);
 		this.#cancelKeys.set(id, crypto.randomInt(2 ** 32));
--- a/src/node/caller/classify.ts
+++ b/src/node/caller/classify.ts
@@ -92,9 +92,18 @@
 	return kinds.every((kind) => kind === 'read') ? 'read' : 'write';
 }
 
-/** Tells whether a request begins or ends a transaction. */
-export function isTransactionControl(kind: proxy.RequestKind): boolean {
-	return kind !== 'read' && kind !== 'write' && kind !== 'sessionState';
+/**
+ * Tells whether statements of one request begin or end a transaction, or change both data and the
+ * session: a key cannot be claimed in the same transaction as all of them.
+ */
+export function hasMixedControl(kinds: readonly proxy.RequestKind[]): boolean {
+	return (
+		kinds.length > 1 &&
+		(kinds.some(
+			(kind) => kind !== 'read' && kind !== 'write' && kind !== 'sessionState',
+		) ||
+			(kinds.includes('write') && kinds.includes('sessionState')))
+	);
 }
 
 /**
@@ -147,13 +156,12 @@
 function classifyUnknownText(text: string): types.StatementClass {
 	const scanned = sqlScanner.parseTokens(text);
 	const kinds = scanned.statements.map((tokens) => classifyStatement(tokens));
-	const controls = kinds.some((kind) => isTransactionControl(kind));
 	const settings = scanned.statements.filter((tokens) => isOwnSetting(tokens));
 	return {
 		kind: scanned.isCertain ? classifySequence(kinds) : chooseUncertain(kinds),
 		isEmpty: scanned.statements.length === 0,
 		refusal: findRefusal(kinds, scanned.statements, settings.length),
-		mixesControl: kinds.length > 1 && controls,
+		mixesControl: hasMixedControl(kinds),
 		setting:
 			scanned.statements.length === 1 && settings[0]
 				? parseSetting(settings[0])
--- a/src/node/caller/request-splitter.ts
+++ b/src/node/caller/request-splitter.ts
@@ -163,7 +163,7 @@
 		if (!statement) {
 			this.#refusal ??= {
 				sqlState: '53400',
-				message: 'the session has too many prepared statements',
+				message: 'the prepared statements of the session exceed their limit',
 			};
 			return undefined;
 		}
@@ -351,10 +351,7 @@
 							})),
 						},
 			attributes: this.#attributes,
-			mixesControl:
-				this.#mixesControl ||
-				(this.#kinds.length > 1 &&
-					this.#kinds.some((one) => classify.isTransactionControl(one))),
+			mixesControl: this.#mixesControl || classify.hasMixedControl(this.#kinds),
 			isFlush,
 		};
 		this.#reset();
--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -70,6 +70,7 @@
 		this.#table = new statements.StatementTable(
 			statementPrefix,
 			limits.preparedStatements,
+			limits.preparedBytes,
 		);
 		this.#splitter = new requestSplitter.RequestSplitter(
 			this.#table,
@@ -395,7 +396,7 @@
 		) {
 			this.#refuseHere(
 				'0A000',
-				'a request with a key must end with Query or Sync and cannot begin or end a transaction among other statements',
+				'a request with a key must end with Query or Sync, and cannot mix writes with transaction control or session state',
 				item.isFlush,
 			);
 			return;
--- a/src/node/caller/statements.ts
+++ b/src/node/caller/statements.ts
@@ -7,13 +7,33 @@
 import type * as types from './types.js';
 
 /** A statement that the caller prepared. */
-export type Statement = {
-	/** Name towards the servers. */
-	readonly wireName: string;
-	/** The Parse frame under that name. */
-	readonly parse: Buffer;
-	readonly statementClass: types.StatementClass;
-};
+export class Statement {
+	#parse: Buffer | undefined;
+	readonly #frame: Buffer;
+	readonly #name: string;
+
+	constructor(
+		/** Name towards the servers. */
+		readonly wireName: string,
+		readonly statementClass: types.StatementClass,
+		frame: Buffer,
+		name: string,
+	) {
+		this.#frame = frame;
+		this.#name = name;
+	}
+
+	/** Size of the Parse frame in bytes. */
+	get size(): number {
+		return this.#frame.length;
+	}
+
+	/** The Parse frame under `wireName`; built once it is needed. */
+	get parse(): Buffer {
+		this.#parse ??= rewriteName(this.#frame, 5, this.#name, this.wireName);
+		return this.#parse;
+	}
+}
 
 /** Builds a frame from its old body with another statement name at `offset` of the message. */
 export function rewriteName(
@@ -36,30 +56,39 @@
 	readonly #portals = new Map<string, types.StatementClass>();
 	readonly #prefix: string;
 	readonly #limit: number;
+	readonly #byteLimit: number;
+	/** Bytes of all Parse frames. */
+	#size = 0;
 	#counter = 0;
 
-	constructor(prefix: string, limit: number) {
+	constructor(prefix: string, limit: number, byteLimit: number) {
 		this.#prefix = prefix;
 		this.#limit = limit;
+		this.#byteLimit = byteLimit;
 	}
 
-	/** Remembers a Parse frame; undefined when the session has too many statements. */
+	/** Remembers a Parse frame; undefined when the session has too many or too large statements. */
 	add(
 		name: string,
 		frame: Buffer,
 		statementClass: types.StatementClass,
 	): Statement | undefined {
-		if (this.#statements.size >= this.#limit && !this.#statements.has(name)) {
+		const size =
+			this.#size - (this.#statements.get(name)?.size ?? 0) + frame.length;
+		const isFull =
+			this.#statements.size >= this.#limit && !this.#statements.has(name);
+		if (isFull || size > this.#byteLimit) {
 			return undefined;
 		}
 
 		this.#counter++;
-		const wireName = `${this.#prefix}_${this.#counter}`;
-		const statement = {
-			wireName,
-			parse: rewriteName(frame, 5, name, wireName),
+		const statement = new Statement(
+			`${this.#prefix}_${this.#counter}`,
 			statementClass,
-		};
+			frame,
+			name,
+		);
+		this.#size = size;
 		this.#statements.set(name, statement);
 		return statement;
 	}
@@ -69,13 +98,10 @@
 	}
 
 	remove(name: string): void {
+		this.#size -= this.#statements.get(name)?.size ?? 0;
 		this.#statements.delete(name);
 	}
 
-	clear(): void {
-		this.#statements.clear();
-	}
-
 	/** A name that no server knows, so that the answer is 26000. */
 	get missingName(): string {
 		return `${this.#prefix}_missing`;
--- a/src/node/caller/types.ts
+++ b/src/node/caller/types.ts
@@ -23,7 +23,7 @@
 	readonly isEmpty: boolean;
 	/** Why the proxy does not pass the text on, if so. */
 	readonly refusal: string | undefined;
-	/** Several statements, at least one of them begins or ends a transaction. */
+	/** Several statements that cannot be claimed with one key; see `hasMixedControl`. */
 	readonly mixesControl: boolean;
 	/** Set when the text is one statement on a `hemlockarch.*` setting. */
 	readonly setting: SettingStatement | undefined;
@@ -73,18 +73,25 @@
 	readonly startupMs: number;
 	/** Prepared statements of one session. */
 	readonly preparedStatements: number;
+	/** Bytes of the prepared statements of one session. */
+	readonly preparedBytes: number;
 };
 
 const mebibyte = 1024 * 1024;
 
+/**
+ * A request that goes to another proxy must fit, with its prepared statements, into one frame of
+ * 64 MiB between peers.
+ */
 export const defaultLimits: CallerLimits = {
-	frameBytes: 64 * mebibyte,
+	frameBytes: 55 * mebibyte,
 	queuedRequests: 128,
 	queuedBytes: mebibyte,
 	sendBufferBytes: 32 * mebibyte,
 	keepAliveMs: 10_000,
 	startupMs: 10_000,
 	preparedStatements: 1000,
+	preparedBytes: 8 * mebibyte,
 };
 
 /** One unit of work of a session, in the order in which the caller sent them. */
@@ -94,7 +101,7 @@
 			readonly kind: proxy.RequestKind;
 			readonly payload: proxy.RequestPayload;
 			readonly attributes: ReadonlyArray<readonly [string, string]>;
-			/** Several statements with transaction control: cannot carry a key. */
+			/** Several statements that cannot be claimed with one key. */
 			readonly mixesControl: boolean;
 			/** Ends with Flush instead of Query or Sync: no ReadyForQuery follows. */
 			readonly isFlush: boolean;
--- a/src/node/peer/link-socket.ts
+++ b/src/node/peer/link-socket.ts
@@ -17,6 +17,8 @@
 	handleMessage(message: messages.PeerMessage): void;
 	handleEnd(reason: string): void;
 	handleDrain(): void;
+	/** A message was dropped because its frame exceeds the limit. */
+	handleOversize(type: string, size: number): void;
 };
 
 /** Sends and receives frames on a connected socket. */
@@ -68,8 +70,9 @@
 		}
 
 		const frame = frameCodec.encodeFrame(message);
-		if (frame.length > this.limits.frameBytes) {
-			this.close(`a frame of ${frame.length} bytes exceeds the limit`);
+		if (frame.length - frameCodec.prefixBytes > this.limits.frameBytes) {
+			// The peer would close the link, which carries the messages of others too.
+			this.handler.handleOversize(message.type, frame.length);
 			return false;
 		}
 
--- a/src/node/peer/outgoing-link.ts
+++ b/src/node/peer/outgoing-link.ts
@@ -84,6 +84,13 @@
 				handleDrain: () => {
 					this.options.listener.handleDrain?.(this.peer);
 				},
+				handleOversize: (type, size) => {
+					this.options.logger.write({
+						level: 'error',
+						part: 'peer',
+						message: `Dropped a ${type} message of ${size} bytes to ${this.peer}: it exceeds the frame limit.`,
+					});
+				},
 			},
 		);
 		this.#link = link;
--- a/src/node/peer/peer-links.test.ts
+++ b/src/node/peer/peer-links.test.ts
@@ -254,6 +254,24 @@
 	t.match(left.logs[0], /does not read/v);
 });
 
+// Guards against a link that one message too large closes for everybody.
+tap.test('an oversize message is dropped', async (t) => {
+	const limits = {frameBytes: 1000, silenceMs: 60_000};
+	const left = await startPeer(t, 'left', {limits});
+	const right = await startPeer(t, 'right', {limits});
+	left.links.setAddress(right.id, right.address);
+	await waitUntil(() => left.changes.length === 1);
+	const attempt = 1 as ids.AttemptId;
+	const large = new Uint8Array(1000);
+	t.notOk(
+		left.links.send(right.id, {type: 'forwardChunk', attempt, data: large}),
+	);
+	t.ok(left.links.send(right.id, {type: 'forwardCancel', attempt}));
+	await waitUntil(() => right.received.length === 1);
+	t.strictSame(left.changes, ['+right']);
+	t.match(left.logs, [/frame limit/v]);
+});
+
 // Guards against a frame that claims a huge size, and against a peer that skips hello.
 tap.test('bad frames close the connection', async (t) => {
 	const right = await startPeer(t, 'right');
--- a/src/node/peer/peer-links.ts
+++ b/src/node/peer/peer-links.ts
@@ -120,9 +120,9 @@
 						this.#acceptedByPeer.delete(peer);
 					}
 				},
-				handleDrain() {
-					// Only small answers are sent on accepted connections.
-				},
+				// Only small answers are sent on accepted connections.
+				handleDrain: () => undefined,
+				handleOversize: () => undefined,
 			},
 		);
 		this.#accepted.add(link);
--- a/src/node/upstream/connection.ts
+++ b/src/node/upstream/connection.ts
@@ -80,7 +80,7 @@
 	}
 
 	execute(effect: types.Execute): void {
-		if (this.#execution) {
+		if (this.#execution ?? this.#resetAnswers > 0) {
 			this.#server.close('a request was given to a busy connection');
 			this.#emitLost(effect, false, false);
 			return;
--- a/src/node/upstream/types.ts
+++ b/src/node/upstream/types.ts
@@ -65,6 +65,7 @@
 	cancelTimeoutMs: 1000,
 	pollTimeoutMs: 500,
 	flushBytes: 16 * 1024,
-	heldBytes: 64 * mebibyte,
+	// What is kept back must fit into one frame of 64 MiB between peers.
+	heldBytes: 60 * mebibyte,
 	preparedStatements: 256,
 };
