Keep clearing statements off the connections and Flush atomic

Cause: drivers with pools send DISCARD ALL, RESET ALL or DEALLOCATE as a matter of course; as session state these bound a connection to the session for good. They are answered by the adapter, or run as a read, while the session has left no state. DEALLOCATE of a statement that was prepared through the protocol is answered by the adapter, because servers know it under another name.

A refusal after Flush was answered without the server, whose implicit transaction stayed open and would have been committed by the next simple query. The server now gets a statement that it cannot parse, so that it rolls back and its error is the answer.

set_config of a hemlockarch setting is refused with 0A000: it would have no effect.

--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -231,6 +231,7 @@
 			}
 		}
 
+		values.recordStart();
 		const token = position.parsePosition(given.get('token') ?? '');
 		const session = this.#createSession(socket, id, values);
 		this.options.dispatch({
--- a/src/node/caller/classify.test.ts
+++ b/src/node/caller/classify.test.ts
@@ -125,6 +125,7 @@
 		"SET hemlockarch.a = 'b'; SELECT 1",
 		'COMMIT; BEGIN',
 		'COMMIT AND CHAIN',
+		"SELECT set_config('hemlockarch.key', 'a', false)",
 	]) {
 		t.type(classify.classifyText(text).refusal, 'string', text);
 	}
--- a/src/node/caller/classify.ts
+++ b/src/node/caller/classify.ts
@@ -125,6 +125,54 @@
 	);
 }
 
+/** Statements that only remove state of a session. */
+function isClearing(tokens: Tokens): boolean {
+	const text = tokens.map((token) => token.text).join(' ');
+	return (
+		tokens[0].text === 'reset' ||
+		tokens[0].text === 'unlisten' ||
+		text === 'select pg_advisory_unlock_all ( )'
+	);
+}
+
+function findClearing(
+	statements: readonly Tokens[],
+	kinds: readonly proxy.RequestKind[],
+): types.StatementClass['clearing'] {
+	if (statements.length === 1 && kinds[0] === 'sessionState') {
+		const [first, second, third] = statements[0].map((token) => token.text);
+		const object = second === 'prepare' ? third : second;
+		if (object === 'all' && (first === 'discard' || first === 'deallocate')) {
+			return 'statements';
+		}
+	}
+
+	const changing = statements.filter(
+		(_, index) => kinds[index] === 'sessionState',
+	);
+	return changing.length > 0 && changing.every((tokens) => isClearing(tokens))
+		? 'session'
+		: 'none';
+}
+
+function findDeallocated(tokens: Tokens): string | undefined {
+	if (tokens[0].text !== 'deallocate') {
+		return undefined;
+	}
+
+	return tokens[1]?.text === 'prepare' ? tokens[2]?.text : tokens[1]?.text;
+}
+
+/** Finds set_config of a `hemlockarch.*` setting, which a server would ignore. */
+function usesConfigFunction(tokens: Tokens): boolean {
+	return (
+		hasWord(tokens, 'set_config') &&
+		tokens.some(
+			(token) => token.type === 'string' && /^hemlockarch\./iv.test(token.text),
+		)
+	);
+}
+
 function findRefusal(
 	kinds: readonly proxy.RequestKind[],
 	statements: readonly Tokens[],
@@ -138,6 +186,10 @@
 		return 'the replication protocol is not supported by hemlockarch';
 	}
 
+	if (statements.some((tokens) => usesConfigFunction(tokens))) {
+		return 'set_config of hemlockarch settings is not supported; use SET';
+	}
+
 	if (statements.length > 1 && settings > 0) {
 		return 'SET and SHOW of hemlockarch settings must be sent as requests of their own';
 	}
@@ -166,6 +218,16 @@
 			scanned.statements.length === 1 && settings[0]
 				? parseSetting(settings[0])
 				: undefined,
+		clearing: findClearing(scanned.statements, kinds),
+		resetsSettings: scanned.statements.some(
+			(tokens) =>
+				['reset', 'discard'].includes(tokens[0].text) &&
+				tokens[1]?.text === 'all',
+		),
+		deallocated:
+			scanned.statements.length === 1
+				? findDeallocated(scanned.statements[0])
+				: undefined,
 		preparesStatement: scanned.statements.some(
 			(tokens) => tokens[0]?.text === 'prepare',
 		),
@@ -361,6 +423,7 @@
 		(operator !== '=' && operator !== 'to') ||
 		value === undefined ||
 		value.type === 'symbol' ||
+		value.text.startsWith('$') ||
 		tokens.length !== start + 5 + sign.length
 	) {
 		return {type: 'malformed'};
--- a/src/node/caller/end-to-end.test.ts
+++ b/src/node/caller/end-to-end.test.ts
@@ -311,6 +311,59 @@
 	t.equal(stored.rowCount, 1);
 });
 
+// Guards against a refusal after Flush that lets the statements before it commit.
+tap.test('a refusal after flush rolls back', async (t) => {
+	const setup = await start(t);
+	const client = await setup.connect();
+	await client.query('CREATE TABLE t (id int PRIMARY KEY)');
+	for (const text of ['COPY t FROM STDIN', 'SHOW hemlockarch.rank']) {
+		const caller = new RawCaller(setup.port);
+		await caller.startUp();
+		caller.socket.write(
+			Buffer.concat([
+				serialize.parse({text: 'INSERT INTO t VALUES (1)'}),
+				serialize.bind({}),
+				serialize.execute(),
+				serialize.flush(),
+				serialize.parse({text}),
+				serialize.bind({}),
+				serialize.execute(),
+				serialize.sync(),
+			]),
+		);
+		t.equal(await caller.waitReady(1), '12CEZ', text);
+		caller.clear();
+		caller.socket.write(serialize.query('SELECT * FROM t'));
+		t.equal(await caller.waitReady(1), 'TCZ', 'no row was stored');
+		caller.socket.destroy();
+	}
+});
+
+// Guards against sessions that keep a connection because their driver cleans up as a matter of course.
+tap.test('clearing statements bind no connection', async (t) => {
+	const setup = await start(t, {connections: 1});
+	const client = await setup.connect({
+		options: '-c hemlockarch.rank=background',
+	});
+	const other = await setup.connect();
+	await client.query("SET hemlockarch.rank = 'urgent'");
+	await client.query({name: 'one', text: 'SELECT 1 AS a', values: []});
+	await client.query('DEALLOCATE one');
+	await client.query('RESET ALL');
+	await client.query('DISCARD ALL');
+	const shown = await client.query('SHOW hemlockarch.rank');
+	t.strictSame(shown.rows, [{'hemlockarch.rank': 'background'}]);
+	const result = await other.query('SELECT 1 AS a');
+	t.strictSame(result.rows, [{a: 1}]);
+	await client.query('SET statement_timeout = 77');
+	await client.query('DISCARD ALL');
+	t.equal(
+		await findSqlState(client.query('SHOW statement_timeout')),
+		'42704',
+		'the server forgot it',
+	);
+});
+
 // Guards against settings that are applied out of order, not checked or not answered.
 tap.test('settings', async (t) => {
 	const events: string[] = [];
--- a/src/node/caller/request-splitter.ts
+++ b/src/node/caller/request-splitter.ts
@@ -135,9 +135,21 @@
 			};
 		}
 
+		const {deallocated} = statementClass;
+		if (deallocated !== undefined && this.#table.get(deallocated)) {
+			this.#table.remove(deallocated);
+			return createLocal('DEALLOCATE', frame.length);
+		}
+
+		if (statementClass.clearing === 'statements') {
+			this.#table.clear();
+		}
+
 		this.#sqlPrepared ||= statementClass.preparesStatement;
 		return {
 			type: 'request',
+			clearing: statementClass.clearing,
+			resetsSettings: statementClass.resetsSettings,
 			kind: statementClass.kind,
 			payload: {frames: frame},
 			attributes: statementClass.attributes,
@@ -406,6 +418,18 @@
 	return createProblem('08P01', 'a string of the message has no end');
 }
 
+/** Answers a simple query with a command tag. */
+function createLocal(tag: string, size: number): types.Item {
+	return {
+		type: 'local',
+		steps: [
+			{type: 'message', data: messages.buildCommandComplete(tag)},
+			{type: 'ready'},
+		],
+		size,
+	};
+}
+
 function createRefusal(message: string): types.Item {
 	return {type: 'refusal', sqlState: notSupported, message, isFlush: false};
 }
--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -55,6 +55,10 @@
 	#isFailedHere = false;
 	/** After a refusal that ended with Flush: everything up to Sync is ignored. */
 	#skipsToSync = false;
+	/** A request may have left state on the connection, which is bound to the session since. */
+	#hasState = false;
+	/** A Flush left an implicit transaction open on the server. */
+	#isImplicitOpen = false;
 	#isPumping = false;
 	#isClosed = false;
 
@@ -172,6 +176,7 @@
 			this.socket.write(tail);
 		}
 
+		this.#isImplicitOpen = running.item.isFlush;
 		if (!running.item.isFlush) {
 			this.#setStatus(messages.parseTransactionStatus(tail.at(-1)));
 		}
@@ -352,8 +357,14 @@
 
 	#handleItem(item: types.Item): void {
 		if (this.#skipsToSync) {
-			if (!isFlushItem(item)) {
-				this.#skipsToSync = false;
+			if (isFlushItem(item)) {
+				return;
+			}
+
+			this.#skipsToSync = false;
+			if (this.#isImplicitOpen) {
+				this.#failImplicit('the request was refused', false);
+			} else {
 				this.socket.write(messages.getReadyForQuery(this.#shownStatus));
 			}
 
@@ -417,11 +428,59 @@
 			};
 		}
 
+		if (item.resetsSettings) {
+			this.values.resetAll();
+		}
+
+		if (!this.#handleClearing(item)) {
+			this.#hasState ||= item.kind === 'sessionState';
+			this.#startRemote(item, attributes.value);
+		}
+	}
+
+	#startRemote(item: Request, attributes: proxy.RequestAttributes): void {
 		this.#running = {request: undefined, item, relayed: undefined};
-		this.handler.handleRequest(item.kind, attributes.value, item.payload);
+		this.handler.handleRequest(item.kind, attributes, item.payload);
+	}
+
+	/**
+	 * Drivers with pools send DISCARD ALL, RESET ALL and the like as a matter of course. Where the
+	 * session has left no state there is nothing to remove, and no reason to bind a connection.
+	 * Returns true when the request has been taken care of.
+	 */
+	#handleClearing(item: Request): boolean {
+		if (this.#hasState || this.#status !== 'idle') {
+			return false;
+		}
+
+		if (item.clearing === 'statements') {
+			this.socket.write(
+				Buffer.concat([
+					messages.buildCommandComplete(
+						item.resetsSettings ? 'DISCARD ALL' : 'DEALLOCATE ALL',
+					),
+					messages.getReadyForQuery('idle'),
+				]),
+			);
+			return true;
+		}
+
+		if (item.clearing === 'session') {
+			const kind = 'read';
+			this.#startRemote({...item, kind}, {});
+			return true;
+		}
+
+		return false;
 	}
 
 	#runLocal(item: Extract<types.Item, {type: 'local'}>): void {
+		if (this.#isImplicitOpen) {
+			const message = 'SET and SHOW of hemlockarch settings after Flush';
+			this.#failImplicit(message, isFlushItem(item));
+			return;
+		}
+
 		const answers: Uint8Array[] = [];
 		for (const step of item.steps) {
 			const answer = this.#runStep(step);
@@ -490,10 +549,41 @@
 
 	/** Refuses without the reducer; like any error it fails an open transaction. */
 	#refuseHere(sqlState: string, message: string, isFlush: boolean): void {
+		if (this.#isImplicitOpen) {
+			this.#failImplicit(message, isFlush);
+			return;
+		}
+
 		this.#isFailedHere ||= this.#status === 'inTransaction';
 		this.#writeRefusal(sqlState, message, isFlush);
 	}
 
+	/**
+	 * Makes the server roll back the implicit transaction that a Flush left open: it gets the message
+	 * as a statement that it cannot parse, and its error is the answer.
+	 */
+	#failImplicit(message: string, isFlush: boolean): void {
+		const end = isFlush ? messages.codes.flush : messages.codes.sync;
+		this.#startRemote(
+			{
+				type: 'request',
+				kind: 'write',
+				payload: {
+					frames: Buffer.concat([
+						messages.buildMessage(messages.codes.parse, [
+							`\0refused: ${message}\0\0\0`,
+						]),
+						messages.buildMessage(end, []),
+					]),
+				},
+				attributes: [],
+				mixesControl: false,
+				isFlush,
+			},
+			{},
+		);
+	}
+
 	#writeRefusal(sqlState: string, message: string, isFlush: boolean): void {
 		const error = messages.buildError('ERROR', sqlState, message);
 		if (isFlush) {
--- a/src/node/caller/settings.ts
+++ b/src/node/caller/settings.ts
@@ -122,6 +122,7 @@
 /** The settings of one session. */
 export class SessionSettings {
 	readonly #values = new Map<string, string>();
+	readonly #start = new Map<string, string>();
 	readonly #local = new Map<string, string>();
 	#attributes: proxy.RequestAttributes | undefined = {};
 
@@ -180,6 +181,29 @@
 		return undefined;
 	}
 
+	/** Remembers the values of the startup packet as those that RESET ALL returns to. */
+	recordStart(): void {
+		for (const [name, value] of this.#values) {
+			if (requestNames.has(name)) {
+				this.#start.set(name, value);
+			}
+		}
+	}
+
+	/** Returns to the values of the startup packet. */
+	resetAll(): void {
+		for (const name of requestNames) {
+			this.#values.delete(name);
+		}
+
+		for (const [name, value] of this.#start) {
+			this.#values.set(name, value);
+		}
+
+		this.#local.clear();
+		this.#attributes = undefined;
+	}
+
 	/** Text of a setting; empty when the template decides, undefined when there is no such setting. */
 	get(name: string): string | undefined {
 		const value = this.#local.get(name) ?? this.#values.get(name);
--- a/src/node/caller/statements.ts
+++ b/src/node/caller/statements.ts
@@ -97,6 +97,11 @@
 		return this.#statements.get(name);
 	}
 
+	clear(): void {
+		this.#statements.clear();
+		this.#size = 0;
+	}
+
 	remove(name: string): void {
 		this.#size -= this.#statements.get(name)?.size ?? 0;
 		this.#statements.delete(name);
--- a/src/node/caller/types.ts
+++ b/src/node/caller/types.ts
@@ -27,6 +27,15 @@
 	readonly mixesControl: boolean;
 	/** Set when the text is one statement on a `hemlockarch.*` setting. */
 	readonly setting: SettingStatement | undefined;
+	/**
+	 * `statements`: DISCARD ALL or DEALLOCATE ALL. `session`: what it does to the session is only to
+	 * remove state, as RESET does.
+	 */
+	readonly clearing: 'none' | 'session' | 'statements';
+	/** RESET ALL or DISCARD ALL. */
+	readonly resetsSettings: boolean;
+	/** The name in DEALLOCATE of one statement. */
+	readonly deallocated: string | undefined;
 	/** The text contains an SQL PREPARE. */
 	readonly preparesStatement: boolean;
 	/** Names and values of sqlcommenter comments, not checked yet. */
@@ -103,6 +112,8 @@
 			readonly attributes: ReadonlyArray<readonly [string, string]>;
 			/** Several statements that cannot be claimed with one key. */
 			readonly mixesControl: boolean;
+			readonly clearing?: StatementClass['clearing'];
+			readonly resetsSettings?: boolean;
 			/** Ends with Flush instead of Query or Sync: no ReadyForQuery follows. */
 			readonly isFlush: boolean;
 			/** Startup parameters as SET: the caller does not see the answer. */
