--- a/src/bench/direct-driver.ts
+++ b/src/bench/direct-driver.ts
@@ -230,7 +230,7 @@
 			}
 
 			case 'connectionClosed': {
-				this.#replace(connection);
+				this.#openAgain(connection);
 				return;
 			}
 
@@ -249,7 +249,7 @@
 		}
 	}
 
-	#replace(connection: DriverConnection): void {
+	#openAgain(connection: DriverConnection): void {
 		this.#connections.delete(connection.id);
 		this.#free = this.#free.filter((free) => free !== connection);
 		if (connection.boundTo !== undefined) {
@@ -296,7 +296,7 @@
 		if (isUsed) {
 			this.#offer(connection);
 		} else {
-			this.#replace(connection);
+			this.#openAgain(connection);
 		}
 
 		this.callers.handle({
--- /dev/null
+++ b/src/bench/upstream-harness.ts
@@ -0,0 +1,156 @@
+/**
+ * Drives an upstream adapter in tests, one event at a time.
+ */
+import {Buffer} from 'node:buffer';
+import * as serializer from 'pg-protocol/dist/serializer';
+import type {Test} from 'tap';
+import type * as ids from '../common/ids.js';
+import type * as proxy from '../common/proxy/types.js';
+import * as upstreamAdapter from '../node/upstream/upstream-adapter.js';
+import type * as types from '../node/upstream/types.js';
+import * as directDriver from './direct-driver.js';
+
+const epoch = {consensusTerm: 2, counter: 5};
+const server = 's1' as ids.UpstreamId;
+
+/** An adapter whose events can be awaited one by one. */
+export class UpstreamHarness {
+	readonly adapter: upstreamAdapter.UpstreamAdapter;
+	readonly relayed: Buffer[] = [];
+	/** What the sinks answer; false asks the adapter to pause. */
+	isTaken = true;
+	readonly #events: types.UpstreamEvent[] = [];
+	#notify: (() => void) | undefined;
+	#lastConnection = 0;
+	#lastAttempt = 0;
+
+	constructor(
+		t: Test,
+		readonly address: string,
+		limits: Partial<types.UpstreamLimits> = {},
+	) {
+		this.adapter = upstreamAdapter.createUpstreamAdapter({
+			clock: directDriver.monotonicClock,
+			logger: {write: () => undefined},
+			user: 'hemlockarch',
+			database: 'ledger',
+			// A busy test machine must not close connections.
+			limits: {connectTimeoutMs: 60_000, pollTimeoutMs: 60_000, ...limits},
+			dispatch: (event) => {
+				this.#events.push(event);
+				this.#notify?.();
+			},
+			relayToSession: (_attempt, data) => {
+				this.relayed.push(Buffer.from(data));
+				return this.isTaken;
+			},
+			relayToPeer: (_peer, _attempt, data) => {
+				this.relayed.push(Buffer.from(data));
+				return this.isTaken;
+			},
+		});
+		t.teardown(async () => this.adapter.dispose());
+	}
+
+	async take(): Promise<types.UpstreamEvent> {
+		while (this.#events.length === 0) {
+			await new Promise<void>((resolve) => {
+				this.#notify = resolve;
+			});
+		}
+
+		return this.#events.shift()!;
+	}
+
+	async open(): Promise<ids.ConnectionId> {
+		const connection = this.startOpening();
+		const event = await this.take();
+		if (event.type !== 'connectionOpened') {
+			throw new Error(`unexpected event ${event.type}`);
+		}
+
+		return connection;
+	}
+
+	startOpening(): ids.ConnectionId {
+		this.#lastConnection++;
+		const connection = this.#lastConnection as ids.ConnectionId;
+		this.adapter.handle({
+			type: 'openConnection',
+			connection,
+			server,
+			address: this.address,
+			epoch,
+		});
+		return connection;
+	}
+
+	startExecution(
+		connection: ids.ConnectionId,
+		frames: Uint8Array,
+		options: Partial<types.Execute> = {},
+	): ids.AttemptId {
+		this.#lastAttempt++;
+		const attempt = this.#lastAttempt as ids.AttemptId;
+		this.adapter.handle({
+			type: 'execute',
+			connection,
+			attempt,
+			kind: 'write',
+			payload: {frames},
+			inTransaction: false,
+			sink: {type: 'session', attempt},
+			...options,
+		});
+		return attempt;
+	}
+
+	async execute(
+		connection: ids.ConnectionId,
+		frames: Uint8Array,
+		options: Partial<types.Execute> = {},
+	): Promise<proxy.ExecutionOutcome> {
+		this.startExecution(connection, frames, options);
+		const event = await this.take();
+		if (event.type !== 'executionFinished') {
+			throw new Error(`unexpected event ${event.type}`);
+		}
+
+		return event.outcome;
+	}
+
+	async runQuery(
+		connection: ids.ConnectionId,
+		text: string,
+		options: Partial<types.Execute> = {},
+	): Promise<string> {
+		return formatOutcome(
+			await this.execute(connection, serializer.serialize.query(text), options),
+		);
+	}
+}
+
+/** Type letters of the tail, status and SQLSTATE, or what else happened. */
+export function formatOutcome(outcome: proxy.ExecutionOutcome): string {
+	if (outcome.type === 'lost') {
+		return `lost ${outcome.mayHaveRun ? 'unknown' : 'not run'}`;
+	}
+
+	if (outcome.type === 'keyUsed') {
+		return 'keyUsed';
+	}
+
+	const tail = Buffer.from(outcome.tail);
+	let letters = '';
+	for (
+		let offset = 0;
+		offset < tail.length;
+		offset += 1 + tail.readUInt32BE(offset + 1)
+	) {
+		letters += String.fromCodePoint(tail[offset]);
+	}
+
+	return [letters, outcome.transactionStatus, outcome.sqlState]
+		.filter(Boolean)
+		.join(' ');
+}
--- a/src/bench/wire.ts
+++ b/src/bench/wire.ts
@@ -226,11 +226,11 @@
 	single.dispose();
 	const many = await openCallers(port, callers);
 	const runs = many.map(async (caller) => caller.run(Infinity));
-	await sleep(throughputMs / 4);
+	await wait(throughputMs / 4);
 	await handleStart();
 	const before = countStatements(many);
 	const startedAt = performance.now();
-	await sleep(throughputMs);
+	await wait(throughputMs);
 	const perSecond =
 		((countStatements(many) - before) * 1000) / (performance.now() - startedAt);
 	for (const caller of many) {
@@ -258,7 +258,7 @@
 	return sum;
 }
 
-async function sleep(durationMs: number): Promise<void> {
+async function wait(durationMs: number): Promise<void> {
 	await new Promise((resolve) => {
 		setTimeout(resolve, durationMs);
 	});
--- a/src/node/caller/caller-adapter.test.ts
+++ b/src/node/caller/caller-adapter.test.ts
@@ -147,6 +147,36 @@
 	t.equal(setup.events.at(-1)?.type, 'sessionClosed');
 });
 
+// Guards against an error that the caller would read as a part of a row.
+tap.test('a refusal inside a row ends the session', async (t) => {
+	for (const [missing, isCut] of [
+		[0, false],
+		[100, true],
+	] as const) {
+		const setup = await start(t);
+		setup.socket.write(serialize.query('SELECT 1'));
+		const request = await setup.waitRequest(1);
+		startAttempt(setup, request, 1);
+		const row = messages.buildTextRow('x'.repeat(1000));
+		const end = row.length - missing;
+		setup.adapter.relay(1 as ids.AttemptId, row.subarray(0, 500));
+		setup.adapter.relay(1 as ids.AttemptId, row.subarray(500, end));
+		setup.adapter.handle({
+			type: 'refuseRequest',
+			session: request.session,
+			request: request.request,
+			sqlState: '08007',
+			message: 'lost',
+			transactionStatus: 'idle',
+		});
+		await setup.wait(
+			() => setup.socket.destroyed || setup.readText().endsWith('\u0005I'),
+		);
+		t.equal(setup.readText().includes('08007'), !isCut);
+		t.equal(setup.socket.destroyed, isCut);
+	}
+});
+
 // Guards against a refusal after which the caller and the proxy disagree about whose turn it is.
 tap.test('refusals', async (t) => {
 	const setup = await start(t);
--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -105,7 +105,7 @@
 
 		switch (effect.type) {
 			case 'startAttempt': {
-				if (session.isRunning(effect.request)) {
+				if (session.runner.isRunning(effect.request)) {
 					this.#attempts.set(effect.attempt, session);
 					this.#attemptsBySession.get(session)?.push(effect.attempt);
 				}
@@ -114,18 +114,22 @@
 			}
 
 			case 'finishRequest': {
-				if (session.isRunning(effect.request)) {
+				if (session.runner.isRunning(effect.request)) {
 					this.#clearAttempts(session);
-					session.finishRequest(effect.attempt, effect.tail, effect.token);
+					session.runner.finishRequest(
+						effect.attempt,
+						effect.tail,
+						effect.token,
+					);
 				}
 
 				return;
 			}
 
 			case 'refuseRequest': {
-				if (session.isRunning(effect.request)) {
+				if (session.runner.isRunning(effect.request)) {
 					this.#clearAttempts(session);
-					session.refuseRequest(
+					session.runner.refuseRequest(
 						effect.sqlState,
 						effect.message,
 						effect.transactionStatus,
@@ -155,7 +159,7 @@
 
 	async dispose(): Promise<void> {
 		for (const session of this.#sessions.values()) {
-			session.destroy();
+			session.dispose();
 		}
 
 		for (const socket of this.#sockets) {
@@ -267,7 +271,7 @@
 				handleRequest: (kind, attributes, payload) => {
 					this.#lastRequest++;
 					const request = this.#lastRequest as ids.RequestId;
-					session.setRequest(request);
+					session.runner.setRequest(request);
 					dispatch({
 						type: 'requestArrived',
 						now: clock.now(),
@@ -287,7 +291,7 @@
 					});
 				},
 				handleDrain: () => {
-					const attempt = session.relayedAttempt;
+					const attempt = session.runner.relayedAttempt;
 					if (attempt !== undefined) {
 						this.options.handleDrain?.(attempt);
 					}
@@ -303,7 +307,7 @@
 		this.#cancelKeys.set(id, crypto.randomInt(2 ** 32));
 		this.#attemptsBySession.set(session, []);
 		socket.once('close', () => {
-			session.destroy();
+			session.dispose();
 		});
 		return session;
 	}
@@ -323,7 +327,7 @@
 
 	#removeSession(session: sessions.Session): void {
 		// The server connection of a caller that is gone must not stay paused.
-		const attempt = session.relayedAttempt;
+		const attempt = session.runner.relayedAttempt;
 		this.#clearAttempts(session);
 		this.#sessions.delete(session.id);
 		this.#cancelKeys.delete(session.id);
--- a/src/node/caller/classify.ts
+++ b/src/node/caller/classify.ts
@@ -4,6 +4,7 @@
 import type * as proxy from '../../common/proxy/types.js';
 import * as knownWords from './known-words.js';
 import * as sqlScanner from './sql-scanner.js';
+import * as details from './statement-details.js';
 import type * as types from './types.js';
 
 type Tokens = readonly sqlScanner.Token[];
@@ -110,7 +111,7 @@
  * Tells whether a request may commit and then leave another transaction open. Its answer would not
  * show that the commit has to be waited for.
  */
-function opensAfterCommit(
+function canOpenAfterCommit(
 	kinds: readonly proxy.RequestKind[],
 	statements: readonly Tokens[],
 ): boolean {
@@ -125,54 +126,6 @@
 	);
 }
 
-/** Statements that only remove state of a session. */
-function isClearing(tokens: Tokens): boolean {
-	const text = tokens.map((token) => token.text).join(' ');
-	return (
-		tokens[0].text === 'reset' ||
-		tokens[0].text === 'unlisten' ||
-		text === 'select pg_advisory_unlock_all ( )'
-	);
-}
-
-function findClearing(
-	statements: readonly Tokens[],
-	kinds: readonly proxy.RequestKind[],
-): types.StatementClass['clearing'] {
-	if (statements.length === 1 && kinds[0] === 'sessionState') {
-		const [first, second, third] = statements[0].map((token) => token.text);
-		const object = second === 'prepare' ? third : second;
-		if (object === 'all' && (first === 'discard' || first === 'deallocate')) {
-			return 'statements';
-		}
-	}
-
-	const changing = statements.filter(
-		(_, index) => kinds[index] === 'sessionState',
-	);
-	return changing.length > 0 && changing.every((tokens) => isClearing(tokens))
-		? 'session'
-		: 'none';
-}
-
-function findDeallocated(tokens: Tokens): string | undefined {
-	if (tokens[0].text !== 'deallocate') {
-		return undefined;
-	}
-
-	return tokens[1]?.text === 'prepare' ? tokens[2]?.text : tokens[1]?.text;
-}
-
-/** Finds set_config of a `hemlockarch.*` setting, which a server would ignore. */
-function usesConfigFunction(tokens: Tokens): boolean {
-	return (
-		hasWord(tokens, 'set_config') &&
-		tokens.some(
-			(token) => token.type === 'string' && /^hemlockarch\./iv.test(token.text),
-		)
-	);
-}
-
 function findRefusal(
 	kinds: readonly proxy.RequestKind[],
 	statements: readonly Tokens[],
@@ -186,7 +139,7 @@
 		return 'the replication protocol is not supported by hemlockarch';
 	}
 
-	if (statements.some((tokens) => usesConfigFunction(tokens))) {
+	if (statements.some((tokens) => details.hasConfigFunction(tokens))) {
 		return 'set_config of hemlockarch settings is not supported; use SET';
 	}
 
@@ -194,7 +147,7 @@
 		return 'SET and SHOW of hemlockarch settings must be sent as requests of their own';
 	}
 
-	return opensAfterCommit(kinds, statements) ? lateBeginMessage : undefined;
+	return canOpenAfterCommit(kinds, statements) ? lateBeginMessage : undefined;
 }
 
 /** Tells whether a transaction begins after other statements of the same request. */
@@ -208,7 +161,9 @@
 function classifyUnknownText(text: string): types.StatementClass {
 	const scanned = sqlScanner.parseTokens(text);
 	const kinds = scanned.statements.map((tokens) => classifyStatement(tokens));
-	const settings = scanned.statements.filter((tokens) => isOwnSetting(tokens));
+	const settings = scanned.statements.filter((tokens) =>
+		details.isOwnSetting(tokens),
+	);
 	return {
 		kind: scanned.isCertain ? classifySequence(kinds) : chooseUncertain(kinds),
 		isEmpty: scanned.statements.length === 0,
@@ -216,9 +171,9 @@
 		mixesControl: hasMixedControl(kinds),
 		setting:
 			scanned.statements.length === 1 && settings[0]
-				? parseSetting(settings[0])
+				? details.parseSetting(settings[0])
 				: undefined,
-		clearing: findClearing(scanned.statements, kinds),
+		clearing: details.findClearing(scanned.statements, kinds),
 		resetsSettings: scanned.statements.some(
 			(tokens) =>
 				['reset', 'discard'].includes(tokens[0].text) &&
@@ -226,12 +181,12 @@
 		),
 		deallocated:
 			scanned.statements.length === 1
-				? findDeallocated(scanned.statements[0])
+				? details.findDeallocated(scanned.statements[0])
 				: undefined,
 		preparesStatement: scanned.statements.some(
 			(tokens) => tokens[0]?.text === 'prepare',
 		),
-		attributes: parseComments(scanned.comments),
+		attributes: details.parseComments(scanned.comments),
 	};
 }
 
@@ -249,7 +204,7 @@
 
 function classifyStatement(tokens: Tokens): proxy.RequestKind {
 	const [first = '', second = ''] = tokens.map((token) => token.text);
-	if (usesSessionState(tokens)) {
+	if (hasSessionState(tokens)) {
 		return 'sessionState';
 	}
 
@@ -304,7 +259,7 @@
 }
 
 /** Finds temporary objects and functions whose effect stays on the connection. */
-function usesSessionState(tokens: Tokens): boolean {
+function hasSessionState(tokens: Tokens): boolean {
 	const isCreate = tokens[0].text === 'create';
 	return tokens.some(
 		(token, index) =>
@@ -385,86 +340,3 @@
 			knownWords.wordsBeforeParenthesis.has(token.text))
 	);
 }
-
-/** Offset of the setting's name after SET, SET SESSION, SET LOCAL, SHOW or RESET. */
-function findSettingName(tokens: Tokens): number {
-	const first = tokens[0].text;
-	if (first !== 'set' && first !== 'show' && first !== 'reset') {
-		return -1;
-	}
-
-	const scope = tokens[1]?.text;
-	return first === 'set' && (scope === 'session' || scope === 'local') ? 2 : 1;
-}
-
-function isOwnSetting(tokens: Tokens): boolean {
-	const name = findSettingName(tokens);
-	return (
-		name > 0 &&
-		tokens[name]?.text.toLowerCase() === 'hemlockarch' &&
-		tokens[name + 1]?.text === '.'
-	);
-}
-
-function parseSetting(tokens: Tokens): types.SettingStatement {
-	const start = findSettingName(tokens);
-	const name = (tokens[start + 2]?.text ?? '').toLowerCase();
-	const first = tokens[0].text;
-	if (first === 'show' || first === 'reset') {
-		return tokens.length === start + 3
-			? {type: first, name}
-			: {type: 'malformed'};
-	}
-
-	const operator = tokens[start + 3]?.text;
-	const sign = tokens[start + 4]?.text === '-' ? '-' : '';
-	const value = tokens[start + 4 + sign.length];
-	if (
-		(operator !== '=' && operator !== 'to') ||
-		value === undefined ||
-		value.type === 'symbol' ||
-		value.text.startsWith('$') ||
-		tokens.length !== start + 5 + sign.length
-	) {
-		return {type: 'malformed'};
-	}
-
-	if (value.type === 'word' && value.text === 'default') {
-		return {type: 'reset', name};
-	}
-
-	return {
-		type: 'set',
-		name,
-		value: sign + value.text,
-		isLocal: tokens[1].text === 'local',
-	};
-}
-
-/** Reads `hemlockarch_<name>='<value>'` of sqlcommenter comments; values are URL-encoded. */
-function parseComments(
-	comments: readonly string[],
-): ReadonlyArray<readonly [string, string]> {
-	const found: Array<readonly [string, string]> = [];
-	for (const comment of comments) {
-		const pairs = comment.matchAll(
-			/(?<![\w.])hemlockarch_(?<name>\w+)\s*=\s*'(?<value>(?:[^'\\]|\\.)*)'/gv,
-		);
-		for (const pair of pairs) {
-			found.push([
-				pair.groups!.name,
-				decodeValue(pair.groups!.value.replaceAll(/\\(?<mark>.)/gv, '$<mark>')),
-			]);
-		}
-	}
-
-	return found;
-}
-
-function decodeValue(text: string): string {
-	try {
-		return decodeURIComponent(text);
-	} catch {
-		return text;
-	}
-}
--- a/src/node/caller/local-answers.ts
+++ b/src/node/caller/local-answers.ts
@@ -2,6 +2,10 @@
  * Answers of the adapter itself: SET, SHOW and RESET of `hemlockarch.*` settings.
  */
 import {Buffer} from 'node:buffer';
+import * as position from '../../common/position.js';
+import type * as proxy from '../../common/proxy/types.js';
+import type * as commonTypes from '../../common/types.js';
+import * as frameReader from '../wire/frame-reader.js';
 import * as messages from '../wire/messages.js';
 import type * as settings from './settings.js';
 import type * as types from './types.js';
@@ -21,9 +25,12 @@
 const noData = messages.buildMessage(messages.codes.noData, []);
 const noParameters = Buffer.from([0x74, 0, 0, 0, 6, 0, 0]);
 
+export const abortedMessage =
+	'current transaction is aborted, commands ignored until end of transaction block';
+
 /** The answer to one statement, or why it is refused. */
 export type LocalResult =
-	| {readonly type: 'answer'; readonly data: Buffer}
+	| {readonly type: 'answer'; readonly data: Uint8Array}
 	| {readonly type: 'problem'; readonly problem: settings.SettingProblem};
 
 /** Answers Describe of a statement on a setting. */
@@ -116,3 +123,97 @@
 		),
 	};
 }
+
+/** Carries out the steps of an item up to the first problem; `data` are the answers so far. */
+export function runSteps(
+	steps: readonly types.LocalStep[],
+	values: settings.SessionSettings,
+	status: proxy.TransactionStatus,
+	handleToken: (token: commonTypes.Position) => void,
+): {data: Buffer; problem: settings.SettingProblem | undefined} {
+	const answers: Uint8Array[] = [];
+	let problem: settings.SettingProblem | undefined;
+	for (const step of steps) {
+		const result = runStep(step, values, status);
+		if (result.type === 'problem') {
+			problem = result.problem;
+			break;
+		}
+
+		answers.push(result.data);
+		if (
+			step.type === 'run' &&
+			step.setting.type === 'set' &&
+			step.setting.name === 'token'
+		) {
+			handleToken(position.parsePosition(step.setting.value)._unsafeUnwrap());
+		}
+	}
+
+	return {data: Buffer.concat(answers), problem};
+}
+
+function runStep(
+	step: types.LocalStep,
+	values: settings.SessionSettings,
+	status: proxy.TransactionStatus,
+): LocalResult {
+	switch (step.type) {
+		case 'message': {
+			return {type: 'answer', data: step.data};
+		}
+
+		case 'describe': {
+			const data = buildDescription(step.setting, step.isStatement);
+			return {type: 'answer', data};
+		}
+
+		case 'ready': {
+			return {type: 'answer', data: messages.getReadyForQuery(status)};
+		}
+
+		case 'run': {
+			return status === 'failed'
+				? {
+						type: 'problem',
+						problem: {sqlState: '25P02', message: abortedMessage},
+					}
+				: runSetting(
+						step.setting,
+						values,
+						step.isSimple,
+						status === 'inTransaction',
+					);
+		}
+	}
+}
+
+/** Finds the error, or else the ParameterStatus messages, in the answer to the startup SET. */
+export function splitHiddenAnswer(tail: Uint8Array): {
+	error: settings.SettingProblem | undefined;
+	parameters: Buffer;
+} {
+	const reader = new frameReader.FrameReader(tail.length);
+	const parameters: Buffer[] = [];
+	reader.push(Buffer.from(tail));
+	for (
+		let message = reader.read();
+		message instanceof Buffer;
+		message = reader.read()
+	) {
+		if (message[0] === messages.codes.error) {
+			const error = {
+				sqlState: messages.findErrorField(message, 'C') ?? '22023',
+				message:
+					messages.findErrorField(message, 'M') ?? 'invalid startup parameter',
+			};
+			return {error, parameters: Buffer.alloc(0)};
+		}
+
+		if (message[0] === messages.codes.parameterStatus) {
+			parameters.push(message);
+		}
+	}
+
+	return {error: undefined, parameters: Buffer.concat(parameters)};
+}
--- a/src/node/caller/request-splitter.ts
+++ b/src/node/caller/request-splitter.ts
@@ -5,21 +5,14 @@
 import type * as proxy from '../../common/proxy/types.js';
 import * as messages from '../wire/messages.js';
 import * as classify from './classify.js';
+import * as items from './items.js';
 import * as localAnswers from './local-answers.js';
 import * as statements from './statements.js';
 import type * as types from './types.js';
 
-/** A violation of the protocol; the session cannot go on. */
-export type ProtocolProblem = {
-	readonly type: 'problem';
-	readonly sqlState: string;
-	readonly message: string;
-};
-
 const mixedMessage =
 	'SET and SHOW of hemlockarch settings must be sent as requests of their own';
 const functionCallMessage = 'function calls are not supported by hemlockarch';
-const notSupported = '0A000';
 
 /** Collects the frames of one session; `add` returns the item that a frame completes. */
 export class RequestSplitter {
@@ -45,10 +38,10 @@
 		this.#limit = limit;
 	}
 
-	add(frame: Buffer): types.Item | ProtocolProblem | undefined {
+	add(frame: Buffer): types.Item | items.ProtocolProblem | undefined {
 		this.#size += frame.length;
 		if (this.#size > this.#limit) {
-			return createProblem('54000', 'the request exceeds the size limit');
+			return items.createProblem('54000', 'the request exceeds the size limit');
 		}
 
 		switch (frame[0]) {
@@ -88,7 +81,7 @@
 
 			case messages.codes.functionCall: {
 				this.#reset();
-				return createRefusal(functionCallMessage);
+				return items.createRefusal(functionCallMessage);
 			}
 
 			case messages.codes.copyData:
@@ -100,7 +93,7 @@
 			}
 
 			default: {
-				return createProblem(
+				return items.createProblem(
 					'08P01',
 					`invalid frontend message type ${frame[0]}`,
 				);
@@ -108,64 +101,30 @@
 		}
 	}
 
-	#handleQuery(frame: Buffer): types.Item | ProtocolProblem {
+	#handleQuery(frame: Buffer): types.Item | items.ProtocolProblem {
 		if (this.#frames.length > 0) {
-			return createProblem('08P01', 'Query before the end of a sequence');
+			return items.createProblem('08P01', 'Query before the end of a sequence');
 		}
 
 		const text = messages.readString(frame, 5);
 		if (text === undefined) {
-			return createMalformed();
+			return items.createMalformed();
 		}
 
 		this.#size = 0;
 		const statementClass = classify.classifyText(text);
-		if (statementClass.refusal !== undefined) {
-			return createRefusal(statementClass.refusal);
-		}
-
-		if (statementClass.setting) {
-			return {
-				type: 'local',
-				steps: [
-					{type: 'run', setting: statementClass.setting, isSimple: true},
-					{type: 'ready'},
-				],
-				size: frame.length,
-			};
-		}
-
-		const {deallocated} = statementClass;
-		if (deallocated !== undefined && this.#table.get(deallocated)) {
-			this.#table.remove(deallocated);
-			return createLocal('DEALLOCATE', frame.length);
-		}
-
-		if (statementClass.clearing === 'statements') {
-			this.#table.clear();
-		}
-
 		this.#sqlPrepared ||= statementClass.preparesStatement;
-		return {
-			type: 'request',
-			clearing: statementClass.clearing,
-			resetsSettings: statementClass.resetsSettings,
-			kind: statementClass.kind,
-			payload: {frames: frame},
-			attributes: statementClass.attributes,
-			mixesControl: statementClass.mixesControl,
-			isFlush: false,
-		};
+		return items.createQueryItem(frame, statementClass, this.#table);
 	}
 
-	#handleParse(frame: Buffer): ProtocolProblem | undefined {
+	#handleParse(frame: Buffer): items.ProtocolProblem | undefined {
 		const name = messages.readString(frame, 5);
 		const text =
 			name === undefined
 				? undefined
 				: messages.readString(frame, 6 + Buffer.byteLength(name));
 		if (name === undefined || text === undefined) {
-			return createMalformed();
+			return items.createMalformed();
 		}
 
 		const statementClass = classify.classifyText(text);
@@ -192,13 +151,13 @@
 		return undefined;
 	}
 
-	#handleBind(frame: Buffer): ProtocolProblem | undefined {
+	#handleBind(frame: Buffer): items.ProtocolProblem | undefined {
 		const portal = messages.readString(frame, 5);
 		const offset = portal === undefined ? 0 : 6 + Buffer.byteLength(portal);
 		const name =
 			portal === undefined ? undefined : messages.readString(frame, offset);
 		if (portal === undefined || name === undefined) {
-			return createMalformed();
+			return items.createMalformed();
 		}
 
 		const statementClass = this.#table.get(name)?.statementClass;
@@ -219,10 +178,10 @@
 		return undefined;
 	}
 
-	#handleDescribe(frame: Buffer): ProtocolProblem | undefined {
+	#handleDescribe(frame: Buffer): items.ProtocolProblem | undefined {
 		const name = messages.readString(frame, 6);
 		if (name === undefined) {
-			return createMalformed();
+			return items.createMalformed();
 		}
 
 		const isStatement = frame[5] === 0x53;
@@ -246,10 +205,10 @@
 		return undefined;
 	}
 
-	#handleExecute(frame: Buffer): ProtocolProblem | undefined {
+	#handleExecute(frame: Buffer): items.ProtocolProblem | undefined {
 		const portal = messages.readString(frame, 5);
 		if (portal === undefined) {
-			return createMalformed();
+			return items.createMalformed();
 		}
 
 		const statementClass = this.#table.getPortal(portal);
@@ -272,10 +231,10 @@
 		return undefined;
 	}
 
-	#handleClose(frame: Buffer): ProtocolProblem | undefined {
+	#handleClose(frame: Buffer): items.ProtocolProblem | undefined {
 		const name = messages.readString(frame, 6);
 		if (name === undefined) {
-			return createMalformed();
+			return items.createMalformed();
 		}
 
 		const statement = frame[5] === 0x53 ? this.#table.get(name) : undefined;
@@ -372,17 +331,17 @@
 
 	#checkRefusal({refusal}: types.StatementClass): void {
 		if (refusal !== undefined) {
-			this.#refusal ??= {sqlState: notSupported, message: refusal};
+			this.#refusal ??= {sqlState: items.notSupported, message: refusal};
 		}
 	}
 
 	#findMix(): {sqlState: string; message: string} | undefined {
 		if (this.#steps.length > 0 && this.#hasRemote) {
-			return {sqlState: notSupported, message: mixedMessage};
+			return {sqlState: items.notSupported, message: mixedMessage};
 		}
 
 		return classify.hasLateBegin(this.#kinds)
-			? {sqlState: notSupported, message: classify.lateBeginMessage}
+			? {sqlState: items.notSupported, message: classify.lateBeginMessage}
 			: undefined;
 	}
 
@@ -409,27 +368,3 @@
 		this.#mixesControl = false;
 	}
 }
-
-function createProblem(sqlState: string, message: string): ProtocolProblem {
-	return {type: 'problem', sqlState, message};
-}
-
-function createMalformed(): ProtocolProblem {
-	return createProblem('08P01', 'a string of the message has no end');
-}
-
-/** Answers a simple query with a command tag. */
-function createLocal(tag: string, size: number): types.Item {
-	return {
-		type: 'local',
-		steps: [
-			{type: 'message', data: messages.buildCommandComplete(tag)},
-			{type: 'ready'},
-		],
-		size,
-	};
-}
-
-function createRefusal(message: string): types.Item {
-	return {type: 'refusal', sqlState: notSupported, message, isFlush: false};
-}
--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -2,15 +2,15 @@
  * One caller's session: reads requests, hands them over one at a time and writes the answers in
  * the order of the requests.
  */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import type * as net from 'node:net';
 import type * as ids from '../../common/ids.js';
-import * as position from '../../common/position.js';
 import type * as proxy from '../../common/proxy/types.js';
 import type * as commonTypes from '../../common/types.js';
 import * as frameReader from '../wire/frame-reader.js';
 import * as messages from '../wire/messages.js';
-import * as localAnswers from './local-answers.js';
+import * as itemRunner from './item-runner.js';
+import * as items from './items.js';
 import * as requestSplitter from './request-splitter.js';
 import type * as settings from './settings.js';
 import * as statements from './statements.js';
@@ -18,8 +18,6 @@
 
 /** Time for the last bytes before a refused connection is cut, in ms. */
 const closeDelayMs = 1000;
-const abortedMessage =
-	'current transaction is aborted, commands ignored until end of transaction block';
 
 /** What a session reports. */
 export type SessionHandler = {
@@ -33,43 +31,37 @@
 	handleClosed(): void;
 };
 
-type Request = Extract<types.Item, {type: 'request'}>;
-
-/** The request that the reducer works on. */
-type Running = {
-	request: ids.RequestId | undefined;
-	readonly item: Request;
-	/** The attempt whose bytes the caller already has. */
-	relayed: ids.AttemptId | undefined;
-};
-
 export class Session {
 	readonly #reader: frameReader.FrameReader;
 	readonly #splitter: requestSplitter.RequestSplitter;
 	readonly #table: statements.StatementTable;
 	#queue: types.Item[] = [];
 	#queuedBytes = 0;
-	#running: Running | undefined;
-	#status: proxy.TransactionStatus = 'idle';
-	/** An answer of the adapter failed the transaction; the server does not know it. */
-	#isFailedHere = false;
-	/** After a refusal that ended with Flush: everything up to Sync is ignored. */
-	#skipsToSync = false;
-	/** A request may have left state on the connection, which is bound to the session since. */
-	#hasState = false;
-	/** A Flush left an implicit transaction open on the server. */
-	#isImplicitOpen = false;
-	#isPumping = false;
+	readonly #runner: itemRunner.ItemRunner;
+	#isRunningQueue = false;
 	#isClosed = false;
 
 	constructor(
 		readonly socket: net.Socket,
 		readonly id: ids.SessionId,
-		private readonly values: settings.SessionSettings,
+		values: settings.SessionSettings,
 		private readonly limits: types.CallerLimits,
 		private readonly handler: SessionHandler,
 		statementPrefix: string,
 	) {
+		this.#runner = new itemRunner.ItemRunner(socket, values, {
+			handleRequest: handler.handleRequest,
+			handleToken: handler.handleToken,
+			handleIdle: () => {
+				this.#runQueue();
+			},
+			handleFatal: (sqlState, message) => {
+				this.close(sqlState, message);
+			},
+			handleBroken: () => {
+				this.dispose();
+			},
+		});
 		this.#reader = new frameReader.FrameReader(limits.frameBytes);
 		this.#table = new statements.StatementTable(
 			statementPrefix,
@@ -86,9 +78,9 @@
 		return this.#isClosed;
 	}
 
-	/** The attempt that owns the response at the moment, for flow control. */
-	get relayedAttempt(): ids.AttemptId | undefined {
-		return this.#running?.relayed;
+	/** The part that works on requests and takes their answers. */
+	get runner(): itemRunner.ItemRunner {
+		return this.#runner;
 	}
 
 	/** Begins to read; `rest` are bytes that were received already. */
@@ -104,7 +96,7 @@
 		});
 		if (first) {
 			this.#queue.push(first);
-			this.#pump();
+			this.#runQueue();
 		}
 
 		if (rest.length > 0) {
@@ -112,30 +104,13 @@
 		}
 	}
 
-	/** Names the request that is about to be handed over. */
-	setRequest(request: ids.RequestId): void {
-		if (this.#running) {
-			this.#running.request = request;
-		}
-	}
-
-	isRunning(request: ids.RequestId): boolean {
-		return this.#running?.request === request;
-	}
-
 	/** Writes response bytes; false asks the producer to wait for `handleDrain`. */
 	relay(attempt: ids.AttemptId, data: Uint8Array): boolean {
-		const running = this.#running;
-		if (this.#isClosed || !running || running.item.isHidden) {
-			return true;
-		}
-
-		running.relayed ??= attempt;
-		if (running.relayed !== attempt) {
+		if (this.#isClosed) {
 			return true;
 		}
 
-		const isWritable = this.socket.write(data);
+		const isWritable = this.#runner.relay(attempt, data);
 		if (this.socket.writableLength > this.limits.sendBufferBytes) {
 			this.close('57014', 'the caller does not read its results');
 		}
@@ -143,69 +118,6 @@
 		return isWritable;
 	}
 
-	finishRequest(
-		attempt: ids.AttemptId,
-		tail: Uint8Array,
-		token: commonTypes.Position | undefined,
-	): void {
-		const running = this.#running;
-		if (!running) {
-			return;
-		}
-
-		if (running.relayed !== undefined && running.relayed !== attempt) {
-			this.close('08007', 'the answer was lost in transit');
-			return;
-		}
-
-		if (running.item.isHidden) {
-			this.#finishHidden(tail);
-			return;
-		}
-
-		if (token) {
-			const text = position.formatPosition(token);
-			this.values.recordToken(text);
-			this.socket.cork();
-			this.socket.write(
-				messages.buildParameterStatus('hemlockarch.token', text),
-			);
-			this.socket.write(tail);
-			this.socket.uncork();
-		} else {
-			this.socket.write(tail);
-		}
-
-		this.#isImplicitOpen = running.item.isFlush;
-		if (!running.item.isFlush) {
-			this.#setStatus(messages.parseTransactionStatus(tail.at(-1)));
-		}
-
-		this.#running = undefined;
-		this.#pump();
-	}
-
-	refuseRequest(
-		sqlState: string,
-		message: string,
-		status: proxy.TransactionStatus,
-	): void {
-		const running = this.#running;
-		if (!running) {
-			return;
-		}
-
-		if (running.item.isHidden) {
-			this.close(sqlState, message);
-			return;
-		}
-
-		this.#running = undefined;
-		this.#setStatus(status);
-		this.#writeRefusal(sqlState, message, running.item.isFlush);
-		this.#pump();
-	}
-
 	/** Writes a FATAL error and closes the connection. */
 	close(sqlState: string, message: string): void {
 		if (this.#isClosed) {
@@ -220,7 +132,7 @@
 	}
 
 	/** Closes the connection at once. */
-	destroy(): void {
+	dispose(): void {
 		this.socket.destroy();
 		this.#finishClose();
 	}
@@ -236,41 +148,7 @@
 		this.socket.removeAllListeners('data');
 		this.socket.resume();
 		this.handler.handleClosed();
-		this.#running = undefined;
-	}
-
-	/** Passes on the parameters that the startup SET changed; an error ends the session. */
-	#finishHidden(tail: Uint8Array): void {
-		const reader = new frameReader.FrameReader(tail.length);
-		reader.push(Buffer.from(tail));
-		for (
-			let message = reader.read();
-			message instanceof Buffer;
-			message = reader.read()
-		) {
-			if (message[0] === messages.codes.error) {
-				this.close(
-					messages.findErrorField(message, 'C') ?? '22023',
-					messages.findErrorField(message, 'M') ?? 'invalid startup parameter',
-				);
-				return;
-			}
-
-			if (message[0] === messages.codes.parameterStatus) {
-				this.socket.write(message);
-			}
-		}
-
-		this.#running = undefined;
-		this.#pump();
-	}
-
-	#setStatus(status: proxy.TransactionStatus): void {
-		this.#status = status;
-		if (status === 'idle') {
-			this.#isFailedHere = false;
-			this.values.clearLocal();
-		}
+		this.#runner.clear();
 	}
 
 	#receive(chunk: Buffer): void {
@@ -292,14 +170,14 @@
 			}
 
 			if (frame[0] === messages.codes.terminate) {
-				this.destroy();
+				this.dispose();
 				return;
 			}
 
 			this.#handleFrame(frame);
 		}
 
-		this.#pump();
+		this.#runQueue();
 		this.#updateFlow();
 	}
 
@@ -315,7 +193,7 @@
 		}
 
 		this.#queue.push(item);
-		this.#queuedBytes += measureItem(item);
+		this.#queuedBytes += items.measureItem(item);
 	}
 
 	/** Pauses reading while enough requests wait. */
@@ -333,288 +211,25 @@
 	}
 
 	/** Works on the queue until a request is running. */
-	#pump(): void {
-		if (this.#isPumping) {
+	#runQueue(): void {
+		if (this.#isRunningQueue) {
 			return;
 		}
 
-		this.#isPumping = true;
-		while (!this.#running && !this.#isClosed) {
+		this.#isRunningQueue = true;
+		while (this.#runner.isIdle && !this.#isClosed) {
 			const item = this.#queue.shift();
 			if (!item) {
 				break;
 			}
 
-			this.#queuedBytes -= measureItem(item);
-			this.#handleItem(item);
+			this.#queuedBytes -= items.measureItem(item);
+			this.#runner.run(item);
 		}
 
-		this.#isPumping = false;
+		this.#isRunningQueue = false;
 		if (this.socket.isPaused()) {
 			this.#updateFlow();
 		}
 	}
-
-	#handleItem(item: types.Item): void {
-		if (this.#skipsToSync) {
-			if (isFlushItem(item)) {
-				return;
-			}
-
-			this.#skipsToSync = false;
-			if (this.#isImplicitOpen) {
-				this.#failImplicit('the request was refused', false);
-			} else {
-				this.socket.write(messages.getReadyForQuery(this.#shownStatus));
-			}
-
-			return;
-		}
-
-		switch (item.type) {
-			case 'request': {
-				this.#startRequest(item);
-				return;
-			}
-
-			case 'local': {
-				this.#runLocal(item);
-				return;
-			}
-
-			case 'refusal': {
-				this.#refuseHere(item.sqlState, item.message, item.isFlush);
-			}
-		}
-	}
-
-	get #shownStatus(): proxy.TransactionStatus {
-		return this.#isFailedHere ? 'failed' : this.#status;
-	}
-
-	#startRequest(item: Request): void {
-		const attributes = this.values.buildAttributes(item.attributes);
-		if (attributes.isErr()) {
-			const {sqlState, message} = attributes.error;
-			this.#refuseHere(sqlState, message, item.isFlush);
-			return;
-		}
-
-		const isKeyed = attributes.value.key !== undefined;
-		if (
-			isKeyed &&
-			(item.mixesControl || (item.isFlush && item.kind === 'write'))
-		) {
-			this.#refuseHere(
-				'0A000',
-				'a request with a key must end with Query or Sync, and cannot mix writes with transaction control or session state',
-				item.isFlush,
-			);
-			return;
-		}
-
-		const isSimple = item.payload.frames[0] === messages.codes.query;
-		if (this.#isFailedHere && item.kind !== 'rollback') {
-			if (item.kind !== 'commit' || !isSimple) {
-				this.#refuseHere('25P02', abortedMessage, item.isFlush);
-				return;
-			}
-
-			// COMMIT of a failed transaction rolls back and says so.
-			item = {
-				...item,
-				kind: 'rollback',
-				payload: {frames: messages.buildMessage(0x51, ['ROLLBACK\0'])},
-			};
-		}
-
-		if (item.resetsSettings) {
-			this.values.resetAll();
-		}
-
-		if (!this.#handleClearing(item)) {
-			this.#hasState ||= item.kind === 'sessionState';
-			this.#startRemote(item, attributes.value);
-		}
-	}
-
-	#startRemote(item: Request, attributes: proxy.RequestAttributes): void {
-		this.#running = {request: undefined, item, relayed: undefined};
-		this.handler.handleRequest(item.kind, attributes, item.payload);
-	}
-
-	/**
-	 * Drivers with pools send DISCARD ALL, RESET ALL and the like as a matter of course. Where the
-	 * session has left no state there is nothing to remove, and no reason to bind a connection.
-	 * Returns true when the request has been taken care of.
-	 */
-	#handleClearing(item: Request): boolean {
-		if (this.#hasState || this.#status !== 'idle') {
-			return false;
-		}
-
-		if (item.clearing === 'statements') {
-			this.socket.write(
-				Buffer.concat([
-					messages.buildCommandComplete(
-						item.resetsSettings ? 'DISCARD ALL' : 'DEALLOCATE ALL',
-					),
-					messages.getReadyForQuery('idle'),
-				]),
-			);
-			return true;
-		}
-
-		if (item.clearing === 'session') {
-			const kind = 'read';
-			this.#startRemote({...item, kind}, {});
-			return true;
-		}
-
-		return false;
-	}
-
-	#runLocal(item: Extract<types.Item, {type: 'local'}>): void {
-		if (this.#isImplicitOpen) {
-			const message = 'SET and SHOW of hemlockarch settings after Flush';
-			this.#failImplicit(message, isFlushItem(item));
-			return;
-		}
-
-		const answers: Uint8Array[] = [];
-		for (const step of item.steps) {
-			const answer = this.#runStep(step);
-			if ('sqlState' in answer) {
-				this.socket.write(Buffer.concat(answers));
-				this.#refuseHere(
-					answer.sqlState,
-					answer.message,
-					item.steps.at(-1)?.type !== 'ready',
-				);
-				return;
-			}
-
-			answers.push(answer);
-		}
-
-		this.socket.write(Buffer.concat(answers));
-	}
-
-	#runStep(step: types.LocalStep): Uint8Array | settings.SettingProblem {
-		switch (step.type) {
-			case 'message': {
-				return step.data;
-			}
-
-			case 'describe': {
-				return localAnswers.buildDescription(step.setting, step.isStatement);
-			}
-
-			case 'ready': {
-				return messages.getReadyForQuery(this.#shownStatus);
-			}
-
-			case 'run': {
-				return this.#runSetting(step.setting, step.isSimple);
-			}
-		}
-	}
-
-	#runSetting(
-		setting: types.SettingStatement,
-		isSimple: boolean,
-	): Uint8Array | settings.SettingProblem {
-		if (this.#shownStatus === 'failed') {
-			return {sqlState: '25P02', message: abortedMessage};
-		}
-
-		const result = localAnswers.runSetting(
-			setting,
-			this.values,
-			isSimple,
-			this.#status === 'inTransaction',
-		);
-		if (result.type === 'problem') {
-			return result.problem;
-		}
-
-		if (setting.type === 'set' && setting.name === 'token') {
-			this.handler.handleToken(
-				position.parsePosition(setting.value)._unsafeUnwrap(),
-			);
-		}
-
-		return result.data;
-	}
-
-	/** Refuses without the reducer; like any error it fails an open transaction. */
-	#refuseHere(sqlState: string, message: string, isFlush: boolean): void {
-		if (this.#isImplicitOpen) {
-			this.#failImplicit(message, isFlush);
-			return;
-		}
-
-		this.#isFailedHere ||= this.#status === 'inTransaction';
-		this.#writeRefusal(sqlState, message, isFlush);
-	}
-
-	/**
-	 * Makes the server roll back the implicit transaction that a Flush left open: it gets the message
-	 * as a statement that it cannot parse, and its error is the answer.
-	 */
-	#failImplicit(message: string, isFlush: boolean): void {
-		const end = isFlush ? messages.codes.flush : messages.codes.sync;
-		this.#startRemote(
-			{
-				type: 'request',
-				kind: 'write',
-				payload: {
-					frames: Buffer.concat([
-						messages.buildMessage(messages.codes.parse, [
-							`\0refused: ${message}\0\0\0`,
-						]),
-						messages.buildMessage(end, []),
-					]),
-				},
-				attributes: [],
-				mixesControl: false,
-				isFlush,
-			},
-			{},
-		);
-	}
-
-	#writeRefusal(sqlState: string, message: string, isFlush: boolean): void {
-		const error = messages.buildError('ERROR', sqlState, message);
-		if (isFlush) {
-			this.#skipsToSync = true;
-			this.socket.write(error);
-		} else {
-			this.socket.write(
-				Buffer.concat([error, messages.getReadyForQuery(this.#shownStatus)]),
-			);
-		}
-	}
-}
-
-function isFlushItem(item: types.Item): boolean {
-	return item.type === 'local'
-		? item.steps.at(-1)?.type !== 'ready'
-		: item.isFlush;
-}
-
-function measureItem(item: types.Item): number {
-	switch (item.type) {
-		case 'request': {
-			return item.payload.frames.length;
-		}
-
-		case 'local': {
-			return item.size;
-		}
-
-		case 'refusal': {
-			return 0;
-		}
-	}
 }
--- a/src/node/caller/sql-scanner.ts
+++ b/src/node/caller/sql-scanner.ts
@@ -46,7 +46,7 @@
 		this.#text = text;
 	}
 
-	scan(): ScannedText {
+	parse(): ScannedText {
 		let offset = 0;
 		while (offset < this.#text.length) {
 			tokenPattern.lastIndex = offset;
@@ -91,9 +91,9 @@
 		} else if (groups.line !== undefined) {
 			this.comments.push(matched.slice(2));
 		} else if (groups.block !== undefined) {
-			return this.#skipComment(offset);
+			return this.#readComment(offset);
 		} else if (groups.dollar !== undefined) {
-			return this.#skipDollarString(matched, end);
+			return this.#readDollarString(matched, end);
 		} else if (groups.symbol !== undefined) {
 			this.#handleSymbol(matched);
 		}
@@ -112,7 +112,7 @@
 		this.#add('symbol', symbol);
 	}
 
-	#skipComment(start: number): number {
+	#readComment(start: number): number {
 		const end = findCommentEnd(this.#text, start);
 		if (end === -1) {
 			this.isCertain = false;
@@ -123,7 +123,7 @@
 		return end;
 	}
 
-	#skipDollarString(tag: string, start: number): number {
+	#readDollarString(tag: string, start: number): number {
 		const end = this.#text.indexOf(tag, start);
 		if (end === -1) {
 			this.isCertain = false;
@@ -148,5 +148,5 @@
 
 /** Splits a text into the tokens of its statements. */
 export function parseTokens(text: string): ScannedText {
-	return new Scanner(text).scan();
+	return new Scanner(text).parse();
 }
--- a/src/node/upstream/connection.ts
+++ b/src/node/upstream/connection.ts
@@ -2,13 +2,14 @@
  * One pooled connection to a server: executes one request at a time.
  */
 import {Buffer} from 'node:buffer';
-import * as net from 'node:net';
 import * as pgProtocol from 'pg-protocol/dist/serializer';
 import type * as ids from '../../common/ids.js';
-import * as addresses from '../peer/addresses.js';
 import type * as proxy from '../../common/proxy/types.js';
 import * as messages from '../wire/messages.js';
+import * as cancelRequest from './cancel-request.js';
 import * as executions from './execution.js';
+import * as keyClaim from './key-claim.js';
+import * as preparedNames from './prepared-names.js';
 import * as requestPlan from './request-plan.js';
 import * as serverSocket from './server-socket.js';
 import type * as types from './types.js';
@@ -22,11 +23,10 @@
 	readonly id: ids.ConnectionId;
 	readonly #server: serverSocket.ServerSocket;
 	/** Statement names that the connection has, least recently used first. */
-	readonly #prepared = new Set<string>();
+	readonly #prepared = new preparedNames.PreparedNames();
 	#execution: executions.Execution | undefined;
 	#status: proxy.TransactionStatus = 'idle';
-	/** The key that the open transaction has claimed. */
-	#claimedKey: string | undefined;
+	readonly #claim = new keyClaim.KeyClaim();
 	/** A Flush request failed: the server ignores everything up to Sync. */
 	#skipsToSync = false;
 	/** ReadyForQuery messages that a reset still waits for. */
@@ -94,8 +94,8 @@
 
 		const plan = requestPlan.createPlan(
 			effect,
-			this.#needsClaim(effect),
-			this.#prepared,
+			this.#claim.isNeeded(effect),
+			this.#prepared.names,
 			this.limits.preparedStatements,
 		);
 		if (this.#skipsToSync && plan.flushAnswers !== undefined) {
@@ -149,7 +149,7 @@
 		}
 
 		bytes.push(pgProtocol.serialize.query('DISCARD ALL'));
-		this.#claimedKey = undefined;
+		this.#claim.clear();
 		this.#resetAnswers = bytes.length;
 		this.#resetFailed = false;
 		this.#notifications = [];
@@ -166,26 +166,14 @@
 		}
 
 		this.#isCancelling = true;
-		const socket = net.connect(addresses.parseAddress(this.effect.address));
-		const timer = setTimeout(() => {
-			socket.destroy();
-			// The cancellation may arrive later and would hit another request.
-			this.#server.close('the cancel request got no answer');
-		}, this.limits.cancelTimeoutMs);
-		socket.once('connect', () => {
-			socket.write(this.#server.buildCancel());
-		});
-		socket.on('error', () => undefined);
-		socket.resume();
-		socket.once('close', () => {
-			clearTimeout(timer);
-			this.#isCancelling = false;
-			const outcome = this.#delayed;
-			if (outcome) {
-				this.#delayed = undefined;
-				this.#handleFinished(outcome);
-			}
-		});
+		cancelRequest.sendCancel(
+			this.effect.address,
+			this.#server.buildCancel(),
+			this.limits.cancelTimeoutMs,
+			(isAnswered) => {
+				this.#handleCancelled(isAnswered);
+			},
+		);
 	}
 
 	/** Reads again after the sink asked for a pause. */
@@ -203,36 +191,6 @@
 		this.handleGone();
 	}
 
-	/**
-	 * Only writes claim their key: a read changes nothing that could happen twice. A transaction
-	 * claims a key once, so that all its statements may carry it.
-	 */
-	#needsClaim(effect: types.Execute): boolean {
-		if (effect.claimKey === undefined || effect.kind !== 'write') {
-			return false;
-		}
-
-		return !effect.inTransaction || this.#claimedKey !== effect.claimKey;
-	}
-
-	/** Follows whether the open transaction holds a claim. */
-	#updateClaim(
-		{effect, plan}: executions.Execution,
-		outcome: Extract<proxy.ExecutionOutcome, {type: 'answered'}>,
-	): void {
-		if (outcome.transactionStatus !== 'inTransaction') {
-			this.#claimedKey = undefined;
-		} else if (plan.segments.length > 1 && effect.inTransaction) {
-			this.#claimedKey = effect.claimKey;
-		} else if (
-			this.#claimedKey !== undefined &&
-			requestPlan.mayRollBack(effect.payload)
-		) {
-			// ROLLBACK TO a savepoint may have undone the claim.
-			this.#claimedKey = undefined;
-		}
-	}
-
 	#write(parts: readonly Uint8Array[]): void {
 		const {socket} = this.#server;
 		if (parts.length === 1) {
@@ -334,6 +292,20 @@
 		});
 	}
 
+	#handleCancelled(isAnswered: boolean): void {
+		if (!isAnswered) {
+			// The cancellation may arrive later and would hit another request.
+			this.#server.close('the cancel request got no answer');
+		}
+
+		this.#isCancelling = false;
+		const outcome = this.#delayed;
+		if (outcome) {
+			this.#delayed = undefined;
+			this.#handleFinished(outcome);
+		}
+	}
+
 	#handleFinished(outcome: proxy.ExecutionOutcome): void {
 		const execution = this.#execution;
 		if (!execution) {
@@ -348,10 +320,10 @@
 		this.#execution = undefined;
 		this.resume();
 		const {effect, plan} = execution;
-		this.#updatePrepared(execution);
+		this.#prepared.update(execution);
 		if (outcome.type === 'answered') {
 			this.#status = outcome.transactionStatus;
-			this.#updateClaim(execution, outcome);
+			this.#claim.update(execution, outcome.transactionStatus);
 			this.#skipsToSync =
 				plan.flushAnswers !== undefined && outcome.sqlState !== undefined;
 		}
@@ -359,45 +331,6 @@
 		this.#emitFinished(effect, outcome);
 	}
 
-	#updatePrepared(execution: executions.Execution): void {
-		const {effect, plan} = execution;
-		if (effect.kind === 'read' && plan.bytes.length === 1) {
-			const usesNames =
-				plan.created.length + plan.removed.length > 0 ||
-				effect.payload.prepared !== undefined;
-			if (!usesNames) {
-				return;
-			}
-		}
-
-		if (effect.kind === 'sessionState') {
-			// The request may have removed statements, as DISCARD ALL and DEALLOCATE do.
-			this.#prepared.clear();
-			return;
-		}
-
-		for (const name of plan.removed) {
-			this.#prepared.delete(name);
-		}
-
-		if (!execution.hasSucceeded) {
-			for (const name of plan.created) {
-				this.#prepared.delete(name);
-			}
-
-			return;
-		}
-
-		for (const {name} of effect.payload.prepared ?? []) {
-			this.#prepared.delete(name);
-			this.#prepared.add(name);
-		}
-
-		for (const name of plan.created) {
-			this.#prepared.add(name);
-		}
-	}
-
 	#handleEnd(message: string): void {
 		clearTimeout(this.#resetTimer);
 		this.handleGone();
--- a/src/node/upstream/execution.test.ts
+++ b/src/node/upstream/execution.test.ts
@@ -17,7 +17,7 @@
 };
 
 /** Feeds an answer in chunks of the given sizes, repeated until it ends. */
-function follow(
+function runAnswer(
 	answer: Buffer,
 	sizes: readonly number[],
 	kind: proxy.RequestKind,
@@ -118,7 +118,7 @@
 				messages.buildCommandComplete('SELECT 1'),
 				messages.getReadyForQuery('inTransaction'),
 			]);
-			const {relayed, outcome} = follow(answer, chunkSizes, kind);
+			const {relayed, outcome} = runAnswer(answer, chunkSizes, kind);
 			if (outcome?.type !== 'answered') {
 				return false;
 			}
--- a/src/node/upstream/execution.ts
+++ b/src/node/upstream/execution.ts
@@ -304,13 +304,13 @@
 			return;
 		}
 
-		this.#closeRange();
+		this.#finishRange();
 		this.#chunk = chunk;
 		this.#start = start;
 		this.#end = end;
 	}
 
-	#closeRange(): void {
+	#finishRange(): void {
 		if (this.#chunk) {
 			this.#buffers.push(this.#chunk.subarray(this.#start, this.#end));
 			this.#chunk = undefined;
@@ -324,7 +324,7 @@
 	}
 
 	#takeKept(): Buffer {
-		this.#closeRange();
+		this.#finishRange();
 		const kept =
 			this.#buffers.length === 1
 				? this.#buffers[0]
--- a/src/node/upstream/request-plan.ts
+++ b/src/node/upstream/request-plan.ts
@@ -80,7 +80,7 @@
 };
 
 /** Tells whether the frames or the statements that they use contain the word ROLLBACK. */
-export function mayRollBack(payload: types.Execute['payload']): boolean {
+export function canRollBack(payload: types.Execute['payload']): boolean {
 	return [
 		payload.frames,
 		...(payload.prepared ?? []).map(({parse}) => parse),
--- a/src/node/upstream/upstream-adapter.test.ts
+++ b/src/node/upstream/upstream-adapter.test.ts
@@ -2,160 +2,14 @@
 import * as net from 'node:net';
 import * as serializer from 'pg-protocol/dist/serializer';
 import tap, {type Test} from 'tap';
-import * as directDriver from '../../bench/direct-driver.js';
+import * as upstreamHarness from '../../bench/upstream-harness.js';
 import type * as ids from '../../common/ids.js';
-import type * as proxy from '../../common/proxy/types.js';
 import * as standin from '../../standin/index.js';
-import * as upstreamAdapter from './upstream-adapter.js';
-import type * as types from './types.js';
 
 const {serialize} = serializer;
 const host = '127.0.0.1';
-const epoch = {consensusTerm: 2, counter: 5};
 const server = 's1' as ids.UpstreamId;
 
-/** An adapter whose events can be awaited one by one. */
-class Harness {
-	readonly adapter: upstreamAdapter.UpstreamAdapter;
-	readonly relayed: Buffer[] = [];
-	/** What the sinks answer; false asks the adapter to pause. */
-	isTaken = true;
-	readonly #events: types.UpstreamEvent[] = [];
-	#notify: (() => void) | undefined;
-	#lastConnection = 0;
-	#lastAttempt = 0;
-
-	constructor(
-		t: Test,
-		readonly address: string,
-		limits: Partial<types.UpstreamLimits> = {},
-	) {
-		this.adapter = upstreamAdapter.createUpstreamAdapter({
-			clock: directDriver.monotonicClock,
-			logger: {write: () => undefined},
-			user: 'hemlockarch',
-			database: 'ledger',
-			// A busy test machine must not close connections.
-			limits: {connectTimeoutMs: 60_000, pollTimeoutMs: 60_000, ...limits},
-			dispatch: (event) => {
-				this.#events.push(event);
-				this.#notify?.();
-			},
-			relayToSession: (_attempt, data) => {
-				this.relayed.push(Buffer.from(data));
-				return this.isTaken;
-			},
-			relayToPeer: (_peer, _attempt, data) => {
-				this.relayed.push(Buffer.from(data));
-				return this.isTaken;
-			},
-		});
-		t.teardown(async () => this.adapter.dispose());
-	}
-
-	async next(): Promise<types.UpstreamEvent> {
-		while (this.#events.length === 0) {
-			await new Promise<void>((resolve) => {
-				this.#notify = resolve;
-			});
-		}
-
-		return this.#events.shift()!;
-	}
-
-	async open(): Promise<ids.ConnectionId> {
-		const connection = this.startOpening();
-		const event = await this.next();
-		if (event.type !== 'connectionOpened') {
-			throw new Error(`unexpected event ${event.type}`);
-		}
-
-		return connection;
-	}
-
-	startOpening(): ids.ConnectionId {
-		this.#lastConnection++;
-		const connection = this.#lastConnection as ids.ConnectionId;
-		this.adapter.handle({
-			type: 'openConnection',
-			connection,
-			server,
-			address: this.address,
-			epoch,
-		});
-		return connection;
-	}
-
-	startExecution(
-		connection: ids.ConnectionId,
-		frames: Uint8Array,
-		options: Partial<types.Execute> = {},
-	): ids.AttemptId {
-		this.#lastAttempt++;
-		const attempt = this.#lastAttempt as ids.AttemptId;
-		this.adapter.handle({
-			type: 'execute',
-			connection,
-			attempt,
-			kind: 'write',
-			payload: {frames},
-			inTransaction: false,
-			sink: {type: 'session', attempt},
-			...options,
-		});
-		return attempt;
-	}
-
-	async execute(
-		connection: ids.ConnectionId,
-		frames: Uint8Array,
-		options: Partial<types.Execute> = {},
-	): Promise<proxy.ExecutionOutcome> {
-		this.startExecution(connection, frames, options);
-		const event = await this.next();
-		if (event.type !== 'executionFinished') {
-			throw new Error(`unexpected event ${event.type}`);
-		}
-
-		return event.outcome;
-	}
-
-	async query(
-		connection: ids.ConnectionId,
-		text: string,
-		options: Partial<types.Execute> = {},
-	): Promise<string> {
-		return formatOutcome(
-			await this.execute(connection, serialize.query(text), options),
-		);
-	}
-}
-
-/** Type letters of the tail, status and SQLSTATE, or what else happened. */
-function formatOutcome(outcome: proxy.ExecutionOutcome): string {
-	if (outcome.type === 'lost') {
-		return `lost ${outcome.mayHaveRun ? 'unknown' : 'not run'}`;
-	}
-
-	if (outcome.type === 'keyUsed') {
-		return 'keyUsed';
-	}
-
-	const tail = Buffer.from(outcome.tail);
-	let letters = '';
-	for (
-		let offset = 0;
-		offset < tail.length;
-		offset += 1 + tail.readUInt32BE(offset + 1)
-	) {
-		letters += String.fromCodePoint(tail[offset]);
-	}
-
-	return [letters, outcome.transactionStatus, outcome.sqlState]
-		.filter(Boolean)
-		.join(' ');
-}
-
 async function startServer(
 	t: Test,
 	faults: Partial<standin.Faults> = {},
@@ -220,23 +74,23 @@
 	const state = {limit: Infinity, passed: 0};
 	let checked = 0;
 	const address = await startRelay(t, standIn.address, state);
-	const whole = new Harness(t, standIn.address);
+	const whole = new upstreamHarness.UpstreamHarness(t, standIn.address);
 	const first = await whole.open();
 	const outcome = await whole.execute(first, serialize.query('SELECT 1'));
 	const size = outcome.type === 'answered' ? outcome.tail.length : 0;
-	const harness = new Harness(t, address);
+	const harness = new upstreamHarness.UpstreamHarness(t, address);
 	for (let cut = 0; cut <= size; cut++) {
 		state.limit = Infinity;
 		const connection = await harness.open();
 		state.limit = state.passed + cut;
-		const found = await harness.query(connection, 'SELECT 1');
+		const found = await harness.runQuery(connection, 'SELECT 1');
 		if (found !== (cut < size ? 'lost unknown' : 'TDCZ idle')) {
 			t.fail(`after ${cut} of ${size} bytes: ${found}`);
 		}
 
 		checked++;
 		if (cut === size) {
-			const event = await harness.next();
+			const event = await harness.take();
 			t.equal(event.type, 'connectionClosed', 'closed while idle');
 		}
 	}
@@ -247,49 +101,51 @@
 // Guards against a connection that is gone, or never opened, and a request that counts as run.
 tap.test('nothing was sent', async (t) => {
 	const standIn = await startServer(t);
-	const harness = new Harness(t, standIn.address);
+	const harness = new upstreamHarness.UpstreamHarness(t, standIn.address);
 	t.equal(
-		await harness.query(99 as ids.ConnectionId, 'SELECT 1'),
+		await harness.runQuery(99 as ids.ConnectionId, 'SELECT 1'),
 		'lost not run',
 	);
 	const connection = harness.startOpening();
-	t.equal(await harness.query(connection, 'SELECT 1'), 'lost not run');
+	t.equal(await harness.runQuery(connection, 'SELECT 1'), 'lost not run');
 	const other = await harness.open();
 	await standIn.stop();
-	const event = await harness.next();
+	const event = await harness.take();
 	t.match(event, {type: 'connectionClosed', connection: other});
-	const nowhere = new Harness(t, `${host}:1`);
+	const nowhere = new upstreamHarness.UpstreamHarness(t, `${host}:1`);
 	nowhere.startOpening();
-	t.match(await nowhere.next(), {type: 'connectionClosed'});
+	t.match(await nowhere.take(), {type: 'connectionClosed'});
 	const silent = net.createServer(() => undefined);
 	await new Promise<void>((resolve) => {
 		silent.listen(0, host, resolve);
 	});
 	const {port} = silent.address() as net.AddressInfo;
-	const late = new Harness(t, `${host}:${port}`, {connectTimeoutMs: 20});
+	const late = new upstreamHarness.UpstreamHarness(t, `${host}:${port}`, {
+		connectTimeoutMs: 20,
+	});
 	late.startOpening();
-	t.match(await late.next(), {message: 'no connection within the time limit'});
+	t.match(await late.take(), {message: 'no connection within the time limit'});
 	silent.close();
 });
 
 // Guards against a request that runs twice with one key, or leaves a key behind when it failed.
 tap.test('claimed keys', async (t) => {
 	const standIn = await startServer(t);
-	const harness = new Harness(t, standIn.address);
+	const harness = new upstreamHarness.UpstreamHarness(t, standIn.address);
 	const connection = await harness.open();
 	const claim = {claimKey: "it's k1"};
-	await harness.query(connection, 'CREATE TABLE t (id int PRIMARY KEY)');
+	await harness.runQuery(connection, 'CREATE TABLE t (id int PRIMARY KEY)');
 	t.equal(
-		await harness.query(connection, 'INSERT INTO t VALUES (1)', claim),
+		await harness.runQuery(connection, 'INSERT INTO t VALUES (1)', claim),
 		'CZ idle',
 	);
 	t.equal(
-		await harness.query(connection, 'INSERT INTO t VALUES (2)', claim),
+		await harness.runQuery(connection, 'INSERT INTO t VALUES (2)', claim),
 		'keyUsed',
 	);
 	const other = {claimKey: 'k2'};
 	t.equal(
-		await harness.query(connection, 'INSERT INTO t VALUES (1)', other),
+		await harness.runQuery(connection, 'INSERT INTO t VALUES (1)', other),
 		'EZ idle 23505',
 	);
 	const extended = Buffer.concat([
@@ -299,40 +155,44 @@
 		serialize.sync(),
 	]);
 	t.equal(
-		formatOutcome(await harness.execute(connection, extended, other)),
+		upstreamHarness.formatOutcome(
+			await harness.execute(connection, extended, other),
+		),
 		'12CZ idle',
 		'the failed request left the key free',
 	);
 	t.equal(
-		formatOutcome(await harness.execute(connection, extended, other)),
+		upstreamHarness.formatOutcome(
+			await harness.execute(connection, extended, other),
+		),
 		'keyUsed',
 	);
 	const third = {claimKey: 'k3', inTransaction: true};
-	await harness.query(connection, 'BEGIN', {kind: 'begin'});
+	await harness.runQuery(connection, 'BEGIN', {kind: 'begin'});
 	t.equal(
-		await harness.query(connection, 'INSERT INTO t VALUES (4)', third),
+		await harness.runQuery(connection, 'INSERT INTO t VALUES (4)', third),
 		'CZ inTransaction',
 	);
 	t.equal(
-		await harness.query(connection, 'INSERT INTO t VALUES (5)', third),
+		await harness.runQuery(connection, 'INSERT INTO t VALUES (5)', third),
 		'CZ inTransaction',
 		'one claim serves the whole transaction',
 	);
 	t.equal(
-		await harness.query(connection, 'COMMIT', {kind: 'commit'}),
+		await harness.runQuery(connection, 'COMMIT', {kind: 'commit'}),
 		'CZ idle',
 	);
-	await harness.query(connection, 'BEGIN', {kind: 'begin'});
+	await harness.runQuery(connection, 'BEGIN', {kind: 'begin'});
 	t.equal(
-		await harness.query(connection, 'INSERT INTO t VALUES (6)', third),
+		await harness.runQuery(connection, 'INSERT INTO t VALUES (6)', third),
 		'EZ failed HK008',
 	);
 	t.equal(
-		await harness.query(connection, 'ROLLBACK', {kind: 'rollback'}),
+		await harness.runQuery(connection, 'ROLLBACK', {kind: 'rollback'}),
 		'CZ idle',
 	);
 	t.equal(
-		await harness.query(connection, 'SELECT * FROM t', {kind: 'read'}),
+		await harness.runQuery(connection, 'SELECT * FROM t', {kind: 'read'}),
 		'TDDDDCZ idle',
 		'rows 1, 3, 4 and 5',
 	);
@@ -341,19 +201,19 @@
 // Guards against rows or acknowledgements that reach the caller before the reducer agrees.
 tap.test('the end of an answer is kept back', async (t) => {
 	const standIn = await startServer(t);
-	const harness = new Harness(t, standIn.address);
+	const harness = new upstreamHarness.UpstreamHarness(t, standIn.address);
 	const connection = await harness.open();
 	const text = 'SELECT * FROM generate_series(1, 20000)';
 	const read = await harness.execute(connection, serialize.query(text), {
 		kind: 'read',
 	});
 	t.ok(read.type === 'answered' && read.relayed);
-	t.match(formatOutcome(read), /^D*CZ idle$/v);
+	t.match(upstreamHarness.formatOutcome(read), /^D*CZ idle$/v);
 	const readBytes = Buffer.concat(harness.relayed.splice(0));
 	const many = serialize.query(`SELECT 1; ${text}`);
 	const write = await harness.execute(connection, many);
 	t.ok(write.type === 'answered' && !write.relayed, 'after CommandComplete');
-	t.match(formatOutcome(write), /^TDCTD{20000}CZ idle$/v);
+	t.match(upstreamHarness.formatOutcome(write), /^TDCTD{20000}CZ idle$/v);
 	t.ok(readBytes.length > 200_000);
 });
 
@@ -367,7 +227,7 @@
 // Guards against memory that grows because a server is read faster than the sink takes data.
 tap.test('a full sink pauses the server', async (t) => {
 	const standIn = await startServer(t);
-	const harness = new Harness(t, standIn.address);
+	const harness = new upstreamHarness.UpstreamHarness(t, standIn.address);
 	const connection = await harness.open();
 	const peer = 'entry' as ids.PeerId;
 	const attempt = 7 as ids.AttemptId;
@@ -396,23 +256,23 @@
 // Guards against state, a transaction or a hanging Flush that the next session would meet.
 tap.test('reset', async (t) => {
 	const standIn = await startServer(t);
-	const harness = new Harness(t, standIn.address);
+	const harness = new upstreamHarness.UpstreamHarness(t, standIn.address);
 	const connection = await harness.open();
-	await harness.query(connection, 'CREATE TABLE t (id int)');
-	await harness.query(connection, "SET statement_timeout = '77'", {
+	await harness.runQuery(connection, 'CREATE TABLE t (id int)');
+	await harness.runQuery(connection, "SET statement_timeout = '77'", {
 		kind: 'sessionState',
 	});
-	await harness.query(connection, 'BEGIN; INSERT INTO t VALUES (1)');
+	await harness.runQuery(connection, 'BEGIN; INSERT INTO t VALUES (1)');
 	const broken = Buffer.concat([
 		serialize.parse({text: 'SELEC 1'}),
 		serialize.flush(),
 	]);
 	const failed = await harness.execute(connection, broken);
-	t.match(formatOutcome(failed), /^E failed/v);
+	t.match(upstreamHarness.formatOutcome(failed), /^E failed/v);
 	harness.adapter.handle({type: 'resetConnection', connection});
-	t.match(await harness.next(), {type: 'connectionReset', connection});
+	t.match(await harness.take(), {type: 'connectionReset', connection});
 	t.equal(
-		await harness.query(connection, 'SELECT * FROM t', {kind: 'read'}),
+		await harness.runQuery(connection, 'SELECT * FROM t', {kind: 'read'}),
 		'TCZ idle',
 	);
 	const shown = await harness.execute(
@@ -426,7 +286,9 @@
 // Guards against statements that are missing after they fell out of a connection, or pile up.
 tap.test('prepared statements of a connection are bounded', async (t) => {
 	const standIn = await startServer(t);
-	const harness = new Harness(t, standIn.address, {preparedStatements: 3});
+	const harness = new upstreamHarness.UpstreamHarness(t, standIn.address, {
+		preparedStatements: 3,
+	});
 	const connection = await harness.open();
 	const names = ['a', 'b', 'c', 'd', 'e', 'a', 'e', 'b'];
 	for (const name of names) {
@@ -440,7 +302,7 @@
 			kind: 'read',
 			payload: {frames, prepared: [{name, parse}]},
 		});
-		t.equal(formatOutcome(outcome), '2DCZ idle', name);
+		t.equal(upstreamHarness.formatOutcome(outcome), '2DCZ idle', name);
 		t.ok(
 			outcome.type === 'answered' &&
 				Buffer.from(outcome.tail).includes(`\u0001${name}C`),
@@ -451,8 +313,10 @@
 // Guards against a silent poll connection that is never replaced, and against wrong status values.
 tap.test('polls', async (t) => {
 	const standIn = await startServer(t);
-	const harness = new Harness(t, standIn.address, {pollTimeoutMs: 1500});
-	const older = new Harness(t, standIn.address);
+	const harness = new upstreamHarness.UpstreamHarness(t, standIn.address, {
+		pollTimeoutMs: 1500,
+	});
+	const older = new upstreamHarness.UpstreamHarness(t, standIn.address);
 	const poll = {
 		type: 'poll',
 		server,
@@ -462,22 +326,22 @@
 	} as const;
 	await older.open();
 	harness.adapter.handle(poll);
-	t.match(await harness.next(), {
+	t.match(await harness.take(), {
 		type: 'pollAnswered',
 		status: {server: 's1', role: 'primary', term: 1, replicas: []},
 	});
 	t.match(
-		await older.next(),
+		await older.take(),
 		{type: 'connectionClosed'},
 		'a lower epoch ended',
 	);
 	await standIn.setFaults({freeze: true});
 	harness.adapter.handle(poll);
 	harness.adapter.handle(poll);
-	t.match(await harness.next(), {type: 'pollFailed'});
-	t.match(await harness.next(), {type: 'pollFailed'});
+	t.match(await harness.take(), {type: 'pollFailed'});
+	t.match(await harness.take(), {type: 'pollFailed'});
 	await standIn.setFaults({freeze: false});
 	harness.adapter.handle(poll);
-	t.match(await harness.next(), {type: 'pollAnswered'});
+	t.match(await harness.take(), {type: 'pollAnswered'});
 	harness.adapter.handle({type: 'stopPolling', server});
 });
