--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -20,6 +20,9 @@
 // eslint-disable-next-line unicorn/text-encoding-identifier-case
 const utf8 = 'UTF8';
 
+/** PostgreSQL compares only the first 63 bytes of statement names, so the tag is short. */
+const statementTagLength = 16;
+
 /** Reported when the daemon gives no parameters of its own. */
 const defaultServerParameters: Readonly<Record<string, string>> = {
 	server_version: '16.0',
@@ -54,6 +57,7 @@
 class TcpCallerAdapter implements CallerAdapter {
 	readonly #limits: types.CallerLimits;
 	readonly #parameters: Readonly<Record<string, string>>;
+	readonly #statementTag: string;
 	readonly #server: net.Server;
 	readonly #sockets = new Set<net.Socket>();
 	readonly #sessions = new Map<ids.SessionId, sessions.Session>();
@@ -65,6 +69,11 @@
 
 	constructor(private readonly options: types.CallerOptions) {
 		this.#limits = {...types.defaultLimits, ...options.limits};
+		this.#statementTag = crypto
+			.createHash('sha256')
+			.update(options.processTag)
+			.digest('hex')
+			.slice(0, statementTagLength);
 		this.#parameters = options.serverParameters ?? defaultServerParameters;
 		this.#server = net.createServer((socket) => {
 			this.#accept(socket);
@@ -96,7 +105,7 @@
 
 		switch (effect.type) {
 			case 'startAttempt': {
-				if (session.isRunning(effect.request)) {
+				if (session.runner.isRunning(effect.request)) {
 					this.#attempts.set(effect.attempt, session);
 					this.#attemptsBySession.get(session)?.push(effect.attempt);
 				}
@@ -105,18 +114,22 @@
 			}
 
 			case 'finishRequest': {
-				if (session.isRunning(effect.request)) {
+				if (session.runner.isRunning(effect.request)) {
 					this.#clearAttempts(session);
-					session.finishRequest(effect.attempt, effect.tail, effect.token);
+					session.runner.finishRequest(
+						effect.attempt,
+						effect.tail,
+						effect.token,
+					);
 				}
 
 				return;
 			}
 
 			case 'refuseRequest': {
-				if (session.isRunning(effect.request)) {
+				if (session.runner.isRunning(effect.request)) {
 					this.#clearAttempts(session);
-					session.refuseRequest(
+					session.runner.refuseRequest(
 						effect.sqlState,
 						effect.message,
 						effect.transactionStatus,
@@ -146,7 +159,7 @@
 
 	async dispose(): Promise<void> {
 		for (const session of this.#sessions.values()) {
-			session.destroy();
+			session.dispose();
 		}
 
 		for (const socket of this.#sockets) {
@@ -222,6 +235,7 @@
 			}
 		}
 
+		values.recordStart();
 		const token = position.parsePosition(given.get('token') ?? '');
 		const session = this.#createSession(socket, id, values);
 		this.options.dispatch({
@@ -257,7 +271,7 @@
 				handleRequest: (kind, attributes, payload) => {
 					this.#lastRequest++;
 					const request = this.#lastRequest as ids.RequestId;
-					session.setRequest(request);
+					session.runner.setRequest(request);
 					dispatch({
 						type: 'requestArrived',
 						now: clock.now(),
@@ -277,7 +291,7 @@
 					});
 				},
 				handleDrain: () => {
-					const attempt = session.relayedAttempt;
+					const attempt = session.runner.relayedAttempt;
 					if (attempt !== undefined) {
 						this.options.handleDrain?.(attempt);
 					}
@@ -287,13 +301,13 @@
 					dispatch({type: 'sessionClosed', now: clock.now(), session: id});
 				},
 			},
-			`h${this.options.processTag}_${id}`,
+			`h${this.#statementTag}_${id}`,
 		);
 		this.#sessions.set(id, session);
 		this.#cancelKeys.set(id, crypto.randomInt(2 ** 32));
 		this.#attemptsBySession.set(session, []);
 		socket.once('close', () => {
-			session.destroy();
+			session.dispose();
 		});
 		return session;
 	}
@@ -313,7 +327,7 @@
 
 	#removeSession(session: sessions.Session): void {
 		// The server connection of a caller that is gone must not stay paused.
-		const attempt = session.relayedAttempt;
+		const attempt = session.runner.relayedAttempt;
 		this.#clearAttempts(session);
 		this.#sessions.delete(session.id);
 		this.#cancelKeys.delete(session.id);
--- a/src/node/caller/types.ts
+++ b/src/node/caller/types.ts
@@ -23,10 +23,19 @@
 	readonly isEmpty: boolean;
 	/** Why the proxy does not pass the text on, if so. */
 	readonly refusal: string | undefined;
-	/** Several statements, at least one of them begins or ends a transaction. */
+	/** Several statements that cannot be claimed with one key; see `hasMixedControl`. */
 	readonly mixesControl: boolean;
 	/** Set when the text is one statement on a `hemlockarch.*` setting. */
 	readonly setting: SettingStatement | undefined;
+	/**
+	 * `statements`: DISCARD ALL or DEALLOCATE ALL. `session`: what it does to the session is only to
+	 * remove state, as RESET does.
+	 */
+	readonly clearing: 'none' | 'session' | 'statements';
+	/** RESET ALL or DISCARD ALL. */
+	readonly resetsSettings: boolean;
+	/** The name in DEALLOCATE of one statement. */
+	readonly deallocated: string | undefined;
 	/** The text contains an SQL PREPARE. */
 	readonly preparesStatement: boolean;
 	/** Names and values of sqlcommenter comments, not checked yet. */
@@ -73,18 +82,25 @@
 	readonly startupMs: number;
 	/** Prepared statements of one session. */
 	readonly preparedStatements: number;
+	/** Bytes of the prepared statements of one session. */
+	readonly preparedBytes: number;
 };
 
 const mebibyte = 1024 * 1024;
 
+/**
+ * A request that goes to another proxy must fit, with its prepared statements, into one frame of
+ * 64 MiB between peers.
+ */
 export const defaultLimits: CallerLimits = {
-	frameBytes: 64 * mebibyte,
+	frameBytes: 55 * mebibyte,
 	queuedRequests: 128,
 	queuedBytes: mebibyte,
 	sendBufferBytes: 32 * mebibyte,
 	keepAliveMs: 10_000,
 	startupMs: 10_000,
 	preparedStatements: 1000,
+	preparedBytes: 8 * mebibyte,
 };
 
 /** One unit of work of a session, in the order in which the caller sent them. */
@@ -94,8 +110,10 @@
 			readonly kind: proxy.RequestKind;
 			readonly payload: proxy.RequestPayload;
 			readonly attributes: ReadonlyArray<readonly [string, string]>;
-			/** Several statements with transaction control: cannot carry a key. */
+			/** Several statements that cannot be claimed with one key. */
 			readonly mixesControl: boolean;
+			readonly clearing?: StatementClass['clearing'];
+			readonly resetsSettings?: boolean;
 			/** Ends with Flush instead of Query or Sync: no ReadyForQuery follows. */
 			readonly isFlush: boolean;
 			/** Startup parameters as SET: the caller does not see the answer. */
