--- a/src/common/policy/admission-model.test.ts
+++ b/src/common/policy/admission-model.test.ts
@@ -349,7 +349,7 @@
 tap.test('queued requests match a plain list', async (t) => {
 	fc.assert(
 		fc.property(
-			fc.array(operationArbitrary, {maxLength: 120}),
+			fc.array(operationArbitrary, {maxLength: 120, size: 'max'}),
 			checkAgainstList,
 		),
 		{seed, numRuns: 300},
--- a/src/common/policy/retry-budget.test.ts
+++ b/src/common/policy/retry-budget.test.ts
@@ -14,7 +14,7 @@
 					isSuccess: fc.boolean(),
 					afterMs: fc.integer({min: 0, max: 300}),
 				}),
-				{maxLength: 400},
+				{maxLength: 400, size: 'max'},
 			),
 			(steps) => {
 				const budget = new SuccessRetryBudget();
