--- a/src/bench/failover.ts
+++ b/src/bench/failover.ts
@@ -41,7 +41,7 @@
 	const [scenario] = parser
 		.parseScenarios(buildScenario(fault, run))
 		._unsafeUnwrap();
-	const [failure] = runner.runScenario(scenario!, [
+	const [failure] = runner.runScenario(scenario, [
 		new interpreter.FleetInterpreter(fleet),
 	]);
 	return Number(failure?.message.split('measured ')[1] ?? 0);
--- a/src/bench/slopes.ts
+++ b/src/bench/slopes.ts
@@ -230,6 +230,7 @@
 			send: () => true,
 			listener: {
 				handlePeerChange: () => undefined,
+				handleContact: () => undefined,
 				handleAnnouncement: () => true,
 				handleTemplateVersion: () => undefined,
 				listDeltas: () => [],
--- a/src/node/upstream/request-plan.ts
+++ b/src/node/upstream/request-plan.ts
@@ -113,6 +113,51 @@
 	return oldest;
 }
 
+/** What goes ahead of a request so that the connection has its named statements. */
+type StatementPreparation = {
+	readonly bytes: readonly Uint8Array[];
+	/** Number of answers that the caller must not see. */
+	readonly hidden: number;
+	readonly created: readonly string[];
+	readonly removed: readonly string[];
+};
+
+/**
+ * Prepares the statements that a request uses and the connection lacks, and closes the oldest ones
+ * beyond the limit.
+ *
+ * @param parsed - Names that the request itself prepares.
+ */
+function planStatements(
+	payload: types.Execute['payload'],
+	parsed: readonly string[],
+	known: ReadonlySet<string>,
+	limit: number,
+): StatementPreparation {
+	const prepared = payload.prepared ?? [];
+	const missing = prepared.filter(({name}) => !known.has(name));
+	const created = [...missing.map(({name}) => name), ...parsed];
+	const used = new Set(prepared.map(({name}) => name));
+	const oldest =
+		created.length === 0
+			? []
+			: listOldest(known, used, known.size + created.length - limit);
+	const bytes: Uint8Array[] = oldest.map((name) =>
+		pgProtocol.serialize.close({type: 'S', name}),
+	);
+	for (const {name, parse} of missing) {
+		// An earlier Parse whose outcome is not known may have left the name behind.
+		bytes.push(pgProtocol.serialize.close({type: 'S', name}), parse);
+	}
+
+	return {
+		bytes,
+		hidden: oldest.length + 2 * missing.length,
+		created,
+		removed: oldest,
+	};
+}
+
 /**
  * Plans one execution on a connection that has the statements `known`, oldest first. `isClaimed`
  * says that the request claims its key.
@@ -147,28 +192,13 @@
 		bytes.push(...buildClaim(effect.claimKey ?? ''));
 	}
 
-	const missing = (payload.prepared ?? []).filter(
-		(statement) => !known.has(statement.name),
+	const preparation = planStatements(
+		payload,
+		summary?.parsed ?? [],
+		known,
+		limit,
 	);
-	const created = [
-		...missing.map((statement) => statement.name),
-		...(summary?.parsed ?? []),
-	];
-	const used = new Set((payload.prepared ?? []).map(({name}) => name));
-	const oldest =
-		created.length === 0
-			? []
-			: listOldest(known, used, known.size + created.length - limit);
-	for (const name of oldest) {
-		bytes.push(pgProtocol.serialize.close({type: 'S', name}));
-	}
-
-	for (const {name, parse} of missing) {
-		// An earlier Parse whose outcome is not known may have left the name behind.
-		bytes.push(pgProtocol.serialize.close({type: 'S', name}), parse);
-	}
-
-	bytes.push(frames);
+	bytes.push(...preparation.bytes, frames);
 	if (isClaimed && !effect.inTransaction) {
 		segments.push('commit');
 		bytes.push(commit);
@@ -177,9 +207,9 @@
 	return {
 		bytes,
 		segments,
-		hidden: oldest.length + 2 * missing.length,
+		hidden: preparation.hidden,
 		flushAnswers: summary?.isFlush ? summary.answers : undefined,
-		created,
-		removed: [...oldest, ...(summary?.closed ?? [])],
+		created: preparation.created,
+		removed: [...preparation.removed, ...(summary?.closed ?? [])],
 	};
 }
