Let proxies that stop together give up idle servers

Cause: when all proxies drain at once, control has nobody to give their servers to, so each waited for its drain deadline of 30 s. Ruled out: giving servers up at once, which would refuse requests that other proxies still forward.

--- a/src/common/proxy/drain.ts
+++ b/src/common/proxy/drain.ts
@@ -10,10 +10,17 @@
 const part = 'drain';
 /** The balancer needs this long to see the health answer; until then new sessions are accepted. */
 const balancerGraceMs = 2000;
+/**
+ * Owned servers without work for this long are given up, although control has not moved them: when
+ * all proxies stop together, nobody is left to take them.
+ */
+const idleLimitMs = 3000;
 
 export class DrainController {
 	private startedAt: number | undefined;
 	private isDone = false;
+	/** Since when no owned server has had work. */
+	private idleSince: number | undefined;
 
 	constructor(
 		private readonly context: context.ProxyContext,
@@ -51,10 +58,11 @@
 		const elapsed = this.context.now - this.startedAt;
 		const isLate = elapsed >= this.context.config.drainDeadlineMs;
 		this.entry.closeIdleSessions(isLate);
-		const isEmpty =
-			this.entry.sessions.size === 0 && this.owner.servers.size === 0;
+		const hasSessions = this.entry.sessions.size > 0;
+		const isGivenUp =
+			this.owner.servers.size === 0 || this.computeIdleTime() >= idleLimitMs;
 		const hasWork = this.entry.inFlight > 0;
-		if (isEmpty || (isLate && !hasWork)) {
+		if ((!hasSessions && isGivenUp) || (isLate && !hasWork)) {
 			this.isDone = true;
 			this.leaveMembership();
 			this.context.log('info', part, 'Drained');
@@ -62,6 +70,18 @@
 		}
 	}
 
+	private computeIdleTime(): number {
+		for (const server of this.owner.servers.values()) {
+			if (server.countWork() > 0 || server.countBound() > 0) {
+				this.idleSince = undefined;
+				return 0;
+			}
+		}
+
+		this.idleSince ??= this.context.now;
+		return this.context.now - this.idleSince;
+	}
+
 	/** Without control nobody takes the servers; an expired lease is as good as a release. */
 	private removeUngranted(): void {
 		if (this.lease.isValid(this.context.now)) {
--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -263,3 +263,17 @@
 	fleet.timeline.runUntil(fleet.timeline.now + 260);
 	t.same(fleet.control.claims[0], []);
 });
+
+// Guards against proxies that wait for their drain deadline when all of them stop together.
+tap.test('all proxies drain together', async (t) => {
+	const fleet = new smallFleet.SmallFleet(3);
+	for (const proxy of fleet.proxies) {
+		proxy.drain();
+	}
+
+	fleet.timeline.runUntil(fleet.timeline.now + 8000);
+	t.same(
+		fleet.proxies.map(({condition}) => condition),
+		['dead', 'dead', 'dead'],
+	);
+});
