--- /dev/null
+++ b/typings/hemlockarch.d.ts
@@ -0,0 +1,992 @@
+/**
+ * The public surface of hemlockarch: reducers that any driver can run, their policies, and the
+ * daemons. docs/library.md gives the rules for drivers. Times are ms; `now` is monotonic.
+ * "Source" names the section of docs/design.md.
+ */
+import type {Result} from 'neverthrow';
+/** Keeps what is not exported below private. */
+export {};
+declare const brand: unique symbol;
+/** A plain string or number at run time; the tag keeps kinds of ids apart. */
+export type Branded<Value, Tag extends string> = Value & {
+	readonly [brand]: Tag;
+};
+/** Events: read-only variants that all carry the monotonic time `now` in ms. */
+export type Timed<T> = T extends unknown ? Readonly<T & {now: number}> : never;
+/** Read-only variants of a union. */
+export type Variants<T> = T extends unknown ? Readonly<T> : never;
+
+// Ids. Source: "Processes".
+/** A cluster participant: a proxy or control process. */
+export type PeerId = Branded<string, 'PeerId'>;
+/** A virtual machine that runs peers. */
+export type VmId = Branded<string, 'VmId'>;
+/** A data centre. */
+export type DataCentre = Branded<string, 'DataCentre'>;
+/** A customer. */
+export type MemberId = Branded<string, 'MemberId'>;
+/** A database group: one primary and its replicas. */
+export type GroupId = Branded<string, 'GroupId'>;
+/** A database server; unique in the whole installation. */
+export type UpstreamId = Branded<string, 'UpstreamId'>;
+/** A caller's session on one entry proxy. */
+export type SessionId = Branded<number, 'SessionId'>;
+/** A request of a caller, unique within its entry proxy. */
+export type RequestId = Branded<number, 'RequestId'>;
+/** One try to execute a request, unique within its entry proxy. */
+export type AttemptId = Branded<number, 'AttemptId'>;
+/** A connection of an owner to a server, unique within the owner process. */
+export type ConnectionId = Branded<number, 'ConnectionId'>;
+/** The identity of a template change; a resend carries the same one. */
+export type ChangeId = Branded<string, 'ChangeId'>;
+/** A control peer and its peer listener, as `ip:port`. */
+export type PeerAddress = Readonly<{peer: PeerId; address: string}>;
+// Shared types. Source: "Interfaces", "Templates".
+/** The ranks of work, most urgent first. */
+export const ranks: readonly ['urgent', 'normal', 'background'];
+/** A rank of work. */
+export type Rank = (typeof ranks)[number];
+/** A place in a group's log. Compared by `term` first, then by `offset`. */
+export type Position = {
+	/** Group term; one promotion adds at least one. */
+	readonly term: number;
+	/** Log offset (LSN) in bytes. */
+	readonly offset: number;
+};
+/** The role of a database server. */
+export type UpstreamRole = 'primary' | 'replica';
+/** What is known of the execution of a request. */
+export type Verdict = 'completed' | 'notRun' | 'unknown';
+/** Why a request was refused without having run. */
+export type RefusalReason =
+	| 'queueFull'
+	| 'deadline'
+	| 'tooStale'
+	| 'noPrimary'
+	| 'draining'
+	| 'noServer'
+	| 'memberLimit'
+	| 'keyUsed'
+	| 'noTemplate'
+	| 'readOnlyServer'
+	| 'cancelled';
+/** The newest position that a server was seen at, as the server itself reports it. */
+export type UpstreamStatus = {
+	readonly server: UpstreamId;
+	readonly role: UpstreamRole;
+	readonly term: number;
+	/** Received and synced offset. */
+	readonly position: number;
+	/** Offset that reads see. */
+	readonly applied: number;
+	/** On the primary: synced offset per replica. */
+	readonly replicas: ReadonlyArray<{
+		readonly server: UpstreamId;
+		readonly position: number;
+	}>;
+};
+/** What a server says of itself about once a second. */
+export type Announcement = {
+	readonly group: GroupId;
+	readonly server: UpstreamId;
+	/** `ip:port` of its PostgreSQL listener. */
+	readonly address: string;
+	readonly dataCentre: DataCentre;
+	readonly role: UpstreamRole;
+	readonly term: number;
+	readonly position: number;
+	/** Statements that it executes at once. */
+	readonly slots: number;
+	readonly connectionLimit: number;
+	readonly departing: boolean;
+	/** Start of the server process, ms since the Unix epoch. */
+	readonly startedAt: number;
+};
+/** An announcement with the version that orders it among those of the same server. */
+export type VersionedAnnouncement = Announcement & {readonly version: number};
+/** A group as the replicated state of control knows it. */
+export type GroupView = {
+	readonly group: GroupId;
+	readonly term: number;
+	/** The offset at which the term began. */
+	readonly termStart: number;
+	readonly primary: UpstreamId | undefined;
+	/** The replicated server set; majorities count it. */
+	readonly servers: readonly UpstreamId[];
+	/** True from the commit of `beginPromotion` to the commit of `completePromotion`. */
+	readonly promoting: boolean;
+};
+/** Identifies one grant of ownership; compared by `consensusTerm` first, then by `counter`. */
+export type Epoch = Readonly<{consensusTerm: number; counter: number}>;
+/** Parameters of one rank in a member's template. */
+export type RankPolicy = {
+	readonly deadlineMs: number;
+	/** Share of each server's slot time that the rank keeps under any flood, 0 to 100. */
+	readonly floorPercent: number;
+	/** Requests of the member and rank that may wait at one server. */
+	readonly queueLimit: number;
+	/** Weight of the member among the members of the rank. */
+	readonly weight: number;
+};
+/** The checked parameters of one member's template. */
+export type TemplateParameters = {
+	readonly defaultRank: Rank;
+	/** Tolerated staleness of reads; `Infinity` for `any`. */
+	readonly stalenessMs: number;
+	/** Sessions of the member at one entry proxy. */
+	readonly maxSessions: number;
+	/** Requests of the member in flight at one entry proxy. */
+	readonly maxInFlight: number;
+	readonly ranks: Readonly<Record<Rank, RankPolicy>>;
+};
+/** One version of a member's template. */
+export type Template = {
+	readonly member: MemberId;
+	/** Counts from 1. */
+	readonly version: number;
+	/** The INI text as the operator sent it. */
+	readonly text: string;
+	readonly changeId: ChangeId;
+};
+/** An operator's request to change a template. */
+export type TemplateChange = {
+	readonly member: MemberId;
+	readonly text: string;
+	/** The version that the operator saw; 0 when the member has no template. */
+	readonly expectedVersion: number;
+	readonly changeId: ChangeId;
+};
+/** The answer to a template change. A resend with the same `changeId` gets the same answer. */
+export type TemplateChangeResult = Variants<
+	| {type: 'accepted'; version: number}
+	| {type: 'versionConflict'; currentVersion: number}
+	| {type: 'invalid'; problems: string[]}
+	/**
+	 * `mayHaveRun` is true when the change may still be accepted later; resend with the same
+	 * `changeId`.
+	 */
+	| {type: 'unavailable'; mayHaveRun: boolean}
+>;
+/** Levels of log records. */
+export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
+/** A log record as data; the adapter adds the time and writes it. */
+export type LogRecord = {
+	readonly level: LogLevel;
+	/** The part that speaks; becomes the prefix. */
+	readonly part: string;
+	/** A short sentence. */
+	readonly message: string;
+};
+/**
+ * A message between peers: plain data, carried unchanged by any codec that keeps numbers such as
+ * `Infinity` and byte arrays. A driver reads only `type`. Source: "Peer protocol".
+ */
+export type PeerMessage = {readonly type: string};
+/** A message of the replicated log, carried unchanged. Source: "Peer protocol". */
+export type ConsensusMessage = {readonly type: string};
+/** A command of the replicated log, stored unchanged. Source: "Control". */
+export type ControlCommand = {readonly type: string};
+
+// Proxy reducer. Source: "Proxy: entry and owner".
+/**
+ * The class of a request, from its statement text. `write` is also the class of everything that is
+ * not known to be harmless. `sessionState` changes state of the connection outside a transaction
+ * (SET, LISTEN, CREATE TEMP, advisory locks) and pins the connection to the session.
+ */
+export type RequestKind =
+	| 'read'
+	| 'write'
+	| 'begin'
+	| 'beginReadOnly'
+	| 'commit'
+	| 'rollback'
+	| 'sessionState';
+/** The frames of one request: from the first frame up to and including Query or Sync. */
+export type RequestPayload = {
+	readonly frames: Uint8Array;
+	/** Named statements that the frames use; prepared first where the connection lacks them. */
+	readonly prepared?: ReadonlyArray<{
+		readonly name: string;
+		readonly parse: Uint8Array;
+	}>;
+};
+/** What a caller asked for with startup parameters, SET or a statement comment. */
+export type RequestAttributes = {
+	readonly rank?: Rank;
+	readonly stalenessMs?: number;
+	readonly deadlineMs?: number;
+	readonly repeatable?: boolean;
+	readonly key?: string;
+};
+/** Identity of a new session. */
+export type SessionAttributes = {
+	readonly member: MemberId;
+	readonly group: GroupId;
+	readonly token?: Position;
+};
+export type TransactionStatus = 'idle' | 'inTransaction' | 'failed';
+/** How an execution on a connection ended. */
+export type ExecutionOutcome = Variants<
+	/**
+	 * `tail`: Response bytes that were not sent to the sink yet, ReadyForQuery included. `relayed`:
+	 * True when a part of the response already went to the sink. `sqlState`: SQLSTATE of the first
+	 * ErrorResponse.
+	 */
+	| {
+			type: 'answered';
+			tail: Uint8Array;
+			relayed: boolean;
+			transactionStatus: TransactionStatus;
+			sqlState?: string;
+	  }
+	/** `claim_key` answered 23505: the statement was not executed; the connection is idle. */
+	| {type: 'keyUsed'}
+	/**
+	 * The connection is gone. `mayHaveRun` is false only when no byte was handed to the socket.
+	 */
+	| {type: 'lost'; mayHaveRun: boolean; relayed: boolean}
+>;
+/** Where response bytes go. */
+export type Sink = Variants<
+	| {type: 'session'; attempt: AttemptId}
+	| {type: 'peer'; peer: PeerId; attempt: AttemptId}
+>;
+/** Inputs of the proxy reducer. `now` is monotonic, in ms. */
+export type ProxyEvent = Timed<
+	/** Sent every 10 ms. */
+	| {type: 'tick'}
+	| {type: 'sessionOpened'; session: SessionId; attributes: SessionAttributes}
+	/** The caller changed its floor with SET hemlockarch.token. */
+	| {type: 'tokenSet'; session: SessionId; token: Position}
+	| {type: 'sessionClosed'; session: SessionId}
+	| {
+			type: 'requestArrived';
+			session: SessionId;
+			request: RequestId;
+			kind: RequestKind;
+			attributes: RequestAttributes;
+			payload: RequestPayload;
+	  }
+	/**
+	 * The first response bytes of an attempt went to the caller. From here on only this attempt can
+	 * answer the request.
+	 */
+	| {type: 'relayStarted'; request: RequestId; attempt: AttemptId}
+	/** The caller sent a PostgreSQL CancelRequest. */
+	| {type: 'cancelRequested'; session: SessionId}
+	| {type: 'peerMessage'; from: PeerId; message: PeerMessage}
+	| {type: 'peerLinkChanged'; peer: PeerId; up: boolean}
+	| {type: 'connectionOpened'; connection: ConnectionId}
+	/** The connection is gone, or could not be opened. */
+	| {type: 'connectionClosed'; connection: ConnectionId; message: string}
+	/** DISCARD ALL succeeded. */
+	| {type: 'connectionReset'; connection: ConnectionId}
+	| {
+			type: 'executionFinished';
+			connection: ConnectionId;
+			attempt: AttemptId;
+			outcome: ExecutionOutcome;
+	  }
+	/** `sentAt`: The `now` at which the poll was sent. */
+	| {
+			type: 'pollAnswered';
+			server: UpstreamId;
+			sentAt: number;
+			status: UpstreamStatus;
+	  }
+	| {type: 'pollFailed'; server: UpstreamId; sentAt: number; message: string}
+	/** `wallClock`: Wall clock, ms since the Unix epoch. */
+	| {
+			type: 'announcementReceived';
+			wallClock: number;
+			announcement: Announcement;
+	  }
+	/** `operation`: Chosen by the adapter to match the answer. */
+	| {type: 'templateChangeRequested'; operation: number; change: TemplateChange}
+	| {type: 'drainRequested'}
+>;
+/** Outputs of the proxy reducer, carried out by adapters in order. */
+export type ProxyEffect = Variants<
+	/** Response bytes of `attempt` belong to `request` from now on. */
+	| {
+			type: 'startAttempt';
+			session: SessionId;
+			request: RequestId;
+			attempt: AttemptId;
+	  }
+	/** Write the token as ParameterStatus, then the tail. */
+	| {
+			type: 'finishRequest';
+			session: SessionId;
+			request: RequestId;
+			attempt: AttemptId;
+			tail: Uint8Array;
+			token?: Position;
+	  }
+	/** Write ErrorResponse with `sqlState`, then ReadyForQuery with the status. */
+	| {
+			type: 'refuseRequest';
+			session: SessionId;
+			request: RequestId;
+			sqlState: string;
+			message: string;
+			transactionStatus: TransactionStatus;
+	  }
+	/** Write a FATAL ErrorResponse and close the caller's connection. */
+	| {
+			type: 'closeSession';
+			session: SessionId;
+			sqlState: string;
+			message: string;
+	  }
+	| {
+			type: 'openConnection';
+			connection: ConnectionId;
+			server: UpstreamId;
+			address: string;
+			epoch: Epoch;
+	  }
+	| {type: 'closeConnection'; connection: ConnectionId}
+	/** Run DISCARD ALL; answers with `connectionReset` or `connectionClosed`. */
+	| {type: 'resetConnection'; connection: ConnectionId}
+	/**
+	 * `claimKey`: Run `claim_key` in the same transaction as the request. `inTransaction`: True when
+	 * the connection is inside a transaction of the session.
+	 */
+	| {
+			type: 'execute';
+			connection: ConnectionId;
+			attempt: AttemptId;
+			kind: RequestKind;
+			payload: RequestPayload;
+			claimKey?: string;
+			inTransaction: boolean;
+			sink: Sink;
+	  }
+	| {type: 'cancelExecution'; connection: ConnectionId; attempt: AttemptId}
+	/**
+	 * Run `hemlockarch.status()` on a connection kept for polls, opening it when needed. The first
+	 * poll of an epoch runs `end_other_sessions` before i `delayMs`: Time to wait before the poll is
+	 * sent, in ms.
+	 */
+	| {
+			type: 'poll';
+			server: UpstreamId;
+			address: string;
+			epoch: Epoch;
+			delayMs: number;
+	  }
+	/** Close the poll connection. */
+	| {type: 'stopPolling'; server: UpstreamId}
+	| {type: 'sendPeer'; to: PeerId; message: PeerMessage}
+	/** A peer listens at `ip:port`: open a link and keep it open. */
+	| {type: 'connectPeer'; peer: PeerId; address: string}
+	/** The peer is gone: close the link. */
+	| {type: 'disconnectPeer'; peer: PeerId}
+	| {
+			type: 'answerTemplateChange';
+			operation: number;
+			result: TemplateChangeResult;
+	  }
+	/** What `GET /health` answers. */
+	| {type: 'setHealth'; ready: boolean; reason: string}
+	/** A finished or refused request, for histograms and counters. */
+	| {type: 'recordRequest'; record: RequestRecord}
+	/** Adds to a counter that is not bound to a member. */
+	| {type: 'countEvent'; name: CounterName; amount: number}
+	| {type: 'log'; record: LogRecord}
+	/** Draining is complete; the process may exit with 0. */
+	| {type: 'drained'}
+>;
+/** Counters without member and rank. */
+export type CounterName =
+	| 'connectionsOpened'
+	| 'connectionsLost'
+	| 'ownershipGained'
+	| 'ownershipLost'
+	| 'retries'
+	| 'hedges'
+	| 'templateUpdates';
+/** The measured life of one request at its entry. Durations in ms. */
+export type RequestRecord = {
+	readonly member: MemberId;
+	readonly rank: Rank;
+	readonly kind: RequestKind;
+	readonly verdict: Verdict;
+	readonly reason?: RefusalReason;
+	readonly latencyMs: number;
+	readonly queueMs: number;
+	/** Upper bound of the staleness of a read; undefined for writes. */
+	readonly stalenessMs?: number;
+	readonly servedBy?: UpstreamRole;
+	readonly onTime: boolean;
+};
+/** Identity and limits of one proxy process. */
+export type ProxyConfig = {
+	readonly peer: PeerId;
+	readonly vm: VmId;
+	/** `ip:port` of the peer listener. */
+	readonly address: string;
+	readonly dataCentre: DataCentre;
+	/** Higher for each start of the process. */
+	readonly incarnation: number;
+	readonly controlPeers: readonly PeerAddress[];
+	readonly drainDeadlineMs: number;
+	/** Caller sessions that the process accepts. */
+	readonly maxSessions: number;
+};
+/** The decisions that a driver may replace. Source: "Mechanisms". */
+export type ProxyServices = {
+	readonly routing: RoutingPolicy;
+	readonly retryBudget: RetryBudget;
+	/** Gives the time in ms after which a second copy of a repeatable read is sent. */
+	readonly hedging: {
+		observe(latencyMs: number, now: number): void;
+		computeDelay(now: number): number;
+	};
+	/** Creates the queue of one owned server; `slots` statements execute at once. */
+	readonly createScheduler: <Item>(slots: number) => AdmissionScheduler<Item>;
+	/** Undefined when the text is not valid. */
+	readonly parseTemplate: (text: string) => TemplateParameters | undefined;
+};
+/** A proxy process as one reducer; throws nothing for expected faults. */
+export class ProxyReducer {
+	/** Parameters by member, for `createScheduler`; undefined without template. */
+	readonly templates: {
+		getParameters(member: MemberId): TemplateParameters | undefined;
+	};
+	constructor(
+		config: ProxyConfig,
+		services: ProxyServices,
+		randomSource: RandomSource,
+	);
+	/** Effects that start the process. Call it once, before the first event. */
+	start(now: number): ProxyEffect[];
+	/** Handles one event; carry the effects out in order. */
+	step(event: ProxyEvent): ProxyEffect[];
+}
+
+// Policies. Source: "Admission control", "Routing".
+/** A request that waits for a slot of one server. */
+export type QueuedRequest<Item> = {
+	readonly member: MemberId;
+	readonly rank: Rank;
+	readonly enqueuedAt: number;
+	/** Monotonic time after which an answer is useless. */
+	readonly deadlineAt: number;
+	readonly item: Item;
+};
+export type AdmissionResult = Variants<
+	{type: 'queued'} | {type: 'refused'; reason: 'queueFull' | 'deadline'}
+>;
+/** Orders the work of one server. */
+export type AdmissionScheduler<Item> = {
+	/** Number of queued requests. */
+	readonly size: number;
+	/** Queues a request, or refuses it when it cannot finish in time or its queue is full. */
+	offer(request: QueuedRequest<Item>, now: number): AdmissionResult;
+	/** Takes the request that the next free slot shall run; undefined when none waits. */
+	take(now: number): QueuedRequest<Item> | undefined;
+	/** Reports the end of a request that was taken. `serviceMs` is the time that it held its slot. */
+	complete(request: QueuedRequest<Item>, serviceMs: number, now: number): void;
+	/** Removes requests whose deadline can no longer be met. */
+	expire(now: number): Array<QueuedRequest<Item>>;
+	/** Removes a queued request, for a cancel or a closed session. */
+	remove(item: Item): boolean;
+	/** Estimated time that a new request of the rank would wait. */
+	estimateWait(rank: Rank, now: number): number;
+};
+export type AdmissionOptions = {
+	/** Statements that the server executes at once. */
+	readonly slots: number;
+	/** Current parameters of a member; undefined for a member without template. */
+	readonly getParameters: (member: MemberId) => TemplateParameters | undefined;
+};
+/** A server that could serve a request. */
+export type RoutingCandidate = {
+	readonly server: UpstreamId;
+	readonly role: UpstreamRole;
+	readonly dataCentre: DataCentre;
+	readonly owner: PeerId;
+	readonly applied: Position;
+	/** Upper bound of the staleness of its data now; `Infinity` without evidence. */
+	readonly stalenessMs: number;
+	/** Estimated queueing time for the rank of the request. */
+	readonly expectedWaitMs: number;
+	/** Measured network round trip from the entry to the owner. */
+	readonly roundTripMs: number;
+	readonly departing: boolean;
+	readonly writable: boolean;
+	/** Age of the newest report, in ms. */
+	readonly reportAgeMs: number;
+};
+export type RoutingRequest = {
+	readonly group: GroupId;
+	readonly needsPrimary: boolean;
+	readonly rank: Rank;
+	readonly floor: Position;
+	readonly termStart: number;
+	readonly stalenessMs: number;
+	readonly dataCentre: DataCentre;
+	readonly remainingMs: number;
+	/** Servers that already refused this request. */
+	readonly excluded: ReadonlySet<UpstreamId>;
+};
+export type RoutingDecision = Variants<
+	| {type: 'server'; server: UpstreamId}
+	/** A replica will be fresh enough soon; decide again after `delayMs`. */
+	| {type: 'wait'; delayMs: number}
+	| {
+			type: 'refused';
+			reason: 'tooStale' | 'noPrimary' | 'noServer' | 'deadline';
+	  }
+>;
+/** Chooses a server. `random` is uniform in [0, 1). */
+export type RoutingPolicy = {
+	chooseServer(
+		request: RoutingRequest,
+		candidates: readonly RoutingCandidate[],
+		now: number,
+		random: number,
+	): RoutingDecision;
+	/** Feeds outlier detection. A refusal by admission is not a failure. */
+	recordOutcome(
+		server: UpstreamId,
+		outcome: 'success' | 'failure',
+		latencyMs: number,
+		now: number,
+	): void;
+};
+/** Limits retries and hedged requests to a share of the successes. */
+export type RetryBudget = {
+	recordSuccess(now: number): void;
+	/** Takes one retry from the budget; false when it is used up. */
+	trySpend(now: number): boolean;
+	/** Delay before the next retry, with jitter. `random` is uniform in [0, 1). */
+	computeDelay(retry: number, random: number): number;
+};
+/** Tunable values of the routing policy, in ms. */
+export type RoutingOptions = {
+	readonly primaryReadPriceMs?: number;
+	readonly maxFreshnessWaitMs?: number;
+	readonly localAdvantageMs?: number;
+};
+/** Admission to one server: ranks by urgency with floors, members by weight. */
+export class ServerAdmissionScheduler<Item> {
+	constructor(options: AdmissionOptions);
+}
+export interface ServerAdmissionScheduler<
+	Item,
+> extends AdmissionScheduler<Item> {}
+/** The routing policy of one entry: least expected wait, near servers first. */
+export class LeastWaitRoutingPolicy {
+	constructor(options?: RoutingOptions);
+}
+export interface LeastWaitRoutingPolicy extends RoutingPolicy {}
+/** Retries up to 10% of the successes, and one per second without any. */
+export class SuccessRetryBudget {}
+export interface SuccessRetryBudget extends RetryBudget {}
+/** 95th percentile of the latencies of the last 5 to 10 s. */
+export class HedgeDelayEstimator {
+	observe(latencyMs: number, now: number): void;
+	/** In ms; 100 until there are 20 samples. */
+	computeDelay(now: number): number;
+}
+
+// Replicated log. Source: "Control".
+/** A command, or the change of one voter, or the no-op that a new leader appends. */
+export type LogPayload<Command> = Variants<
+	| {type: 'command'; command: Command}
+	/**
+	 * `learners`: Peers that receive the log and are added as voters once they caught up. `joined`:
+	 * The learner that this entry makes a voter; names the process start when it had no state.
+	 */
+	| {
+			type: 'voters';
+			voters: PeerId[];
+			learners?: PeerId[];
+			joined?: {peer: PeerId; incarnation: number | undefined};
+	  }
+	| {type: 'noop'}
+>;
+export type LogEntry<Command = unknown> = {
+	/** Counts from 1. */
+	readonly index: number;
+	/** Consensus term in which the entry was appended. */
+	readonly term: number;
+	readonly payload: LogPayload<Command>;
+};
+/** State machine state up to and including `index`. */
+export type Snapshot<State = unknown> = {
+	readonly index: number;
+	readonly term: number;
+	readonly voters: readonly PeerId[];
+	readonly learners?: readonly PeerId[];
+	readonly state: State;
+};
+/** What must be synced before any answer that depends on it. */
+export type HardState = Readonly<{term: number; votedFor: PeerId | undefined}>;
+/** What is on disk at start. */
+export type StoredLog<Command = unknown, State = unknown> = {
+	readonly hardState: HardState;
+	readonly snapshot: Snapshot<State> | undefined;
+	readonly entries: ReadonlyArray<LogEntry<Command>>;
+	/** The folder held a log before and does not any more; the peer must not found a new group. */
+	readonly isDataLost?: boolean;
+};
+/** One batch of writes, carried out in the order of the fields and synced as a whole. */
+export type StorageWrite<Command = unknown, State = unknown> = {
+	readonly hardState?: HardState;
+	/** Replaces everything up to its index. */
+	readonly snapshot?: Snapshot<State>;
+	/** Entries from this index on are removed before `append`. */
+	readonly truncateFrom?: number;
+	readonly append?: ReadonlyArray<LogEntry<Command>>;
+};
+/** Durable storage of one control peer. */
+export type LogStorage<Command = unknown, State = unknown> = {
+	/**
+	 * Reads what is on disk. Cuts a torn last record.
+	 *
+	 * @throws An error that names the file and offset for any other damage.
+	 */
+	load(): Promise<StoredLog<Command, State>>;
+	/** Resolves after the write is synced. Calls are carried out in order. */
+	write(write: StorageWrite<Command, State>): Promise<void>;
+	close(): Promise<void>;
+};
+export type ConsensusRole = 'follower' | 'candidate' | 'leader';
+/** Inputs of the consensus reducer. `now` is monotonic, in ms. */
+export type ConsensusEvent<Command = unknown> = Timed<
+	/** `random`: Uniform in [0, 1). */
+	| {type: 'tick'; random: number}
+	| {type: 'message'; from: PeerId; message: ConsensusMessage}
+	/** `proposal`: Returned in `applied` or `proposalLost`. */
+	| {type: 'propose'; proposal: number; command: Command}
+	| {type: 'changeVoters'; voters: PeerId[]}
+	/** The storage write with this number is synced. */
+	| {type: 'written'; write: number}
+	/**
+	 * The state machine gives its state at its last applied index, so that the log can be cut.
+	 */
+	| {type: 'compact'; index: number; state: unknown}
+>;
+/** Outputs of the consensus reducer. */
+export type ConsensusEffect<Command = unknown> = Variants<
+	| {type: 'send'; to: PeerId; message: ConsensusMessage}
+	/** Messages that depend on the write are emitted only after its `written` event. */
+	| {type: 'write'; write: number; data: StorageWrite<Command>}
+	/**
+	 * A committed entry, in order, exactly once per process start. `proposal`: Set on the peer that
+	 * proposed it.
+	 */
+	| {type: 'applied'; entry: LogEntry<Command>; proposal?: number}
+	/** Replace the state of the state machine. */
+	| {type: 'restore'; snapshot: Snapshot}
+	/** The proposal was not accepted, or its outcome is not known here. */
+	| {type: 'proposalLost'; proposal: number; mayHaveRun: boolean}
+	| {
+			type: 'roleChanged';
+			role: ConsensusRole;
+			term: number;
+			leader: PeerId | undefined;
+	  }
+>;
+/** How one peer of the log starts. */
+export type ConsensusOptions<Command> = {
+	readonly peer: PeerId;
+	/** The voters of a group whose log is still empty. */
+	readonly initialVoters: readonly PeerId[];
+	readonly stored: StoredLog<Command>;
+	/** Differs at each start, for example the start time in ms since the epoch. */
+	readonly incarnation: number;
+};
+/** One peer of the replicated log as a reducer. */
+export class Consensus<Command> {
+	constructor(options: ConsensusOptions<Command>);
+	get role(): ConsensusRole;
+	/** Consensus term. */
+	get term(): number;
+	get leader(): PeerId | undefined;
+	/** Voters of the latest configuration, committed or not. */
+	get voters(): readonly PeerId[];
+	get commitIndex(): number;
+	get lastIndex(): number;
+	/** True while the peer has no state and does not vote. */
+	get isJoining(): boolean;
+	/** True while no other peer can have become leader. */
+	isLeaderLeaseValid(now: number): boolean;
+	step(event: ConsensusEvent<Command>): Array<ConsensusEffect<Command>>;
+}
+
+// Control peer. Source: "Control", "Failover".
+/** The replicated log as the control reducer uses it; the consensus reducer implements it. */
+export type ReplicatedLog = {
+	readonly role: ConsensusRole;
+	/** Consensus term. */
+	readonly term: number;
+	readonly leader: PeerId | undefined;
+	step(
+		event: ConsensusEvent<ControlCommand>,
+	): ReadonlyArray<ConsensusEffect<ControlCommand>>;
+	/** True while no other peer can have become leader. */
+	isLeaderLeaseValid(now: number): boolean;
+};
+/** A function of a database server that control calls on its own connection. */
+export type ServerRequest = Variants<
+	| {type: 'status'}
+	| {type: 'fence' | 'promote'; term: number}
+	/** `server`: The primary to replicate from. */
+	| {type: 'follow'; term: number; server: UpstreamId; address: string}
+>;
+/** How a call to a server ended. */
+export type ServerAnswer = Variants<
+	/** `status`: Absent when the function returned no status row. */
+	| {type: 'answered'; status?: UpstreamStatus}
+	/** `sqlState`: SQLSTATE of the server's error; undefined when it did not answer. */
+	| {type: 'failed'; sqlState?: string; message: string}
+>;
+/** A question of an operator that changes nothing. */
+export type ControlQuery = Variants<
+	| {type: 'status' | 'templates'}
+	| {type: 'template' | 'history'; member: MemberId}
+>;
+/** A version in a member's template history. */
+export type HistoryEntry = Template & {
+	/** Log index of the change. */
+	readonly index: number;
+};
+/** The answer to a `ControlQuery`. */
+export type ControlQueryResult = Variants<
+	| {type: 'status'; status: ControlStatus}
+	| {type: 'templates'; templates: Template[]}
+	/** `template`: Undefined when the member has none. */
+	| {type: 'template'; template: Template | undefined}
+	| {type: 'history'; history: HistoryEntry[]}
+>;
+/** What `GET /status` of a control peer shows. */
+export type ControlStatus = {
+	readonly peer: PeerId;
+	readonly role: ConsensusRole;
+	readonly consensusTerm: number;
+	readonly leader: PeerId | undefined;
+	readonly appliedIndex: number;
+	readonly groups: readonly GroupView[];
+	/** Known on the leader only. */
+	readonly owners: ReadonlyArray<{
+		readonly server: UpstreamId;
+		readonly owner: PeerId | undefined;
+	}>;
+};
+/** Inputs of the control reducer. `now` is monotonic, in ms. */
+export type ControlEvent = Timed<
+	/** Sent every 25 ms. `random`: Uniform in [0, 1). */
+	| {type: 'tick'; random: number}
+	| {type: 'peerMessage'; from: PeerId; message: PeerMessage}
+	/** Membership brought an announcement, which a new leader may not get from renewals. */
+	| {type: 'announcementHeard'; announcement: VersionedAnnouncement}
+	/** The storage write with this number is synced. */
+	| {type: 'written'; write: number}
+	| {type: 'serverAnswered'; call: number; answer: ServerAnswer}
+	/** `operation`: Chosen by the adapter to match the answer. */
+	| {type: 'templateChangeRequested'; operation: number; change: TemplateChange}
+	| {type: 'queryRequested'; operation: number; query: ControlQuery}
+	| {type: 'drainRequested'}
+>;
+/** Outputs of the control reducer, carried out by adapters in order. */
+export type ControlEffect = Variants<
+	| {type: 'sendPeer'; to: PeerId; message: PeerMessage}
+	/** Sync the data, then report `written` with the same number. */
+	| {type: 'write'; write: number; data: StorageWrite<ControlCommand>}
+	/** Call a function of the server and report `serverAnswered` with the same number. */
+	| {
+			type: 'callServer';
+			call: number;
+			server: UpstreamId;
+			address: string;
+			request: ServerRequest;
+	  }
+	| {
+			type: 'answerTemplateChange';
+			operation: number;
+			result: TemplateChangeResult;
+	  }
+	| {type: 'answerQuery'; operation: number; result: ControlQueryResult}
+	/** What `GET /health` answers. */
+	| {type: 'setHealth'; ready: boolean; reason: string}
+	| {type: 'log'; record: LogRecord}
+	/** Every operator has its answer; the process may exit with 0. */
+	| {type: 'drained'}
+>;
+/** How a control peer starts. `incarnation` is higher for each start. */
+export type ControlPeerOptions = {
+	readonly peer: PeerId;
+	/** `ip:port` of the peer listener. */
+	readonly address: string;
+	readonly dataCentre: DataCentre;
+	readonly incarnation: number;
+	readonly controlPeers: readonly PeerAddress[];
+	readonly log: ReplicatedLog;
+	readonly random: RandomSource;
+};
+export type ControlPeerEvent =
+	ControlEvent | Timed<{type: 'peerLinkChanged'; peer: PeerId; up: boolean}>;
+export type ControlPeerEffect =
+	| ControlEffect
+	/** Open a link to `ip:port` and keep it open; close it. */
+	| Variants<{type: 'connectPeer'; peer: PeerId; address: string}>
+	| Variants<{type: 'disconnectPeer'; peer: PeerId}>;
+/** A control process as one reducer. */
+export class ControlPeer {
+	constructor(options: ControlPeerOptions);
+	/** Effects that start the process. Call it once, before the first event. */
+	start(now: number): ControlPeerEffect[];
+	/** Handles one event; carry the effects out in order. */
+	step(event: ControlPeerEvent): ControlPeerEffect[];
+}
+
+// Templates, positions, random numbers. Source: "Templates", "Read-your-writes".
+/** One thing that is wrong with a template text. */
+export type TemplateProblem = {
+	/** Section name without brackets; empty for a key before the first section. */
+	readonly section: string;
+	/** Undefined when the section itself is not allowed. */
+	readonly key?: string;
+	/** What the text contains there. */
+	readonly found: string;
+	/** What may stand there. */
+	readonly allowed: string;
+};
+/** A stream of random numbers. */
+export type RandomSource = {
+	/** Uniform in [0, 1). */
+	readFloat(): number;
+	/** Uniform whole number, both bounds included. */
+	readInteger(min: number, max: number): number;
+};
+/** Parses a template; the error lists all problems of the text. */
+export function parseTemplate(
+	text: string,
+): Result<TemplateParameters, readonly TemplateProblem[]>;
+/** Writes a problem as one sentence. */
+export function formatProblem(problem: TemplateProblem): string;
+/** Writes all parameters as template text, defaults included. */
+export function renderTemplate(parameters: TemplateParameters): string;
+/** Creates a source; the seed is a whole number. */
+export function createRandom(seed: number): RandomSource;
+/** The position before any write. */
+export const zeroPosition: Position;
+/** Negative when `left` is earlier. */
+export function comparePositions(left: Position, right: Position): number;
+/** The later position. */
+export function maxPosition(left: Position, right: Position): Position;
+/** Writes a position as token `<term>:<offset>`. */
+export function formatPosition(position: Position): string;
+/** Reads a token; the error says what is wrong with the text. */
+export function parsePosition(text: string): Result<Position, string>;
+/** Tells whether `applied` covers the floor; `termStart` is an offset in bytes. */
+export function isFloorReached(
+	floor: Position,
+	applied: Position,
+	termStart: number,
+): boolean;
+
+// Metrics and daemons. Source: "HTTP endpoints of each daemon".
+/** Durations in ms. */
+export type HistogramSummary = {
+	readonly count: number;
+	readonly meanMs: number;
+	readonly p50Ms: number;
+	readonly p90Ms: number;
+	readonly p99Ms: number;
+	readonly p999Ms: number;
+	readonly maxMs: number;
+};
+/** The measured requests of one member and rank since the start of the process. */
+export type SeriesSnapshot = {
+	/** `other` stands for all members beyond the limit. */
+	readonly member: string;
+	readonly rank: Rank;
+	readonly verdicts: Readonly<Record<Verdict, number>>;
+	readonly refusals: Readonly<Partial<Record<RefusalReason, number>>>;
+	/** Completed requests that were answered within their deadline. */
+	readonly onTime: number;
+	readonly readsByReplica: number;
+	readonly readsByPrimary: number;
+	readonly latency: HistogramSummary;
+	readonly queueTime: HistogramSummary;
+	/** Staleness of reads. */
+	readonly staleness: HistogramSummary;
+};
+export type MetricsSnapshot = {
+	readonly series: readonly SeriesSnapshot[];
+	readonly counters: Readonly<Record<string, number>>;
+	readonly gauges: Readonly<Record<string, number>>;
+	/** Share of reads that a replica served, 0 to 1; null before the first read. */
+	readonly replicaShare: number | null;
+};
+/** Limits of the number of series, whatever callers send. */
+export type MetricsLimits = {
+	/** Members with series of their own. */
+	readonly maxMembers: number;
+	readonly maxGauges: number;
+};
+/** Metrics of one process, with a bounded number of series. */
+export class Metrics {
+	constructor(limits?: Partial<MetricsLimits>);
+	recordRequest(record: RequestRecord): void;
+	countEvent(name: CounterName, amount?: number): void;
+	/** False when the gauge is new and there are too many. */
+	setGauge(name: string, value: number): boolean;
+	removeGauge(name: string): void;
+	getSnapshot(): MetricsSnapshot;
+	/** Prometheus text format, version 0.0.4. */
+	formatText(): string;
+}
+/** Checked settings. */
+export type Settings = {
+	readonly process: {
+		readonly id: PeerId;
+		readonly role: 'proxy' | 'control';
+		readonly vm: VmId;
+		readonly dataCentre: DataCentre;
+		readonly region: string;
+		/** Folder of the log, the vote and the snapshots; set for control only. */
+		readonly dataFolder: string | undefined;
+	};
+	readonly listen: {
+		/** IP address of all listeners. */
+		readonly address: string;
+		/** Port of the PostgreSQL listener; set for proxies only. */
+		readonly callersPort: number | undefined;
+		readonly peersPort: number;
+		readonly httpPort: number;
+	};
+	readonly control: {
+		/** Control peers that a process knows at its start. */
+		readonly peers: ReadonlyArray<{
+			readonly id: PeerId;
+			readonly address: string;
+		}>;
+	};
+	readonly limits: {
+		/** Longest time that a drain waits for open transactions, in ms. */
+		readonly drainDeadlineMs: number;
+		/** Connections of callers at one proxy. */
+		readonly maxConnections: number;
+	};
+	readonly log: {
+		readonly level: LogLevel;
+		readonly format: 'json' | 'text';
+	};
+};
+export type RunningDaemon = {
+	/** Resolves with the exit code when the daemon has closed everything. */
+	readonly finished: Promise<number>;
+	/** Begins the graceful shutdown; further calls change nothing. */
+	startDrain(): void;
+};
+/** Starts a proxy. Rejects with the system's error when a listener cannot be opened. */
+export function startProxy(settings: Settings): Promise<RunningDaemon>;
+/** Starts a control peer. Rejects when the data folder is damaged or in use, or a listener fails. */
+export function startControl(settings: Settings): Promise<RunningDaemon>;
--- a/xo.config.js
+++ b/xo.config.js
@@ -57,7 +57,7 @@
 		},
 	},
 	{
-		files: ['scripts/**'],
+		files: ['scripts/**', 'examples/**'],
 		rules: {'no-console': 'off'},
 	},
 ];
