--- a/scripts/quickstart/cluster.mjs
+++ b/scripts/quickstart/cluster.mjs
@@ -109,7 +109,8 @@
 		this.startProcess(name, [role, '--settings', file]);
 	}
 
-	async startStandIn(index, primaryPort) {
+	/** Starts a stand-in; with a port of a primary it replicates from that server. */
+	async startStandIn(index, primaryPort, primary = 'ledger-1') {
 		const name = `ledger-${index}`;
 		const announce = [...this.ports]
 			.filter(([other]) => other.startsWith('proxy'))
@@ -125,7 +126,7 @@
 			dataCentres[index - 1],
 			...(primaryPort === undefined
 				? []
-				: ['--primary', `ledger-1@127.0.0.1:${primaryPort}`]),
+				: ['--primary', `${primary}@127.0.0.1:${primaryPort}`]),
 			...(this.options.standIn ?? []),
 			...announce,
 		]);
