--- a/src/scenario/fleet/control-process.ts
+++ b/src/scenario/fleet/control-process.ts
@@ -10,6 +10,7 @@
 import type * as messages from '../../common/messages.js';
 import * as random from '../../common/random.js';
 import type * as types from '../../common/types.js';
+import * as fakeProcess from './fake-process.js';
 import type * as fakeServer from './fake-server.js';
 import type * as links from './links.js';
 import type * as timeline from './timeline.js';
@@ -24,15 +25,16 @@
 	readonly seed: number;
 };
 
-export class ControlProcess implements links.LinkedProcess {
-	condition: 'up' | 'frozen' | 'dead' = 'up';
+export class ControlProcess
+	extends fakeProcess.FakeProcess
+	implements links.LinkedProcess
+{
 	readonly peer: ids.PeerId;
 	readonly logs: string[] = [];
 	private readonly disk: disks.FakeDisk<control.ControlCommand>;
 	private readonly random: random.RandomSource;
 	private reducer: controlPeer.ControlPeer | undefined;
 	private log: consensus.Consensus<control.ControlCommand> | undefined;
-	private waiting: Array<() => void> = [];
 	private generation = 0;
 	private nextOperation = 1;
 	private readonly changes = new Map<
@@ -48,6 +50,7 @@
 		/** Called when a promotion of a server is complete on the server. */
 		private readonly handlePromotion: (server: ids.UpstreamId) => void,
 	) {
+		super();
 		this.peer = options.peer;
 		this.random = random.createRandom(options.seed);
 		this.disk = new disks.FakeDisk(() => this.random.readFloat());
@@ -88,21 +91,9 @@
 		});
 	}
 
-	freeze(): void {
-		this.condition = 'frozen';
-	}
-
-	thaw(): void {
-		this.condition = 'up';
-		for (const run of this.waiting.splice(0)) {
-			run();
-		}
-	}
-
-	kill(): void {
-		this.condition = 'dead';
+	override kill(): void {
+		super.kill();
 		this.generation++;
-		this.waiting = [];
 		this.disk.crash();
 		this.links.handleDeath(this.peer);
 		for (const answer of this.changes.values()) {
@@ -113,12 +104,12 @@
 	}
 
 	/** Starts the process again, with or without what its disk held. */
-	restart(isDiskLost = false): void {
+	override restart(isDiskLost = false): void {
 		if (isDiskLost) {
 			this.disk.clear();
 		}
 
-		this.condition = 'up';
+		super.restart();
 		this.generation++;
 		this.start();
 	}
@@ -163,14 +154,6 @@
 		this.carryOut(this.reducer!.step(event));
 	}
 
-	private receive(run: () => void): void {
-		if (this.condition === 'up') {
-			run();
-		} else if (this.condition === 'frozen') {
-			this.waiting.push(run);
-		}
-	}
-
 	private syncDisk(): void {
 		if (this.condition === 'up') {
 			for (const write of this.disk.takeSynced(this.timeline.now)) {
--- a/src/scenario/fleet/fake-server.ts
+++ b/src/scenario/fleet/fake-server.ts
@@ -352,3 +352,27 @@
 		}
 	}
 }
+
+/** Creates the servers s1 to s3 in the data centres dc1 to dc3; s1 is the primary of term 1. */
+export function createGroup(
+	group: ids.GroupId,
+	line: timeline.Timeline,
+): Map<string, FakeServer> {
+	const servers = new Map<string, FakeServer>();
+	for (const index of [1, 2, 3]) {
+		const id = `s${index}` as ids.UpstreamId;
+		const dataCentre = `dc${index}` as ids.DataCentre;
+		servers.set(id, new FakeServer(id, group, dataCentre, line));
+	}
+
+	const primary = servers.get('s1')!;
+	primary.fence(1);
+	primary.promote(1);
+	for (const server of servers.values()) {
+		if (server !== primary) {
+			server.follow(1, primary);
+		}
+	}
+
+	return servers;
+}
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -28,7 +28,7 @@
 export class Fleet implements fleetTypes.ScenarioFleet {
 	readonly timeline = new timeline.Timeline();
 	readonly links: links.Links;
-	readonly servers = new Map<string, fakeServer.FakeServer>();
+	readonly servers: ReadonlyMap<string, fakeServer.FakeServer>;
 	readonly proxies = new Map<string, proxyProcess.ProxyProcess>();
 	readonly controls = new Map<string, controlProcess.ControlProcess>();
 	readonly promotions: fleetTypes.PromotionRecord[] = [];
@@ -39,7 +39,7 @@
 		this.links = new links.Links(this.timeline, (from, to) =>
 			from.at(-1) === to.at(-1) ? localDelayMs : remoteDelayMs,
 		);
-		this.addServers();
+		this.servers = fakeServer.createGroup(this.group, this.timeline);
 		const controlPeers = Array.from(
 			{length: options.controls},
 			(_, index) => `c${index + 1}` as ids.PeerId,
@@ -99,27 +99,6 @@
 		this.announceAll();
 	}
 
-	private addServers(): void {
-		for (let index = 1; index <= serverCount; index++) {
-			const server = new fakeServer.FakeServer(
-				`s${index}` as ids.UpstreamId,
-				this.group,
-				`dc${index}` as ids.DataCentre,
-				this.timeline,
-			);
-			this.servers.set(server.id, server);
-		}
-
-		const primary = this.servers.get('s1')!;
-		primary.fence(1);
-		primary.promote(1);
-		for (const server of this.servers.values()) {
-			if (server !== primary) {
-				server.follow(1, primary);
-			}
-		}
-	}
-
 	private addControl(
 		peer: ids.PeerId,
 		index: number,
--- a/src/scenario/fleet/naive-fleet.ts
+++ b/src/scenario/fleet/naive-fleet.ts
@@ -7,6 +7,7 @@
 import type * as ids from '../../common/ids.js';
 import type * as proxy from '../../common/proxy/types.js';
 import type * as types from '../../common/types.js';
+import * as fakeProcess from './fake-process.js';
 import * as fakeServer from './fake-server.js';
 import type * as fleetTypes from './fleet-types.js';
 import * as links from './links.js';
@@ -16,7 +17,6 @@
 const networkMs = 5;
 const silenceMs = 500;
 const defaultDeadlineMs = 1000;
-const serverCount = 3;
 
 /** Processes of the naive version share what they know through this object. */
 type SharedView = {
@@ -26,40 +26,10 @@
 	isCut(from: string, to: string): boolean;
 };
 
-class NaiveProcess implements fleetTypes.FleetProcess {
-	condition: 'up' | 'frozen' | 'dead' = 'up';
-	protected waiting: Array<() => void> = [];
-
-	freeze(): void {
-		this.condition = 'frozen';
-	}
-
-	thaw(): void {
-		this.condition = 'up';
-		for (const run of this.waiting.splice(0)) {
-			run();
-		}
-	}
-
-	kill(): void {
-		this.condition = 'dead';
-		this.waiting = [];
-	}
-
-	restart(): void {
-		this.condition = 'up';
-	}
-
-	protected receive(run: () => void): void {
-		if (this.condition === 'up') {
-			run();
-		} else if (this.condition === 'frozen') {
-			this.waiting.push(run);
-		}
-	}
-}
-
-class NaiveProxy extends NaiveProcess implements fleetTypes.FleetProxy {
+class NaiveProxy
+	extends fakeProcess.FakeProcess
+	implements fleetTypes.FleetProxy
+{
 	readonly records: proxy.RequestRecord[] = [];
 	private nextSession = 1;
 	private nextReplica = 0;
@@ -201,7 +171,10 @@
 	}
 }
 
-class NaiveControl extends NaiveProcess implements fleetTypes.FleetControl {
+class NaiveControl
+	extends fakeProcess.FakeProcess
+	implements fleetTypes.FleetControl
+{
 	private silentSince: number | undefined;
 
 	constructor(
@@ -291,7 +264,7 @@
 export class NaiveFleet implements fleetTypes.ScenarioFleet {
 	readonly timeline = new timeline.Timeline();
 	readonly links = new links.Links(this.timeline, () => networkMs);
-	readonly servers = new Map<string, fakeServer.FakeServer>();
+	readonly servers: ReadonlyMap<string, fakeServer.FakeServer>;
 	readonly proxies = new Map<string, NaiveProxy>();
 	readonly controls = new Map<string, NaiveControl>();
 	readonly promotions: fleetTypes.PromotionRecord[] = [];
@@ -300,7 +273,7 @@
 	private readonly view: SharedView;
 
 	constructor(options: {readonly proxies: number; readonly controls: number}) {
-		this.addServers();
+		this.servers = fakeServer.createGroup(this.group, this.timeline);
 		this.view = {
 			primary: this.servers.get('s1')!,
 			versions: new Map(),
@@ -365,25 +338,4 @@
 	restartServer(server: fakeServer.FakeServer): void {
 		server.restart();
 	}
-
-	private addServers(): void {
-		for (let index = 1; index <= serverCount; index++) {
-			const server = new fakeServer.FakeServer(
-				`s${index}` as ids.UpstreamId,
-				this.group,
-				`dc${index}` as ids.DataCentre,
-				this.timeline,
-			);
-			this.servers.set(server.id, server);
-		}
-
-		const primary = this.servers.get('s1')!;
-		primary.fence(1);
-		primary.promote(1);
-		for (const server of this.servers.values()) {
-			if (server !== primary) {
-				server.follow(1, primary);
-			}
-		}
-	}
 }
--- a/src/scenario/fleet/proxy-process.ts
+++ b/src/scenario/fleet/proxy-process.ts
@@ -7,6 +7,7 @@
 import type * as messages from '../../common/messages.js';
 import type * as reducer from '../../common/proxy/reducer.js';
 import type * as proxy from '../../common/proxy/types.js';
+import * as fakeProcess from './fake-process.js';
 import type * as fakeServer from './fake-server.js';
 import * as fakeUpstreams from './fake-upstreams.js';
 import type * as links from './links.js';
@@ -29,14 +30,15 @@
 	readonly callback: (answer: CallerAnswer) => void;
 };
 
-export class ProxyProcess implements links.LinkedProcess {
-	condition: 'up' | 'frozen' | 'dead' = 'up';
+export class ProxyProcess
+	extends fakeProcess.FakeProcess
+	implements links.LinkedProcess
+{
 	isReady = false;
 	readonly records: proxy.RequestRecord[] = [];
 	readonly logs: string[] = [];
 	reducer: reducer.ProxyReducer;
 	private upstreams: fakeUpstreams.FakeUpstreams;
-	private waiting: Array<() => void> = [];
 	private generation = 0;
 	private nextSession = 1;
 	private nextRequest = 1;
@@ -53,6 +55,7 @@
 			incarnation: number,
 		) => reducer.ProxyReducer,
 	) {
+		super();
 		this.reducer = createReducer(1);
 		this.upstreams = this.createUpstreams();
 		this.start();
@@ -85,22 +88,9 @@
 		});
 	}
 
-	freeze(): void {
-		this.condition = 'frozen';
-	}
-
-	/** Runs on; what waited is handled first, as a process finds its sockets readable. */
-	thaw(): void {
-		this.condition = 'up';
-		for (const run of this.waiting.splice(0)) {
-			run();
-		}
-	}
-
-	kill(): void {
-		this.condition = 'dead';
+	override kill(): void {
+		super.kill();
 		this.generation++;
-		this.waiting = [];
 		this.upstreams.closeAll();
 		this.links.handleDeath(this.peer);
 		for (const call of this.calls.values()) {
@@ -115,8 +105,8 @@
 		}
 	}
 
-	restart(): void {
-		this.condition = 'up';
+	override restart(): void {
+		super.restart();
 		this.generation++;
 		this.reducer = this.createReducer(this.generation + 1);
 		this.upstreams = this.createUpstreams();
@@ -209,14 +199,6 @@
 		this.carryOut(this.reducer.start(this.timeline.now));
 	}
 
-	private receive(run: () => void): void {
-		if (this.condition === 'up') {
-			run();
-		} else if (this.condition === 'frozen') {
-			this.waiting.push(run);
-		}
-	}
-
 	private createUpstreams(): fakeUpstreams.FakeUpstreams {
 		const {generation} = this;
 		return new fakeUpstreams.FakeUpstreams(
--- a/src/scenario/fleet/small-fleet.ts
+++ b/src/scenario/fleet/small-fleet.ts
@@ -63,7 +63,7 @@
 export class SmallFleet {
 	readonly timeline = new timeline.Timeline();
 	readonly links = new links.Links(this.timeline, () => linkDelayMs);
-	readonly servers = new Map<string, fakeServer.FakeServer>();
+	readonly servers: ReadonlyMap<string, fakeServer.FakeServer>;
 	readonly proxies: proxyProcess.ProxyProcess[] = [];
 	readonly control: scriptedControl.ScriptedControl;
 	readonly group = 'ledger' as ids.GroupId;
@@ -86,7 +86,7 @@
 				changeId: 'first' as ids.ChangeId,
 			},
 		];
-		this.addServers();
+		this.servers = fakeServer.createGroup(this.group, this.timeline);
 		for (let index = 1; index <= proxyCount; index++) {
 			this.addProxy(index, parameters);
 		}
@@ -134,27 +134,6 @@
 		});
 	}
 
-	private addServers(): void {
-		for (const name of ['s1', 's2', 's3']) {
-			this.servers.set(
-				name,
-				new fakeServer.FakeServer(
-					name as ids.UpstreamId,
-					this.group,
-					`dc-${name}` as ids.DataCentre,
-					this.timeline,
-				),
-			);
-		}
-
-		const primary = this.getServer('s1');
-		primary.fence(1);
-		primary.promote(1);
-		for (const name of ['s2', 's3']) {
-			this.getServer(name).follow(1, primary);
-		}
-	}
-
 	private addProxy(index: number, parameters: types.TemplateParameters): void {
 		const peer = `p${index}` as ids.PeerId;
 		const process = new proxyProcess.ProxyProcess(
@@ -165,7 +144,7 @@
 			(incarnation) =>
 				createProxyReducer({
 					peer,
-					dataCentre: `dc-s${index}` as ids.DataCentre,
+					dataCentre: `dc${index}` as ids.DataCentre,
 					incarnation,
 					controlPeers: [controlPeer],
 					parameters,
