Search for broken guarantees with random faults on a whole fleet

Cause: scripted scenarios only show the combinations that somebody thought of. A read older than the own write is still counted, whatever log it comes from.

--- /dev/null
+++ b/src/bench/fleet-search.ts
@@ -0,0 +1,32 @@
+/**
+ * Runs random scenarios on a fleet of production reducers until a guarantee breaks.
+ *
+ * Usage: npm run search:fleet -- [runs] [first seed]
+ */
+import process from 'node:process';
+import * as fleets from '../scenario/fleet/fleet.js';
+import * as interpreter from '../scenario/fleet/interpreter.js';
+import * as randomPlan from '../scenario/fleet/random-plan.js';
+import * as parser from '../scenario/parser.js';
+import * as runner from '../scenario/runner.js';
+
+const runs = Number(process.argv[2] ?? 50);
+const firstSeed = Number(process.argv[3] ?? 1);
+let failed = 0;
+for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
+	const [scenario] = parser
+		.parseScenarios(randomPlan.buildRandomScenario(seed))
+		._unsafeUnwrap();
+	const failures = runner.runScenario(scenario, [
+		new interpreter.FleetInterpreter(
+			new fleets.Fleet({proxies: 7, controls: 3, seed}),
+		),
+	]);
+	if (failures.length > 0) {
+		failed++;
+		console.log(JSON.stringify({seed, failures}));
+	}
+}
+
+console.log(JSON.stringify({runs, firstSeed, failed}));
+process.exitCode = failed === 0 ? 0 : 1;
--- a/src/scenario/fleet/interpreter.ts
+++ b/src/scenario/fleet/interpreter.ts
@@ -95,7 +95,7 @@
 			}
 
 			case 'stale reads': {
-				return this.history.countStaleReads(primary);
+				return this.history.countStaleReads(servers);
 			}
 
 			case 'lost writes': {
--- a/src/scenario/fleet/proxy-process.ts
+++ b/src/scenario/fleet/proxy-process.ts
@@ -118,6 +118,12 @@
 		handleClose: () => void = () => undefined,
 	): ids.SessionId {
 		const session = this.nextSession++ as ids.SessionId;
+		if (this.condition === 'dead') {
+			// The connection is refused.
+			handleClose();
+			return session;
+		}
+
 		this.sessions.set(session, handleClose);
 		this.receive(() => {
 			this.step({
--- /dev/null
+++ b/src/scenario/fleet/random-plan.ts
@@ -0,0 +1,119 @@
+/**
+ * Random scenarios: callers that read, write, move and run transactions on a fleet while processes
+ * and servers crash, freeze and are cut off. Every guarantee must hold whatever happens. At most one
+ * server and one control peer are lost at a time, so that a majority remains.
+ */
+import * as random from '../../common/random.js';
+
+const users = ['a', 'b', 'c', 'd'];
+const proxies = ['p1', 'p2', 'p3', 'p4', 'p5', 'p6', 'p7'];
+const controls = ['c1', 'c2', 'c3'];
+const servers = ['s1', 's2', 's3'];
+const faultEveryMs = 2500;
+const faults = 6;
+const loadEndMs = 18_000;
+
+/** Guarantees that hold under any failures. */
+const expectations = [
+	'expect stale reads = 0',
+	'expect lost writes = 0',
+	'expect duplicated writes = 0',
+	'expect false refusals = 0',
+	'expect late acknowledgements = 0',
+	'expect mixed transactions = 0',
+	'expect second answers = 0',
+	'expect unanswered statements = 0',
+];
+
+/** Builds the text of a scenario; equal seeds give equal texts. */
+export function buildRandomScenario(seed: number): string {
+	const source = random.createRandom(seed);
+	const lines = [`scenario random ${seed}`];
+	for (const [index, user] of users.entries()) {
+		lines.push(`session ${user} proxy=${choose(source, proxies)}`);
+		const key = index < 2 ? 'x' : user;
+		const everyMs = source.readInteger(15, 60);
+		const staleness = choose(source, ['1s', '5s', '20s']);
+		lines.push(
+			`at ${10 + index}ms every ${everyMs}ms until ${loadEndMs}ms write ${user} key=${key} deadline=1s`,
+			`at ${15 + index}ms every ${everyMs}ms until ${loadEndMs}ms read ${user} key=${key} staleness=${staleness} deadline=1s`,
+			`at ${source.readInteger(400, 900)}ms every ${source.readInteger(700, 2000)}ms until ${loadEndMs}ms move ${user} proxy=${choose(source, proxies)} token=${choose(source, ['yes', 'no'])}`,
+		);
+	}
+
+	for (const server of servers) {
+		lines.push(
+			`set ${server} apply=${source.readInteger(0, 800)}ms receive=${source.readInteger(1, 100)}ms service=${source.readInteger(1, 20)}ms`,
+		);
+	}
+
+	for (let fault = 0; fault < faults; fault++) {
+		const at = 1000 + fault * faultEveryMs + source.readInteger(0, 500);
+		lines.push(...buildFault(source, at));
+	}
+
+	return [...lines, ...expectations].join('\n');
+}
+
+function buildFault(source: random.RandomSource, at: number): string[] {
+	const end = at + source.readInteger(300, 2000);
+	const proxy = choose(source, proxies);
+	const control = choose(source, controls);
+	const server = choose(source, ['primary', ...servers]);
+	const name = server === 'primary' ? 's1' : server;
+	switch (source.readInteger(0, 8)) {
+		case 0: {
+			return [
+				`at ${at}ms crash ${server}`,
+				...servers.map((other) => `at ${end}ms start ${other}`),
+			];
+		}
+
+		case 1: {
+			return [`at ${at}ms freeze ${name}`, `at ${end}ms thaw ${name}`];
+		}
+
+		case 2: {
+			return [`at ${at}ms cut ${name} *`, `at ${end}ms heal`];
+		}
+
+		case 3: {
+			return [`at ${at}ms kill ${proxy}`, `at ${end}ms start ${proxy}`];
+		}
+
+		case 4: {
+			return [`at ${at}ms freeze ${proxy}`, `at ${end}ms thaw ${proxy}`];
+		}
+
+		case 5: {
+			return [`at ${at}ms cut ${proxy} *`, `at ${end}ms heal`];
+		}
+
+		case 6: {
+			return [
+				`at ${at}ms kill ${control}`,
+				`at ${end}ms start ${control} disk=${choose(source, ['lost', 'kept'])}`,
+			];
+		}
+
+		case 7: {
+			return [`at ${at}ms cut ${control} *`, `at ${end}ms heal`];
+		}
+
+		default: {
+			return [
+				`at ${at}ms kill ${proxy}`,
+				`at ${at + 50}ms crash ${server}`,
+				`at ${end}ms start ${proxy}`,
+				...servers.map((other) => `at ${end}ms start ${other}`),
+			];
+		}
+	}
+}
+
+function choose<Item>(
+	source: random.RandomSource,
+	items: readonly Item[],
+): Item {
+	return items[source.readInteger(0, items.length - 1)]!;
+}
