--- a/src/scenario/fleet/random-plan.ts
+++ b/src/scenario/fleet/random-plan.ts
@@ -115,5 +115,5 @@
 	source: random.RandomSource,
 	items: readonly Item[],
 ): Item {
-	return items[source.readInteger(0, items.length - 1)]!;
+	return items[source.readInteger(0, items.length - 1)];
 }
