--- /dev/null
+++ b/src/common/proxy/peer-view.ts
@@ -0,0 +1,107 @@
+/**
+ * What the proxy learns of other peers through membership: where they listen, announcements of
+ * servers, and that a peer has a newer template.
+ */
+import {assertNever} from '../assert-never.js';
+import * as membershipService from '../membership/membership.js';
+import type * as membership from '../membership/types.js';
+import type * as context from './context.js';
+import type * as directory from './directory.js';
+import type * as templateStore from './template-store.js';
+
+const part = 'proxy';
+
+export class PeerView {
+	readonly membership: membershipService.Membership;
+
+	constructor(
+		private readonly context: context.ProxyContext,
+		private readonly directory: directory.Directory,
+		private readonly templates: templateStore.TemplateStore,
+	) {
+		this.membership = this.createMembership();
+	}
+
+	private createMembership(): membershipService.Membership {
+		const {config, random} = this.context;
+		return new membershipService.Membership({
+			self: {
+				peer: config.peer,
+				role: 'proxy',
+				address: config.address,
+				dataCentre: config.dataCentre,
+				incarnation: config.incarnation,
+			},
+			random,
+			send: (to, message) => this.context.send(to, message),
+			listener: {
+				handlePeerChange: (state) => {
+					this.handlePeerChange(state);
+				},
+				handleContact: ({peer, address}) => {
+					this.context.emit({
+						type: 'connectPeer',
+						peer,
+						address,
+					});
+				},
+				handleAnnouncement: (announcement) =>
+					this.directory.mergeAnnouncement(announcement),
+				handleTemplateVersion: (member, version, from) => {
+					if (version > this.templates.getVersion(member)) {
+						this.context.send(from, {type: 'templateFetch', member});
+					}
+				},
+				listDeltas: () => this.listDeltas(),
+			},
+		});
+	}
+
+	private handlePeerChange(state: membership.PeerState): void {
+		switch (state.condition) {
+			case 'alive': {
+				this.context.emit({
+					type: 'connectPeer',
+					peer: state.peer,
+					address: state.address,
+				});
+				return;
+			}
+
+			case 'suspect': {
+				return;
+			}
+
+			case 'dead':
+			case 'left': {
+				this.context.log('info', part, `Peer ${state.peer} is gone`);
+				const isConfigured = this.context.config.controlPeers.some(
+					({peer}) => peer === state.peer,
+				);
+				if (!isConfigured) {
+					this.context.emit({type: 'disconnectPeer', peer: state.peer});
+				}
+
+				return;
+			}
+
+			default: {
+				assertNever(state.condition);
+			}
+		}
+	}
+
+	private listDeltas(): membership.Delta[] {
+		return [
+			...this.directory
+				.listAllAnnouncements()
+				.map((announcement) => ({type: 'announcement', announcement}) as const),
+			...this.templates
+				.listVersions()
+				.map(
+					([member, version]) =>
+						({type: 'templateVersion', member, version}) as const,
+				),
+		];
+	}
+}
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -5,8 +5,7 @@
  */
 import {assertNever} from '../assert-never.js';
 import type * as ids from '../ids.js';
-import * as membershipService from '../membership/membership.js';
-import type * as membership from '../membership/types.js';
+import type * as membershipService from '../membership/membership.js';
 import type * as messages from '../messages.js';
 import type * as random from '../random.js';
 import type * as types from '../types.js';
@@ -19,6 +18,7 @@
 import * as operatorClient from './operator-client.js';
 import * as owner from './owner.js';
 import * as ownership from './ownership.js';
+import * as peerView from './peer-view.js';
 import * as poller from './poller.js';
 import * as positionClient from './position-client.js';
 import * as templateStore from './template-store.js';
@@ -63,7 +63,11 @@
 		this.context = new context.ProxyContext(config, randomSource);
 		this.templates = new templateStore.TemplateStore(services.parseTemplate);
 		this.directory = new directory.Directory(this.context);
-		this.membership = this.createMembership(config, randomSource);
+		this.membership = new peerView.PeerView(
+			this.context,
+			this.directory,
+			this.templates,
+		).membership;
 		this.lease = new leaseClient.LeaseClient(this.context, {
 			listOwned: () =>
 				this.ownership.listOwned(this.lease.isValid(this.context.now)),
@@ -498,91 +502,6 @@
 		this.entry.handleLinkDown(peer);
 	}
 
-	private createMembership(
-		config: context.ProxyConfig,
-		randomSource: random.RandomSource,
-	): membershipService.Membership {
-		return new membershipService.Membership({
-			self: {
-				peer: config.peer,
-				role: 'proxy',
-				address: config.address,
-				dataCentre: config.dataCentre,
-				incarnation: config.incarnation,
-			},
-			random: randomSource,
-			send: (to, message) => this.context.send(to, message),
-			listener: {
-				handlePeerChange: (state) => {
-					this.handlePeerChange(state);
-				},
-				handleContact: ({peer, address}) => {
-					this.context.emit({
-						type: 'connectPeer',
-						peer,
-						address,
-					});
-				},
-				handleAnnouncement: (announcement) =>
-					this.directory.mergeAnnouncement(announcement),
-				handleTemplateVersion: (member, version, from) => {
-					if (version > this.templates.getVersion(member)) {
-						this.context.send(from, {type: 'templateFetch', member});
-					}
-				},
-				listDeltas: () => this.listDeltas(),
-			},
-		});
-	}
-
-	private handlePeerChange(state: membership.PeerState): void {
-		switch (state.condition) {
-			case 'alive': {
-				this.context.emit({
-					type: 'connectPeer',
-					peer: state.peer,
-					address: state.address,
-				});
-				return;
-			}
-
-			case 'suspect': {
-				return;
-			}
-
-			case 'dead':
-			case 'left': {
-				this.context.log('info', part, `Peer ${state.peer} is gone`);
-				const isConfigured = this.context.config.controlPeers.some(
-					({peer}) => peer === state.peer,
-				);
-				if (!isConfigured) {
-					this.context.emit({type: 'disconnectPeer', peer: state.peer});
-				}
-
-				return;
-			}
-
-			default: {
-				assertNever(state.condition);
-			}
-		}
-	}
-
-	private listDeltas(): membership.Delta[] {
-		return [
-			...this.directory
-				.listAllAnnouncements()
-				.map((announcement) => ({type: 'announcement', announcement}) as const),
-			...this.templates
-				.listVersions()
-				.map(
-					([member, version]) =>
-						({type: 'templateVersion', member, version}) as const,
-				),
-		];
-	}
-
 	private *listUsedGroups(): Iterable<ids.GroupId> {
 		const seen = new Set<ids.GroupId>();
 		for (const session of this.entry.sessions.values()) {
