Report pool use and load of a proxy as gauges

Cause: operators could see requests but not the pools, slots and leases behind them. Totals keep the number of series fixed. Measured: read over HTTP from a proxy with three servers: 12 pool connections, 1 write lease.

--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -26,6 +26,7 @@
 import * as proxyDriver from './proxy-driver.js';
 
 const protocolVersion = 1;
+const gaugeIntervalMs = 1000;
 /** Name and database of pooled connections; servers trust the proxy VMs. */
 const upstreamUser = 'hemlockarch';
 
@@ -67,6 +68,7 @@
 	private readonly upstreams: upstreamAdapter.UpstreamAdapter;
 	private readonly peers: peerLinks.PeerLinks;
 	private readonly finishDrain: () => void;
+	private gaugeTimer: NodeJS.Timeout | undefined;
 
 	/** @param incarnation - Higher for each start of the process, for example the wall clock in ms. */
 	constructor(
@@ -111,6 +113,9 @@
 			logger: this.logger,
 			metrics: this.metrics,
 		});
+		this.gaugeTimer = setInterval(() => {
+			this.updateGauges();
+		}, gaugeIntervalMs);
 		await this.callers.listen(listen.address, listen.callersPort ?? 0);
 		this.logger.write({
 			level: 'info',
@@ -130,6 +135,7 @@
 	/** Closes everything at once. */
 	async dispose(): Promise<void> {
 		this.driver.stop();
+		clearInterval(this.gaugeTimer);
 		await this.http.dispose();
 		await this.callers.dispose();
 		await this.upstreams.dispose();
@@ -247,6 +253,41 @@
 		};
 	}
 
+	/** Pool use and load of this process, as totals so that their number does not grow. */
+	private updateGauges(): void {
+		const {reducer, metrics} = this;
+		const servers = [...reducer.owner.servers.values()];
+		const sum = (values: readonly number[]) => {
+			let total = 0;
+			for (const value of values) {
+				total += value;
+			}
+
+			return total;
+		};
+
+		metrics.setGauge('sessions', reducer.entry.sessions.size);
+		metrics.setGauge('requests_in_flight', reducer.entry.inFlight);
+		metrics.setGauge('owned_servers', servers.length);
+		metrics.setGauge(
+			'write_leases',
+			servers.filter(({writeTerm}) => writeTerm !== undefined).length,
+		);
+		metrics.setGauge(
+			'pool_connections',
+			sum(servers.map(({connections}) => connections.size)),
+		);
+		metrics.setGauge(
+			'pool_connections_bound',
+			sum(servers.map((server) => server.countBound())),
+		);
+		metrics.setGauge('slots_in_use', sum(servers.map(({busy}) => busy)));
+		metrics.setGauge(
+			'requests_queued',
+			sum(servers.map(({scheduler}) => scheduler.size)),
+		);
+	}
+
 	private readStatus(): unknown {
 		const {reducer} = this;
 		const {process} = this.settings;
