Measure the codec that the peer links use

The cost measurements follow the interfaces of main (hedging and membership listener) and encode with the frame codec of the peer links instead of an encoder of their own.

--- a/src/bench/slope-reducer.ts
+++ b/src/bench/slope-reducer.ts
@@ -57,8 +57,8 @@
 			routing: new LeastWaitRoutingPolicy(),
 			retryBudget: new SuccessRetryBudget(),
 			hedging: {
-				recordLatency: () => undefined,
-				computeHedgeDelay: () => Infinity,
+				observe: () => undefined,
+				computeDelay: () => Infinity,
 			},
 			createScheduler: (slots) =>
 				new ServerAdmissionScheduler({
--- a/src/bench/slopes.ts
+++ b/src/bench/slopes.ts
@@ -4,7 +4,11 @@
  */
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
-import {Encoder} from 'cbor-x';
+import {
+	decodePayload,
+	encodeFrame,
+	prefixBytes,
+} from '../node/peer/frame-codec.js';
 import type * as ids from '../common/ids.js';
 import {Membership} from '../common/membership/membership.js';
 import type * as membership from '../common/membership/types.js';
@@ -230,6 +234,7 @@
 			send: () => true,
 			listener: {
 				handlePeerChange: () => undefined,
+				handleContact: () => undefined,
 				handleAnnouncement: () => true,
 				handleTemplateVersion: () => undefined,
 				listDeltas: () => [],
@@ -264,8 +269,8 @@
 	size: number,
 	message: messages.PeerMessage,
 ): void {
-	const codec = new Encoder({useRecords: false});
-	const bytes = codec.encode(message);
+	const bytes = encodeFrame(message);
+	const payload = bytes.subarray(prefixBytes);
 	const count = Math.max(
 		minCallCount,
 		Math.min(callCount, Math.round(codecBytes / bytes.length)),
@@ -275,7 +280,7 @@
 		size,
 		bytesPerMessage: bytes.length,
 		microsPerCall: measureMicros(count, () => {
-			codec.encode(message);
+			encodeFrame(message);
 		}),
 	});
 	printSlope({
@@ -283,7 +288,7 @@
 		size,
 		bytesPerMessage: bytes.length,
 		microsPerCall: measureMicros(count, () => {
-			codec.decode(bytes);
+			decodePayload(payload);
 		}),
 	});
 }
