Compare ownership epochs in one place

Cause: the proxy had its own copy of the comparison that control already had. Ruled out: importing it from the control folder, because the proxy must not depend on control.

--- a/src/common/control/fake-proxy.ts
+++ b/src/common/control/fake-proxy.ts
@@ -6,8 +6,8 @@
 import type * as ids from '../ids.js';
 import type * as types from '../types.js';
 import type * as messages from '../messages.js';
+import * as epochs from '../epoch.js';
 import type * as fakeServers from './fake-server.js';
-import * as epochs from './epoch.js';
 import * as timing from './timing.js';
 
 const renewalIntervalMs = 250;
--- a/src/common/control/ownership.ts
+++ b/src/common/control/ownership.ts
@@ -14,8 +14,8 @@
 import type * as ids from '../ids.js';
 import type * as types from '../types.js';
 import type * as messages from '../messages.js';
+import * as epochs from '../epoch.js';
 import type * as control from './types.js';
-import * as epochs from './epoch.js';
 import * as leases from './leases.js';
 import * as timing from './timing.js';
 import * as writeLeases from './write-leases.js';
--- a/src/common/control/write-leases.ts
+++ b/src/common/control/write-leases.ts
@@ -4,8 +4,8 @@
  * one is over.
  */
 import type * as ids from '../ids.js';
+import * as epochs from '../epoch.js';
 import type * as control from './types.js';
-import * as epochs from './epoch.js';
 import * as leases from './leases.js';
 import * as timing from './timing.js';
 
--- a/src/common/control/epoch.ts
+++ b/src/common/epoch.ts
@@ -1,7 +1,7 @@
 /**
  * Order of ownership epochs.
  */
-import type * as types from '../types.js';
+import type * as types from './types.js';
 
 /** Compares by consensus term, then by counter; negative when `left` is older. */
 export function compareEpochs(left: types.Epoch, right: types.Epoch): number {
--- a/src/common/proxy/ownership.ts
+++ b/src/common/proxy/ownership.ts
@@ -3,6 +3,7 @@
  * A write lease is given back after the running writes have finished, or at once when the primary
  * does not answer.
  */
+import * as epochs from '../epoch.js';
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
 import type * as context from './context.js';
@@ -66,7 +67,7 @@
 	): void {
 		this.controlPeer = from;
 		const server = this.owner.servers.get(message.server);
-		if (!server || compareEpochs(server.epoch, message.epoch) > 0) {
+		if (!server || epochs.compareEpochs(server.epoch, message.epoch) > 0) {
 			if (message.scope === 'ownership') {
 				this.releasedEpochs.set(message.server, message.epoch);
 			}
@@ -146,7 +147,7 @@
 
 	private applyGrant(grant: messages.OwnershipGrant): void {
 		const released = this.releasedEpochs.get(grant.server);
-		if (released && compareEpochs(grant.epoch, released) <= 0) {
+		if (released && epochs.compareEpochs(grant.epoch, released) <= 0) {
 			this.unplaced.delete(grant.server);
 			return;
 		}
@@ -164,7 +165,7 @@
 			return;
 		}
 
-		const order = compareEpochs(grant.epoch, server.epoch);
+		const order = epochs.compareEpochs(grant.epoch, server.epoch);
 		if (order < 0) {
 			return;
 		}
@@ -261,12 +262,3 @@
 		}
 	}
 }
-
-function compareEpochs(
-	left: owned.OwnedServer['epoch'],
-	right: owned.OwnedServer['epoch'],
-): number {
-	return (
-		left.consensusTerm - right.consensusTerm || left.counter - right.counter
-	);
-}
