--- a/src/bench/upstream-harness.ts
+++ b/src/bench/upstream-harness.ts
@@ -140,6 +140,10 @@
 		return 'keyUsed';
 	}
 
+	if (outcome.type === 'refused') {
+		return `refused ${outcome.reason}`;
+	}
+
 	const tail = Buffer.from(outcome.tail);
 	let letters = '';
 	for (
--- a/src/common/control/calls.ts
+++ b/src/common/control/calls.ts
@@ -19,6 +19,7 @@
 	server: ids.UpstreamId,
 	address: string,
 	request: control.ServerRequest,
+	group: ids.GroupId,
 ) => number;
 
 /** The calls of one leader. At most one call per server and function is under way. */
@@ -56,7 +57,7 @@
 		}
 
 		this.#lastCalls.set(key, now);
-		const number = this.#callServer(server, address, request);
+		const number = this.#callServer(server, address, request, group);
 		this.#pending.set(number, {group, server, request, sentAt: now});
 	}
 
--- a/src/common/control/failover.ts
+++ b/src/common/control/failover.ts
@@ -18,9 +18,7 @@
 	readonly table: ownership.OwnershipTable;
 	readonly callServer: callTracking.CallServer;
 	readonly faults: control.FaultInjection;
-	propose(
-		command: Exclude<control.ControlCommand, {type: 'changeTemplate'}>,
-	): void;
+	propose(command: control.GroupCommand): void;
 	hasProposal(group: ids.GroupId): boolean;
 	/** Writes a log record of level info. */
 	log(message: string): void;
@@ -82,7 +80,7 @@
 		}
 
 		const group =
-			command.type === 'changeTemplate'
+			command.type === 'changeTemplate' || command.type === 'setConfiguration'
 				? undefined
 				: this.#environment.machine.getGroup(command.group);
 		if (group) {
--- a/src/common/control/grants.ts
+++ b/src/common/control/grants.ts
@@ -49,6 +49,11 @@
 	canGrantWrite: (group: ids.GroupId) => boolean,
 ): Grant {
 	const {renewal} = proxy;
+	const {configuration} = machine;
+	const isConfigurationNew =
+		configuration !== undefined &&
+		renewal.configurationVersion !== undefined &&
+		configuration.version > renewal.configurationVersion;
 	const isCurrent = machine.changedAt <= renewal.knownIndex;
 	const owned = table.grantOwned(now, proxy.peer, (server) => {
 		const group = machine.findGroupOf(server);
@@ -65,6 +70,7 @@
 		ownersVersion: table.ownersVersion,
 		owners: table.listOwners(renewal.knownOwners),
 		templates: isCurrent ? [] : listNewTemplates(machine, renewal),
+		...(isConfigurationNew ? {configuration} : {}),
 		confirmed: renewal.announcements.map(({server, version}) => [
 			server,
 			version,
--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -25,17 +25,12 @@
 	readonly faults: control.FaultInjection;
 	send(to: ids.PeerId, message: messages.PeerMessage): void;
 	/** Proposes a command; `isPending` of its group is true until its outcome is known. */
-	propose(command: GroupCommand): void;
+	propose(command: control.GroupCommand): void;
 	hasProposal(group: ids.GroupId): boolean;
 	/** Writes a log record of level info. */
 	log(message: string): void;
 };
 
-export type GroupCommand = Exclude<
-	control.ControlCommand,
-	{type: 'changeTemplate'}
->;
-
 /** The leader's soft state and what it does with it. */
 export class Leader {
 	readonly table: ownership.OwnershipTable;
@@ -120,6 +115,11 @@
 			return;
 		}
 
+		if (command.type === 'setConfiguration') {
+			this.#pushConfiguration();
+			return;
+		}
+
 		if (command.type === 'registerGroup' && isOwn) {
 			this.#sets.recordRegistration(now, command.group);
 		}
@@ -170,6 +170,16 @@
 		}
 	}
 
+	#pushConfiguration(): void {
+		const {configuration} = this.environment.machine;
+		for (const peer of configuration ? this.table.proxies.keys() : []) {
+			this.environment.send(peer, {
+				type: 'configurationPush',
+				configuration: configuration!,
+			});
+		}
+	}
+
 	#sendGrant(now: number, peer: ids.PeerId): void {
 		const proxy = this.table.proxies.get(peer);
 		if (proxy && !this.table.isReleasingWrite(now, peer)) {
--- a/src/common/control/machine.ts
+++ b/src/common/control/machine.ts
@@ -21,6 +21,8 @@
 /** The state machine. `apply` is called with committed entries only, in their order. */
 export class ControlMachine {
 	appliedIndex = 0;
+	/** The configuration in force; undefined before the first one. */
+	configuration: types.Configuration | undefined;
 	readonly #templates = new Map<ids.MemberId, control.StoredTemplate>();
 	/** In the order of the log, so that the first key is the oldest. */
 	readonly #changes = new Map<string, control.AnsweredChange>();
@@ -40,12 +42,14 @@
 			templates: [...this.#templates.values()],
 			changes: [...this.#changes.values()],
 			groups: [...this.#groups.values()],
+			...(this.configuration ? {configuration: this.configuration} : {}),
 		};
 	}
 
 	/** Replaces the whole state by that of a snapshot. */
 	restore(state: control.MachineState): void {
 		this.appliedIndex = state.appliedIndex;
+		this.configuration = state.configuration;
 		this.#templates.clear();
 		this.#changes.clear();
 		this.#groups.clear();
@@ -67,7 +71,7 @@
 	/**
 	 * Applies one committed command.
 	 *
-	 * @returns The answer to a template change; undefined for other commands.
+	 * @returns The answer to an operator's change; undefined for other commands.
 	 */
 	apply(
 		index: number,
@@ -78,6 +82,10 @@
 			return this.#applyChange(index, command.change);
 		}
 
+		if (command.type === 'setConfiguration') {
+			return this.#applyConfiguration(command.configuration);
+		}
+
 		this.#applyGroupCommand(index, command);
 		return undefined;
 	}
@@ -95,6 +103,19 @@
 		return this.#changes.get(buildChangeKey(member, changeId))?.result;
 	}
 
+	/**
+	 * Finds the answer to a configuration change that cannot have an effect any more: the highest
+	 * version is in force, and a version at or below it is acknowledged without a change.
+	 */
+	findConfigurationAnswer(
+		configuration: types.Configuration,
+	): types.TemplateChangeResult | undefined {
+		const version = this.configuration?.version ?? 0;
+		return configuration.version <= version
+			? {type: 'accepted', version}
+			: undefined;
+	}
+
 	getTemplate(member: ids.MemberId): types.Template | undefined {
 		return this.#templates.get(member)?.template;
 	}
@@ -135,6 +156,16 @@
 		return [...this.#groups.values()];
 	}
 
+	#applyConfiguration(
+		configuration: types.Configuration,
+	): types.TemplateChangeResult {
+		if (configuration.version > (this.configuration?.version ?? 0)) {
+			this.configuration = configuration;
+		}
+
+		return {type: 'accepted', version: configuration.version};
+	}
+
 	#applyChange(
 		index: number,
 		change: types.TemplateChange,
@@ -178,7 +209,7 @@
 
 	#applyGroupCommand(
 		index: number,
-		command: Exclude<control.ControlCommand, {type: 'changeTemplate'}>,
+		command: control.GroupCommand,
 	): void {
 		const group = this.#groups.get(command.group);
 		if (command.type === 'registerGroup') {
@@ -227,10 +258,7 @@
 function reduceGroup(
 	group: control.GroupState,
 	index: number,
-	command: Exclude<
-		control.ControlCommand,
-		{type: 'changeTemplate' | 'registerGroup'}
-	>,
+	command: Exclude<control.GroupCommand, {type: 'registerGroup'}>,
 ): control.GroupState | undefined {
 	switch (command.type) {
 		case 'addServer': {
@@ -270,7 +298,7 @@
 				group.servers.includes(command.primary)
 				? {
 						...group,
-						term: command.term,
+						term: command.serverTerm ?? command.term,
 						termStart: command.termStart,
 						primary: command.primary,
 						promotion: undefined,
--- a/src/common/control/operations.ts
+++ b/src/common/control/operations.ts
@@ -1,7 +1,7 @@
 /**
- * Template changes that wait for their outcome on this peer. The leader proposes them, a follower
- * passes them to the leader and sends them again when an answer is lost; the change id makes both
- * safe. After a time limit a change is answered `unavailable`.
+ * Changes of operators that wait for their outcome on this peer. The leader proposes them, a follower
+ * passes them to the leader and sends them again when an answer is lost; the change id or the version
+ * makes both safe. After a time limit a change is answered `unavailable`.
  */
 import type * as ids from '../ids.js';
 import type * as types from '../types.js';
@@ -19,7 +19,7 @@
 
 type Operation = {
 	readonly origin: Origin;
-	readonly change: types.TemplateChange;
+	readonly change: types.OperatorChange;
 	readonly deadline: number;
 	/** Number of the proposal in the local log. */
 	proposal: number | undefined;
@@ -34,7 +34,7 @@
 	| {
 			readonly type: 'propose';
 			readonly proposal: number;
-			readonly change: types.TemplateChange;
+			readonly change: types.OperatorChange;
 	  }
 	| {
 			readonly type: 'send';
@@ -53,7 +53,7 @@
 	createProposal(): number;
 	/** Finds the answer to a change that is committed already. */
 	findAnswer(
-		change: types.TemplateChange,
+		change: types.OperatorChange,
 	): types.TemplateChangeResult | undefined;
 };
 
@@ -73,7 +73,7 @@
 	}
 
 	/** Takes in a checked change. It is acted upon by the next `step`. */
-	add(now: number, origin: Origin, change: types.TemplateChange): void {
+	add(now: number, origin: Origin, change: types.OperatorChange): void {
 		this.#operations.add({
 			origin,
 			change,
@@ -114,15 +114,11 @@
 
 	/** Handles the commit of a change, by whichever peer it was proposed. */
 	handleApplied(
-		change: types.TemplateChange,
+		change: types.OperatorChange,
 		result: types.TemplateChangeResult,
 	): OperationAction[] {
 		return [...this.#operations]
-			.filter(
-				(operation) =>
-					operation.change.member === change.member &&
-					operation.change.changeId === change.changeId,
-			)
+			.filter((operation) => isAnsweredBy(operation.change, change))
 			.map((operation) => this.#finish(operation, result));
 	}
 
@@ -186,6 +182,24 @@
 	}
 }
 
+/** True when the commit of `applied` decides the outcome of `change`. */
+function isAnsweredBy(
+	change: types.OperatorChange,
+	applied: types.OperatorChange,
+): boolean {
+	if ('type' in change || 'type' in applied) {
+		return (
+			'type' in change &&
+			'type' in applied &&
+			change.configuration.version === applied.configuration.version
+		);
+	}
+
+	return (
+		change.member === applied.member && change.changeId === applied.changeId
+	);
+}
+
 function isSendDue(
 	now: number,
 	operation: Operation,
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -3,6 +3,7 @@
  * peer learns where the proxies listen, and is the meeting point of processes that start.
  */
 import type * as ids from '../ids.js';
+import * as announcements from '../announcement.js';
 import * as membershipService from '../membership/membership.js';
 import type * as membership from '../membership/types.js';
 import type * as messages from '../messages.js';
@@ -10,9 +11,14 @@
 import type * as types from '../types.js';
 import type * as control from './types.js';
 import * as reducer from './reducer.js';
+import * as voters from './voters.js';
 
 /** Announcements of servers that were not heard of for this long are forgotten. */
 const announcementMemoryMs = 7_200_000;
+/** Voters change rarely; looking at every peer in each tick would cost more than it brings. */
+const votersIntervalMs = 250;
+/** The leader gives a server that was silent for 10 s no new owner, so it hears more often. */
+const lifeSignIntervalMs = 4000;
 
 export type ControlPeerOptions = {
 	readonly peer: ids.PeerId;
@@ -25,12 +31,25 @@
 		readonly peer: ids.PeerId;
 		readonly address: string;
 	}>;
-	readonly log: control.ReplicatedLog;
+	readonly log: control.ReplicatedLog & {
+		/** The voters of the latest configuration in the log. */
+		readonly voters?: readonly ids.PeerId[];
+	};
+	/** Number of voters that the installation wants; the present number when it is not set. */
+	readonly wantedVoters?: number;
 	readonly random: random.RandomSource;
 };
 
 export type ControlPeerEvent =
 	| control.ControlEvent
+	| {
+			/** A server spoke to this peer. */
+			readonly type: 'announcementReceived';
+			readonly now: number;
+			readonly announcement: types.Announcement;
+			/** Counts the announcements of one process of the server. */
+			readonly sequence: number;
+	  }
 	| {
 			readonly type: 'peerLinkChanged';
 			readonly now: number;
@@ -56,7 +75,11 @@
 	readonly control: reducer.ControlReducer;
 	readonly membership: membershipService.Membership;
 	private now = 0;
+	private votersCheckedAt = 0;
+	private readonly voterPlanner = new voters.VoterPlanner();
 	private effects: ControlPeerEffect[] = [];
+	/** Time of the last spread of each server's announcement. */
+	private readonly spreadAt = new Map<ids.UpstreamId, number>();
 	private readonly announcements = new Map<ids.UpstreamId, KnownAnnouncement>();
 
 	constructor(private readonly options: ControlPeerOptions) {
@@ -87,6 +110,11 @@
 			return this.takeEffects();
 		}
 
+		if (event.type === 'announcementReceived') {
+			this.handleAnnouncement(event.announcement, event.sequence);
+			return this.takeEffects();
+		}
+
 		if (event.type === 'peerMessage' && isMembershipMessage(event.message)) {
 			this.membership.handleMessage(event.from, event.message, event.now);
 			return this.takeEffects();
@@ -95,12 +123,38 @@
 		if (event.type === 'tick') {
 			this.membership.handleTick(event.now);
 			this.expireAnnouncements();
+			this.updateVoters();
 		}
 
 		this.effects.push(...this.control.step(event));
 		return this.takeEffects();
 	}
 
+	private updateVoters(): void {
+		const {log, peer: self, wantedVoters} = this.options;
+		if (
+			log.role !== 'leader' ||
+			log.voters === undefined ||
+			this.now - this.votersCheckedAt < votersIntervalMs
+		) {
+			return;
+		}
+
+		this.votersCheckedAt = this.now;
+		const chosen = this.voterPlanner.chooseVoters({
+			now: this.now,
+			voters: log.voters,
+			others: this.membership
+				.listPeers()
+				.filter(({peer, role}) => role === 'control' && peer !== self),
+			self,
+			wanted: wantedVoters ?? log.voters.length,
+		});
+		if (chosen) {
+			this.control.changeVoters(this.now, chosen);
+		}
+	}
+
 	private handleLinkChange(peer: ids.PeerId, up: boolean): void {
 		if (up) {
 			this.membership.startSync(peer);
@@ -151,6 +205,32 @@
 		}
 	}
 
+	/** Spreads what a server says when it is news, and notes in any case that it lives. */
+	private handleAnnouncement(
+		announcement: types.Announcement,
+		sequence: number,
+	): void {
+		const known = this.announcements.get(announcement.server)?.announcement;
+		const version = announcements.computeVersion(announcement, sequence);
+		if (known && known.version >= version) {
+			return;
+		}
+
+		const current = announcements.keepDeparture(announcement, known);
+		const versioned = {...current, version};
+		this.mergeAnnouncement(versioned);
+		if (!known || announcements.hasChanged(known, current)) {
+			this.spreadAt.set(announcement.server, this.now);
+			this.membership.spreadNow({type: 'announcement', announcement: versioned});
+		} else if (
+			this.now - (this.spreadAt.get(announcement.server) ?? 0) >=
+			lifeSignIntervalMs
+		) {
+			this.spreadAt.set(announcement.server, this.now);
+			this.membership.spread({type: 'announcement', announcement: versioned});
+		}
+	}
+
 	private mergeAnnouncement(
 		announcement: types.VersionedAnnouncement,
 	): boolean {
@@ -177,6 +257,7 @@
 		for (const [server, {receivedAt}] of this.announcements) {
 			if (this.now - receivedAt > announcementMemoryMs) {
 				this.announcements.delete(server);
+				this.spreadAt.delete(server);
 				this.control.removeAnnouncement(server);
 			}
 		}
--- a/src/common/control/promotion.ts
+++ b/src/common/control/promotion.ts
@@ -13,6 +13,9 @@
 import * as machines from './machine.js';
 import * as timing from './timing.js';
 
+/** SQLSTATE with which a call says that the chosen server is not running. */
+export const promotionRefusedState = 'HK102';
+
 /** What a promotion needs. */
 export type PromotionEnvironment = {
 	readonly table: ownership.OwnershipTable;
@@ -32,7 +35,11 @@
 	readonly #statuses = new Map<ids.UpstreamId, types.UpstreamStatus>();
 	#majorityAt: number | undefined;
 	#target: {server: ids.UpstreamId; offset: number; at: number} | undefined;
+	/** The status in which the chosen server confirmed that it leads. */
+	#promoted: types.UpstreamStatus | undefined;
 	#isPromoted = false;
+	/** The chosen server cannot be promoted. */
+	#isRefused = false;
 	/** Highest term seen at a server that refused the fence. */
 	#higherTerm = 0;
 
@@ -73,7 +80,7 @@
 				group,
 				term: this.term,
 				primary: server,
-				termStart: offset,
+				...this.#buildTermStart(offset),
 			};
 		}
 
@@ -131,6 +138,10 @@
 			server === this.#target?.server
 		) {
 			this.#isPromoted = answer.type === 'answered';
+			this.#isRefused ||=
+				answer.type === 'failed' && answer.sqlState === promotionRefusedState;
+			this.#promoted =
+				answer.type === 'answered' ? answer.status : undefined;
 		}
 	}
 
@@ -139,7 +150,7 @@
 		return (
 			this.#higherTerm >= this.term ||
 			(this.#target !== undefined &&
-				now - this.#target.at >= timing.promoteTimeoutMs)
+				(this.#isRefused || now - this.#target.at >= this.#promoteTimeoutMs))
 		);
 	}
 
@@ -171,10 +182,54 @@
 		);
 	}
 
+	/**
+	 * Servers that must answer before one is chosen. When n replicas confirm each commit, any
+	 * replicas but n hold it together; without such replicas one server is enough, because the write
+	 * lease has already ended every other writer.
+	 */
 	#countMajority(): number {
-		return this.#environment.faults.isFenceMajorityOff === true
-			? 1
-			: machines.computeMajority(this.#group.servers.length);
+		const {servers} = this.#group;
+		if (this.#environment.faults.isFenceMajorityOff === true) {
+			return 1;
+		}
+
+		const {synchronousReplicas} = this;
+		return synchronousReplicas === undefined
+			? machines.computeMajority(servers.length)
+			: synchronousReplicas === 0
+				? 1
+				: Math.max(1, servers.length - synchronousReplicas);
+	}
+
+	/** Set when the servers of the group confirm commits themselves. */
+	get synchronousReplicas(): number | undefined {
+		const {table} = this.#environment;
+		for (const server of this.#group.servers) {
+			const count =
+				table.servers.get(server)?.announcement?.synchronousReplicas;
+			if (count !== undefined) {
+				return count;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** A promotion that goes through the servers' platform takes longer than a call to the server. */
+	get #promoteTimeoutMs(): number {
+		return this.synchronousReplicas === undefined
+			? timing.promoteTimeoutMs
+			: timing.indirectPromoteTimeoutMs;
+	}
+
+	/** Servers that count terms themselves say where the new term began. */
+	#buildTermStart(offset: number): {termStart: number; serverTerm?: number} {
+		return this.synchronousReplicas === undefined || !this.#promoted
+			? {termStart: offset}
+			: {
+					termStart: this.#promoted.position,
+					serverTerm: this.#promoted.term,
+				};
 	}
 
 	/**
@@ -191,7 +246,8 @@
 			return age !== undefined && age < timing.primarySilentMs;
 		});
 		if (
-			reachable.length >= this.#countMajority() ||
+			(this.synchronousReplicas === undefined &&
+				reachable.length >= this.#countMajority()) ||
 			this.#fenced.size > 0 ||
 			now - this.#startedAt >= timing.catchUpMs
 		) {
@@ -224,16 +280,24 @@
 		this.#majorityAt ??= now;
 		return (
 			this.#fenced.size === this.#group.servers.length ||
-			now - this.#majorityAt >= timing.fenceGraceMs
+			now - this.#majorityAt >=
+				(this.synchronousReplicas === undefined
+					? timing.fenceGraceMs
+					: timing.statusGraceMs)
 		);
 	}
 
 	/** Chooses the most advanced server of a fenced majority. */
 	#choose(now: number): void {
 		const all = [...this.#fenced.keys()];
+
 		const preferred = all.filter((server) => !this.#isAvoided(server));
-		const majority =
-			preferred.length >= this.#countMajority() ? preferred : all;
+		// A replica without the newest commits is better than a primary that is to be replaced.
+		const isEnough =
+			this.synchronousReplicas === undefined
+				? preferred.length >= this.#countMajority()
+				: preferred.length > 0;
+		const majority = isEnough ? preferred : all;
 		const [best] = majority.sort((left, right) =>
 			this.#compareCandidates(left, right),
 		);
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -59,6 +59,7 @@
 	#leader: leaders.Leader | undefined;
 	/** Term of the last applied entry; a leader acts once it applied an entry of its own term. */
 	#appliedTerm = 0;
+	#pendingVoters: readonly ids.PeerId[] | undefined;
 	#snapshotIndex = 0;
 	#proposalCounter = 0;
 	#callCounter = 0;
@@ -76,8 +77,7 @@
 		this.#faults = options.faults ?? {};
 		this.#operations = new operations.Operations({
 			createProposal: () => ++this.#proposalCounter,
-			findAnswer: ({member, changeId}) =>
-				this.#machine.findAnswer(member, changeId),
+			findAnswer: (change) => this.#findAnswer(change),
 		});
 	}
 
@@ -95,6 +95,12 @@
 		return this.#effects;
 	}
 
+	/** Asks the log for other voters; the effects come with the next step. */
+	changeVoters(now: number, voters: readonly ids.PeerId[]): void {
+		this.#now = now;
+		this.#pendingVoters = voters;
+	}
+
 	/** Forgets a server that was not heard of for long. */
 	removeAnnouncement(server: ids.UpstreamId): void {
 		this.#announcements.delete(server);
@@ -103,6 +109,15 @@
 	#handleEvent(event: control.ControlEvent): void {
 		switch (event.type) {
 			case 'tick': {
+				if (this.#pendingVoters) {
+					this.#runLog({
+						type: 'changeVoters',
+						now: event.now,
+						voters: this.#pendingVoters,
+					});
+					this.#pendingVoters = undefined;
+				}
+
 				this.#runLog({type: 'tick', now: event.now, random: event.random});
 				this.#updateLeader();
 				this.#findActiveLeader()?.step(event.now);
@@ -143,6 +158,11 @@
 				return;
 			}
 
+			case 'configurationReadRequested': {
+				this.#readConfiguration({type: 'local', operation: event.operation});
+				return;
+			}
+
 			case 'queryRequested': {
 				this.#effects.push({
 					type: 'answerQuery',
@@ -192,6 +212,15 @@
 		if (message.type === 'changeResult') {
 			this.#runActions(this.#operations.handleResult(message));
 		}
+
+		if (message.type === 'readConfiguration') {
+			const {operation} = message;
+			this.#readConfiguration({type: 'peer', peer: from, operation});
+		}
+
+		if (message.type === 'configurationRead') {
+			this.#handleConfigurationRead(message);
+		}
 	}
 
 	#sendTemplate(to: ids.PeerId, member: ids.MemberId): void {
@@ -231,10 +260,18 @@
 		}
 	}
 
-	#handleChange(origin: operations.Origin, change: types.TemplateChange): void {
+	#findAnswer(
+		change: types.OperatorChange,
+	): types.TemplateChangeResult | undefined {
+		return 'type' in change
+			? this.#machine.findConfigurationAnswer(change.configuration)
+			: this.#machine.findAnswer(change.member, change.changeId);
+	}
+
+	#handleChange(origin: operations.Origin, change: types.OperatorChange): void {
 		const answer =
-			this.#machine.findAnswer(change.member, change.changeId) ??
-			changes.checkChange(change);
+			this.#findAnswer(change) ??
+			('type' in change ? undefined : changes.checkChange(change));
 		if (answer) {
 			this.#answer(origin, answer);
 		} else {
@@ -257,10 +294,7 @@
 		for (const action of actions) {
 			switch (action.type) {
 				case 'propose': {
-					this.#propose(action.proposal, {
-						type: 'changeTemplate',
-						change: action.change,
-					});
+					this.#propose(action.proposal, buildCommand(action.change));
 					break;
 				}
 
@@ -293,6 +327,48 @@
 		});
 	}
 
+	/**
+	 * Only a leader whose lease is valid knows that no newer configuration is committed. A follower
+	 * asks it once; the adapter gives up when no answer comes.
+	 */
+	#readConfiguration(origin: operations.Origin): void {
+		if (this.#findActiveLeader()) {
+			const {configuration} = this.#machine;
+			this.#answerRead(origin, {type: 'read', configuration});
+			return;
+		}
+
+		const {leader} = this.#log;
+		if (origin.type === 'peer' || leader === undefined || leader === this.#peer) {
+			this.#answerRead(origin, {type: 'unavailable'});
+			return;
+		}
+
+		this.#send(leader, {
+			type: 'readConfiguration',
+			operation: origin.operation,
+		});
+	}
+
+	#handleConfigurationRead(
+		message: Extract<messages.OperatorMessage, {type: 'configurationRead'}>,
+	): void {
+		const {operation, result} = message;
+		this.#answerRead({type: 'local', operation}, result);
+	}
+
+	#answerRead(
+		origin: operations.Origin,
+		result: types.ConfigurationReading,
+	): void {
+		const {operation} = origin;
+		if (origin.type === 'local') {
+			this.#effects.push({type: 'answerConfigurationRead', operation, result});
+		} else {
+			this.#send(origin.peer, {type: 'configurationRead', operation, result});
+		}
+	}
+
 	/** The leader part, while this peer may act as leader. */
 	#findActiveLeader(): leaders.Leader | undefined {
 		return this.#log.isLeaderLeaseValid(this.#now) ? this.#leader : undefined;
@@ -335,8 +411,8 @@
 				this.#groupProposals.set(proposal, command.group);
 				this.#propose(proposal, command);
 			},
-			callServer: (server, address, request) =>
-				this.#callServer(server, address, request),
+			callServer: (server, address, request, group) =>
+				this.#callServer(server, address, request, group),
 			log: (message) => {
 				this.#logRecord('info', message);
 			},
@@ -349,9 +425,18 @@
 		server: ids.UpstreamId,
 		address: string,
 		request: control.ServerRequest,
+		group: ids.GroupId,
 	): number {
 		const call = ++this.#callCounter;
-		this.#effects.push({type: 'callServer', call, server, address, request});
+		this.#effects.push({
+			type: 'callServer',
+			call,
+			server,
+			address,
+			request,
+			group,
+			leaderTerm: this.#log.term,
+		});
 		return call;
 	}
 
@@ -462,8 +547,9 @@
 			command,
 			proposal !== undefined,
 		);
-		if (command.type === 'changeTemplate' && result) {
-			this.#runActions(this.#operations.handleApplied(command.change, result));
+		const change = findChange(command);
+		if (change && result) {
+			this.#runActions(this.#operations.handleApplied(change, result));
 		}
 	}
 
@@ -491,3 +577,20 @@
 		});
 	}
 }
+
+function buildCommand(change: types.OperatorChange): control.ControlCommand {
+	return 'type' in change
+		? {type: 'setConfiguration', configuration: change.configuration}
+		: {type: 'changeTemplate', change};
+}
+
+/** The operator's change that a command carries out. */
+function findChange(
+	command: control.ControlCommand,
+): types.OperatorChange | undefined {
+	if (command.type === 'setConfiguration') {
+		return {type: 'configuration', configuration: command.configuration};
+	}
+
+	return command.type === 'changeTemplate' ? command.change : undefined;
+}
--- a/src/common/control/server-sets.ts
+++ b/src/common/control/server-sets.ts
@@ -8,7 +8,6 @@
  * its first write lease waits for the registration window.
  */
 import type * as ids from '../ids.js';
-import type * as types from '../types.js';
 import * as position from '../position.js';
 import type * as control from './types.js';
 import type * as leases from './leases.js';
@@ -16,8 +15,6 @@
 import * as machines from './machine.js';
 import * as timing from './timing.js';
 
-type GroupCommand = Exclude<control.ControlCommand, {type: 'changeTemplate'}>;
-
 /** Progress of a group's set towards its next change. */
 type Guard = {
 	/** `serversChangedAt` of the set that the guard is about. */
@@ -71,7 +68,7 @@
 	}
 
 	/** Proposes at most one command per group. */
-	step(now: number): GroupCommand[] {
+	step(now: number): control.GroupCommand[] {
 		const records = new Map<ids.GroupId, leases.ServerRecord[]>();
 		for (const record of this.table.servers.values()) {
 			const group = record.announcement?.group;
@@ -82,7 +79,7 @@
 			}
 		}
 
-		const commands: GroupCommand[] = [];
+		const commands: control.GroupCommand[] = [];
 		for (const [group, list] of records) {
 			if (!this.hasProposal(group)) {
 				const state = this.machine.getGroup(group);
@@ -102,7 +99,7 @@
 		now: number,
 		group: control.GroupState,
 		records: readonly leases.ServerRecord[],
-	): GroupCommand | undefined {
+	): control.GroupCommand | undefined {
 		if (group.promotion) {
 			return undefined;
 		}
@@ -118,12 +115,17 @@
 			(server) =>
 				this.#isGone(now, server) && machines.canRemoveServer(group, server),
 		);
-		const isFree = this.#registered.has(group.group);
+		// Servers that confirm commits themselves count no majority, so the set may change at once.
+		const isFree =
+			this.#registered.has(group.group) ||
+			records.some(
+				({announcement}) => announcement?.synchronousReplicas !== undefined,
+			);
 		if (added && (isFree || this.#isSettled(now, group))) {
 			return {type: 'addServer', group: group.group, server: added.server};
 		}
 
-		return removed !== undefined && this.#isSettled(now, group)
+		return removed !== undefined && (isFree || this.#isSettled(now, group))
 			? {type: 'removeServer', group: group.group, server: removed}
 			: undefined;
 	}
@@ -188,15 +190,16 @@
 	now: number,
 	group: ids.GroupId,
 	records: readonly leases.ServerRecord[],
-): GroupCommand | undefined {
-	let best: types.Announcement | undefined;
-	for (const {announcement, lastSeenAt} of records) {
+): control.GroupCommand | undefined {
+	let best: PrimaryClaim | undefined;
+	for (const record of records) {
+		const claim = findClaim(record);
 		if (
-			announcement?.role === 'primary' &&
-			now - lastSeenAt <= timing.announcementExpiryMs &&
-			(!best || comparePrimaries(announcement, best) > 0)
+			claim &&
+			now - record.lastSeenAt <= timing.announcementExpiryMs &&
+			(!best || comparePrimaries(claim, best) > 0)
 		) {
-			best = announcement;
+			best = claim;
 		}
 	}
 
@@ -211,10 +214,29 @@
 	);
 }
 
-function comparePrimaries(
-	left: types.Announcement,
-	right: types.Announcement,
-): number {
+type PrimaryClaim = {
+	readonly server: ids.UpstreamId;
+	readonly term: number;
+	readonly position: number;
+};
+
+/** Servers whose announcements carry no term are believed only after their owner polled them. */
+function findClaim({
+	announcement,
+	health,
+}: leases.ServerRecord): PrimaryClaim | undefined {
+	if (announcement?.role !== 'primary') {
+		return undefined;
+	}
+
+	if (announcement.synchronousReplicas === undefined) {
+		return announcement;
+	}
+
+	return health?.status?.role === 'primary' ? health.status : undefined;
+}
+
+function comparePrimaries(left: PrimaryClaim, right: PrimaryClaim): number {
 	return position.comparePositions(
 		{term: left.term, offset: left.position},
 		{term: right.term, offset: right.position},
--- a/src/common/control/timing.ts
+++ b/src/common/control/timing.ts
@@ -71,9 +71,18 @@
 /** With a majority fenced, the other servers get this long to answer before the choice. */
 export const fenceGraceMs = 60;
 
+/**
+ * Servers that confirm commits themselves get this long to tell their position: a call to another
+ * region on a new connection takes four round trips.
+ */
+export const statusGraceMs = 200;
+
 /** A chosen server that was not promoted within this time makes a new term necessary. */
 export const promoteTimeoutMs = 1000;
 
+/** The same limit where the platform of the servers carries the promotion out. */
+export const indirectPromoteTimeoutMs = 3000;
+
 /** A planned change waits at most this long for a replica to catch up. */
 export const catchUpMs = 2000;
 
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -9,6 +9,11 @@
 /** An entry of the replicated log. Applying one never fails; a command that lost a race has no effect. */
 export type ControlCommand =
 	| {readonly type: 'changeTemplate'; readonly change: types.TemplateChange}
+	| {
+			/** Without effect unless its version is above that of the configuration in force. */
+			readonly type: 'setConfiguration';
+			readonly configuration: types.Configuration;
+	  }
 	| {
 			/** First primary of a group; without effect when the group exists. */
 			readonly type: 'registerGroup';
@@ -37,8 +42,16 @@
 			readonly term: number;
 			readonly primary: ids.UpstreamId;
 			readonly termStart: number;
+			/** The term that the server reports, when the group's servers count terms themselves. */
+			readonly serverTerm?: number;
 	  };
 
+/** Commands about one group, which the leader proposes. */
+export type GroupCommand = Exclude<
+	ControlCommand,
+	{type: 'changeTemplate' | 'setConfiguration'}
+>;
+
 /** A promotion between the commits of `beginPromotion` and `completePromotion`. */
 export type Promotion = {
 	readonly term: number;
@@ -82,6 +95,7 @@
 	/** Oldest first. */
 	readonly changes: readonly AnsweredChange[];
 	readonly groups: readonly GroupState[];
+	readonly configuration?: types.Configuration;
 };
 
 /** The replicated log as the control reducer uses it; the consensus reducer implements it. */
@@ -206,7 +220,13 @@
 			readonly now: number;
 			/** Chosen by the adapter to match the answer. */
 			readonly operation: number;
-			readonly change: types.TemplateChange;
+			readonly change: types.OperatorChange;
+	  }
+	| {
+			/** An operator reads the configuration; answered by the leader only. */
+			readonly type: 'configurationReadRequested';
+			readonly now: number;
+			readonly operation: number;
 	  }
 	| {
 			readonly type: 'queryRequested';
@@ -236,12 +256,20 @@
 			readonly server: ids.UpstreamId;
 			readonly address: string;
 			readonly request: ServerRequest;
+			readonly group: ids.GroupId;
+			/** Consensus term of the calling leader; every later leader has a higher one. */
+			readonly leaderTerm: number;
 	  }
 	| {
 			readonly type: 'answerTemplateChange';
 			readonly operation: number;
 			readonly result: types.TemplateChangeResult;
 	  }
+	| {
+			readonly type: 'answerConfigurationRead';
+			readonly operation: number;
+			readonly result: types.ConfigurationReading;
+	  }
 	| {
 			readonly type: 'answerQuery';
 			readonly operation: number;
--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -15,6 +15,8 @@
 const directTimeoutMs = 150;
 const suspicionMs = 1500;
 const indirectProbes = 3;
+/** Peers that hear urgent news without waiting for a probe; covers small fleets whole. */
+const immediatePeers = 16;
 /** Going through all peers in each tick would cost 2% of a core at 2,000 peers. */
 const expiryIntervalMs = 250;
 /** Dead peers are remembered for this long, so that old news does not bring them back. */
@@ -115,6 +117,18 @@
 		this.queue.add(delta);
 	}
 
+	/**
+	 * Tells news to a bounded number of peers at once and puts it on the next probes for the others,
+	 * because a departure has to be known everywhere within seconds.
+	 */
+	spreadNow(delta: membership.Delta): void {
+		for (const peer of this.chooseLivePeers(immediatePeers, undefined)) {
+			this.options.send(peer, {type: 'sync', reply: false, deltas: [delta]});
+		}
+
+		this.spread(delta);
+	}
+
 	/** Asks a peer for everything it knows, for example when a link came up. */
 	startSync(peer: ids.PeerId): void {
 		this.options.send(peer, {
--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -58,6 +58,8 @@
 	readonly role: types.UpstreamRole;
 	readonly term: number;
 	readonly applied: number;
+	/** Term of the last log record, where it can be below `term`. */
+	readonly logTerm?: number;
 	/** Time since the answer of the last status poll, in ms. */
 	readonly answerAgeMs: number;
 	/** Upper bound of the staleness of its data, in ms; `Infinity` without evidence. */
@@ -105,6 +107,8 @@
 			/** Announcements that changed since the leader last confirmed them. */
 			readonly announcements: readonly types.VersionedAnnouncement[];
 			readonly templateVersions: ReadonlyArray<readonly [ids.MemberId, number]>;
+			/** Version of the configuration that is in force at the proxy; 0 without one. */
+			readonly configurationVersion?: number;
 			/** Highest log index of group views and templates that the proxy has applied. */
 			readonly knownIndex: number;
 			/** `ownersVersion` of the last grant that the proxy applied. */
@@ -127,6 +131,8 @@
 			}>;
 			/** Templates that are newer than the proxy's. */
 			readonly templates: readonly types.Template[];
+			/** The configuration, when it is newer than the proxy's. */
+			readonly configuration?: types.Configuration;
 			/** Announcement versions that the leader has stored. */
 			readonly confirmed: ReadonlyArray<readonly [ids.UpstreamId, number]>;
 			readonly appliedIndex: number;
@@ -155,13 +161,17 @@
 
 export type TemplateMessage =
 	| {readonly type: 'templatePush'; readonly template: types.Template}
-	| {readonly type: 'templateFetch'; readonly member: ids.MemberId};
+	| {readonly type: 'templateFetch'; readonly member: ids.MemberId}
+	| {
+			readonly type: 'configurationPush';
+			readonly configuration: types.Configuration;
+	  };
 
 export type OperatorMessage =
 	| {
 			readonly type: 'proposeChange';
 			readonly operation: number;
-			readonly change: types.TemplateChange;
+			readonly change: types.OperatorChange;
 	  }
 	| {
 			readonly type: 'changeResult';
@@ -169,6 +179,16 @@
 			readonly result: types.TemplateChangeResult;
 			/** Set when the receiver is not the leader. */
 			readonly leader?: ids.PeerId;
+	  }
+	| {
+			/** Asks the leader for the configuration in force. */
+			readonly type: 'readConfiguration';
+			readonly operation: number;
+	  }
+	| {
+			readonly type: 'configurationRead';
+			readonly operation: number;
+			readonly result: types.ConfigurationReading;
 	  };
 
 export type ForwardMessage =
--- a/src/common/position.ts
+++ b/src/common/position.ts
@@ -48,6 +48,19 @@
 	});
 }
 
+/**
+ * Lowers a floor of an earlier term to what its promotion kept. Writes beyond the start of the
+ * present term were rolled back, so no server will ever hold them.
+ */
+export function capFloor(
+	floor: types.Position,
+	view: Pick<types.GroupView, 'term' | 'termStart'> | undefined,
+): types.Position {
+	return view && floor.term < view.term && floor.offset > view.termStart
+		? {term: floor.term, offset: view.termStart}
+		: floor;
+}
+
 /**
  * Tells whether a server has applied everything that a session may have seen.
  *
--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -43,7 +43,7 @@
 		this.table.cancelOthers(request, done.attempt);
 		this.updateBinding(session, attempt, done.bound);
 		const isCommit = request.kind !== 'read' && done.position !== undefined;
-		if (done.position) {
+		if (done.position && (isCommit || session.isFloorFromReads)) {
 			session.floor = session.floor
 				? positions.maxPosition(session.floor, done.position)
 				: done.position;
--- a/src/common/proxy/candidates.ts
+++ b/src/common/proxy/candidates.ts
@@ -12,7 +12,6 @@
 import type * as owned from './owned-server.js';
 
 const subscriptionIntervalMs = 3000;
-const reportIntervalMs = 100;
 /** Assumed round trip to an owner in another data centre until one was measured. */
 const defaultRemoteRoundTripMs = 20;
 
@@ -97,7 +96,7 @@
 	/** Renews subscriptions and sends reports when they are due. */
 	handleTick(groups: Iterable<ids.GroupId>): void {
 		const {now} = this.context;
-		if (now - this.lastReportAt < reportIntervalMs) {
+		if (now - this.lastReportAt < this.context.timing.reportIntervalMs) {
 			return;
 		}
 
@@ -149,6 +148,9 @@
 			role: server.status?.role ?? server.announcement.role,
 			term: server.status?.term ?? 0,
 			applied: server.status?.applied ?? 0,
+			...(server.status?.logTerm === undefined
+				? {}
+				: {logTerm: server.status.logTerm}),
 			answerAgeMs: now - (server.lastAnswerAt ?? Number.NEGATIVE_INFINITY),
 			stalenessMs: this.owner.rules.computeStaleness(server),
 			expectedWaitMs: {
@@ -215,7 +217,10 @@
 		return {
 			...base,
 			role: report.role,
-			applied: {term: report.term, offset: report.applied},
+			applied: {
+				term: report.logTerm ?? report.term,
+				offset: report.applied,
+			},
 			stalenessMs: report.writable
 				? report.stalenessMs
 				: report.stalenessMs + ageMs,
--- a/src/common/proxy/context.ts
+++ b/src/common/proxy/context.ts
@@ -25,25 +25,67 @@
 	readonly drainDeadlineMs: number;
 	/** Caller sessions that the process accepts. */
 	readonly maxSessions: number;
+	/**
+	 * True when a session survives the loss of its transaction: the adapter is told with
+	 * `transactionLost` and refuses the rest of the transaction. Otherwise the session is closed.
+	 */
+	readonly keepsLostSessions?: boolean;
+	readonly timing?: Partial<ProxyTiming>;
+};
+
+/** Times of the proxy that depend on the deployment, in ms. */
+export type ProxyTiming = {
+	/** Time that an execution may run past its deadline before its connection is closed. */
+	readonly executionGraceMs: number;
+	/** An attempt without an answer this long after the deadline is given up. */
+	readonly answerGraceMs: number;
+	/** Open transactions get this long to end when control takes a server back. */
+	readonly transactionReleaseMs: number;
+	/** During a drain, new sessions are still accepted for this long. */
+	readonly balancerGraceMs: number;
+	/** Owned servers without work for this long are given up during a drain. */
+	readonly idleOwnerMs: number;
+	/** Interval of the reports from owners to entries. */
+	readonly reportIntervalMs: number;
+};
+
+const defaultTiming: ProxyTiming = {
+	executionGraceMs: 1000,
+	answerGraceMs: 1500,
+	transactionReleaseMs: 20_000,
+	balancerGraceMs: 2000,
+	idleOwnerMs: 3000,
+	reportIntervalMs: 100,
 };
 
 export class ProxyContext {
 	now = 0;
 	effects: proxy.ProxyEffect[] = [];
+	readonly timing: ProxyTiming;
 	private readonly linksUp = new Set<ids.PeerId>();
 	private readonly loopback: messages.PeerMessage[] = [];
 
 	constructor(
 		readonly config: ProxyConfig,
 		readonly random: random.RandomSource,
-	) {}
+	) {
+		this.timing = {...defaultTiming, ...config.timing};
+	}
 
 	emit(effect: proxy.ProxyEffect): void {
 		this.effects.push(effect);
 	}
 
-	log(level: types.LogLevel, part: string, message: string): void {
-		this.effects.push({type: 'log', record: {level, part, message}});
+	log(
+		level: types.LogLevel,
+		part: string,
+		message: string,
+		fields?: types.LogRecord['fields'],
+	): void {
+		this.effects.push({
+			type: 'log',
+			record: {level, part, message, ...(fields ? {fields} : {})},
+		});
 	}
 
 	count(name: proxy.CounterName, amount = 1): void {
--- a/src/common/proxy/directory.ts
+++ b/src/common/proxy/directory.ts
@@ -2,6 +2,7 @@
  * What the proxy knows of groups, servers and their owners. Announcements come from servers and
  * from peers; group views and owners come from control; reports come from owners.
  */
+import * as announcements from '../announcement.js';
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
 import type * as types from '../types.js';
@@ -96,15 +97,14 @@
 			return undefined;
 		}
 
-		const departing =
-			announcement.departing ||
-			(known?.announcement.departing === true &&
-				known.announcement.startedAt === announcement.startedAt);
-		const current = {...announcement, departing};
+		const current = announcements.keepDeparture(
+			announcement,
+			known?.announcement,
+		);
 		const age = wallClock - (known?.announcement.version ?? 0);
 		const isNews =
 			known === undefined ||
-			hasChanged(known.announcement, current) ||
+			announcements.hasChanged(known.announcement, current) ||
 			age >= refreshIntervalMs;
 		const isUnowned =
 			!this.owners.has(announcement.server) && age >= unownedIntervalMs;
@@ -212,21 +212,3 @@
 		servers.add(server);
 	}
 }
-
-/** Position is left out: it changes with every write and owners report it. */
-function hasChanged(
-	old: types.Announcement,
-	current: types.Announcement,
-): boolean {
-	return (
-		old.group !== current.group ||
-		old.address !== current.address ||
-		old.dataCentre !== current.dataCentre ||
-		old.role !== current.role ||
-		old.term !== current.term ||
-		old.slots !== current.slots ||
-		old.connectionLimit !== current.connectionLimit ||
-		old.departing !== current.departing ||
-		old.startedAt !== current.startedAt
-	);
-}
--- a/src/common/proxy/drain.ts
+++ b/src/common/proxy/drain.ts
@@ -8,13 +8,6 @@
 import type * as owner from './owner.js';
 
 const part = 'drain';
-/** The balancer needs this long to see the health answer; until then new sessions are accepted. */
-const balancerGraceMs = 2000;
-/**
- * Owned servers without work for this long are given up, although control has not moved them: when
- * all proxies stop together, nobody is left to take them.
- */
-const idleLimitMs = 3000;
 
 export class DrainController {
 	private startedAt: number | undefined;
@@ -38,7 +31,7 @@
 	get isRefusing(): boolean {
 		return (
 			this.startedAt !== undefined &&
-			this.context.now - this.startedAt >= balancerGraceMs
+			this.context.now - this.startedAt >= this.context.timing.balancerGraceMs
 		);
 	}
 
@@ -59,8 +52,10 @@
 		const isLate = elapsed >= this.context.config.drainDeadlineMs;
 		this.entry.closeIdleSessions(isLate);
 		const hasSessions = this.entry.sessions.size > 0;
+		// When all proxies stop together, control has nobody to move the servers to.
 		const isGivenUp =
-			this.owner.servers.size === 0 || this.computeIdleTime() >= idleLimitMs;
+			this.owner.servers.size === 0 ||
+			this.computeIdleTime() >= this.context.timing.idleOwnerMs;
 		const hasWork = this.entry.inFlight > 0;
 		if ((!hasSessions && isGivenUp) || (isLate && !hasWork)) {
 			this.isDone = true;
--- a/src/common/proxy/entry-replies.ts
+++ b/src/common/proxy/entry-replies.ts
@@ -51,6 +51,15 @@
 
 	/** Ends a session whose transaction or session state is gone, so that the caller notices. */
 	endLostSession(session: entryState.Session): void {
+		if (this.context.config.keepsLostSessions === true) {
+			this.context.emit({
+				type: 'transactionLost',
+				session: session.id,
+				message: 'the transaction was rolled back because its connection is gone',
+			});
+			return;
+		}
+
 		this.context.emit({
 			type: 'closeSession',
 			session: session.id,
--- a/src/common/proxy/entry-state.ts
+++ b/src/common/proxy/entry-state.ts
@@ -14,7 +14,12 @@
 export type Session = {
 	readonly id: ids.SessionId;
 	readonly member: ids.MemberId;
-	readonly group: ids.GroupId;
+	/** Follows the route of the member from one transaction to the next. */
+	group: ids.GroupId;
+	/** False when only writes of the session raise its floor. */
+	readonly isFloorFromReads: boolean;
+	/** Parameters of the open transaction, which a change of the route does not touch. */
+	parameters: types.TemplateParameters | undefined;
 	/** Undefined until the current position was read for a session without a token. */
 	floor: types.Position | undefined;
 	binding: SessionBinding | undefined;
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -20,9 +20,6 @@
 import type * as templateStore from './template-store.js';
 import type * as proxy from './types.js';
 
-/** An attempt without an answer this long after the deadline is given up. */
-const answerGraceMs = 1500;
-
 export type EntryServices = {
 	readonly routing: policy.RoutingPolicy;
 	readonly retryBudget: policy.RetryBudget;
@@ -100,13 +97,15 @@
 		this.sessions.set(id, {
 			id,
 			member: attributes.member,
-			group: attributes.group,
+			group: this.templates.getGroup(attributes.member) ?? attributes.group,
+			isFloorFromReads: attributes.isFloorFromWrites !== true,
+			parameters: undefined,
 			floor: attributes.token,
 			binding: undefined,
 			request: undefined,
 			idleSince: this.context.now,
 		});
-		this.candidates.subscribe(attributes.group);
+		this.candidates.subscribe(this.sessions.get(id)!.group);
 	}
 
 	closeSession(id: ids.SessionId): void {
@@ -158,7 +157,7 @@
 			return;
 		}
 
-		const parameters = this.templates.getParameters(session.member);
+		const parameters = this.updateRoute(session);
 		const request = this.createRequest(session, event, parameters);
 		this.table.addRequest(request);
 		if (!parameters) {
@@ -183,6 +182,14 @@
 		this.router.routeRequest(request);
 	}
 
+	/** Frees the connection of a transaction that its caller rolled back. */
+	abandonTransaction(id: ids.SessionId): void {
+		const session = this.sessions.get(id);
+		if (session && !session.request) {
+			this.releaseRemote(session);
+		}
+	}
+
 	handleCancel(id: ids.SessionId): void {
 		const request = this.sessions.get(id)?.request;
 		if (!request) {
@@ -361,6 +368,18 @@
 		}
 	}
 
+	/** Takes the member's route as it is now, unless a transaction is open. */
+	private updateRoute(
+		session: entryState.Session,
+	): types.TemplateParameters | undefined {
+		if (!session.binding) {
+			session.parameters = this.templates.getParameters(session.member);
+			session.group = this.templates.getGroup(session.member) ?? session.group;
+		}
+
+		return session.parameters;
+	}
+
 	private checkSession(
 		attributes: proxy.SessionAttributes,
 	): {reason: types.RefusalReason; message: string} | undefined {
@@ -422,7 +441,7 @@
 		hedgeDelay: number,
 	): void {
 		const {now} = this.context;
-		if (now > request.deadlineAt + answerGraceMs) {
+		if (now > request.deadlineAt + this.context.timing.answerGraceMs) {
 			for (const attempt of request.attempts.values()) {
 				this.table.removeAttempt(request, attempt.id);
 				this.context.send(attempt.owner, {
--- a/src/common/proxy/executor.ts
+++ b/src/common/proxy/executor.ts
@@ -5,6 +5,7 @@
 import {assertNever} from '../assert-never.js';
 import type * as ids from '../ids.js';
 import type * as policy from '../policy/types.js';
+import type * as types from '../types.js';
 import type * as bindingTable from './binding-table.js';
 import type * as context from './context.js';
 import * as owned from './owned-server.js';
@@ -14,8 +15,8 @@
 import type * as proxy from './types.js';
 
 const part = 'owner';
-/** Time that an execution may run past its deadline before its connection is closed. */
-const executionGraceMs = 1000;
+/** Opening or resetting a connection takes longer than this only when the server is silent. */
+const connectionLimitMs = 2000;
 
 export class Executor {
 	private readonly running = new Map<ids.ConnectionId, owned.OwnedServer>();
@@ -99,6 +100,7 @@
 			kind: request.kind,
 			payload: request.payload,
 			inTransaction: connection.binding?.inTransaction ?? false,
+			...this.buildPositionCheck(server, connection, request.kind),
 			sink: isLocal
 				? {type: 'session', attempt: request.attempt}
 				: {type: 'peer', peer: origin, attempt: request.attempt},
@@ -164,13 +166,14 @@
 
 	closeOverdueExecutions(server: owned.OwnedServer): void {
 		const {now} = this.context;
+		const {executionGraceMs} = this.context.timing;
 		for (const connection of server.connections.values()) {
 			const isOverdue =
 				connection.item !== undefined &&
 				now > connection.item.deadlineAt + executionGraceMs;
 			const isStuck =
 				(connection.state === 'resetting' || connection.state === 'opening') &&
-				now - connection.stateSince > 2 * executionGraceMs;
+				now - connection.stateSince > connectionLimitMs;
 			if (isOverdue || isStuck) {
 				this.context.log(
 					'warn',
@@ -206,6 +209,11 @@
 				return;
 			}
 
+			case 'refused': {
+				this.handleRefused(server, connection, item, outcome);
+				return;
+			}
+
 			case 'lost': {
 				this.pool.removeConnection(server, connection);
 				this.context.count('connectionsLost');
@@ -238,6 +246,41 @@
 		}
 	}
 
+	/** The connection stays usable: the server refused before it executed anything. */
+	private handleRefused(
+		server: owned.OwnedServer,
+		connection: owned.Connection,
+		item: owned.OwnerItem,
+		outcome: Extract<proxy.ExecutionOutcome, {type: 'refused'}>,
+	): void {
+		if (
+			outcome.reason === 'tooStale' ||
+			outcome.reason === 'readOnlyServer'
+		) {
+			// Its log went back or it lost the lead, so what earlier answers said is void.
+			server.forgetPosition();
+		} else {
+			server.lastAnswerAt = this.context.now;
+		}
+
+		this.finishConnection(server, connection, false);
+		this.replies.refuseItem(item, outcome.reason, outcome.message);
+	}
+
+	/** A server whose log went back must not serve what it held at its last answer. */
+	private buildPositionCheck(
+		server: owned.OwnedServer,
+		connection: owned.Connection,
+		kind: proxy.RequestKind,
+	): {after?: types.Position} {
+		const isStart =
+			kind === 'read' || kind === 'begin' || kind === 'beginReadOnly';
+		const applied = server.getApplied();
+		return isStart && server.isSelfConfirming && !connection.binding && applied
+			? {after: applied}
+			: {};
+	}
+
 	private handleAnswered(
 		server: owned.OwnedServer,
 		connection: owned.Connection,
@@ -246,6 +289,10 @@
 		startedAt: number,
 	): void {
 		const {request} = item;
+		if (outcome.position) {
+			server.recordPosition(outcome.position, this.context.now);
+		}
+
 		const wasBound = connection.binding !== undefined;
 		const wasReadOnly =
 			connection.binding?.readOnly ??
@@ -266,6 +313,11 @@
 		const mayHaveCommitted =
 			outcome.transactionStatus === 'idle' &&
 			owned.canCommit(request.kind, wasReadOnly);
+		if (mayHaveCommitted && server.isSelfConfirming) {
+			this.finishCommit(server, item, outcome, queueMs, isBound);
+			return;
+		}
+
 		if (mayHaveCommitted && server.writeTerm !== undefined) {
 			server.acknowledgements.push({
 				item,
@@ -302,6 +354,35 @@
 		});
 	}
 
+	/** Passes on the acknowledgement of a server that needs no confirmation by its replicas. */
+	private finishCommit(
+		server: owned.OwnedServer,
+		item: owned.OwnerItem,
+		outcome: Extract<proxy.ExecutionOutcome, {type: 'answered'}>,
+		queueMs: number,
+		isBound: boolean,
+	): void {
+		if (!this.rules.holdsWriteLease(server)) {
+			this.replies.finishUnknown(item, 'the write lease ended', outcome);
+			return;
+		}
+
+		this.context.send(item.origin, {
+			type: 'forwardDone',
+			attempt: item.request.attempt,
+			verdict: 'completed',
+			tail: outcome.tail,
+			relayed: outcome.relayed,
+			transactionStatus: outcome.transactionStatus,
+			bound: isBound,
+			queueMs,
+			servedBy: 'primary',
+			...(outcome.position && outcome.sqlState === undefined
+				? {position: outcome.position}
+				: {}),
+		});
+	}
+
 	/** Binds, keeps or frees the connection after an answer; returns whether the session is bound. */
 	private updateBinding(
 		server: owned.OwnedServer,
--- a/src/common/proxy/lease-client.ts
+++ b/src/common/proxy/lease-client.ts
@@ -17,6 +17,10 @@
 	listOwned(): messages.OwnedServer[];
 	listAnnouncements(): types.VersionedAnnouncement[];
 	listTemplateVersions(): Array<readonly [ids.MemberId, number]>;
+	/** Version of the configuration in force; 0 without one. */
+	getConfigurationVersion(): number;
+	/** Control peers that may lead, as far as this proxy knows. */
+	listControlPeers(): ReadonlyArray<ids.PeerId>;
 	isDraining(): boolean;
 };
 
@@ -78,6 +82,7 @@
 			// Control goes by `knownIndex`; the versions only save the first full transfer.
 			templateVersions:
 				this.knownIndex === 0 ? this.source.listTemplateVersions() : [],
+			configurationVersion: this.source.getConfigurationVersion(),
 			knownIndex: this.knownIndex,
 			...(this.ownersVersion ? {knownOwners: this.ownersVersion} : {}),
 		});
@@ -141,9 +146,8 @@
 	}
 
 	private getCandidate(): ids.PeerId | undefined {
-		const {controlPeers} = this.context.config;
-		return controlPeers[this.candidate % Math.max(1, controlPeers.length)]
-			?.peer;
+		const peers = this.source.listControlPeers();
+		return peers[this.candidate % Math.max(1, peers.length)];
 	}
 
 	private chooseNextCandidate(): void {
--- a/src/common/proxy/owned-server.ts
+++ b/src/common/proxy/owned-server.ts
@@ -5,6 +5,7 @@
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
 import type * as policy from '../policy/types.js';
+import * as positions from '../position.js';
 import type * as types from '../types.js';
 import * as evidence from './evidence.js';
 import type * as proxy from './types.js';
@@ -83,6 +84,7 @@
 	pollInFlight = false;
 	lastPollAt = Number.NEGATIVE_INFINITY;
 	markRequested = false;
+	lastMarkAt = Number.NEGATIVE_INFINITY;
 	/** Term of the write lease; undefined when this proxy must not acknowledge writes. */
 	writeTerm: number | undefined;
 	/** Set while the write lease is being given back: no new writes start. */
@@ -113,6 +115,14 @@
 	 * stay within the limit.
 	 */
 	get poolLimit(): number {
+		if (this.isSelfConfirming) {
+			// These servers end connections whose remote end is gone, so the whole limit can be used.
+			return Math.max(
+				1,
+				this.announcement.connectionLimit - reservedConnections - 1,
+			);
+		}
+
 		return Math.max(
 			1,
 			Math.floor(
@@ -121,6 +131,11 @@
 		);
 	}
 
+	/** True when the server's own acknowledgement of a commit is final. */
+	get isSelfConfirming(): boolean {
+		return this.announcement.synchronousReplicas !== undefined;
+	}
+
 	/** Connections that sessions may hold without blocking everybody else. */
 	get boundLimit(): number {
 		return Math.max(1, this.poolLimit - this.announcement.slots);
@@ -177,13 +192,43 @@
 		this.majorityOffset = majorityOffset;
 	}
 
-	/** The applied position as of the last poll. */
+	/** The applied position as of the last answer. */
 	getApplied(): types.Position | undefined {
 		return this.status
-			? {term: this.status.term, offset: this.status.applied}
+			? {
+					term: this.status.logTerm ?? this.status.term,
+					offset: this.status.applied,
+				}
 			: undefined;
 	}
 
+	/** Takes the log position that came with the answer to a request. */
+	recordPosition(position: types.Position, now: number): void {
+		this.lastAnswerAt = now;
+		const applied = this.getApplied();
+		if (
+			!this.status ||
+			!applied ||
+			positions.comparePositions(position, applied) < 0
+		) {
+			return;
+		}
+
+		this.status = {
+			...this.status,
+			logTerm: position.term,
+			applied: position.offset,
+			position: Math.max(this.status.position, position.offset),
+		};
+		this.evidence.recordApplied(position);
+	}
+
+	/** Forgets what the server held, until it is polled again. */
+	forgetPosition(): void {
+		this.status = undefined;
+		this.evidence.clear();
+	}
+
 	setState(connection: Connection, state: ConnectionState, now: number): void {
 		connection.state = state;
 		connection.stateSince = now;
--- a/src/common/proxy/owner.ts
+++ b/src/common/proxy/owner.ts
@@ -226,6 +226,12 @@
 			return;
 		}
 
+		if (server.isSelfConfirming) {
+			// Every commit of the term was acknowledged through this owner, after its position was seen.
+			this.replies.answerFloor(waiter, server.getApplied());
+			return;
+		}
+
 		server.floorWaiters.push(waiter);
 	}
 
--- a/src/common/proxy/ownership.ts
+++ b/src/common/proxy/ownership.ts
@@ -17,8 +17,6 @@
 const silentPrimaryMs = 300;
 /** Running requests get this long to finish before ownership is given back. */
 const ownershipReleaseLimitMs = 5000;
-/** Open transactions get this long to end before; it stays below the drain deadline. */
-const transactionReleaseLimitMs = 20_000;
 
 export class OwnershipKeeper {
 	/** Grants for servers whose announcement has not arrived yet. */
@@ -216,7 +214,7 @@
 			return;
 		}
 
-		const isLate = now - releaseRequestedAt > transactionReleaseLimitMs;
+		const isLate = now - releaseRequestedAt > this.context.timing.transactionReleaseMs;
 		if (server.countBound() === 0 || isLate) {
 			server.releasingSince = now;
 			server.releasingWriteSince ??= now;
--- a/src/common/proxy/poller.ts
+++ b/src/common/proxy/poller.ts
@@ -11,6 +11,8 @@
 import type * as positionClient from './position-client.js';
 
 const pollIntervalMs = 100;
+/** Marks only have to be much younger than the staleness that reads tolerate. */
+const markIntervalMs = 250;
 /** Time between two polls while a commit waits for the replicas. */
 const confirmationDelayMs = 2;
 /** A poll without an answer for this long is taken as lost. */
@@ -32,13 +34,38 @@
 				server.pollInFlight = false;
 			}
 
-			if (now - server.lastPollAt >= pollIntervalMs) {
+			if (server.isSelfConfirming) {
+				this.pollQuiet(server);
+			} else if (now - server.lastPollAt >= pollIntervalMs) {
 				this.startPoll(server, 0);
 				this.requestMark(server);
 			}
 		}
 	}
 
+	/**
+	 * Polls a server only while its answers to requests say too little: each poll occupies a slot.
+	 * Only a poll tells the role, so a primary is polled until it confirms the term of the lease.
+	 */
+	private pollQuiet(server: owned.OwnedServer): void {
+		const {now} = this.context;
+		const {status, writeTerm} = server;
+		const isConfirmed =
+			status !== undefined &&
+			(writeTerm === undefined ||
+				(status.role === 'primary' && status.term === writeTerm));
+		const quietMs =
+			now - Math.max(server.lastPollAt, isConfirmed ? (server.lastAnswerAt ?? 0) : 0);
+		if (quietMs >= pollIntervalMs) {
+			this.startPoll(server, 0);
+		}
+
+		if (now - server.lastMarkAt >= markIntervalMs) {
+			server.lastMarkAt = now;
+			this.requestMark(server);
+		}
+	}
+
 	/** Polls at once when commits or floor requests wait for a poll that covers them. */
 	handleWork(server: owned.OwnedServer): void {
 		const needsCover =
@@ -72,7 +99,7 @@
 		}
 
 		server.evidence.recordApplied({
-			term: status.term,
+			term: status.logTerm ?? status.term,
 			offset: status.applied,
 		});
 		const view = this.directory.groups.get(server.group);
@@ -84,6 +111,14 @@
 		}
 	}
 
+	handleRefused(serverId: ids.UpstreamId): void {
+		const server = this.owner.servers.get(serverId);
+		if (server) {
+			server.pollInFlight = false;
+			server.lastAnswerAt = this.context.now;
+		}
+	}
+
 	handleFailed(serverId: ids.UpstreamId): void {
 		const server = this.owner.servers.get(serverId);
 		if (server) {
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -34,6 +34,7 @@
 export type ProxyServices = entry.EntryServices &
 	owner.OwnerServices & {
 		readonly parseTemplate: templateStore.TemplateParser;
+		readonly parseConfiguration?: templateStore.ConfigurationParser;
 	};
 
 export class ProxyReducer {
@@ -61,7 +62,10 @@
 		randomSource: random.RandomSource,
 	) {
 		this.context = new context.ProxyContext(config, randomSource);
-		this.templates = new templateStore.TemplateStore(services.parseTemplate);
+		this.templates = new templateStore.TemplateStore(
+			services.parseTemplate,
+			services.parseConfiguration,
+		);
 		this.directory = new directory.Directory(this.context);
 		this.membership = new peerView.PeerView(
 			this.context,
@@ -73,6 +77,8 @@
 				this.ownership.listOwned(this.lease.isValid(this.context.now)),
 			listAnnouncements: () => this.directory.listUnconfirmed(),
 			listTemplateVersions: () => this.templates.listVersions(),
+			getConfigurationVersion: () => this.templates.configuration?.version ?? 0,
+			listControlPeers: () => this.listControlPeers(),
 			isDraining: () => this.drain.isDraining,
 		});
 		this.owner = new owner.Owner(
@@ -180,6 +186,11 @@
 				return;
 			}
 
+			case 'transactionAbandoned': {
+				this.entry.abandonTransaction(event.session);
+				return;
+			}
+
 			case 'requestArrived': {
 				this.entry.handleRequest(event);
 				return;
@@ -231,6 +242,11 @@
 				return;
 			}
 
+			case 'pollRefused': {
+				this.poller.handleRefused(event.server);
+				return;
+			}
+
 			case 'pollFailed': {
 				this.poller.handleFailed(event.server);
 				return;
@@ -355,6 +371,11 @@
 				return;
 			}
 
+			case 'configurationPush': {
+				this.mergeConfiguration(message.configuration);
+				return;
+			}
+
 			case 'changeResult': {
 				this.operators.handleResult(message);
 				return;
@@ -371,6 +392,8 @@
 			case 'renewLease':
 			case 'leaseReleased':
 			case 'proposeChange':
+			case 'readConfiguration':
+			case 'configurationRead':
 			case 'preVote':
 			case 'vote':
 			case 'preVoteReply':
@@ -453,6 +476,10 @@
 			this.mergeTemplate(template);
 		}
 
+		if (grant.configuration) {
+			this.mergeConfiguration(grant.configuration);
+		}
+
 		this.ownership.applyGrants(from, grant.owned);
 		for (const server of this.owner.servers.values()) {
 			this.owner.dispatcher.dispatchNext(server);
@@ -476,6 +503,32 @@
 		}
 	}
 
+	private mergeConfiguration(configuration: types.Configuration): void {
+		const before = this.templates.configuration?.version ?? 0;
+		if (this.templates.mergeConfiguration(configuration)) {
+			this.context.count('templateUpdates');
+			this.context.log('info', part, 'A configuration is in force', {
+				version: configuration.version,
+				before,
+				members: this.templates.routes?.members.size,
+			});
+		}
+	}
+
+	/** The configured control peers and those that membership found, each once. */
+	private listControlPeers(): ids.PeerId[] {
+		const peers = new Set(
+			this.context.config.controlPeers.map(({peer}) => peer),
+		);
+		for (const state of this.membership.listLivePeers()) {
+			if (state.role === 'control') {
+				peers.add(state.peer);
+			}
+		}
+
+		return [...peers];
+	}
+
 	private mergeTemplate(template: types.Template): void {
 		if (!this.templates.mergeTemplate(template)) {
 			return;
--- a/src/common/proxy/request-router.ts
+++ b/src/common/proxy/request-router.ts
@@ -93,7 +93,10 @@
 				group: session.group,
 				needsPrimary: entryState.needsPrimary(request.kind),
 				rank: request.rank,
-				floor: session.floor ?? positions.zeroPosition,
+				floor: positions.capFloor(
+					session.floor ?? positions.zeroPosition,
+					view,
+				),
 				termStart: view?.termStart ?? 0,
 				stalenessMs: request.stalenessMs,
 				dataCentre: this.context.config.dataCentre,
--- a/src/common/proxy/serving-rules.ts
+++ b/src/common/proxy/serving-rules.ts
@@ -28,13 +28,19 @@
 		);
 	}
 
+	/** True while no other proxy can send writes to the group or acknowledge them. */
+	holdsWriteLease(server: owned.OwnedServer): boolean {
+		return (
+			server.writeTerm !== undefined && this.lease.isValid(this.context.now)
+		);
+	}
+
 	/** True while this proxy may send writes to the server and acknowledge them. */
 	isWritable(server: owned.OwnedServer): boolean {
 		return (
-			server.writeTerm !== undefined &&
+			this.holdsWriteLease(server) &&
 			server.releasingWriteSince === undefined &&
 			!this.hasDeparted(server) &&
-			this.lease.isValid(this.context.now) &&
 			server.status?.role === 'primary' &&
 			server.status.term === server.writeTerm
 		);
@@ -79,11 +85,11 @@
 			return 'tooStale';
 		}
 
-		const termStart =
-			this.directory.groups.get(server.group)?.termStart ?? Infinity;
+		const view = this.directory.groups.get(server.group);
+		const floor = request.floor && positions.capFloor(request.floor, view);
 		if (
-			request.floor &&
-			!positions.isFloorReached(request.floor, applied, termStart)
+			floor &&
+			!positions.isFloorReached(floor, applied, view?.termStart ?? Infinity)
 		) {
 			return 'tooStale';
 		}
--- a/src/common/proxy/template-store.ts
+++ b/src/common/proxy/template-store.ts
@@ -15,13 +15,46 @@
 	readonly parameters: types.TemplateParameters;
 };
 
+/** Turns the text of a configuration into routes; undefined when the text is not valid. */
+export type ConfigurationParser = (text: string) => types.RouteSet | undefined;
+
 export class TemplateStore {
+	/** Routes of the configuration in force; they go before templates. */
+	routes: types.RouteSet | undefined;
+	configuration: types.Configuration | undefined;
 	private readonly templates = new Map<ids.MemberId, StoredTemplate>();
 
-	constructor(private readonly parse: TemplateParser) {}
+	constructor(
+		private readonly parse: TemplateParser,
+		private readonly parseConfiguration: ConfigurationParser = () => undefined,
+	) {}
 
 	getParameters(member: ids.MemberId): types.TemplateParameters | undefined {
-		return this.templates.get(member)?.parameters;
+		return (
+			this.routes?.members.get(member)?.parameters ??
+			this.templates.get(member)?.parameters
+		);
+	}
+
+	/** The group that the configuration names for a member. */
+	getGroup(member: ids.MemberId): ids.GroupId | undefined {
+		return this.routes?.members.get(member)?.group;
+	}
+
+	/** Returns true when the configuration was newer than the one in force and replaced it. */
+	mergeConfiguration(configuration: types.Configuration): boolean {
+		if ((this.configuration?.version ?? 0) >= configuration.version) {
+			return false;
+		}
+
+		const routes = this.parseConfiguration(configuration.text);
+		if (routes === undefined) {
+			return false;
+		}
+
+		this.configuration = configuration;
+		this.routes = routes;
+		return true;
 	}
 
 	getVersion(member: ids.MemberId): number {
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -31,6 +31,10 @@
 		readonly name: string;
 		readonly parse: Uint8Array;
 	}>;
+	/** Opens a transaction before the statement, for callers whose BEGIN was answered by the entry. */
+	readonly opens?: 'begin' | 'beginReadOnly';
+	/** Session values that the connection must have, no more and no fewer. */
+	readonly values?: ReadonlyArray<readonly [name: string, value: string]>;
 };
 
 /** What a caller asked for with startup parameters, SET or a statement comment. */
@@ -47,6 +51,11 @@
 	readonly member: ids.MemberId;
 	readonly group: ids.GroupId;
 	readonly token?: types.Position;
+	/**
+	 * True when the session needs its own writes but not monotonic reads, so that the position of a
+	 * read does not raise the session floor.
+	 */
+	readonly isFloorFromWrites?: boolean;
 };
 
 export type TransactionStatus = 'idle' | 'inTransaction' | 'failed';
@@ -62,6 +71,14 @@
 			readonly transactionStatus: TransactionStatus;
 			/** SQLSTATE of the first ErrorResponse. */
 			readonly sqlState?: string;
+			/** Log position that the server reported with the answer. */
+			readonly position?: types.Position;
+	  }
+	| {
+			/** The server refused before it executed anything; the connection is idle. */
+			readonly type: 'refused';
+			readonly reason: types.RefusalReason;
+			readonly message: string;
 	  }
 	| {
 			/** `claim_key` answered 23505: the statement was not executed; the connection is idle. */
@@ -108,6 +125,12 @@
 			readonly now: number;
 			readonly session: ids.SessionId;
 	  }
+	| {
+			/** The caller rolled its transaction back and was answered; the connection is to be freed. */
+			readonly type: 'transactionAbandoned';
+			readonly now: number;
+			readonly session: ids.SessionId;
+	  }
 	| {
 			readonly type: 'requestArrived';
 			readonly now: number;
@@ -178,6 +201,13 @@
 			readonly sentAt: number;
 			readonly status: types.UpstreamStatus;
 	  }
+	| {
+			/** The server is too busy for a status; it answers, so it is alive. */
+			readonly type: 'pollRefused';
+			readonly now: number;
+			readonly server: ids.UpstreamId;
+			readonly sentAt: number;
+	  }
 	| {
 			readonly type: 'pollFailed';
 			readonly now: number;
@@ -228,6 +258,12 @@
 			readonly message: string;
 			readonly transactionStatus: TransactionStatus;
 	  }
+	| {
+			/** The transaction of an idle session was rolled back; see `ProxyConfig.keepsLostSessions`. */
+			readonly type: 'transactionLost';
+			readonly session: ids.SessionId;
+			readonly message: string;
+	  }
 	| {
 			/** Write a FATAL ErrorResponse and close the caller's connection. */
 			readonly type: 'closeSession';
@@ -261,6 +297,8 @@
 			readonly claimKey?: string;
 			/** True when the connection is inside a transaction of the session. */
 			readonly inTransaction: boolean;
+			/** The server must refuse the request when its log lacks this position. */
+			readonly after?: types.Position;
 			readonly sink: Sink;
 	  }
 	| {
--- /dev/null
+++ b/src/common/session/prepared-name.ts
@@ -0,0 +1,16 @@
+/**
+ * The names of prepared statements on server connections. Equal definitions get equal names, so
+ * that sessions which share a connection share the statement.
+ */
+import type * as session from './types.js';
+
+/** Builds the name of a prepared statement from its definition. */
+export function buildPreparedName(
+	definition: session.PreparedDefinition,
+): string {
+	const shape = definition.shape.replaceAll(
+		/[^A-Za-z0-9]/gv,
+		(character) => `_${character.codePointAt(0)!.toString(16)}_`,
+	);
+	return `${definition.kind}_${shape}`;
+}
--- /dev/null
+++ b/src/common/session/session.ts
@@ -0,0 +1,245 @@
+/**
+ * The state of one caller's session, without any codec: its transaction, session values and
+ * prepared statements. BEGIN is answered by the entry and carried out together with the first
+ * statement, which saves a round trip to the owner and holds no connection in between.
+ */
+import {assertNever} from '../assert-never.js';
+import type * as proxy from '../proxy/types.js';
+import type * as session from './types.js';
+
+/** Values and prepared statements of one session; bounds what a caller can make an entry hold. */
+const maxSessionItems = 256;
+
+export class Session {
+	transaction: session.TransactionState = 'none';
+	readonly values = new Map<string, string>();
+	/** Monotonic time since which the open transaction has been idle. */
+	idleSince = 0;
+	private readonly prepared = new Map<string, session.PreparedDefinition>();
+	private isReadOnly = false;
+	private hasWritten = false;
+
+	/** Status that an answer to the caller carries. */
+	get status(): proxy.TransactionStatus {
+		switch (this.transaction) {
+			case 'none': {
+				return 'idle';
+			}
+
+			case 'deferred':
+			case 'open':
+			case 'lost': {
+				return 'inTransaction';
+			}
+
+			case 'failed': {
+				return 'failed';
+			}
+
+			default: {
+				return assertNever(this.transaction);
+			}
+		}
+	}
+
+	/** Decides what to do with a statement, and applies what needs no server. */
+	planStatement(statement: session.Statement): session.StatementPlan {
+		if (this.transaction === 'lost') {
+			return this.planLost(statement);
+		}
+
+		if (this.transaction === 'failed') {
+			return this.planFailed(statement);
+		}
+
+		switch (statement.type) {
+			case 'begin': {
+				return this.planBegin(statement.isReadOnly);
+			}
+
+			case 'commit': {
+				return this.planCommit();
+			}
+
+			case 'rollback': {
+				return this.planRollback();
+			}
+
+			case 'read':
+			case 'write': {
+				return this.planWork(statement.type, undefined);
+			}
+
+			case 'execute': {
+				const definition = this.prepared.get(statement.name);
+				return definition
+					? this.planWork(definition.kind, definition)
+					: this.refuse('notPrepared');
+			}
+
+			case 'prepare': {
+				return this.keep(this.prepared, statement.name, statement.definition);
+			}
+
+			case 'deallocate': {
+				return this.prepared.delete(statement.name)
+					? {type: 'answer'}
+					: this.refuse('notPrepared');
+			}
+
+			case 'set': {
+				return this.keep(this.values, statement.name, statement.value);
+			}
+
+			case 'unknown': {
+				return this.refuse('malformed');
+			}
+
+			default: {
+				return assertNever(statement);
+			}
+		}
+	}
+
+	/** Takes the answer to a forwarded statement. */
+	handleAnswer(
+		plan: Extract<session.StatementPlan, {type: 'forward'}>,
+		status: proxy.TransactionStatus,
+	): void {
+		this.hasWritten = status === 'inTransaction' && (this.hasWritten || plan.kind === 'write' || plan.prepared?.kind === 'write');
+		this.transaction =
+			status === 'idle' ? 'none' : status === 'failed' ? 'failed' : 'open';
+	}
+
+	/** Takes the refusal of a forwarded statement; a transaction does not survive it. */
+	handleRefusal(
+		plan: Extract<session.StatementPlan, {type: 'forward'}>,
+	): void {
+		this.transaction =
+			this.transaction === 'none' || plan.kind === 'commit' ? 'none' : 'failed';
+	}
+
+	/** The server's side of the transaction is gone while no statement is running. */
+	handleLoss(): void {
+		if (this.transaction === 'open') {
+			this.transaction = 'lost';
+		}
+	}
+
+	/**
+	 * Tells whether a forwarded statement whose outcome is unknown may have changed anything. A
+	 * transaction without its COMMIT, and whatever only reads, leaves nothing behind.
+	 */
+	mayHaveChanged(
+		plan: Extract<session.StatementPlan, {type: 'forward'}>,
+	): boolean {
+		return (
+			(plan.kind === 'commit' && this.hasWritten) ||
+			(plan.kind === 'write' && this.transaction === 'none')
+		);
+	}
+
+	private planBegin(isReadOnly: boolean): session.StatementPlan {
+		if (this.transaction !== 'none') {
+			return this.refuse('malformed');
+		}
+
+		this.transaction = 'deferred';
+		this.isReadOnly = isReadOnly;
+		this.hasWritten = false;
+		return {type: 'answer'};
+	}
+
+	private planCommit(): session.StatementPlan {
+		if (this.transaction === 'none') {
+			return this.refuse('malformed');
+		}
+
+		if (this.transaction === 'deferred') {
+			// An empty transaction: a server has to run the COMMIT for its answer to count.
+			return {
+				type: 'forward',
+				kind: this.isReadOnly ? 'beginReadOnly' : 'begin',
+				opens: this.isReadOnly ? 'beginReadOnly' : 'begin',
+				prepared: undefined,
+			};
+		}
+
+		return {
+			type: 'forward',
+			kind: 'commit',
+			opens: undefined,
+			prepared: undefined,
+		};
+	}
+
+	private planRollback(): session.StatementPlan {
+		const {transaction} = this;
+		if (transaction === 'none') {
+			return this.refuse('malformed');
+		}
+
+		this.transaction = 'none';
+		return transaction === 'open' ? {type: 'abandon'} : {type: 'answer'};
+	}
+
+	private planWork(
+		kind: 'read' | 'write',
+		prepared: session.PreparedDefinition | undefined,
+	): session.StatementPlan {
+		if (this.transaction !== 'deferred') {
+			return {type: 'forward', kind, opens: undefined, prepared};
+		}
+
+		const opens = this.isReadOnly ? 'beginReadOnly' : 'begin';
+		return {type: 'forward', kind: opens, opens, prepared};
+	}
+
+	/** The caller learns with this statement that its transaction was rolled back. */
+	private planLost(statement: session.Statement): session.StatementPlan {
+		if (statement.type === 'rollback') {
+			this.transaction = 'none';
+			return {type: 'answer'};
+		}
+
+		this.transaction = statement.type === 'commit' ? 'none' : 'failed';
+		return {type: 'refuse', problem: 'transactionLost'};
+	}
+
+	/** A failed transaction ends with COMMIT or ROLLBACK, and both roll it back. */
+	private planFailed(statement: session.Statement): session.StatementPlan {
+		if (statement.type === 'rollback') {
+			this.transaction = 'none';
+			return {type: 'abandon'};
+		}
+
+		if (statement.type === 'commit') {
+			this.transaction = 'none';
+			return {type: 'refuse', problem: 'transactionLost'};
+		}
+
+		return {type: 'refuse', problem: 'malformed'};
+	}
+
+	private keep<Value>(
+		items: Map<string, Value>,
+		name: string,
+		value: Value,
+	): session.StatementPlan {
+		if (!items.has(name) && items.size >= maxSessionItems) {
+			return this.refuse('malformed');
+		}
+
+		items.set(name, value);
+		return {type: 'answer'};
+	}
+
+	/** An error inside a transaction fails it. */
+	private refuse(problem: session.StatementProblem): session.StatementPlan {
+		if (this.transaction === 'deferred') {
+			this.transaction = 'failed';
+		}
+
+		return {type: 'refuse', problem};
+	}
+}
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -47,6 +47,8 @@
 	readonly position: number;
 	/** Offset that reads see. */
 	readonly applied: number;
+	/** Term of the last log record, where it can be below `term`; otherwise the same. */
+	readonly logTerm?: number;
 	/** On the primary: synced offset per replica. */
 	readonly replicas: ReadonlyArray<{
 		readonly server: ids.UpstreamId;
@@ -70,6 +72,11 @@
 	readonly departing: boolean;
 	/** Start of the server process, ms since the Unix epoch. */
 	readonly startedAt: number;
+	/**
+	 * Set when the server itself acknowledges a commit: the number of replicas that have received it
+	 * by then. Without it, the owner waits until a majority holds the commit.
+	 */
+	readonly synchronousReplicas?: number;
 };
 
 /** An announcement with the version that orders it among those of the same server. */
@@ -147,6 +154,45 @@
 			readonly mayHaveRun: boolean;
 	  };
 
+/** The complete set of customers' routes as an operator sent it. The highest version is in force. */
+export type Configuration = {
+	readonly version: number;
+	/** The text as the operator sent it. */
+	readonly text: string;
+};
+
+/** An operator's request to put a configuration in force. */
+export type ConfigurationChange = {
+	readonly type: 'configuration';
+	readonly configuration: Configuration;
+};
+
+/** Any request of an operator to change the replicated state. */
+export type OperatorChange = TemplateChange | ConfigurationChange;
+
+/** The answer to a read of the configuration. */
+export type ConfigurationReading =
+	| {
+			readonly type: 'read';
+			/** Undefined before the first one was accepted. */
+			readonly configuration: Configuration | undefined;
+	  }
+	/** No leader can be asked, so a newer version may exist. */
+	| {readonly type: 'unavailable'};
+
+/** What a configuration says of one customer. */
+export type MemberRoute = {
+	readonly group: ids.GroupId;
+	readonly parameters: TemplateParameters;
+};
+
+/** A configuration after its checks. */
+export type RouteSet = {
+	readonly members: ReadonlyMap<ids.MemberId, MemberRoute>;
+	/** Time after which an idle transaction is rolled back, in ms; `Infinity` without a limit. */
+	readonly idleTransactionMs: number;
+};
+
 /** Levels of log records. */
 export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
 
@@ -157,4 +203,9 @@
 	readonly part: string;
 	/** A short sentence. */
 	readonly message: string;
+	/** Structured fields: the inputs of a decision, with their age or version. */
+	readonly fields?: Readonly<Record<string, LogValue>>;
 };
+
+/** A value of a structured log field. */
+export type LogValue = string | number | boolean | undefined;
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -14,6 +14,8 @@
 
 /** Interval of the reducer's `tick` events. */
 const tickIntervalMs = 25;
+/** Callers go to another control peer after a second without an answer. */
+const configurationReadLimitMs = 800;
 
 /**
  * Starts a control daemon on what its storage holds.
@@ -29,13 +31,19 @@
 	const log = new consensus.Consensus<control.ControlCommand>({
 		peer: settings.peer,
 		initialVoters: settings.controlPeers.map(({peer}) => peer),
-		stored,
+		stored:
+			settings.mayFound === false && stored.hardState.term === 0
+				? {...stored, isDataLost: true}
+				: stored,
 		incarnation,
 	});
 	const reducer = new controlPeer.ControlPeer({
 		...settings,
 		incarnation,
 		log,
+		...(settings.wantedVoters === undefined
+			? {}
+			: {wantedVoters: settings.wantedVoters}),
 		random: random.createRandom(Math.floor(adapters.random() * 2 ** 31)),
 	});
 	const instance = new ControlProcess(reducer, adapters);
@@ -65,6 +73,11 @@
 		(result: control.ControlQueryResult) => void
 	>();
 
+	readonly #reads = new Map<
+		number,
+		(result: types.ConfigurationReading) => void
+	>();
+
 	readonly #drained = deferred.createDeferred<void>();
 	readonly #stop = deferred.createDeferred<Error | undefined>();
 	#timer: NodeJS.Timeout | undefined;
@@ -134,6 +147,12 @@
 
 	async requestChange(
 		change: types.TemplateChange,
+	): Promise<types.TemplateChangeResult> {
+		return this.#requestChange(change);
+	}
+
+	async #requestChange(
+		change: types.OperatorChange,
 	): Promise<types.TemplateChangeResult> {
 		const operation = ++this.#operation;
 		return new Promise((resolve) => {
@@ -162,6 +181,47 @@
 		});
 	}
 
+	async requestConfiguration(
+		configuration: types.Configuration,
+	): Promise<types.TemplateChangeResult> {
+		return this.#requestChange({type: 'configuration', configuration});
+	}
+
+	async readConfiguration(): Promise<types.ConfigurationReading> {
+		const operation = ++this.#operation;
+		return new Promise((resolve) => {
+			const timer = setTimeout(() => {
+				this.#reads.delete(operation);
+				resolve({type: 'unavailable'});
+			}, configurationReadLimitMs);
+			this.#reads.set(operation, (result) => {
+				clearTimeout(timer);
+				resolve(result);
+			});
+			this.#dispatch({
+				type: 'configurationReadRequested',
+				now: this.#adapters.clock.now(),
+				operation,
+			});
+		});
+	}
+
+	getConfiguration(): types.Configuration | undefined {
+		return this.#reducer.control.machine.configuration;
+	}
+
+	handleAnnouncement(
+		announcement: types.Announcement,
+		sequence: number,
+	): void {
+		this.#dispatch({
+			type: 'announcementReceived',
+			now: this.#adapters.clock.now(),
+			announcement,
+			sequence,
+		});
+	}
+
 	readStatus(): control.ControlQueryResult | undefined {
 		const operation = ++this.#operation;
 		let status: control.ControlQueryResult | undefined;
@@ -244,6 +304,12 @@
 				return;
 			}
 
+			case 'answerConfigurationRead': {
+				this.#reads.get(effect.operation)?.(effect.result);
+				this.#reads.delete(effect.operation);
+				return;
+			}
+
 			case 'answerQuery': {
 				this.#queries.get(effect.operation)?.(effect.result);
 				this.#queries.delete(effect.operation);
@@ -311,6 +377,7 @@
 			effect.server,
 			effect.address,
 			effect.request,
+			effect,
 		);
 		this.#dispatch({
 			type: 'serverAnswered',
--- a/src/daemon/control-types.ts
+++ b/src/daemon/control-types.ts
@@ -26,6 +26,10 @@
 	readonly dataCentre: ids.DataCentre;
 	/** `ip:port` at which other peers reach the peer listener. */
 	readonly address: string;
+	/** False when the installation exists already, so that an empty disk must not found a new one. */
+	readonly mayFound?: boolean;
+	/** Number of voters that the installation wants; a larger one tolerates more lost disks. */
+	readonly wantedVoters?: number;
 	/** The control peers of a new installation, this one included, with their peer addresses. */
 	readonly controlPeers: ReadonlyArray<{
 		readonly peer: ids.PeerId;
@@ -42,6 +46,10 @@
 		server: ids.UpstreamId,
 		address: string,
 		request: control.ServerRequest,
+		context: Pick<
+			Extract<control.ControlEffect, {type: 'callServer'}>,
+			'group' | 'leaderTerm'
+		>,
 	): Promise<control.ServerAnswer>;
 	dispose(): Promise<void>;
 };
@@ -53,6 +61,16 @@
 	requestChange(
 		change: types.TemplateChange,
 	): Promise<types.TemplateChangeResult>;
+	/** Proposes a configuration; the highest version is in force. */
+	requestConfiguration(
+		configuration: types.Configuration,
+	): Promise<types.TemplateChangeResult>;
+	/** Resolves with `unavailable` when no leader answers in time. */
+	readConfiguration(): Promise<types.ConfigurationReading>;
+	/** The configuration that this peer has applied; a newer one may be in force. */
+	getConfiguration(): types.Configuration | undefined;
+	/** Takes what a server says of itself. */
+	handleAnnouncement(announcement: types.Announcement, sequence: number): void;
 	runQuery(query: control.ControlQuery): Promise<control.ControlQueryResult>;
 	/** What `GET /status` answers; undefined once the daemon is closed. */
 	readStatus(): control.ControlQueryResult | undefined;
--- /dev/null
+++ b/src/daemon/proxy-daemon.ts
@@ -0,0 +1,342 @@
+/**
+ * A proxy process: one proxy reducer with its adapters. The adapters towards callers, servers and
+ * HTTP clients are injected, so that the same process serves any protocol.
+ */
+import * as admission from '../common/policy/admission.js';
+import * as hedgeDelay from '../common/policy/hedge-delay.js';
+import * as retryBudget from '../common/policy/retry-budget.js';
+import * as routing from '../common/policy/routing.js';
+import type * as ids from '../common/ids.js';
+import type * as context from '../common/proxy/context.js';
+import type * as proxy from '../common/proxy/types.js';
+import * as metrics from '../common/metrics/metrics.js';
+import * as proxyReducer from '../common/proxy/reducer.js';
+import * as random from '../common/random.js';
+import * as template from '../common/template/parse.js';
+import type * as types from '../common/types.js';
+import type * as callerAdapter from '../node/caller/caller-adapter.js';
+import * as bodies from '../node/http/bodies.js';
+import type * as http from '../node/http/types.js';
+import * as peerLinks from '../node/peer/peer-links.js';
+import type * as settings from '../node/settings/types.js';
+import type * as node from '../node/types.js';
+import type * as daemon from './types.js';
+import * as clock from './clock.js';
+import * as deferred from './deferred.js';
+import * as proxyDriver from './proxy-driver.js';
+
+const protocolVersion = 1;
+const gaugeIntervalMs = 1000;
+
+/** What the adapters get of the process they belong to. */
+export type AdapterContext = {
+	readonly dispatch: node.Dispatch<proxy.ProxyEvent>;
+	readonly reducer: proxyReducer.ProxyReducer;
+	readonly logger: node.Logger;
+	/** Distinguishes this start of the process from all others. */
+	readonly processTag: string;
+};
+
+/** The upstream adapter with its flow control. */
+export type FlowControlledUpstreams = node.UpstreamAdapter & {
+	resumeAttempt(attempt: ids.AttemptId): void;
+	resumePeer(peer: ids.PeerId): void;
+};
+
+/** The protocol adapters of a proxy process. */
+export type ProxyParts = {
+	createCallers(
+		context: AdapterContext,
+		handleDrain: (attempt: ids.AttemptId) => void,
+	): callerAdapter.CallerAdapter;
+	createUpstreams(
+		context: AdapterContext,
+		relay: {
+			toSession(attempt: ids.AttemptId, data: Uint8Array): boolean;
+			toPeer(
+				peer: ids.PeerId,
+				attempt: ids.AttemptId,
+				data: Uint8Array,
+			): boolean;
+		},
+	): FlowControlledUpstreams;
+	createHttp(endpoints: http.DaemonEndpoints): {
+		listen(address: string, port: number): Promise<number>;
+		dispose(): Promise<void>;
+	};
+	/** Differences from the configuration that the settings give. */
+	readonly config?: Partial<context.ProxyConfig>;
+	readonly services?: Partial<proxyReducer.ProxyServices>;
+};
+
+/** A running proxy process. */
+export class ProxyDaemon {
+	readonly metrics = new metrics.Metrics();
+	readonly reducer: proxyReducer.ProxyReducer;
+	/** Resolves when draining is complete. */
+	readonly drained: Promise<undefined>;
+	private readonly driver: proxyDriver.ProxyDriver;
+	private readonly http: ReturnType<ProxyParts['createHttp']>;
+	private readonly callers: callerAdapter.CallerAdapter;
+	private readonly upstreams: FlowControlledUpstreams;
+	private readonly peers: peerLinks.PeerLinks;
+	private readonly finishDrain: () => void;
+	private gaugeTimer: NodeJS.Timeout | undefined;
+
+	/** @param incarnation - Higher for each start of the process, for example the wall clock in ms. */
+	constructor(
+		private readonly settings: settings.Settings,
+		private readonly logger: node.Logger,
+		incarnation: number,
+		private readonly parts: ProxyParts,
+	) {
+		const drained = deferred.createDeferred<undefined>();
+		this.drained = drained.promise;
+		this.finishDrain = () => {
+			drained.resolve(undefined);
+		};
+
+		this.reducer = this.createReducer(incarnation);
+		this.driver = new proxyDriver.ProxyDriver(this.reducer, () => {
+			this.finishDrain();
+		});
+		this.peers = this.createPeerLinks(incarnation);
+		const adapterContext: AdapterContext = {
+			dispatch: this.driver.dispatch,
+			reducer: this.reducer,
+			logger,
+			processTag: `${settings.process.id}_${incarnation}`,
+		};
+		this.callers = parts.createCallers(adapterContext, (attempt) => {
+			this.upstreams.resumeAttempt(attempt);
+		});
+		this.upstreams = parts.createUpstreams(adapterContext, {
+			toSession: (attempt, data) => this.driver.relay(attempt, data),
+			toPeer: (peer, attempt, data) => {
+				this.peers.send(peer, {type: 'forwardChunk', attempt, data});
+				return !this.peers.isCongested(peer);
+			},
+		});
+		this.http = parts.createHttp(this.createEndpoints());
+	}
+
+	/** Opens all listeners; rejects with the system's error when one cannot be opened. */
+	async start(): Promise<void> {
+		const {listen} = this.settings;
+		await this.peers.listen(listen.address, listen.peersPort);
+		await this.http.listen(listen.address, listen.httpPort);
+		this.driver.start({
+			callers: this.callers,
+			upstreams: this.upstreams,
+			peers: this.peers,
+			clock: clock.systemClock,
+			logger: this.logger,
+			metrics: this.metrics,
+		});
+		this.gaugeTimer = setInterval(() => {
+			this.updateGauges();
+		}, gaugeIntervalMs);
+		await this.callers.listen(listen.address, listen.callersPort ?? 0);
+		this.logger.write({
+			level: 'info',
+			part: 'proxy',
+			message: `Listens on ${listen.address}, callers on port ${listen.callersPort}`,
+		});
+	}
+
+	/** Begins a graceful shutdown; `drained` resolves at its end. */
+	startDrain(): void {
+		this.driver.dispatch({
+			type: 'drainRequested',
+			now: clock.systemClock.now(),
+		});
+	}
+
+	/** Closes everything at once. */
+	async dispose(): Promise<void> {
+		this.driver.stop();
+		clearInterval(this.gaugeTimer);
+		await this.http.dispose();
+		await this.callers.dispose();
+		await this.upstreams.dispose();
+		await this.peers.dispose();
+	}
+
+	private createReducer(incarnation: number): proxyReducer.ProxyReducer {
+		const {process, listen, control, limits} = this.settings;
+		const getParameters = (
+			member: ids.MemberId,
+		): types.TemplateParameters | undefined =>
+			this.reducer.templates.getParameters(member);
+		return new proxyReducer.ProxyReducer(
+			{
+				peer: process.id,
+				vm: process.vm,
+				address: `${listen.address}:${listen.peersPort}`,
+				dataCentre: process.dataCentre,
+				incarnation,
+				controlPeers: control.peers.map(({id, address}) => ({
+					peer: id,
+					address,
+				})),
+				drainDeadlineMs: limits.drainDeadlineMs,
+				maxSessions: limits.maxConnections,
+				...this.parts.config,
+			},
+			{
+				routing: new routing.LeastWaitRoutingPolicy(),
+				retryBudget: new retryBudget.SuccessRetryBudget(),
+				hedging: new hedgeDelay.HedgeDelayEstimator(),
+				createScheduler: (slots) =>
+					new admission.ServerAdmissionScheduler({slots, getParameters}),
+				parseTemplate: (text) =>
+					template.parseTemplate(text).unwrapOr(undefined),
+				...this.parts.services,
+			},
+			random.createRandom(Math.floor(Math.random() * 2 ** 31)),
+		);
+	}
+
+	private createPeerLinks(incarnation: number): peerLinks.PeerLinks {
+		return peerLinks.createPeerLinks({
+			hello: {
+				type: 'hello',
+				peer: this.settings.process.id,
+				role: 'proxy',
+				incarnation,
+				protocol: protocolVersion,
+			},
+			listener: {
+				handleMessage: this.driver.handlePeerMessage,
+				handleLinkChange: (peer, up) => {
+					this.driver.dispatch({
+						type: 'peerLinkChanged',
+						now: clock.systemClock.now(),
+						peer,
+						up,
+					});
+				},
+				handleHello() {
+					// Membership brings addresses; a hello alone changes nothing.
+				},
+				handleDrain: (peer) => {
+					this.upstreams.resumePeer(peer);
+				},
+			},
+			clock: clock.systemClock,
+			logger: this.logger,
+			random: Math.random,
+		});
+	}
+
+	private createEndpoints(): http.DaemonEndpoints {
+		const {templates} = this.reducer;
+		return {
+			handleAnnouncement: (announcement) => {
+				this.driver.dispatch({
+					type: 'announcementReceived',
+					now: clock.systemClock.now(),
+					wallClock: clock.systemClock.readWallClock(),
+					announcement,
+				});
+			},
+			metrics: this.metrics,
+			readHealth: () => this.driver.health,
+			readStatus: () => this.readStatus(),
+			startDrain: () => {
+				this.startDrain();
+			},
+			listTemplates: async () => templates.listTemplates(),
+			fetchTemplate: async (member) => templates.getTemplate(member),
+			async fetchHistory() {
+				throw new bodies.HttpError(
+					404,
+					'notKept',
+					'proxies keep only the newest version; ask a control peer',
+				);
+			},
+			requestChange: async (change) =>
+				this.driver.requestTemplateChange(change),
+		};
+	}
+
+	/** Pool use and load of this process, as totals so that their number does not grow. */
+	private updateGauges(): void {
+		const {reducer, metrics} = this;
+		const servers = [...reducer.owner.servers.values()];
+		const sum = (values: readonly number[]) => {
+			let total = 0;
+			for (const value of values) {
+				total += value;
+			}
+
+			return total;
+		};
+
+		metrics.setGauge('sessions', reducer.entry.sessions.size);
+		metrics.setGauge('requests_in_flight', reducer.entry.inFlight);
+		metrics.setGauge('owned_servers', servers.length);
+		metrics.setGauge(
+			'write_leases',
+			servers.filter(({writeTerm}) => writeTerm !== undefined).length,
+		);
+		metrics.setGauge(
+			'pool_connections',
+			sum(servers.map(({connections}) => connections.size)),
+		);
+		metrics.setGauge(
+			'pool_connections_bound',
+			sum(servers.map((server) => server.countBound())),
+		);
+		metrics.setGauge('slots_in_use', sum(servers.map(({busy}) => busy)));
+		metrics.setGauge(
+			'requests_queued',
+			sum(servers.map(({scheduler}) => scheduler.size)),
+		);
+	}
+
+	private readStatus(): unknown {
+		const {reducer} = this;
+		const {process} = this.settings;
+		return {
+			peer: process.id,
+			role: 'proxy',
+			vm: process.vm,
+			dataCentre: process.dataCentre,
+			health: this.driver.health,
+			sessions: reducer.entry.sessions.size,
+			inFlight: reducer.entry.inFlight,
+			leaseRemainingMs: Math.max(
+				0,
+				reducer.lease.validUntil - clock.systemClock.now(),
+			),
+			groups: [...reducer.directory.groups.values()],
+			owners: Object.fromEntries(reducer.directory.owners),
+			owned: [...reducer.owner.servers.values()].map((server) => ({
+				server: server.server,
+				writeTerm: server.writeTerm,
+				connections: server.connections.size,
+				busy: server.busy,
+				queued: server.scheduler.size,
+				status: server.status,
+			})),
+			peers: reducer.membership.listPeers(),
+		};
+	}
+}
+
+/** Starts a proxy process and turns its drain into the end of the daemon. */
+export async function runProxy(
+	proxy: ProxyDaemon,
+): Promise<daemon.RunningDaemon> {
+	await proxy.start();
+	return {
+		finished: proxy.drained.then(async () => {
+			await proxy.dispose();
+			return 0;
+		}),
+		startDrain() {
+			proxy.startDrain();
+		},
+	};
+}
--- a/src/daemon/proxy-driver.ts
+++ b/src/daemon/proxy-driver.ts
@@ -178,6 +178,11 @@
 				return;
 			}
 
+			case 'transactionLost': {
+				adapters.callers.handle(effect);
+				return;
+			}
+
 			case 'closeSession': {
 				this.removeRequest(effect.session);
 				adapters.callers.handle(effect);
--- a/src/daemon/server-calls.ts
+++ b/src/daemon/server-calls.ts
@@ -38,7 +38,7 @@
 /** Makes a caller that logs in at every server with the same name. */
 export function createServerCaller(
 	login: daemon.ServerLogin,
-): daemon.ServerCaller {
+): PgServerCaller {
 	return new PgServerCaller(login);
 }
 
@@ -49,7 +49,7 @@
 	idleTimer: NodeJS.Timeout | undefined;
 };
 
-class PgServerCaller implements daemon.ServerCaller {
+export class PgServerCaller implements daemon.ServerCaller {
 	readonly #login: daemon.ServerLogin;
 	readonly #connections = new Map<ids.UpstreamId, Connection>();
 
--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -104,6 +104,11 @@
 		}
 
 		switch (effect.type) {
+			case 'transactionLost': {
+				// PostgreSQL sessions are closed with their transaction, see `closeSession`.
+				return;
+			}
+
 			case 'startAttempt': {
 				if (session.runner.isRunning(effect.request)) {
 					this.#attempts.set(effect.attempt, session);
--- a/src/node/logging/logger.ts
+++ b/src/node/logging/logger.ts
@@ -47,8 +47,8 @@
 		],
 	});
 	return {
-		write({level, part, message}) {
-			logger.log({level, part, message});
+		write({level, part, message, fields}) {
+			logger.log({level, part, message, ...fields});
 		},
 	};
 }
--- a/src/node/storage/log-storage.ts
+++ b/src/node/storage/log-storage.ts
@@ -23,14 +23,19 @@
 /**
  * Opens the data folder and creates it when needed.
  *
+ * @param options.isExclusive - No other process can reach the folder, so it needs no lock.
  * @throws A `StorageError` when another process uses the folder.
  */
 export async function openLogStorage<Command, State>(
 	folder: string,
+	options: {readonly isExclusive?: boolean} = {},
 ): Promise<types.LogStorage<Command, State>> {
 	await fs.mkdir(folder, {recursive: true});
 	await files.syncFolder(path.dirname(path.resolve(folder)));
-	const release = await folderLock.openFolderLock(folder);
+	const release =
+		options.isExclusive === true
+			? async () => undefined
+			: await folderLock.openFolderLock(folder);
 	return new FileLogStorage(folder, release) as types.LogStorage<
 		Command,
 		State
--- a/src/node/types.ts
+++ b/src/node/types.ts
@@ -27,7 +27,11 @@
 			proxy.ProxyEffect,
 			{
 				type:
-					'startAttempt' | 'finishRequest' | 'refuseRequest' | 'closeSession';
+					| 'startAttempt'
+					| 'finishRequest'
+					| 'refuseRequest'
+					| 'transactionLost'
+					| 'closeSession';
 			}
 		>,
 	): void;
--- a/src/scenario/fleet/proxy-process.ts
+++ b/src/scenario/fleet/proxy-process.ts
@@ -302,6 +302,7 @@
 			}
 
 			case 'startAttempt':
+			case 'transactionLost':
 			case 'countEvent':
 			case 'answerTemplateChange': {
 				return;
