Keep the statements of a transaction inside it after its connection is lost

The owner's notice that the binding is gone cleared it at the entry while a statement was on its way; the refusal of that statement was then handled like one of an unbound request, which was sent elsewhere. A request now remembers that it belongs to a transaction.

Ruled out: a wrong server connection at the owner; its log shows one session.

Tests fail without the change.

--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -9,11 +9,14 @@
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
-	format: 'cjs',
+	format: 'esm',
 	minify: true,
-	keepNames: false,
+	// Bundled CommonJS libraries load modules of Node.js with `require`.
+	banner: {
+		js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
+	},
 	// Optional native parts; the libraries work without them.
 	external: ['cbor-extract'],
-	outfile: 'target/hemlockarch.cjs',
+	outfile: 'target/hemlockarch.mjs',
 	logLevel: 'warning',
 });
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -8,19 +8,20 @@
 import * as path from 'node:path';
 import process from 'node:process';
 
-const buildFolder = 'dist';
+/** Folders of compiled tests, and the folder of the source that each was built from. */
+const testFolders = [
+	{build: 'dist', source: 'src'},
+	{build: 'dist-platform/platform', source: 'platform'},
+];
 
-function findTests(folder) {
+function findTests({build, source}) {
 	return fs
-		.readdirSync(folder, {recursive: true})
+		.readdirSync(build, {recursive: true})
 		.filter((name) => name.endsWith('.test.js'))
-		.map((name) => path.join(folder, name))
-		.filter((name) => {
-			const source = path
-				.join('src', path.relative(buildFolder, name))
-				.replace(/\.js$/v, '.ts');
-			return fs.existsSync(source);
-		})
+		.filter((name) =>
+			fs.existsSync(path.join(source, name).replace(/\.js$/v, '.ts')),
+		)
+		.map((name) => path.join(build, name))
 		.sort();
 }
 
@@ -39,10 +40,12 @@
 }
 
 const selection = process.argv.slice(2);
-const files = findTests(buildFolder).filter(
-	(name) =>
-		selection.length === 0 || selection.some((part) => name.includes(part)),
-);
+const files = testFolders
+	.flatMap((folders) => findTests(folders))
+	.filter(
+		(name) =>
+			selection.length === 0 || selection.some((part) => name.includes(part)),
+	);
 if (files.length === 0) {
 	console.error('run-tests: no test file matches');
 	process.exit(1);
--- a/src/bench/direct-driver.ts
+++ b/src/bench/direct-driver.ts
@@ -303,7 +303,11 @@
 			type: 'refuseRequest',
 			session,
 			request,
-			sqlState: isUsed ? 'HK008' : outcome.type === 'lost' && outcome.mayHaveRun ? '08007' : 'HK006',
+			sqlState: isUsed
+				? 'HK008'
+				: outcome.type === 'lost' && outcome.mayHaveRun
+					? '08007'
+					: 'HK006',
 			message: isUsed ? 'key already used' : 'the connection was lost',
 			transactionStatus: 'idle',
 		});
--- a/src/common/control/machine.ts
+++ b/src/common/control/machine.ts
@@ -207,10 +207,7 @@
 		}
 	}
 
-	#applyGroupCommand(
-		index: number,
-		command: control.GroupCommand,
-	): void {
+	#applyGroupCommand(index: number, command: control.GroupCommand): void {
 		const group = this.#groups.get(command.group);
 		if (command.type === 'registerGroup') {
 			if (!group) {
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -31,10 +31,7 @@
 		readonly peer: ids.PeerId;
 		readonly address: string;
 	}>;
-	readonly log: control.ReplicatedLog & {
-		/** The voters of the latest configuration in the log. */
-		readonly voters?: readonly ids.PeerId[];
-	};
+	readonly log: control.ReplicatedLog;
 	/** Number of voters that the installation wants; the present number when it is not set. */
 	readonly wantedVoters?: number;
 	readonly random: random.RandomSource;
@@ -221,7 +218,10 @@
 		this.mergeAnnouncement(versioned);
 		if (!known || announcements.hasChanged(known, current)) {
 			this.spreadAt.set(announcement.server, this.now);
-			this.membership.spreadNow({type: 'announcement', announcement: versioned});
+			this.membership.spreadNow({
+				type: 'announcement',
+				announcement: versioned,
+			});
 		} else if (
 			this.now - (this.spreadAt.get(announcement.server) ?? 0) >=
 			lifeSignIntervalMs
--- a/src/common/control/promotion.ts
+++ b/src/common/control/promotion.ts
@@ -140,8 +140,7 @@
 			this.#isPromoted = answer.type === 'answered';
 			this.#isRefused ||=
 				answer.type === 'failed' && answer.sqlState === promotionRefusedState;
-			this.#promoted =
-				answer.type === 'answered' ? answer.status : undefined;
+			this.#promoted = answer.type === 'answered' ? answer.status : undefined;
 		}
 	}
 
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -339,7 +339,11 @@
 		}
 
 		const {leader} = this.#log;
-		if (origin.type === 'peer' || leader === undefined || leader === this.#peer) {
+		if (
+			origin.type === 'peer' ||
+			leader === undefined ||
+			leader === this.#peer
+		) {
 			this.#answerRead(origin, {type: 'unavailable'});
 			return;
 		}
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -104,6 +104,8 @@
 	/** Consensus term. */
 	readonly term: number;
 	readonly leader: ids.PeerId | undefined;
+	/** The voters of the latest configuration; a log without them keeps its voters. */
+	readonly voters?: readonly ids.PeerId[];
 	step(
 		event: consensus.ConsensusEvent<ControlCommand>,
 	): ReadonlyArray<consensus.ConsensusEffect<ControlCommand>>;
--- a/src/common/control/voters.ts
+++ b/src/common/control/voters.ts
@@ -39,7 +39,8 @@
 			return undefined;
 		}
 
-		const kept = gone === undefined ? voters : voters.filter((peer) => peer !== gone);
+		const kept =
+			gone === undefined ? voters : voters.filter((peer) => peer !== gone);
 		const missing = Math.max(0, wanted - kept.length);
 		return missing === 0 ? undefined : [...kept, ...spare.slice(0, missing)];
 	}
--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -66,11 +66,10 @@
 		attempt: entryState.Attempt,
 		done: messages.ForwardDone,
 	): void {
-		const {session} = request;
 		const reason = done.reason ?? 'noServer';
 		const message = done.message ?? 'the request was refused';
 		request.lastReason = reason;
-		if (session.binding) {
+		if (request.isBound) {
 			this.handleBoundRefusal(request, done, reason, message);
 			return;
 		}
@@ -133,7 +132,7 @@
 		message: string,
 	): void {
 		const {session} = request;
-		const wasBound = session.binding !== undefined;
+		const wasBound = request.isBound;
 		if (request.attempts.size > 0 && request.relayedBy === undefined) {
 			return;
 		}
--- a/src/common/proxy/entry-replies.ts
+++ b/src/common/proxy/entry-replies.ts
@@ -55,7 +55,8 @@
 			this.context.emit({
 				type: 'transactionLost',
 				session: session.id,
-				message: 'the transaction was rolled back because its connection is gone',
+				message:
+					'the transaction was rolled back because its connection is gone',
 			});
 			return;
 		}
--- a/src/common/proxy/entry-state.ts
+++ b/src/common/proxy/entry-state.ts
@@ -52,6 +52,11 @@
 	readonly repeatable: boolean;
 	readonly key: string | undefined;
 	readonly payload: proxy.RequestPayload;
+	/**
+	 * The request belongs to a transaction or pinned connection. It must not run anywhere else, also
+	 * when the session has lost its binding meanwhile.
+	 */
+	readonly isBound: boolean;
 	/** Running attempts; more than one only for hedged reads. */
 	readonly attempts: Map<ids.AttemptId, Attempt>;
 	readonly excluded: Set<ids.UpstreamId>;
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -425,6 +425,7 @@
 			repeatable: attributes.repeatable ?? kind === 'read',
 			key: attributes.key,
 			payload: event.payload,
+			isBound: session.binding !== undefined,
 			attempts: new Map(),
 			excluded: new Set(),
 			wait: {type: 'attempt'},
@@ -450,7 +451,7 @@
 				});
 			}
 
-			const wasBound = request.session.binding !== undefined;
+			const wasBound = request.isBound;
 			this.releaseRemote(request.session);
 			this.replies.finishUnknown(request, 'no answer before the deadline');
 			if (wasBound) {
@@ -466,7 +467,7 @@
 			!request.isHedged &&
 			request.kind === 'read' &&
 			request.repeatable &&
-			!request.session.binding &&
+			!request.isBound &&
 			request.relayedBy === undefined &&
 			now - attempt.sentAt > hedgeDelay
 		) {
--- a/src/common/proxy/executor.ts
+++ b/src/common/proxy/executor.ts
@@ -253,10 +253,7 @@
 		item: owned.OwnerItem,
 		outcome: Extract<proxy.ExecutionOutcome, {type: 'refused'}>,
 	): void {
-		if (
-			outcome.reason === 'tooStale' ||
-			outcome.reason === 'readOnlyServer'
-		) {
+		if (outcome.reason === 'tooStale' || outcome.reason === 'readOnlyServer') {
 			// Its log went back or it lost the lead, so what earlier answers said is void.
 			server.forgetPosition();
 		} else {
--- a/src/common/proxy/lease-client.ts
+++ b/src/common/proxy/lease-client.ts
@@ -20,7 +20,7 @@
 	/** Version of the configuration in force; 0 without one. */
 	getConfigurationVersion(): number;
 	/** Control peers that may lead, as far as this proxy knows. */
-	listControlPeers(): ReadonlyArray<ids.PeerId>;
+	listControlPeers(): readonly ids.PeerId[];
 	isDraining(): boolean;
 };
 
--- a/src/common/proxy/ownership.ts
+++ b/src/common/proxy/ownership.ts
@@ -214,7 +214,8 @@
 			return;
 		}
 
-		const isLate = now - releaseRequestedAt > this.context.timing.transactionReleaseMs;
+		const isLate =
+			now - releaseRequestedAt > this.context.timing.transactionReleaseMs;
 		if (server.countBound() === 0 || isLate) {
 			server.releasingSince = now;
 			server.releasingWriteSince ??= now;
--- a/src/common/proxy/poller.ts
+++ b/src/common/proxy/poller.ts
@@ -43,29 +43,6 @@
 		}
 	}
 
-	/**
-	 * Polls a server only while its answers to requests say too little: each poll occupies a slot.
-	 * Only a poll tells the role, so a primary is polled until it confirms the term of the lease.
-	 */
-	private pollQuiet(server: owned.OwnedServer): void {
-		const {now} = this.context;
-		const {status, writeTerm} = server;
-		const isConfirmed =
-			status !== undefined &&
-			(writeTerm === undefined ||
-				(status.role === 'primary' && status.term === writeTerm));
-		const quietMs =
-			now - Math.max(server.lastPollAt, isConfirmed ? (server.lastAnswerAt ?? 0) : 0);
-		if (quietMs >= pollIntervalMs) {
-			this.startPoll(server, 0);
-		}
-
-		if (now - server.lastMarkAt >= markIntervalMs) {
-			server.lastMarkAt = now;
-			this.requestMark(server);
-		}
-	}
-
 	/** Polls at once when commits or floor requests wait for a poll that covers them. */
 	handleWork(server: owned.OwnedServer): void {
 		const needsCover =
@@ -126,6 +103,30 @@
 		}
 	}
 
+	/**
+	 * Polls a server only while its answers to requests say too little: each poll occupies a slot.
+	 * Only a poll tells the role, so a primary is polled until it confirms the term of the lease.
+	 */
+	private pollQuiet(server: owned.OwnedServer): void {
+		const {now} = this.context;
+		const {status, writeTerm} = server;
+		const isConfirmed =
+			status !== undefined &&
+			(writeTerm === undefined ||
+				(status.role === 'primary' && status.term === writeTerm));
+		const quietMs =
+			now -
+			Math.max(server.lastPollAt, isConfirmed ? (server.lastAnswerAt ?? 0) : 0);
+		if (quietMs >= pollIntervalMs) {
+			this.startPoll(server, 0);
+		}
+
+		if (now - server.lastMarkAt >= markIntervalMs) {
+			server.lastMarkAt = now;
+			this.requestMark(server);
+		}
+	}
+
 	private startPoll(server: owned.OwnedServer, delayMs: number): void {
 		if (server.pollInFlight) {
 			return;
--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -127,6 +127,30 @@
 	t.same(values, ['1a', '1b', '2a', '2b', '3a', '3b']);
 });
 
+// Guards against a statement of a transaction that runs on another connection, because the
+// transaction was lost while the statement was on its way to the owner.
+tap.test('transaction lost under a statement', async (t) => {
+	const fleet = createTolerantFleet(10_000);
+	const session = fleet.openSession(1);
+	fleet.run(1, session, {type: 'begin'});
+	fleet.run(1, session, put('1'));
+	const owner = fleet.proxies[0];
+	const server = owner.reducer.owner.servers.get(fleet.getServer('s1').id)!;
+	const bound = [...server.connections.values()].find(({binding}) => binding)!;
+	let answer: proxyProcess.CallerAnswer | undefined;
+	fleet.proxies[1].send(session, get, {}, (result) => {
+		answer = result;
+	});
+	owner.step({
+		type: 'connectionClosed',
+		now: fleet.timeline.now,
+		connection: bound.id,
+		message: 'reset',
+	});
+	fleet.timeline.runUntil(fleet.timeline.now + 500);
+	t.equal(answer?.type, 'refused');
+});
+
 // Guards against a connection that stays bound after its caller vanished in a transaction.
 tap.test('caller vanishes in a transaction', async (t) => {
 	const fleet = new smallFleet.SmallFleet(2);
--- a/src/common/proxy/request-router.ts
+++ b/src/common/proxy/request-router.ts
@@ -42,6 +42,16 @@
 
 	routeRequest(request: entryState.EntryRequest): void {
 		const {session} = request;
+		if (request.isBound && !session.binding) {
+			this.replies.refuse(
+				request,
+				'noServer',
+				'the transaction was rolled back',
+			);
+			this.replies.endLostSession(session);
+			return;
+		}
+
 		if (session.binding) {
 			this.sendAttempt(request, session.binding.server, session.binding.owner);
 			return;
--- /dev/null
+++ b/src/common/session/connection-state.test.ts
@@ -0,0 +1,57 @@
+import tap from 'tap';
+import * as connectionState from './connection-state.js';
+import * as preparedName from './prepared-name.js';
+
+function prepare(
+	state: connectionState.ConnectionState,
+	needs: connectionState.ConnectionNeeds,
+): string[] {
+	const steps = state.listSteps(needs);
+	for (const step of steps) {
+		state.apply(step);
+	}
+
+	return steps.map(({type}) => type);
+}
+
+// Guards against a value of one session that another session on the same connection sees.
+tap.test('values of another session are cleared', async (t) => {
+	const state = new connectionState.ConnectionState();
+	const first = {values: [['a', '1']] as const, prepared: undefined};
+	t.same(prepare(state, first), ['set']);
+	t.same(prepare(state, first), []);
+	t.same(prepare(state, {values: [], prepared: undefined}), ['reset']);
+	t.same(prepare(state, {values: [], prepared: undefined}), []);
+});
+
+// Guards against prepared statements that are taken for present after a reset.
+tap.test('reset forgets prepared statements', async (t) => {
+	const state = new connectionState.ConnectionState();
+	t.same(prepare(state, {values: [['a', '1']], prepared: 'p'}), [
+		'set',
+		'prepare',
+	]);
+	t.same(prepare(state, {values: [['a', '2']], prepared: 'p'}), ['set']);
+	t.same(prepare(state, {values: [], prepared: 'p'}), ['reset', 'prepare']);
+});
+
+// Guards against a server that holds ever more prepared statements.
+tap.test('prepared statements are bounded', async (t) => {
+	const state = new connectionState.ConnectionState();
+	let resets = 0;
+	for (let index = 0; index < 300; index++) {
+		const steps = prepare(state, {values: [], prepared: `p${index}`});
+		resets += steps.includes('reset') ? 1 : 0;
+	}
+
+	t.equal(resets, 2);
+});
+
+// Guards against two definitions that share a name, and against names that break a message.
+tap.test('names follow from definitions', async (t) => {
+	const build = (kind: 'read' | 'write', shape: string) =>
+		preparedName.buildPreparedName({kind, shape});
+	t.not(build('read', 'q1'), build('write', 'q1'));
+	t.not(build('read', 'a b'), build('read', 'a_b'));
+	t.match(build('read', 'a b\r\n'), /^\w+$/v);
+});
--- /dev/null
+++ b/src/common/session/session.test.ts
@@ -0,0 +1,140 @@
+import tap from 'tap';
+import * as sessions from './session.js';
+import type * as session from './types.js';
+
+type Forward = Extract<session.StatementPlan, {type: 'forward'}>;
+
+const begin = {type: 'begin', isReadOnly: false} as const;
+const write = {type: 'write'} as const;
+
+function forward(
+	state: sessions.Session,
+	statement: session.Statement,
+): Forward {
+	const plan = state.planStatement(statement);
+	if (plan.type !== 'forward') {
+		throw new Error(`expected to forward, got ${plan.type}`);
+	}
+
+	return plan;
+}
+
+// Guards against a BEGIN that occupies a connection before the first statement.
+tap.test('BEGIN travels with the first statement', async (t) => {
+	const state = new sessions.Session();
+	t.same(state.planStatement(begin), {type: 'answer'});
+	t.equal(state.status, 'inTransaction');
+	t.match(forward(state, write), {kind: 'begin', opens: 'begin'});
+});
+
+// Guards against a read-only transaction that needs the primary.
+tap.test('read-only transaction', async (t) => {
+	const state = new sessions.Session();
+	state.planStatement({type: 'begin', isReadOnly: true});
+	t.match(forward(state, {type: 'read'}), {
+		kind: 'beginReadOnly',
+		opens: 'beginReadOnly',
+	});
+});
+
+// Guards against a COMMIT of an empty transaction that no server has signed.
+tap.test('empty transaction is committed by a server', async (t) => {
+	const state = new sessions.Session();
+	state.planStatement(begin);
+	const plan = forward(state, {type: 'commit'});
+	t.equal(plan.opens, 'begin');
+	state.handleAnswer(plan, 'idle');
+	t.equal(state.transaction, 'none');
+});
+
+// Guards against a statement that runs outside of the transaction that its caller believes open.
+tap.test('lost transaction refuses until it is ended', async (t) => {
+	const state = new sessions.Session();
+	state.planStatement(begin);
+	state.handleAnswer(forward(state, write), 'inTransaction');
+	state.handleLoss();
+	t.same(state.planStatement(write), {
+		type: 'refuse',
+		problem: 'transactionLost',
+	});
+	t.equal(state.status, 'failed');
+	t.match(state.planStatement(write), {problem: 'malformed'});
+	t.same(state.planStatement({type: 'rollback'}), {type: 'abandon'});
+	t.equal(state.status, 'idle');
+});
+
+// Guards against a COMMIT that is taken as successful although the transaction is gone.
+tap.test('COMMIT of a lost transaction is refused', async (t) => {
+	const state = new sessions.Session();
+	state.planStatement(begin);
+	state.handleAnswer(forward(state, write), 'inTransaction');
+	state.handleLoss();
+	t.match(state.planStatement({type: 'commit'}), {problem: 'transactionLost'});
+	t.equal(state.status, 'idle');
+});
+
+// Guards against a refusal after which the rest of the transaction still runs.
+tap.test('refusal fails the transaction', async (t) => {
+	const state = new sessions.Session();
+	state.planStatement(begin);
+	state.handleRefusal(forward(state, write));
+	t.equal(state.status, 'failed');
+	const single = new sessions.Session();
+	single.handleRefusal(forward(single, write));
+	t.equal(single.status, 'idle');
+});
+
+// Guards against "nothing is kept" for a write whose outcome is unknown, and against the doubt
+// about what cannot have changed anything.
+tap.test('what an unknown outcome may have changed', async (t) => {
+	const state = new sessions.Session();
+	t.ok(state.mayHaveChanged(forward(state, write)));
+	t.notOk(state.mayHaveChanged(forward(state, {type: 'read'})));
+	state.planStatement(begin);
+	const first = forward(state, write);
+	t.notOk(state.mayHaveChanged(first));
+	state.handleAnswer(first, 'inTransaction');
+	t.ok(state.mayHaveChanged(forward(state, {type: 'commit'})));
+});
+
+// Guards against doubt about a COMMIT that follows reads only.
+tap.test('COMMIT after reads leaves nothing behind', async (t) => {
+	const state = new sessions.Session();
+	state.planStatement(begin);
+	state.handleAnswer(forward(state, {type: 'read'}), 'inTransaction');
+	t.notOk(state.mayHaveChanged(forward(state, {type: 'commit'})));
+});
+
+// Guards against an EXECUTE that runs another statement than the one its caller prepared.
+tap.test('prepared statements belong to the session', async (t) => {
+	const state = new sessions.Session();
+	const definition = {kind: 'write', shape: 'q2c'} as const;
+	state.planStatement({type: 'prepare', name: 's1', definition});
+	t.match(forward(state, {type: 'execute', name: 's1'}), {
+		kind: 'write',
+		prepared: definition,
+	});
+	state.planStatement({type: 'deallocate', name: 's1'});
+	t.match(state.planStatement({type: 'execute', name: 's1'}), {
+		problem: 'notPrepared',
+	});
+	const other = new sessions.Session();
+	t.match(other.planStatement({type: 'execute', name: 's1'}), {
+		problem: 'notPrepared',
+	});
+});
+
+// Guards against an unbounded session, and against COMMIT or ROLLBACK without a transaction.
+tap.test('limits and wrong order', async (t) => {
+	const state = new sessions.Session();
+	for (let index = 0; index < 256; index++) {
+		state.planStatement({type: 'set', name: `v${index}`, value: '1'});
+	}
+
+	t.match(state.planStatement({type: 'set', name: 'more', value: '1'}), {
+		problem: 'malformed',
+	});
+	t.match(state.planStatement({type: 'commit'}), {problem: 'malformed'});
+	t.match(state.planStatement({type: 'rollback'}), {problem: 'malformed'});
+	t.match(state.planStatement({type: 'unknown'}), {problem: 'malformed'});
+});
--- a/src/common/session/session.ts
+++ b/src/common/session/session.ts
@@ -106,15 +106,14 @@
 		plan: Extract<session.StatementPlan, {type: 'forward'}>,
 		status: proxy.TransactionStatus,
 	): void {
-		this.hasWritten = status === 'inTransaction' && (this.hasWritten || plan.kind === 'write' || plan.prepared?.kind === 'write');
+		this.hasWritten =
+			status === 'inTransaction' && (this.hasWritten || plan.writes);
 		this.transaction =
 			status === 'idle' ? 'none' : status === 'failed' ? 'failed' : 'open';
 	}
 
 	/** Takes the refusal of a forwarded statement; a transaction does not survive it. */
-	handleRefusal(
-		plan: Extract<session.StatementPlan, {type: 'forward'}>,
-	): void {
+	handleRefusal(plan: Extract<session.StatementPlan, {type: 'forward'}>): void {
 		this.transaction =
 			this.transaction === 'none' || plan.kind === 'commit' ? 'none' : 'failed';
 	}
@@ -135,7 +134,7 @@
 	): boolean {
 		return (
 			(plan.kind === 'commit' && this.hasWritten) ||
-			(plan.kind === 'write' && this.transaction === 'none')
+			(plan.writes && this.transaction === 'none')
 		);
 	}
 
@@ -161,6 +160,7 @@
 				type: 'forward',
 				kind: this.isReadOnly ? 'beginReadOnly' : 'begin',
 				opens: this.isReadOnly ? 'beginReadOnly' : 'begin',
+				writes: false,
 				prepared: undefined,
 			};
 		}
@@ -169,6 +169,7 @@
 			type: 'forward',
 			kind: 'commit',
 			opens: undefined,
+			writes: false,
 			prepared: undefined,
 		};
 	}
@@ -187,12 +188,13 @@
 		kind: 'read' | 'write',
 		prepared: session.PreparedDefinition | undefined,
 	): session.StatementPlan {
+		const writes = kind === 'write';
 		if (this.transaction !== 'deferred') {
-			return {type: 'forward', kind, opens: undefined, prepared};
+			return {type: 'forward', kind, opens: undefined, writes, prepared};
 		}
 
 		const opens = this.isReadOnly ? 'beginReadOnly' : 'begin';
-		return {type: 'forward', kind: opens, opens, prepared};
+		return {type: 'forward', kind: opens, opens, writes, prepared};
 	}
 
 	/** The caller learns with this statement that its transaction was rolled back. */
--- a/src/common/session/types.ts
+++ b/src/common/session/types.ts
@@ -47,6 +47,8 @@
 			readonly kind: proxy.RequestKind;
 			/** The transaction to open before the statement. */
 			readonly opens: 'begin' | 'beginReadOnly' | undefined;
+			/** The statement itself may change data. */
+			readonly writes: boolean;
 			/** The prepared statement that it executes. */
 			readonly prepared: PreparedDefinition | undefined;
 	  };
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -151,21 +151,6 @@
 		return this.#requestChange(change);
 	}
 
-	async #requestChange(
-		change: types.OperatorChange,
-	): Promise<types.TemplateChangeResult> {
-		const operation = ++this.#operation;
-		return new Promise((resolve) => {
-			this.#changes.set(operation, resolve);
-			this.#dispatch({
-				type: 'templateChangeRequested',
-				now: this.#adapters.clock.now(),
-				operation,
-				change,
-			});
-		});
-	}
-
 	async runQuery(
 		query: control.ControlQuery,
 	): Promise<control.ControlQueryResult> {
@@ -210,10 +195,7 @@
 		return this.#reducer.control.machine.configuration;
 	}
 
-	handleAnnouncement(
-		announcement: types.Announcement,
-		sequence: number,
-	): void {
+	handleAnnouncement(announcement: types.Announcement, sequence: number): void {
 		this.#dispatch({
 			type: 'announcementReceived',
 			now: this.#adapters.clock.now(),
@@ -247,6 +229,21 @@
 		return this.#disposal;
 	}
 
+	async #requestChange(
+		change: types.OperatorChange,
+	): Promise<types.TemplateChangeResult> {
+		const operation = ++this.#operation;
+		return new Promise((resolve) => {
+			this.#changes.set(operation, resolve);
+			this.#dispatch({
+				type: 'templateChangeRequested',
+				now: this.#adapters.clock.now(),
+				operation,
+				change,
+			});
+		});
+	}
+
 	async #close(): Promise<void> {
 		clearInterval(this.#timer);
 		for (const resolve of this.#changes.values()) {
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -45,6 +45,9 @@
 
 /** The protocol adapters of a proxy process. */
 export type ProxyParts = {
+	/** Differences from the configuration that the settings give. */
+	readonly config?: Partial<context.ProxyConfig>;
+	readonly services?: Partial<proxyReducer.ProxyServices>;
 	createCallers(
 		context: AdapterContext,
 		handleDrain: (attempt: ids.AttemptId) => void,
@@ -64,9 +67,6 @@
 		listen(address: string, port: number): Promise<number>;
 		dispose(): Promise<void>;
 	};
-	/** Differences from the configuration that the settings give. */
-	readonly config?: Partial<context.ProxyConfig>;
-	readonly services?: Partial<proxyReducer.ProxyServices>;
 };
 
 /** A running proxy process. */
--- a/src/daemon/server-calls.ts
+++ b/src/daemon/server-calls.ts
@@ -36,9 +36,7 @@
 });
 
 /** Makes a caller that logs in at every server with the same name. */
-export function createServerCaller(
-	login: daemon.ServerLogin,
-): PgServerCaller {
+export function createServerCaller(login: daemon.ServerLogin): PgServerCaller {
 	return new PgServerCaller(login);
 }
 
--- a/src/scenario/fleet/control-process.ts
+++ b/src/scenario/fleet/control-process.ts
@@ -206,6 +206,7 @@
 				return;
 			}
 
+			case 'answerConfigurationRead':
 			case 'answerQuery':
 			case 'setHealth':
 			case 'drained': {
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -79,6 +79,8 @@
 	readonly position: number;
 	/** Offset that reads see. */
 	readonly applied: number;
+	/** Term of the last log record, where it can be below `term`; otherwise the same. */
+	readonly logTerm?: number;
 	/** On the primary: synced offset per replica. */
 	readonly replicas: ReadonlyArray<{
 		readonly server: UpstreamId;
@@ -101,6 +103,11 @@
 	readonly departing: boolean;
 	/** Start of the server process, ms since the Unix epoch. */
 	readonly startedAt: number;
+	/**
+	 * Set when the server itself acknowledges a commit: the number of replicas that have received it
+	 * by then. Without it, the owner waits until a majority holds the commit.
+	 */
+	readonly synchronousReplicas?: number;
 };
 /** An announcement with the version that orders it among those of the same server. */
 export type VersionedAnnouncement = Announcement & {readonly version: number};
@@ -167,6 +174,30 @@
 	 */
 	| {type: 'unavailable'; mayHaveRun: boolean}
 >;
+/** The complete set of customers' routes as an operator sent it. The highest version is in force. */
+export type Configuration = {
+	readonly version: number;
+	/** The text as the operator sent it. */
+	readonly text: string;
+};
+/** Any request of an operator to change the replicated state. */
+export type OperatorChange =
+	| TemplateChange
+	| Variants<{type: 'configuration'; configuration: Configuration}>;
+/** The answer to a read of the configuration; `unavailable` when a newer version may exist. */
+export type ConfigurationReading = Variants<
+	| {type: 'read'; configuration: Configuration | undefined}
+	| {type: 'unavailable'}
+>;
+/** A configuration after its checks. */
+export type RouteSet = {
+	readonly members: ReadonlyMap<
+		MemberId,
+		{readonly group: GroupId; readonly parameters: TemplateParameters}
+	>;
+	/** Time after which an idle transaction is rolled back, in ms; `Infinity` without a limit. */
+	readonly idleTransactionMs: number;
+};
 /** Levels of log records. */
 export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
 /** A log record as data; the adapter adds the time and writes it. */
@@ -176,7 +207,11 @@
 	readonly part: string;
 	/** A short sentence. */
 	readonly message: string;
+	/** Structured fields: the inputs of a decision, with their age or version. */
+	readonly fields?: Readonly<Record<string, LogValue>>;
 };
+/** A value of a structured log field. */
+export type LogValue = string | number | boolean | undefined;
 /**
  * A message between peers: plain data, carried unchanged by any codec that keeps numbers such as
  * `Infinity` and byte arrays. A driver reads only `type`. Source: "Peer protocol".
@@ -209,6 +244,10 @@
 		readonly name: string;
 		readonly parse: Uint8Array;
 	}>;
+	/** Opens a transaction before the statement, for callers whose BEGIN was answered by the entry. */
+	readonly opens?: 'begin' | 'beginReadOnly';
+	/** Session values that the connection must have, no more and no fewer. */
+	readonly values?: ReadonlyArray<readonly [name: string, value: string]>;
 };
 /** What a caller asked for with startup parameters, SET or a statement comment. */
 export type RequestAttributes = {
@@ -223,6 +262,11 @@
 	readonly member: MemberId;
 	readonly group: GroupId;
 	readonly token?: Position;
+	/**
+	 * True when the session needs its own writes but not monotonic reads, so that the position of a
+	 * read does not raise the session floor.
+	 */
+	readonly isFloorFromWrites?: boolean;
 };
 export type TransactionStatus = 'idle' | 'inTransaction' | 'failed';
 /** How an execution on a connection ended. */
@@ -230,7 +274,7 @@
 	/**
 	 * `tail`: Response bytes that were not sent to the sink yet, ReadyForQuery included. `relayed`:
 	 * True when a part of the response already went to the sink. `sqlState`: SQLSTATE of the first
-	 * ErrorResponse.
+	 * ErrorResponse. `position`: Log position that the server reported with the answer.
 	 */
 	| {
 			type: 'answered';
@@ -238,7 +282,10 @@
 			relayed: boolean;
 			transactionStatus: TransactionStatus;
 			sqlState?: string;
+			position?: Position;
 	  }
+	/** The server refused before it executed anything; the connection is idle. */
+	| {type: 'refused'; reason: RefusalReason; message: string}
 	/** `claim_key` answered 23505: the statement was not executed; the connection is idle. */
 	| {type: 'keyUsed'}
 	/**
@@ -259,6 +306,8 @@
 	/** The caller changed its floor with SET hemlockarch.token. */
 	| {type: 'tokenSet'; session: SessionId; token: Position}
 	| {type: 'sessionClosed'; session: SessionId}
+	/** The caller rolled its transaction back and was answered; the connection is to be freed. */
+	| {type: 'transactionAbandoned'; session: SessionId}
 	| {
 			type: 'requestArrived';
 			session: SessionId;
@@ -294,6 +343,8 @@
 			sentAt: number;
 			status: UpstreamStatus;
 	  }
+	/** The server is too busy for a status; it answers, so it is alive. */
+	| {type: 'pollRefused'; server: UpstreamId; sentAt: number}
 	| {type: 'pollFailed'; server: UpstreamId; sentAt: number; message: string}
 	/** `wallClock`: Wall clock, ms since the Unix epoch. */
 	| {
@@ -332,6 +383,8 @@
 			message: string;
 			transactionStatus: TransactionStatus;
 	  }
+	/** The transaction of an idle session was rolled back; see `ProxyConfig.keepsLostSessions`. */
+	| {type: 'transactionLost'; session: SessionId; message: string}
 	/** Write a FATAL ErrorResponse and close the caller's connection. */
 	| {
 			type: 'closeSession';
@@ -351,7 +404,8 @@
 	| {type: 'resetConnection'; connection: ConnectionId}
 	/**
 	 * `claimKey`: Run `claim_key` in the same transaction as the request. `inTransaction`: True when
-	 * the connection is inside a transaction of the session.
+	 * the connection is inside a transaction of the session. `after`: The server must refuse the
+	 * request when its log lacks this position.
 	 */
 	| {
 			type: 'execute';
@@ -361,6 +415,7 @@
 			payload: RequestPayload;
 			claimKey?: string;
 			inTransaction: boolean;
+			after?: Position;
 			sink: Sink;
 	  }
 	| {type: 'cancelExecution'; connection: ConnectionId; attempt: AttemptId}
@@ -434,6 +489,27 @@
 	readonly drainDeadlineMs: number;
 	/** Caller sessions that the process accepts. */
 	readonly maxSessions: number;
+	/**
+	 * True when a session survives the loss of its transaction: the adapter is told with
+	 * `transactionLost` and refuses the rest of the transaction. Otherwise the session is closed.
+	 */
+	readonly keepsLostSessions?: boolean;
+	readonly timing?: Partial<ProxyTiming>;
+};
+/** Times of the proxy that depend on the deployment, in ms. */
+export type ProxyTiming = {
+	/** Time that an execution may run past its deadline before its connection is closed. */
+	readonly executionGraceMs: number;
+	/** An attempt without an answer this long after the deadline is given up. */
+	readonly answerGraceMs: number;
+	/** Open transactions get this long to end when control takes a server back. */
+	readonly transactionReleaseMs: number;
+	/** During a drain, new sessions are still accepted for this long. */
+	readonly balancerGraceMs: number;
+	/** Owned servers without work for this long are given up during a drain. */
+	readonly idleOwnerMs: number;
+	/** Interval of the reports from owners to entries. */
+	readonly reportIntervalMs: number;
 };
 /** The decisions that a driver may replace. Source: "Mechanisms". */
 export type ProxyServices = {
@@ -448,6 +524,8 @@
 	readonly createScheduler: <Item>(slots: number) => AdmissionScheduler<Item>;
 	/** Undefined when the text is not valid. */
 	readonly parseTemplate: (text: string) => TemplateParameters | undefined;
+	/** Undefined when the text is not valid. */
+	readonly parseConfiguration?: (text: string) => RouteSet | undefined;
 };
 /** A proxy process as one reducer; throws nothing for expected faults. */
 export class ProxyReducer {
@@ -726,6 +804,8 @@
 	/** Consensus term. */
 	readonly term: number;
 	readonly leader: PeerId | undefined;
+	/** The voters of the latest configuration; a log without them keeps its voters. */
+	readonly voters?: readonly PeerId[];
 	step(
 		event: ConsensusEvent<ControlCommand>,
 	): ReadonlyArray<ConsensusEffect<ControlCommand>>;
@@ -789,7 +869,9 @@
 	| {type: 'written'; write: number}
 	| {type: 'serverAnswered'; call: number; answer: ServerAnswer}
 	/** `operation`: Chosen by the adapter to match the answer. */
-	| {type: 'templateChangeRequested'; operation: number; change: TemplateChange}
+	| {type: 'templateChangeRequested'; operation: number; change: OperatorChange}
+	/** An operator reads the configuration; answered by the leader only. */
+	| {type: 'configurationReadRequested'; operation: number}
 	| {type: 'queryRequested'; operation: number; query: ControlQuery}
 	| {type: 'drainRequested'}
 >;
@@ -798,19 +880,29 @@
 	| {type: 'sendPeer'; to: PeerId; message: PeerMessage}
 	/** Sync the data, then report `written` with the same number. */
 	| {type: 'write'; write: number; data: StorageWrite<ControlCommand>}
-	/** Call a function of the server and report `serverAnswered` with the same number. */
+	/**
+	 * Call a function of the server and report `serverAnswered` with the same number. `leaderTerm`:
+	 * Consensus term of the calling leader; every later leader has a higher one.
+	 */
 	| {
 			type: 'callServer';
 			call: number;
 			server: UpstreamId;
 			address: string;
 			request: ServerRequest;
+			group: GroupId;
+			leaderTerm: number;
 	  }
 	| {
 			type: 'answerTemplateChange';
 			operation: number;
 			result: TemplateChangeResult;
 	  }
+	| {
+			type: 'answerConfigurationRead';
+			operation: number;
+			result: ConfigurationReading;
+	  }
 	| {type: 'answerQuery'; operation: number; result: ControlQueryResult}
 	/** What `GET /health` answers. */
 	| {type: 'setHealth'; ready: boolean; reason: string}
@@ -827,10 +919,19 @@
 	readonly incarnation: number;
 	readonly controlPeers: readonly PeerAddress[];
 	readonly log: ReplicatedLog;
+	/** Number of voters that the installation wants; the present number when it is not set. */
+	readonly wantedVoters?: number;
 	readonly random: RandomSource;
 };
 export type ControlPeerEvent =
-	ControlEvent | Timed<{type: 'peerLinkChanged'; peer: PeerId; up: boolean}>;
+	| ControlEvent
+	/** A server spoke to this peer. `sequence`: Counts the announcements of one server process. */
+	| Timed<{
+			type: 'announcementReceived';
+			announcement: Announcement;
+			sequence: number;
+	  }>
+	| Timed<{type: 'peerLinkChanged'; peer: PeerId; up: boolean}>;
 export type ControlPeerEffect =
 	| ControlEffect
 	/** Open a link to `ip:port` and keep it open; close it. */
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 /** Rules that differ from XO's defaults; each has its reason in docs/design.md, "House style". */
 const config = [
-	{ignores: ['dist', 'typings']},
+	{ignores: ['dist', 'dist-platform', 'target', 'typings']},
 	{
 		prettier: true,
 		semicolon: true,
