--- a/src/common/proxy/candidates.ts
+++ b/src/common/proxy/candidates.ts
@@ -140,8 +140,9 @@
 
 	private createReport(server: owned.OwnedServer): messages.ServerReport {
 		const {now} = this.context;
+		// Whole numbers take a third of the bytes; bounds of staleness are rounded up.
 		const estimateWait = (rank: types.Rank) =>
-			server.scheduler.estimateWait(rank, now);
+			Math.round(server.scheduler.estimateWait(rank, now));
 		return {
 			server: server.server,
 			group: server.group,
@@ -151,8 +152,10 @@
 			...(server.status?.logTerm === undefined
 				? {}
 				: {logTerm: server.status.logTerm}),
-			answerAgeMs: now - (server.lastAnswerAt ?? Number.NEGATIVE_INFINITY),
-			stalenessMs: this.owner.rules.computeStaleness(server),
+			answerAgeMs: Math.round(
+				now - (server.lastAnswerAt ?? Number.NEGATIVE_INFINITY),
+			),
+			stalenessMs: Math.ceil(this.owner.rules.computeStaleness(server)),
 			expectedWaitMs: {
 				urgent: estimateWait('urgent'),
 				normal: estimateWait('normal'),
--- a/src/common/proxy/context.ts
+++ b/src/common/proxy/context.ts
@@ -47,6 +47,12 @@
 	readonly idleOwnerMs: number;
 	/** Interval of the reports from owners to entries. */
 	readonly reportIntervalMs: number;
+	/** Without a sign of life from any peer for this long, templates may be out of date. */
+	readonly isolationLimitMs: number;
+	/** A proxy without a grant of control for this long is not ready. */
+	readonly grantLimitMs: number;
+	/** A transaction that holds a connection without any request for this long is rolled back. */
+	readonly boundIdleLimitMs: number;
 };
 
 const defaultTiming: ProxyTiming = {
@@ -56,6 +62,9 @@
 	balancerGraceMs: 2000,
 	idleOwnerMs: 3000,
 	reportIntervalMs: 100,
+	isolationLimitMs: 5000,
+	grantLimitMs: Infinity,
+	boundIdleLimitMs: Infinity,
 };
 
 export class ProxyContext {
--- a/src/common/proxy/executor.ts
+++ b/src/common/proxy/executor.ts
@@ -33,6 +33,10 @@
 	cancel(from: ids.PeerId, attempt: ids.AttemptId): void {
 		for (const connection of this.listRunning(from)) {
 			if (connection.item?.request.attempt === attempt) {
+				const {kind, bound} = connection.item.request;
+				// Nobody would end a transaction that this request opens.
+				connection.abandoned ||=
+					!bound && (kind === 'begin' || kind === 'beginReadOnly');
 				this.context.emit({
 					type: 'cancelExecution',
 					connection: connection.id,
@@ -164,6 +168,27 @@
 		this.closeConnection(server, connection);
 	}
 
+	/** Rolls back transactions that nobody has used for long; their entry may have forgotten them. */
+	releaseIdleBindings(server: owned.OwnedServer): void {
+		const {now, timing} = this.context;
+		for (const connection of server.connections.values()) {
+			if (
+				connection.binding &&
+				!connection.binding.pinned &&
+				connection.state === 'bound' &&
+				now - connection.stateSince > timing.boundIdleLimitMs
+			) {
+				this.context.log('warn', part, 'Rolled back an idle transaction', {
+					server: server.server,
+					origin: connection.binding.origin,
+					idleMs: Math.round(now - connection.stateSince),
+				});
+				this.bindings.lose(server, connection.binding);
+				this.releaseBinding(connection.binding);
+			}
+		}
+	}
+
 	closeOverdueExecutions(server: owned.OwnedServer): void {
 		const {now} = this.context;
 		const {executionGraceMs} = this.context.timing;
--- a/src/common/proxy/lease-client.ts
+++ b/src/common/proxy/lease-client.ts
@@ -8,8 +8,12 @@
 import type * as context from './context.js';
 
 const renewalIntervalMs = 250;
-/** Without an answer for this long, the next control peer is tried. */
-const leaderTimeoutMs = 500;
+/** Without an answer for this long, the leader is looked for among the other control peers. */
+const leaderTimeoutMs = 400;
+/** While no leader is known, the control peers are asked in turn at this interval. */
+const searchIntervalMs = 75;
+/** A peer that did not answer is not taken for the leader on the word of others for this long. */
+const distrustMs = 1000;
 const driftBound = 0.01;
 
 /** What the client needs to fill in a renewal. */
@@ -37,6 +41,8 @@
 	private sequence = 0;
 	private lastRenewalAt = Number.NEGATIVE_INFINITY;
 	private lastAnswerAt = 0;
+	/** The last leader that did not answer, and since when. */
+	private silentLeader: {peer: ids.PeerId; at: number} | undefined;
 	private readonly sentAt = new Map<number, number>();
 
 	constructor(
@@ -50,12 +56,22 @@
 
 	handleTick(): void {
 		const {now} = this.context;
-		if (now - this.lastRenewalAt < renewalIntervalMs) {
+		if (
+			this.leader !== undefined &&
+			now - this.lastAnswerAt > leaderTimeoutMs
+		) {
+			this.silentLeader = {peer: this.leader, at: now};
+			this.leader = undefined;
+		}
+
+		const intervalMs =
+			this.leader === undefined ? searchIntervalMs : renewalIntervalMs;
+		if (now - this.lastRenewalAt < intervalMs) {
 			return;
 		}
 
-		if (now - this.lastAnswerAt > leaderTimeoutMs) {
-			this.chooseNextCandidate();
+		if (this.leader === undefined) {
+			this.candidate++;
 		}
 
 		this.sendRenewal();
@@ -121,8 +137,7 @@
 			return;
 		}
 
-		if (message.leader === undefined) {
-			this.chooseNextCandidate();
+		if (message.leader === undefined || this.isDistrusted(message.leader)) {
 			return;
 		}
 
@@ -156,6 +171,13 @@
 		this.lastAnswerAt = this.context.now;
 	}
 
+	private isDistrusted(peer: ids.PeerId): boolean {
+		return (
+			this.silentLeader?.peer === peer &&
+			this.context.now - this.silentLeader.at < distrustMs
+		);
+	}
+
 	private removeOldSequences(): void {
 		for (const [sequence, sentAt] of this.sentAt) {
 			if (this.context.now - sentAt > 10_000) {
--- a/src/common/proxy/owned-server.ts
+++ b/src/common/proxy/owned-server.ts
@@ -85,6 +85,7 @@
 	lastPollAt = Number.NEGATIVE_INFINITY;
 	markRequested = false;
 	lastMarkAt = Number.NEGATIVE_INFINITY;
+	lastRequestAt = Number.NEGATIVE_INFINITY;
 	/** Term of the write lease; undefined when this proxy must not acknowledge writes. */
 	writeTerm: number | undefined;
 	/** Set while the write lease is being given back: no new writes start. */
--- a/src/common/proxy/owner-pool.ts
+++ b/src/common/proxy/owner-pool.ts
@@ -55,6 +55,17 @@
 			server.connections.size >= server.poolLimit ||
 			now < server.retryOpenAt
 		) {
+			if (server.awaitingConnection.length > 0) {
+				this.context.log('info', 'pool', 'No connection for a request', {
+					server: server.server,
+					connections: server.connections.size,
+					bound: server.countBound(),
+					limit: server.poolLimit,
+					waiting: server.awaitingConnection.length,
+					retryInMs: Math.max(0, Math.round(server.retryOpenAt - now)),
+				});
+			}
+
 			return false;
 		}
 
--- a/src/common/proxy/owner.ts
+++ b/src/common/proxy/owner.ts
@@ -129,6 +129,7 @@
 			return;
 		}
 
+		server.lastRequestAt = now;
 		server.subscribers.set(from, now + subscriptionMs);
 		if (request.bound) {
 			this.handleBoundRequest(server, item);
@@ -323,6 +324,7 @@
 
 			this.dispatcher.expireAwaiting(server);
 			this.executor.closeOverdueExecutions(server);
+			this.executor.releaseIdleBindings(server);
 			this.dispatcher.dispatchNext(server);
 		}
 	}
--- a/src/common/proxy/poller.ts
+++ b/src/common/proxy/poller.ts
@@ -11,6 +11,10 @@
 import type * as positionClient from './position-client.js';
 
 const pollIntervalMs = 100;
+/** Interval for a server that has had no request for some time. */
+const idlePollIntervalMs = 400;
+/** A server without a request for this long is polled at the longer interval. */
+const idleAfterMs = 1500;
 /** Marks only have to be much younger than the staleness that reads tolerate. */
 const markIntervalMs = 250;
 /** Time between two polls while a commit waits for the replicas. */
@@ -117,7 +121,11 @@
 		const quietMs =
 			now -
 			Math.max(server.lastPollAt, isConfirmed ? (server.lastAnswerAt ?? 0) : 0);
-		if (quietMs >= pollIntervalMs) {
+		const isIdle =
+			isConfirmed &&
+			server.countWork() === 0 &&
+			now - server.lastRequestAt > idleAfterMs;
+		if (quietMs >= (isIdle ? idlePollIntervalMs : pollIntervalMs)) {
 			this.startPoll(server, 0);
 		}
 
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -27,8 +27,6 @@
 const part = 'proxy';
 /** Ticks come every 10 ms; a longer gap means that the process was frozen. */
 const freezeThresholdMs = 1000;
-/** Without a sign of life from any peer for this long, templates may be out of date. */
-const isolationLimitMs = 5000;
 
 /** The decisions that a driver may replace. */
 export type ProxyServices = entry.EntryServices &
@@ -54,6 +52,8 @@
 	private lastEventAt: number | undefined;
 	private lastHeardAt = 0;
 	private isIsolated = true;
+	/** True when sessions need a configuration with routes. */
+	private readonly isRouted: boolean;
 	private health: {ready: boolean; reason: string} | undefined;
 
 	constructor(
@@ -62,6 +62,7 @@
 		randomSource: random.RandomSource,
 	) {
 		this.context = new context.ProxyContext(config, randomSource);
+		this.isRouted = services.parseConfiguration !== undefined;
 		this.templates = new templateStore.TemplateStore(
 			services.parseTemplate,
 			services.parseConfiguration,
@@ -288,6 +289,7 @@
 		this.directory.expireAnnouncements();
 		this.drain.handleTick();
 		this.updateHealth();
+		this.releaseCallers();
 	}
 
 	private handlePeerMessage(
@@ -601,16 +603,57 @@
 		}
 	}
 
+	/**
+	 * A proxy that is cut off with a minority of the others can serve nobody, so callers without a
+	 * request are sent to another proxy. When all proxies lost control, nobody would be better off.
+	 */
+	private releaseCallers(): void {
+		const {isReady, now} = {
+			isReady: this.health?.ready === true,
+			now: this.context.now,
+		};
+		const isCutOff =
+			!isReady &&
+			!this.drain.isDraining &&
+			this.lease.lastGrantAt > 0 &&
+			now - this.lease.lastGrantAt > this.context.timing.grantLimitMs;
+		if (isCutOff && this.isInMinority()) {
+			this.entry.closeIdleSessions(false);
+		}
+	}
+
+	private isInMinority(): boolean {
+		const others = this.membership
+			.listPeers()
+			.filter(
+				({peer, condition}) =>
+					peer !== this.context.config.peer && condition !== 'left',
+			);
+		const reachable = others.filter(({peer}) => this.context.isReachable(peer));
+		return reachable.length < others.length / 2;
+	}
+
 	private updateHealth(): void {
 		this.isIsolated =
-			this.context.now - this.lastHeardAt > isolationLimitMs ||
-			this.lease.lastGrantAt === 0;
-		const ready = !this.drain.isDraining && !this.isIsolated;
+			this.context.now - this.lastHeardAt >
+				this.context.timing.isolationLimitMs || this.lease.lastGrantAt === 0;
+		const isGranted =
+			this.context.now - this.lease.lastGrantAt <=
+			this.context.timing.grantLimitMs;
+		const ready =
+			!this.drain.isDraining &&
+			!this.isIsolated &&
+			isGranted &&
+			(!this.isRouted || this.templates.routes !== undefined);
 		const reason = this.drain.isDraining
 			? 'draining'
 			: this.isIsolated
 				? 'no contact with other peers'
-				: 'ready';
+				: isGranted
+					? ready
+						? 'ready'
+						: 'no configuration yet'
+					: 'no contact with the control leader';
 		if (this.health?.ready !== ready || this.health.reason !== reason) {
 			this.health = {ready, reason};
 			this.context.emit({type: 'setHealth', ready, reason});
--- a/src/common/proxy/request-router.ts
+++ b/src/common/proxy/request-router.ts
@@ -169,7 +169,7 @@
 			server,
 			rank: request.rank,
 			kind: request.kind,
-			deadlineMs: request.deadlineAt - now,
+			deadlineMs: Math.floor(request.deadlineAt - now),
 			stalenessMs: request.stalenessMs,
 			bound: session.binding !== undefined,
 			templateVersion: this.templates.getVersion(session.member),
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -31,8 +31,8 @@
 		readonly name: string;
 		readonly parse: Uint8Array;
 	}>;
-	/** Opens a transaction before the statement, for callers whose BEGIN was answered by the entry. */
-	readonly opens?: 'begin' | 'beginReadOnly';
+	/** The BEGIN that the entry has answered already; it runs before the statement. */
+	readonly opens?: Uint8Array;
 	/** Session values that the connection must have, no more and no fewer. */
 	readonly values?: ReadonlyArray<readonly [name: string, value: string]>;
 };
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -18,6 +18,7 @@
 import * as bodies from '../node/http/bodies.js';
 import type * as http from '../node/http/types.js';
 import * as peerLinks from '../node/peer/peer-links.js';
+import type * as peerTypes from '../node/peer/types.js';
 import type * as settings from '../node/settings/types.js';
 import type * as node from '../node/types.js';
 import type * as daemon from './types.js';
@@ -48,6 +49,7 @@
 	/** Differences from the configuration that the settings give. */
 	readonly config?: Partial<context.ProxyConfig>;
 	readonly services?: Partial<proxyReducer.ProxyServices>;
+	readonly linkLimits?: Partial<peerTypes.LinkLimits>;
 	createCallers(
 		context: AdapterContext,
 		handleDrain: (attempt: ids.AttemptId) => void,
@@ -226,6 +228,7 @@
 			clock: clock.systemClock,
 			logger: this.logger,
 			random: Math.random,
+			...(this.parts.linkLimits ? {limits: this.parts.linkLimits} : {}),
 		});
 	}
 
--- a/src/node/peer/frame-codec.ts
+++ b/src/node/peer/frame-codec.ts
@@ -5,6 +5,7 @@
 import * as cbor from 'cbor-x';
 import * as neverthrow from 'neverthrow';
 import type * as messages from '../../common/messages.js';
+import * as frameKeys from './frame-keys.js';
 
 /** Bytes of the length prefix. */
 export const prefixBytes = 4;
@@ -14,6 +15,10 @@
 	mapsAsObjects: true,
 	// Byte strings without a tag decode as views of the frame instead of copies.
 	tagUint8Array: false,
+	variableMapSize: true,
+	keyMap: Object.fromEntries(
+		frameKeys.frameKeys.map((name, index) => [name, index]),
+	),
 });
 
 /** Encodes one message with its length prefix. */
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -244,8 +244,8 @@
 		readonly name: string;
 		readonly parse: Uint8Array;
 	}>;
-	/** Opens a transaction before the statement, for callers whose BEGIN was answered by the entry. */
-	readonly opens?: 'begin' | 'beginReadOnly';
+	/** The BEGIN that the entry has answered already; it runs before the statement. */
+	readonly opens?: Uint8Array;
 	/** Session values that the connection must have, no more and no fewer. */
 	readonly values?: ReadonlyArray<readonly [name: string, value: string]>;
 };
@@ -510,6 +510,12 @@
 	readonly idleOwnerMs: number;
 	/** Interval of the reports from owners to entries. */
 	readonly reportIntervalMs: number;
+	/** Without a sign of life from any peer for this long, templates may be out of date. */
+	readonly isolationLimitMs: number;
+	/** A proxy without a grant of control for this long is not ready. */
+	readonly grantLimitMs: number;
+	/** A transaction that holds a connection without any request for this long is rolled back. */
+	readonly boundIdleLimitMs: number;
 };
 /** The decisions that a driver may replace. Source: "Mechanisms". */
 export type ProxyServices = {
