End a new leader's wait for old leases once all lease holders are heard

Change: the replicated log keeps the proxies that may hold leases and the last announcement of each server. A proxy ignores grants of earlier leaders once it has applied one of a later leader, and lists all it holds from then on; when every lease holder has done so, the wait is over.

--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -10,10 +10,11 @@
 	platform: 'node',
 	target: 'node20',
 	format: 'esm',
-	minify: true,
+	// Stack traces in the log have to name lines and functions.
+	minifySyntax: true,
 	// Bundled CommonJS libraries load modules of Node.js with `require`.
 	banner: {
-		js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
+		js: "import {createRequire as createBundleRequire} from 'node:module'; const require = createBundleRequire(import.meta.url);",
 	},
 	// Optional native parts; the libraries work without them.
 	external: ['cbor-extract'],
--- a/src/common/control/failover.ts
+++ b/src/common/control/failover.ts
@@ -80,9 +80,9 @@
 		}
 
 		const group =
-			command.type === 'changeTemplate' || command.type === 'setConfiguration'
-				? undefined
-				: this.#environment.machine.getGroup(command.group);
+			'group' in command
+				? this.#environment.machine.getGroup(command.group)
+				: undefined;
 		if (group) {
 			this.#stepGroup(now, group);
 		}
--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -3,6 +3,7 @@
  * servers and proposals about groups. It is made anew for each term of leadership and acts only
  * while the leader lease is valid.
  */
+import * as announcementRules from '../announcement.js';
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
 import type * as control from './types.js';
@@ -26,11 +27,21 @@
 	send(to: ids.PeerId, message: messages.PeerMessage): void;
 	/** Proposes a command; `isPending` of its group is true until its outcome is known. */
 	propose(command: control.GroupCommand): void;
+	/** Proposes a command that is not about a group. */
+	proposeRecord(command: RecordCommand): void;
+	/** True when lease holders and announcements are kept in the log. */
+	readonly recordsLeaseHolders: boolean;
 	hasProposal(group: ids.GroupId): boolean;
 	/** Writes a log record of level info. */
 	log(message: string): void;
 };
 
+/** Commands that keep what the leader knows of processes outside of control. */
+export type RecordCommand = Extract<
+	control.ControlCommand,
+	{type: 'addLeaseHolder' | 'removeLeaseHolder' | 'storeAnnouncement'}
+>;
+
 /** The leader's soft state and what it does with it. */
 export class Leader {
 	readonly table: ownership.OwnershipTable;
@@ -39,13 +50,20 @@
 	/** A change that need not be told at once waits for the next tick, so that many share a grant. */
 	#isGrantDue = false;
 	#lastMoveAt = Number.NEGATIVE_INFINITY;
+	/** Proposed records and when they were proposed. */
+	readonly #pendingRecords = new Map<string, number>();
 
 	constructor(
 		private readonly environment: LeaderEnvironment,
 		now: number,
 	) {
 		const {machine, term} = environment;
-		this.table = new ownership.OwnershipTable(term, now, environment.faults);
+		this.table = new ownership.OwnershipTable(
+			term,
+			now,
+			environment.faults,
+			environment.recordsLeaseHolders ? machine.leaseHolders : undefined,
+		);
 		this.#sets = new serverSets.ServerSets(this.table, machine, (group) =>
 			environment.hasProposal(group),
 		);
@@ -72,6 +90,7 @@
 	/** Answers a renewal. */
 	handleRenewal(now: number, from: ids.PeerId, renewal: leases.Renewal): void {
 		if (this.table.handleRenewal(now, from, renewal)) {
+			this.#updateRecords(now);
 			this.#sendGrant(now, from);
 		}
 	}
@@ -95,6 +114,7 @@
 
 		this.#failover.step(now);
 		this.#placeServers(now);
+		this.#updateRecords(now);
 		if (this.#isGrantDue) {
 			this.#sendGrants(now);
 		}
@@ -120,6 +140,11 @@
 			return;
 		}
 
+		if (!('group' in command)) {
+			this.#pendingRecords.delete(formatRecord(command));
+			return;
+		}
+
 		if (command.type === 'registerGroup' && isOwn) {
 			this.#sets.recordRegistration(now, command.group);
 		}
@@ -142,6 +167,50 @@
 		}
 	}
 
+	/** Keeps the replicated list of lease holders and the announcements up to date. */
+	#updateRecords(now: number): void {
+		if (!this.environment.recordsLeaseHolders) {
+			return;
+		}
+
+		const {leaseHolders, announcements} = this.environment.machine;
+		for (const {peer} of this.table.proxies.values()) {
+			if (!leaseHolders.has(peer)) {
+				this.#proposeRecord(now, {type: 'addLeaseHolder', peer});
+			}
+		}
+
+		if (now - this.table.startedAt > timing.proxyForgetMs) {
+			for (const peer of leaseHolders) {
+				if (!this.table.proxies.has(peer)) {
+					this.#proposeRecord(now, {type: 'removeLeaseHolder', peer});
+				}
+			}
+		}
+
+		for (const {announcement} of this.table.servers.values()) {
+			const stored = announcement && announcements.get(announcement.server);
+			if (
+				announcement &&
+				(!stored || announcementRules.hasChanged(stored, announcement))
+			) {
+				this.#proposeRecord(now, {type: 'storeAnnouncement', announcement});
+			}
+		}
+	}
+
+	#proposeRecord(now: number, command: RecordCommand): void {
+		const key = formatRecord(command);
+		const proposedAt = this.#pendingRecords.get(key);
+		if (
+			proposedAt === undefined ||
+			now - proposedAt >= timing.proposalRepeatMs
+		) {
+			this.#pendingRecords.set(key, now);
+			this.environment.proposeRecord(command);
+		}
+	}
+
 	#placeServers(now: number): void {
 		placement.revokeFromDraining(now, this.table);
 		if (now - this.#lastMoveAt >= timing.moveIntervalMs) {
@@ -194,3 +263,9 @@
 		}
 	}
 }
+
+function formatRecord(command: RecordCommand): string {
+	return command.type === 'storeAnnouncement'
+		? `${command.type} ${command.announcement.server}`
+		: `${command.type} ${command.peer}`;
+}
--- a/src/common/control/machine.ts
+++ b/src/common/control/machine.ts
@@ -23,6 +23,14 @@
 	appliedIndex = 0;
 	/** The configuration in force; undefined before the first one. */
 	configuration: types.Configuration | undefined;
+	/** Proxies that may hold leases. */
+	readonly leaseHolders = new Set<ids.PeerId>();
+	/** The last announcement of each server that was worth keeping. */
+	readonly announcements = new Map<
+		ids.UpstreamId,
+		types.VersionedAnnouncement
+	>();
+
 	readonly #templates = new Map<ids.MemberId, control.StoredTemplate>();
 	/** In the order of the log, so that the first key is the oldest. */
 	readonly #changes = new Map<string, control.AnsweredChange>();
@@ -43,6 +51,8 @@
 			changes: [...this.#changes.values()],
 			groups: [...this.#groups.values()],
 			...(this.configuration ? {configuration: this.configuration} : {}),
+			leaseHolders: [...this.leaseHolders],
+			announcements: [...this.announcements.values()],
 		};
 	}
 
@@ -50,6 +60,16 @@
 	restore(state: control.MachineState): void {
 		this.appliedIndex = state.appliedIndex;
 		this.configuration = state.configuration;
+		this.leaseHolders.clear();
+		for (const peer of state.leaseHolders ?? []) {
+			this.leaseHolders.add(peer);
+		}
+
+		this.announcements.clear();
+		for (const announcement of state.announcements ?? []) {
+			this.announcements.set(announcement.server, announcement);
+		}
+
 		this.#templates.clear();
 		this.#changes.clear();
 		this.#groups.clear();
@@ -82,12 +102,31 @@
 			return this.#applyChange(index, command.change);
 		}
 
-		if (command.type === 'setConfiguration') {
-			return this.#applyConfiguration(command.configuration);
-		}
+		switch (command.type) {
+			case 'setConfiguration': {
+				return this.#applyConfiguration(command.configuration);
+			}
+
+			case 'addLeaseHolder': {
+				this.leaseHolders.add(command.peer);
+				return undefined;
+			}
+
+			case 'removeLeaseHolder': {
+				this.leaseHolders.delete(command.peer);
+				return undefined;
+			}
+
+			case 'storeAnnouncement': {
+				this.#storeAnnouncement(command.announcement);
+				return undefined;
+			}
 
-		this.#applyGroupCommand(index, command);
-		return undefined;
+			default: {
+				this.#applyGroupCommand(index, command);
+				return undefined;
+			}
+		}
 	}
 
 	/** Marks an entry without a command as applied. */
@@ -156,6 +195,13 @@
 		return [...this.#groups.values()];
 	}
 
+	#storeAnnouncement(announcement: types.VersionedAnnouncement): void {
+		const {server, version} = announcement;
+		if ((this.announcements.get(server)?.version ?? -1) < version) {
+			this.announcements.set(server, announcement);
+		}
+	}
+
 	#applyConfiguration(
 		configuration: types.Configuration,
 	): types.TemplateChangeResult {
@@ -226,6 +272,10 @@
 			return;
 		}
 
+		if (command.type === 'removeServer') {
+			this.announcements.delete(command.server);
+		}
+
 		const changed = group && reduceGroup(group, index, command);
 		if (changed) {
 			this.#storeGroup({...changed, changedAt: index});
--- a/src/common/control/ownership.ts
+++ b/src/common/control/ownership.ts
@@ -28,6 +28,9 @@
 	readonly servers = new Map<ids.UpstreamId, leases.ServerRecord>();
 	readonly #writeLeases: writeLeases.WriteLeases;
 	readonly #owned = new Map<ids.PeerId, Set<ids.UpstreamId>>();
+	/** Proxies that have applied a grant of this leader and listed all they hold since. */
+	readonly #settled = new Set<ids.PeerId>();
+	#isTakenOver = false;
 	#epochCounter = 0;
 	#ownerChange = 0;
 
@@ -36,6 +39,8 @@
 		consensusTerm: number,
 		startedAt: number,
 		faults: control.FaultInjection = {},
+		/** Every proxy that may hold a lease of an earlier leader; undefined when that is not known. */
+		private readonly leaseHolders?: ReadonlySet<ids.PeerId>,
 	) {
 		this.#writeLeases = new writeLeases.WriteLeases(faults);
 		this.consensusTerm = consensusTerm;
@@ -47,9 +52,14 @@
 		return {consensusTerm: this.consensusTerm, counter: this.#ownerChange};
 	}
 
+	/** True while a proxy may get leases: a later leader has to know of them. */
+	isLeaseHolder(peer: ids.PeerId): boolean {
+		return this.leaseHolders?.has(peer) ?? true;
+	}
+
 	/** True once every lease that an earlier leader granted has run out or was claimed. */
 	isTakeoverOver(now: number): boolean {
-		return now >= this.startedAt + timing.grantorLeaseMs;
+		return this.#isTakenOver || now >= this.startedAt + timing.grantorLeaseMs;
 	}
 
 	/**
@@ -85,6 +95,7 @@
 		}
 
 		this.#applyClaims(now, peer, renewal.owned);
+		this.#updateTakeover(peer, renewal);
 		return true;
 	}
 
@@ -249,6 +260,26 @@
 		}
 	}
 
+	/**
+	 * A proxy that has applied a grant of this leader ignores those of earlier ones, so what it lists
+	 * from then on is all that it holds. When every lease holder has done so, nothing is left to wait
+	 * for; this shortens the outage after a restart of all peers.
+	 */
+	#updateTakeover(peer: ids.PeerId, renewal: leases.Renewal): void {
+		if (
+			this.#isTakenOver ||
+			!this.leaseHolders ||
+			renewal.knownOwners?.consensusTerm !== this.consensusTerm
+		) {
+			return;
+		}
+
+		this.#settled.add(peer);
+		this.#isTakenOver =
+			this.leaseHolders.size > 0 &&
+			[...this.leaseHolders].every((holder) => this.#settled.has(holder));
+	}
+
 	#ensureServer(now: number, server: ids.UpstreamId): leases.ServerRecord {
 		let record = this.servers.get(server);
 		if (!record) {
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -34,6 +34,7 @@
 	readonly log: control.ReplicatedLog;
 	/** Number of voters that the installation wants; the present number when it is not set. */
 	readonly wantedVoters?: number;
+	readonly recordsLeaseHolders?: boolean;
 	readonly random: random.RandomSource;
 };
 
@@ -83,6 +84,7 @@
 		this.control = new reducer.ControlReducer({
 			peer: options.peer,
 			log: options.log,
+			recordsLeaseHolders: options.recordsLeaseHolders ?? false,
 		});
 		this.membership = this.createMembership();
 	}
@@ -264,8 +266,13 @@
 	}
 
 	private listDeltas(): membership.Delta[] {
-		const announcements = [...this.announcements.values()].map(
-			({announcement}) => ({type: 'announcement', announcement}) as const,
+		const known = new Map(this.control.machine.announcements);
+		for (const {announcement} of this.announcements.values()) {
+			known.set(announcement.server, announcement);
+		}
+
+		const announcements = [...known.values()].map(
+			(announcement) => ({type: 'announcement', announcement}) as const,
 		);
 		const versions = this.control.machine
 			.listTemplates()
--- a/src/common/control/placement.ts
+++ b/src/common/control/placement.ts
@@ -15,7 +15,9 @@
 ): leases.ProxyRecord[] {
 	return [...table.proxies.values()].filter(
 		(proxy) =>
-			!proxy.draining && now - proxy.lastRenewalAt <= timing.proxyFreshMs,
+			!proxy.draining &&
+			table.isLeaseHolder(proxy.peer) &&
+			now - proxy.lastRenewalAt <= timing.proxyFreshMs,
 	);
 }
 
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -19,6 +19,11 @@
 	readonly peer: ids.PeerId;
 	readonly log: control.ReplicatedLog;
 	readonly faults?: control.FaultInjection;
+	/**
+	 * Keeps lease holders and announcements in the log, which shortens the outage after a restart of
+	 * all peers at the price of a log entry for each new proxy or server.
+	 */
+	readonly recordsLeaseHolders?: boolean;
 };
 
 const consensusTypes: ReadonlySet<string> = new Set<
@@ -46,6 +51,7 @@
 	readonly #peer: ids.PeerId;
 	readonly #log: control.ReplicatedLog;
 	readonly #faults: control.FaultInjection;
+	readonly #recordsLeaseHolders: boolean;
 	readonly #machine = new machines.ControlMachine();
 	readonly #operations: operations.Operations;
 	/** Proposals about groups whose outcome is not known yet. */
@@ -75,6 +81,7 @@
 		this.#peer = options.peer;
 		this.#log = options.log;
 		this.#faults = options.faults ?? {};
+		this.#recordsLeaseHolders = options.recordsLeaseHolders ?? false;
 		this.#operations = new operations.Operations({
 			createProposal: () => ++this.#proposalCounter,
 			findAnswer: (change) => this.#findAnswer(change),
@@ -394,7 +401,10 @@
 
 		if (!this.#leader && this.#appliedTerm === term) {
 			this.#leader = new leaders.Leader(this.#buildEnvironment(), this.#now);
-			for (const announcement of this.#announcements.values()) {
+			for (const announcement of [
+				...this.#machine.announcements.values(),
+				...this.#announcements.values(),
+			]) {
 				this.#leader.table.addAnnouncement(this.#now, announcement);
 			}
 
@@ -415,6 +425,10 @@
 				this.#groupProposals.set(proposal, command.group);
 				this.#propose(proposal, command);
 			},
+			recordsLeaseHolders: this.#recordsLeaseHolders,
+			proposeRecord: (command) => {
+				this.#propose(++this.#proposalCounter, command);
+			},
 			callServer: (server, address, request, group) =>
 				this.#callServer(server, address, request, group),
 			log: (message) => {
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -14,6 +14,19 @@
 			readonly type: 'setConfiguration';
 			readonly configuration: types.Configuration;
 	  }
+	| {
+			/**
+			 * A proxy may hold leases from the commit of `addLeaseHolder` on. A new leader that has heard
+			 * all of them knows every lease that an earlier one granted.
+			 */
+			readonly type: 'addLeaseHolder' | 'removeLeaseHolder';
+			readonly peer: ids.PeerId;
+	  }
+	| {
+			/** Keeps what a server said of itself, so that a restart of all peers does not lose it. */
+			readonly type: 'storeAnnouncement';
+			readonly announcement: types.VersionedAnnouncement;
+	  }
 	| {
 			/** First primary of a group; without effect when the group exists. */
 			readonly type: 'registerGroup';
@@ -49,7 +62,14 @@
 /** Commands about one group, which the leader proposes. */
 export type GroupCommand = Exclude<
 	ControlCommand,
-	{type: 'changeTemplate' | 'setConfiguration'}
+	{
+		type:
+			| 'changeTemplate'
+			| 'setConfiguration'
+			| 'addLeaseHolder'
+			| 'removeLeaseHolder'
+			| 'storeAnnouncement';
+	}
 >;
 
 /** A promotion between the commits of `beginPromotion` and `completePromotion`. */
@@ -96,6 +116,8 @@
 	readonly changes: readonly AnsweredChange[];
 	readonly groups: readonly GroupState[];
 	readonly configuration?: types.Configuration;
+	readonly leaseHolders?: readonly ids.PeerId[];
+	readonly announcements?: readonly types.VersionedAnnouncement[];
 };
 
 /** The replicated log as the control reducer uses it; the consensus reducer implements it. */
--- a/src/common/proxy/lease-client.ts
+++ b/src/common/proxy/lease-client.ts
@@ -110,14 +110,18 @@
 		}
 	}
 
+	/** Returns true when the grant is the first one of its leader. */
 	handleGrant(
 		from: ids.PeerId,
 		grant: Extract<messages.ControlMessage, {type: 'leaseGranted'}>,
-	): void {
+	): boolean {
+		const isNewLeader =
+			grant.ownersVersion !== undefined &&
+			grant.ownersVersion.consensusTerm !== this.ownersVersion?.consensusTerm;
 		this.ownersVersion = grant.ownersVersion;
 		const sentAt = this.sentAt.get(grant.sequence);
 		if (sentAt === undefined) {
-			return;
+			return isNewLeader;
 		}
 
 		this.sentAt.delete(grant.sequence);
@@ -128,6 +132,18 @@
 			this.validUntil,
 			sentAt + grant.durationMs * (1 - driftBound),
 		);
+		return isNewLeader;
+	}
+
+	/** Grants of an earlier leader are void once a later one has granted. */
+	isOutdated(
+		grant: Extract<messages.ControlMessage, {type: 'leaseGranted'}>,
+	): boolean {
+		return (
+			grant.ownersVersion !== undefined &&
+			this.ownersVersion !== undefined &&
+			grant.ownersVersion.consensusTerm < this.ownersVersion.consensusTerm
+		);
 	}
 
 	handleNotLeader(
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -463,11 +463,14 @@
 		from: ids.PeerId,
 		grant: Extract<messages.ControlMessage, {type: 'leaseGranted'}>,
 	): void {
-		if (grant.appliedIndex < this.lease.knownIndex) {
+		if (
+			grant.appliedIndex < this.lease.knownIndex ||
+			this.lease.isOutdated(grant)
+		) {
 			return;
 		}
 
-		this.lease.handleGrant(from, grant);
+		const isNewLeader = this.lease.handleGrant(from, grant);
 		this.lease.knownIndex = grant.appliedIndex;
 		const changed = this.directory.applyGrant(grant);
 		for (const [server, version] of grant.confirmed) {
@@ -490,6 +493,11 @@
 		for (const view of changed) {
 			this.entry.handleGroupChanged(view.group);
 		}
+
+		if (isNewLeader) {
+			// The leader waits to hear what this proxy holds now that it knows the leader.
+			this.lease.sendRenewal();
+		}
 	}
 
 	private handleAnnouncement(
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -41,6 +41,7 @@
 		...settings,
 		incarnation,
 		log,
+		recordsLeaseHolders: settings.recordsLeaseHolders ?? false,
 		...(settings.wantedVoters === undefined
 			? {}
 			: {wantedVoters: settings.wantedVoters}),
--- a/src/daemon/control-types.ts
+++ b/src/daemon/control-types.ts
@@ -30,6 +30,8 @@
 	readonly mayFound?: boolean;
 	/** Number of voters that the installation wants; a larger one tolerates more lost disks. */
 	readonly wantedVoters?: number;
+	/** See `ControlPeerOptions`. */
+	readonly recordsLeaseHolders?: boolean;
 	/** The control peers of a new installation, this one included, with their peer addresses. */
 	readonly controlPeers: ReadonlyArray<{
 		readonly peer: ids.PeerId;
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -927,6 +927,8 @@
 	readonly log: ReplicatedLog;
 	/** Number of voters that the installation wants; the present number when it is not set. */
 	readonly wantedVoters?: number;
+	/** Keeps lease holders and announcements in the log, for a short outage after a restart of all. */
+	readonly recordsLeaseHolders?: boolean;
 	readonly random: RandomSource;
 };
 export type ControlPeerEvent =
