--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -19,6 +19,8 @@
 
 /** What the leader needs from the control reducer. */
 export type LeaderEnvironment = {
+	/** True when lease holders and announcements are kept in the log. */
+	readonly recordsLeaseHolders: boolean;
 	readonly machine: machines.ControlMachine;
 	/** Number of the consensus term. */
 	readonly term: number;
@@ -29,8 +31,6 @@
 	propose(command: control.GroupCommand): void;
 	/** Proposes a command that is not about a group. */
 	proposeRecord(command: RecordCommand): void;
-	/** True when lease holders and announcements are kept in the log. */
-	readonly recordsLeaseHolders: boolean;
 	hasProposal(group: ids.GroupId): boolean;
 	/** Writes a log record of level info. */
 	log(message: string): void;
--- a/src/common/control/machine.ts
+++ b/src/common/control/machine.ts
@@ -122,7 +122,11 @@
 				return undefined;
 			}
 
-			default: {
+			case 'registerGroup':
+			case 'addServer':
+			case 'removeServer':
+			case 'beginPromotion':
+			case 'completePromotion': {
 				this.#applyGroupCommand(index, command);
 				return undefined;
 			}
--- a/src/common/proxy/dispatcher.ts
+++ b/src/common/proxy/dispatcher.ts
@@ -47,6 +47,10 @@
 
 	/** Starts as many requests as slots and connections allow. */
 	dispatchNext(server: owned.OwnedServer): void {
+		if (server.isUnreachable) {
+			this.refuseAwaiting(server);
+		}
+
 		const {slots} = server.announcement;
 		while (server.busy + server.awaitingConnection.length < slots) {
 			const bound = server.boundQueue.shift();
--- a/src/common/proxy/executor.ts
+++ b/src/common/proxy/executor.ts
@@ -172,19 +172,20 @@
 	releaseIdleBindings(server: owned.OwnedServer): void {
 		const {now, timing} = this.context;
 		for (const connection of server.connections.values()) {
+			const {binding} = connection;
 			if (
-				connection.binding &&
-				!connection.binding.pinned &&
+				binding &&
+				!binding.pinned &&
 				connection.state === 'bound' &&
 				now - connection.stateSince > timing.boundIdleLimitMs
 			) {
 				this.context.log('warn', part, 'Rolled back an idle transaction', {
 					server: server.server,
-					origin: connection.binding.origin,
+					origin: binding.origin,
 					idleMs: Math.round(now - connection.stateSince),
 				});
-				this.bindings.lose(server, connection.binding);
-				this.releaseBinding(connection.binding);
+				this.bindings.lose(server, binding);
+				this.releaseBinding(binding);
 			}
 		}
 	}
--- a/src/common/proxy/owned-server.ts
+++ b/src/common/proxy/owned-server.ts
@@ -13,6 +13,9 @@
 /** Connections of each server that stay free for control: promotion and probes. */
 export const reservedConnections = 2;
 
+/** One failed connection may be chance, for example a lost packet. */
+const unreachableFailures = 2;
+
 /** A request at its owner. */
 export type OwnerItem = {
 	readonly origin: ids.PeerId;
@@ -99,6 +102,7 @@
 	/** Slots in use. */
 	busy = 0;
 	openFailures = 0;
+	poolLoggedAt = Number.NEGATIVE_INFINITY;
 	retryOpenAt = 0;
 	/** Entries that asked for reports, with the time until which they get them. */
 	readonly subscribers = new Map<ids.PeerId, number>();
@@ -137,6 +141,21 @@
 		return this.announcement.synchronousReplicas !== undefined;
 	}
 
+	/** True while no connection is open and the last tries to open one failed. */
+	get isUnreachable(): boolean {
+		return this.openFailures >= unreachableFailures && !this.hasOpen;
+	}
+
+	private get hasOpen(): boolean {
+		for (const {state} of this.connections.values()) {
+			if (state !== 'opening') {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	/** Connections that sessions may hold without blocking everybody else. */
 	get boundLimit(): number {
 		return Math.max(1, this.poolLimit - this.announcement.slots);
--- a/src/common/proxy/owner-pool.ts
+++ b/src/common/proxy/owner-pool.ts
@@ -9,6 +9,8 @@
 /** Delay before the next try after a failed connection, doubled with each failure up to the limit. */
 const reopenDelayMs = 50;
 const maxReopenDelayMs = 1000;
+/** A pool at its limit is logged at most this often. */
+const logIntervalMs = 1000;
 /** Connections beyond the slots that stay open for transactions. */
 const spareConnections = 1;
 
@@ -55,7 +57,11 @@
 			server.connections.size >= server.poolLimit ||
 			now < server.retryOpenAt
 		) {
-			if (server.awaitingConnection.length > 0) {
+			if (
+				server.awaitingConnection.length > 0 &&
+				now - server.poolLoggedAt >= logIntervalMs
+			) {
+				server.poolLoggedAt = now;
 				this.context.log('info', 'pool', 'No connection for a request', {
 					server: server.server,
 					connections: server.connections.size,
--- a/src/common/proxy/ownership.ts
+++ b/src/common/proxy/ownership.ts
@@ -138,7 +138,12 @@
 				: {stalledMs: now - server.stalledSince}),
 			...(server.lastAnswerAt === undefined
 				? {}
-				: {answerAgeMs: now - server.lastAnswerAt}),
+				: {
+						// Refused connections say as much as a long silence.
+						answerAgeMs: server.isUnreachable
+							? Infinity
+							: now - server.lastAnswerAt,
+					}),
 			...(server.status ? {status: server.status} : {}),
 		}));
 	}
--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -151,6 +151,44 @@
 	t.equal(answer?.type, 'refused');
 });
 
+// Guards against a transaction that keeps its connection and locks although its entry has forgotten
+// it, and against a proxy that fails on the rollback.
+tap.test('idle transaction is rolled back', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2, undefined, {
+		boundIdleLimitMs: 1000,
+	});
+	const session = fleet.openSession(1);
+	fleet.run(1, session, {type: 'begin'});
+	fleet.run(1, session, put('1'));
+	const server = fleet.proxies[0].reducer.owner.servers.get(
+		fleet.getServer('s1').id,
+	)!;
+	t.equal(server.countBound(), 1);
+	fleet.timeline.runUntil(fleet.timeline.now + 2000);
+	t.equal(server.countBound(), 0);
+	t.notOk(fleet.getServer('s1').log.some(({value}) => value === '1'));
+});
+
+// Guards against requests that wait at a server which refuses connections, while others could run
+// them.
+tap.test('unreachable server refuses at once', async (t) => {
+	const fleet = createTolerantFleet(10_000);
+	const {owner} = fleet.proxies[0].reducer;
+	const server = owner.servers.get(fleet.getServer('s1').id)!;
+	for (const id of server.connections.keys()) {
+		fleet.proxies[0].step({
+			type: 'connectionClosed',
+			now: fleet.timeline.now,
+			connection: id,
+			message: 'refused',
+		});
+	}
+
+	server.openFailures = 2;
+	t.ok(server.isUnreachable);
+	t.notOk(owner.rules.isWritable(server));
+});
+
 // Guards against a connection that stays bound after its caller vanished in a transaction.
 tap.test('caller vanishes in a transaction', async (t) => {
 	const fleet = new smallFleet.SmallFleet(2);
--- a/src/common/proxy/serving-rules.ts
+++ b/src/common/proxy/serving-rules.ts
@@ -41,6 +41,7 @@
 			this.holdsWriteLease(server) &&
 			server.releasingWriteSince === undefined &&
 			!this.hasDeparted(server) &&
+			!server.isUnreachable &&
 			server.status?.role === 'primary' &&
 			server.status.term === server.writeTerm
 		);
@@ -66,6 +67,10 @@
 		item: owned.OwnerItem,
 	): types.RefusalReason | undefined {
 		const {request} = item;
+		if (server.isUnreachable) {
+			return 'noServer';
+		}
+
 		if (request.kind !== 'read' && request.kind !== 'beginReadOnly') {
 			if (!this.isWritable(server)) {
 				return 'noPrimary';
--- a/src/scenario/fleet/small-fleet.ts
+++ b/src/scenario/fleet/small-fleet.ts
@@ -7,6 +7,7 @@
 import * as retryBudget from '../../common/policy/retry-budget.js';
 import * as routing from '../../common/policy/routing.js';
 import * as policyTesting from '../../common/policy/testing.js';
+import type * as context from '../../common/proxy/context.js';
 import * as reducer from '../../common/proxy/reducer.js';
 import type * as proxy from '../../common/proxy/types.js';
 import * as random from '../../common/random.js';
@@ -29,6 +30,7 @@
 	readonly controlPeers: readonly ids.PeerId[];
 	readonly parameters: types.TemplateParameters;
 	readonly seed: number;
+	readonly timing?: Partial<context.ProxyTiming>;
 }): reducer.ProxyReducer {
 	const {parameters} = options;
 	return new reducer.ProxyReducer(
@@ -44,6 +46,7 @@
 			})),
 			drainDeadlineMs: 30_000,
 			maxSessions: 10_000,
+			...(options.timing ? {timing: options.timing} : {}),
 		},
 		{
 			routing: new routing.LeastWaitRoutingPolicy(),
@@ -71,6 +74,7 @@
 	constructor(
 		proxyCount: number,
 		parameters: types.TemplateParameters = policyTesting.buildParameters(),
+		timing: Partial<context.ProxyTiming> = {},
 	) {
 		this.control = new scriptedControl.ScriptedControl(
 			controlPeer,
@@ -88,7 +92,7 @@
 		];
 		this.servers = fakeServer.createGroup(this.group, this.timeline);
 		for (let index = 1; index <= proxyCount; index++) {
-			this.addProxy(index, parameters);
+			this.addProxy(index, parameters, timing);
 		}
 
 		this.assignAll();
@@ -134,7 +138,11 @@
 		});
 	}
 
-	private addProxy(index: number, parameters: types.TemplateParameters): void {
+	private addProxy(
+		index: number,
+		parameters: types.TemplateParameters,
+		timing: Partial<context.ProxyTiming>,
+	): void {
 		const peer = `p${index}` as ids.PeerId;
 		const process = new proxyProcess.ProxyProcess(
 			peer,
@@ -149,6 +157,7 @@
 					controlPeers: [controlPeer],
 					parameters,
 					seed: index,
+					timing,
 				}),
 		);
 		this.links.addProcess(process);
