--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -1,5 +1,5 @@
 /**
- * Exit codes of the command line. Scripts rely on them; docs/operations.md lists them.
+ * Exit codes of the command line. Scripts rely on them; docs/OPERATIONS.md lists them.
  */
 export const exitCodes = {
 	/** Done. */
--- a/src/common/control/machine.test.ts
+++ b/src/common/control/machine.test.ts
@@ -48,6 +48,41 @@
 	t.equal(machine.getTemplate(member)?.text, 'a');
 });
 
+// Guards against a configuration that goes back, or that changes under the version in force.
+tap.test('the highest configuration is in force', async (t) => {
+	const machine = new machines.ControlMachine();
+	const apply = (version: number, text: string) =>
+		machine.apply(machine.appliedIndex + 1, {
+			type: 'setConfiguration',
+			configuration: {version, text},
+		});
+	t.match(apply(7, 'a'), {type: 'accepted'});
+	t.match(apply(5, 'old'), {type: 'accepted'});
+	t.match(apply(7, 'other'), {type: 'accepted'});
+	t.strictSame(machine.configuration, {version: 7, text: 'a'});
+	t.match(machine.findConfigurationAnswer({version: 7, text: 'a'}), {
+		type: 'accepted',
+	});
+	t.equal(machine.findConfigurationAnswer({version: 8, text: 'b'}), undefined);
+});
+
+// Guards against a restart that forgets the configuration, the lease holders or the servers.
+tap.test('snapshots keep configuration and records', async (t) => {
+	const machine = new machines.ControlMachine();
+	const peer = 'p1' as ids.PeerId;
+	machine.apply(1, {
+		type: 'setConfiguration',
+		configuration: {version: 7, text: 'a'},
+	});
+	machine.apply(2, {type: 'addLeaseHolder', peer});
+	const restored = new machines.ControlMachine();
+	restored.restore(structuredClone(machine.buildState()));
+	t.strictSame(restored.configuration, machine.configuration);
+	t.ok(restored.leaseHolders.has(peer));
+	restored.apply(3, {type: 'removeLeaseHolder', peer});
+	t.notOk(restored.leaseHolders.has(peer));
+});
+
 // Guards against a resend that is applied again, or refused after it was accepted.
 tap.test('a resend gets the first answer', async (t) => {
 	const machine = new machines.ControlMachine();
--- a/src/common/control/ownership.test.ts
+++ b/src/common/control/ownership.test.ts
@@ -42,8 +42,8 @@
 }
 
 /** A table with a shorter way to renew; `renew` returns what the proxy is granted. */
-function makeTable(startedAt = 0) {
-	const table = new ownership.OwnershipTable(5, startedAt);
+function makeTable(startedAt = 0, holders?: ReadonlySet<ids.PeerId>) {
+	const table = new ownership.OwnershipTable(5, startedAt, {}, holders);
 	let sequence = 0;
 	const renew = (
 		now: number,
@@ -93,6 +93,36 @@
 	);
 });
 
+// Guards against a wait for leases that nobody holds, and against a grant while a lease holder has
+// not said what it holds.
+tap.test('takeover ends when all lease holders are heard', async (t) => {
+	const holders = new Set(['p1', 'p2'] as ids.PeerId[]);
+	const {table, renew} = makeTable(1000, holders);
+	const knownOwners = makeEpoch(5, 0);
+	renew(1010, 'p1');
+	renew(1020, 'p2');
+	t.notOk(table.isTakeoverOver(1020), 'renewals without a grant of the leader');
+	renew(1030, 'p1', {knownOwners});
+	renew(1040, 'p2', {knownOwners: makeEpoch(4, 7)});
+	t.notOk(table.isTakeoverOver(1040), 'one holder knows an earlier leader');
+	renew(1050, 'p2', {knownOwners});
+	t.ok(table.isTakeoverOver(1050));
+});
+
+// Guards against a proxy that gets a lease of which a later leader would not know.
+tap.test('only lease holders get servers', async (t) => {
+	const holders = new Set<ids.PeerId>();
+	const {table, renew} = makeTable(0, holders);
+	const announcements = [makeAnnouncement('s1', 'a')];
+	const now = timing.grantorLeaseMs;
+	renew(now, 'p1', {announcements});
+	placement.assignServers(now, table);
+	t.strictSame(renew(now, 'p1'), []);
+	holders.add('p1' as ids.PeerId);
+	placement.assignServers(now, table);
+	t.match(renew(now, 'p1'), [{server: 's1'}]);
+});
+
 // Guards against two accepted claims, and against claims from before the takeover period.
 tap.test('claims: the higher epoch wins', async (t) => {
 	const {table, renew} = makeTable();
--- a/src/common/control/reducer.test.ts
+++ b/src/common/control/reducer.test.ts
@@ -196,6 +196,37 @@
 	]);
 });
 
+// Guards against a configuration that is acknowledged before it is committed, or read while a newer
+// one may exist.
+tap.test('configuration: put and read', async (t) => {
+	const single = startSingle();
+	const read = (operation: number) => {
+		single.step({
+			type: 'configurationReadRequested',
+			now: single.now,
+			operation,
+		});
+		return single
+			.take()
+			.find((effect) => effect.type === 'answerConfigurationRead');
+	};
+
+	t.match(read(1), {result: {type: 'unavailable'}}, 'no leader yet');
+	single.run(3000);
+	const configuration = {version: 3, text: 'x'};
+	single.step({
+		type: 'templateChangeRequested',
+		now: single.now,
+		operation: 2,
+		change: {type: 'configuration', configuration},
+	});
+	t.match(
+		single.take().find((effect) => effect.type === 'answerTemplateChange'),
+		{operation: 2, result: {type: 'accepted', version: 3}},
+	);
+	t.match(read(3), {result: {type: 'read', configuration}});
+});
+
 // Guards against answers and versions that a restart forgets.
 tap.test('restart after 500 changes', async (t) => {
 	const first = startSingle();
--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -178,17 +178,17 @@
 			: undefined;
 	}
 
-	/** A full queue of one server sends a read to another one, within the retry budget. */
+	/**
+	 * A full queue of one server sends a read to another one. The refused server has spent nothing on
+	 * it and each server is tried once, so the retry budget is left for requests that may have run.
+	 */
 	private retryAfterQueueFull(
 		request: entryState.EntryRequest,
 		attempt: entryState.Attempt,
 		message: string,
 	): void {
 		request.excluded.add(attempt.server);
-		if (
-			entryState.needsPrimary(request.kind) ||
-			!this.services.retryBudget.trySpend(this.context.now)
-		) {
+		if (entryState.needsPrimary(request.kind)) {
 			this.replies.refuse(request, 'queueFull', message);
 			return;
 		}
--- a/src/common/proxy/entry-replies.ts
+++ b/src/common/proxy/entry-replies.ts
@@ -6,6 +6,7 @@
 import type * as types from '../types.js';
 import type * as context from './context.js';
 import type * as entryState from './entry-state.js';
+import type * as proxy from './types.js';
 import * as refusals from './refusals.js';
 import type * as requestTable from './request-table.js';
 
@@ -31,6 +32,7 @@
 			sqlState: refusals.getRefusalState(reason),
 			message: `not run: ${message}`,
 			transactionStatus: request.session.binding ? 'failed' : 'idle',
+			trace: buildTrace(request),
 		});
 		this.recordRequest(request, 'notRun', reason, undefined);
 		this.table.removeRequest(request);
@@ -44,6 +46,7 @@
 			sqlState: refusals.unknownOutcomeState,
 			message: `the outcome is unknown: ${message}`,
 			transactionStatus: 'idle',
+			trace: buildTrace(request),
 		});
 		this.recordRequest(request, 'unknown', undefined, undefined);
 		this.table.removeRequest(request);
@@ -97,3 +100,16 @@
 		});
 	}
 }
+
+function buildTrace(request: entryState.EntryRequest): proxy.RequestTrace {
+	const {lastPlace, lastReason, session} = request;
+	return {
+		attempts: request.attemptCount,
+		retries: request.retries,
+		...lastPlace,
+		...(lastReason === undefined ? {} : {lastReason}),
+		limitMs: Math.round(request.deadlineAt - request.arrivedAt),
+		stalenessMs: request.stalenessMs,
+		...(session.floor ? {floor: session.floor} : {}),
+	};
+}
--- a/src/common/proxy/entry-state.ts
+++ b/src/common/proxy/entry-state.ts
@@ -62,6 +62,9 @@
 	readonly excluded: Set<ids.UpstreamId>;
 	wait: WaitState;
 	retries: number;
+	/** Number of attempts so far, and the place of the last one. */
+	attemptCount: number;
+	lastPlace: SessionBinding | undefined;
 	isHedged: boolean;
 	/** The attempt whose first bytes went to the caller. */
 	relayedBy: ids.AttemptId | undefined;
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -430,6 +430,8 @@
 			excluded: new Set(),
 			wait: {type: 'attempt'},
 			retries: 0,
+			attemptCount: 0,
+			lastPlace: undefined,
 			isHedged: false,
 			relayedBy: undefined,
 			lastReason: undefined,
--- a/src/common/proxy/request-table.ts
+++ b/src/common/proxy/request-table.ts
@@ -50,6 +50,8 @@
 		const attempt = {id, server, owner, sentAt: this.context.now};
 		request.attempts.set(id, attempt);
 		this.attempts.set(id, request);
+		request.attemptCount++;
+		request.lastPlace = {server, owner};
 		return attempt;
 	}
 
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -257,6 +257,7 @@
 			readonly sqlState: string;
 			readonly message: string;
 			readonly transactionStatus: TransactionStatus;
+			readonly trace?: RequestTrace;
 	  }
 	| {
 			/** The transaction of an idle session was rolled back; see `ProxyConfig.keepsLostSessions`. */
@@ -367,6 +368,21 @@
 			readonly type: 'drained';
 	  };
 
+/** What an entry did for a request before it gave up, for the log. */
+export type RequestTrace = {
+	readonly attempts: number;
+	readonly retries: number;
+	/** The server and owner of the last attempt. */
+	readonly server?: ids.UpstreamId;
+	readonly owner?: ids.PeerId;
+	/** Why the last attempt did not run. */
+	readonly lastReason?: types.RefusalReason;
+	/** The time limit that the request had at its arrival, in ms. */
+	readonly limitMs: number;
+	readonly stalenessMs: number;
+	readonly floor?: types.Position;
+};
+
 /** Counters without member and rank. */
 export type CounterName =
 	| 'connectionsOpened'
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -382,6 +382,7 @@
 			sqlState: string;
 			message: string;
 			transactionStatus: TransactionStatus;
+			trace?: RequestTrace;
 	  }
 	/** The transaction of an idle session was rolled back; see `ProxyConfig.keepsLostSessions`. */
 	| {type: 'transactionLost'; session: SessionId; message: string}
@@ -453,6 +454,20 @@
 	/** Draining is complete; the process may exit with 0. */
 	| {type: 'drained'}
 >;
+/** What an entry did for a request before it gave up, for the log. */
+export type RequestTrace = {
+	readonly attempts: number;
+	readonly retries: number;
+	/** The server and owner of the last attempt. */
+	readonly server?: UpstreamId;
+	readonly owner?: PeerId;
+	/** Why the last attempt did not run. */
+	readonly lastReason?: RefusalReason;
+	/** The time limit that the request had at its arrival, in ms. */
+	readonly limitMs: number;
+	readonly stalenessMs: number;
+	readonly floor?: Position;
+};
 /** Counters without member and rank. */
 export type CounterName =
 	| 'connectionsOpened'
