Judge the health of a proxy in its own module, and stay ready after a start

Cause: after the final fault all proxies answered 503 until their first grant, so the balancer, which looks once a second and takes a proxy out after two misses, brought callers back up to a second after the proxies could serve. A proxy now counts as ready for 2.5 s after its start; callers wait for the configuration. Not measured yet.

--- /dev/null
+++ b/src/common/proxy/health.test.ts
@@ -0,0 +1,87 @@
+import tap from 'tap';
+import type * as ids from '../ids.js';
+import type * as membership from '../membership/types.js';
+import * as random from '../random.js';
+import * as context from './context.js';
+import * as proxyHealth from './health.js';
+
+const self = 'p1' as ids.PeerId;
+
+function buildPeer(peer: string): membership.PeerState {
+	return {
+		peer: peer as ids.PeerId,
+		role: 'proxy',
+		address: peer,
+		dataCentre: 'a' as ids.DataCentre,
+		incarnation: 1,
+		condition: 'alive',
+	};
+}
+
+function createHealth() {
+	const shared = new context.ProxyContext(
+		{
+			peer: self,
+			vm: 'v1' as ids.VmId,
+			address: 'p1',
+			dataCentre: 'a' as ids.DataCentre,
+			incarnation: 1,
+			controlPeers: [],
+			drainDeadlineMs: 5000,
+			maxSessions: 10,
+			timing: {grantLimitMs: 2000, isolationLimitMs: 2000, startGraceMs: 2500},
+		},
+		random.createRandom(1),
+	);
+	const state = {lastGrantAt: 0, isDraining: false, lacksRoutes: false};
+	const health = new proxyHealth.ProxyHealth(shared, {
+		lease: state,
+		membership: {
+			listPeers: () => [self, 'p2', 'p3'].map((peer) => buildPeer(peer)),
+		},
+		isDraining: () => state.isDraining,
+		lacksRoutes: () => state.lacksRoutes,
+	});
+	const update = (now: number) => {
+		shared.now = now;
+		health.update();
+		return shared
+			.takeEffects()
+			.filter((effect) => effect.type === 'setHealth')
+			.at(-1)?.ready;
+	};
+
+	health.start(0);
+	return {shared, state, health, update};
+}
+
+// Guards against a restarted proxy that the balancer takes out of use until its next look.
+tap.test('ready while it waits for the first grant', async (t) => {
+	const {state, update} = createHealth();
+	t.equal(update(10), true);
+	state.lastGrantAt = 500;
+	update(510);
+	t.equal(update(4000), false, 'no grant for long');
+});
+
+// Guards against callers that stay at a proxy which is cut off with a minority.
+tap.test('cut off with a minority', async (t) => {
+	const {shared, state, health, update} = createHealth();
+	state.lastGrantAt = 3000;
+	health.recordContact(5500);
+	update(5600);
+	t.ok(health.isCutOff);
+	for (const peer of ['p2', 'p3'] as ids.PeerId[]) {
+		shared.setLink(peer, true);
+	}
+
+	t.notOk(health.isCutOff, 'the others lost control too');
+});
+
+// Guards against a proxy that takes callers while it stops.
+tap.test('draining is not ready, also right after the start', async (t) => {
+	const {state, update} = createHealth();
+	update(10);
+	state.isDraining = true;
+	t.equal(update(20), false);
+});
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -14,6 +14,7 @@
 import * as directory from './directory.js';
 import * as drain from './drain.js';
 import * as entry from './entry.js';
+import * as proxyHealth from './health.js';
 import * as leaseClient from './lease-client.js';
 import * as operatorClient from './operator-client.js';
 import * as owner from './owner.js';
@@ -50,11 +51,7 @@
 	private readonly drain: drain.DrainController;
 	private readonly operators: operatorClient.OperatorClient;
 	private lastEventAt: number | undefined;
-	private lastHeardAt = 0;
-	private isIsolated = true;
-	/** True when sessions need a configuration with routes. */
-	private readonly isRouted: boolean;
-	private health: {ready: boolean; reason: string} | undefined;
+	private readonly health: proxyHealth.ProxyHealth;
 
 	constructor(
 		config: context.ProxyConfig,
@@ -62,7 +59,6 @@
 		randomSource: random.RandomSource,
 	) {
 		this.context = new context.ProxyContext(config, randomSource);
-		this.isRouted = services.parseConfiguration !== undefined;
 		this.templates = new templateStore.TemplateStore(
 			services.parseTemplate,
 			services.parseConfiguration,
@@ -127,6 +123,14 @@
 				this.membership.leave();
 			},
 		);
+		this.health = new proxyHealth.ProxyHealth(this.context, {
+			lease: this.lease,
+			membership: this.membership,
+			isDraining: () => this.drain.isDraining,
+			lacksRoutes: () =>
+				services.parseConfiguration !== undefined &&
+				this.templates.routes === undefined,
+		});
 		this.operators = new operatorClient.OperatorClient(
 			this.context,
 			this.lease,
@@ -136,12 +140,12 @@
 	/** Effects that start the process: links to the control peers. */
 	start(now: number): proxy.ProxyEffect[] {
 		this.context.now = now;
-		this.lastHeardAt = now;
+		this.health.start(now);
 		for (const {peer, address} of this.context.config.controlPeers) {
 			this.context.emit({type: 'connectPeer', peer, address});
 		}
 
-		this.updateHealth();
+		this.health.update();
 		return this.context.takeEffects();
 	}
 
@@ -208,7 +212,7 @@
 			}
 
 			case 'peerMessage': {
-				this.lastHeardAt = event.now;
+				this.health.recordContact(event.now);
 				this.handlePeerMessage(event.from, event.message);
 				return;
 			}
@@ -265,7 +269,7 @@
 
 			case 'drainRequested': {
 				this.drain.start();
-				this.updateHealth();
+				this.health.update();
 				this.lease.sendRenewal();
 				return;
 			}
@@ -288,8 +292,10 @@
 		this.operators.handleTick();
 		this.directory.expireAnnouncements();
 		this.drain.handleTick();
-		this.updateHealth();
-		this.releaseCallers();
+		this.health.update();
+		if (this.health.isCutOff) {
+			this.entry.closeIdleSessions(false);
+		}
 	}
 
 	private handlePeerMessage(
@@ -588,7 +594,7 @@
 			return {reason: 'draining', message: 'the proxy is shutting down'};
 		}
 
-		if (this.isIsolated) {
+		if (this.health.isIsolated) {
 			return {
 				reason: 'noServer',
 				message: 'the proxy hears no other peer',
@@ -610,61 +616,4 @@
 			this.entry.handleFreeze();
 		}
 	}
-
-	/**
-	 * A proxy that is cut off with a minority of the others can serve nobody, so callers without a
-	 * request are sent to another proxy. When all proxies lost control, nobody would be better off.
-	 */
-	private releaseCallers(): void {
-		const {isReady, now} = {
-			isReady: this.health?.ready === true,
-			now: this.context.now,
-		};
-		const isCutOff =
-			!isReady &&
-			!this.drain.isDraining &&
-			this.lease.lastGrantAt > 0 &&
-			now - this.lease.lastGrantAt > this.context.timing.grantLimitMs;
-		if (isCutOff && this.isInMinority()) {
-			this.entry.closeIdleSessions(false);
-		}
-	}
-
-	private isInMinority(): boolean {
-		const others = this.membership
-			.listPeers()
-			.filter(
-				({peer, condition}) =>
-					peer !== this.context.config.peer && condition !== 'left',
-			);
-		const reachable = others.filter(({peer}) => this.context.isReachable(peer));
-		return reachable.length < others.length / 2;
-	}
-
-	private updateHealth(): void {
-		this.isIsolated =
-			this.context.now - this.lastHeardAt >
-				this.context.timing.isolationLimitMs || this.lease.lastGrantAt === 0;
-		const isGranted =
-			this.context.now - this.lease.lastGrantAt <=
-			this.context.timing.grantLimitMs;
-		const ready =
-			!this.drain.isDraining &&
-			!this.isIsolated &&
-			isGranted &&
-			(!this.isRouted || this.templates.routes !== undefined);
-		const reason = this.drain.isDraining
-			? 'draining'
-			: this.isIsolated
-				? 'no contact with other peers'
-				: isGranted
-					? ready
-						? 'ready'
-						: 'no configuration yet'
-					: 'no contact with the control leader';
-		if (this.health?.ready !== ready || this.health.reason !== reason) {
-			this.health = {ready, reason};
-			this.context.emit({type: 'setHealth', ready, reason});
-		}
-	}
 }
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -529,6 +529,11 @@
 	readonly isolationLimitMs: number;
 	/** A proxy without a grant of control for this long is not ready. */
 	readonly grantLimitMs: number;
+	/**
+	 * A proxy counts as ready for this long after its start, so that a load balancer that looks once a
+	 * second does not take it out of use while it waits for its first grant.
+	 */
+	readonly startGraceMs: number;
 	/** A transaction that holds a connection without any request for this long is rolled back. */
 	readonly boundIdleLimitMs: number;
 };
