--- a/src/common/proxy/health.test.ts
+++ b/src/common/proxy/health.test.ts
@@ -47,8 +47,7 @@
 		health.update();
 		return shared
 			.takeEffects()
-			.filter((effect) => effect.type === 'setHealth')
-			.at(-1)?.ready;
+			.findLast((effect) => effect.type === 'setHealth')?.ready;
 	};
 
 	health.start(0);
