--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -8,6 +8,7 @@
 import type * as messages from '../messages.js';
 import type * as consensus from '../consensus/types.js';
 import * as changes from './changes.js';
+import * as configurationReads from './configuration-reads.js';
 import type * as control from './types.js';
 import * as leaders from './leader.js';
 import * as machines from './machine.js';
@@ -54,6 +55,7 @@
 	readonly #recordsLeaseHolders: boolean;
 	readonly #machine = new machines.ControlMachine();
 	readonly #operations: operations.Operations;
+	readonly #reads: configurationReads.ConfigurationReads;
 	/** Proposals about groups whose outcome is not known yet. */
 	readonly #groupProposals = new Map<number, ids.GroupId>();
 	/** What membership said of servers; a new leader starts from it. */
@@ -82,6 +84,18 @@
 		this.#log = options.log;
 		this.#faults = options.faults ?? {};
 		this.#recordsLeaseHolders = options.recordsLeaseHolders ?? false;
+		this.#reads = new configurationReads.ConfigurationReads({
+			peer: options.peer,
+			getLeader: () => this.#log.leader,
+			isActiveLeader: () => this.#findActiveLeader() !== undefined,
+			getConfiguration: () => this.#machine.configuration,
+			send: (to, message) => {
+				this.#send(to, message);
+			},
+			emit: (effect) => {
+				this.#effects.push(effect);
+			},
+		});
 		this.#operations = new operations.Operations({
 			createProposal: () => ++this.#proposalCounter,
 			findAnswer: (change) => this.#findAnswer(change),
@@ -166,7 +180,7 @@
 			}
 
 			case 'configurationReadRequested': {
-				this.#readConfiguration({type: 'local', operation: event.operation});
+				this.#reads.handleRead({type: 'local', operation: event.operation});
 				return;
 			}
 
@@ -222,11 +236,11 @@
 
 		if (message.type === 'readConfiguration') {
 			const {operation} = message;
-			this.#readConfiguration({type: 'peer', peer: from, operation});
+			this.#reads.handleRead({type: 'peer', peer: from, operation});
 		}
 
 		if (message.type === 'configurationRead') {
-			this.#handleConfigurationRead(message);
+			this.#reads.handleResult(message);
 		}
 	}
 
@@ -334,52 +348,6 @@
 		});
 	}
 
-	/**
-	 * Only a leader whose lease is valid knows that no newer configuration is committed. A follower
-	 * asks it once; the adapter gives up when no answer comes.
-	 */
-	#readConfiguration(origin: operations.Origin): void {
-		if (this.#findActiveLeader()) {
-			const {configuration} = this.#machine;
-			this.#answerRead(origin, {type: 'read', configuration});
-			return;
-		}
-
-		const {leader} = this.#log;
-		if (
-			origin.type === 'peer' ||
-			leader === undefined ||
-			leader === this.#peer
-		) {
-			this.#answerRead(origin, {type: 'unavailable'});
-			return;
-		}
-
-		this.#send(leader, {
-			type: 'readConfiguration',
-			operation: origin.operation,
-		});
-	}
-
-	#handleConfigurationRead(
-		message: Extract<messages.OperatorMessage, {type: 'configurationRead'}>,
-	): void {
-		const {operation, result} = message;
-		this.#answerRead({type: 'local', operation}, result);
-	}
-
-	#answerRead(
-		origin: operations.Origin,
-		result: types.ConfigurationReading,
-	): void {
-		const {operation} = origin;
-		if (origin.type === 'local') {
-			this.#effects.push({type: 'answerConfigurationRead', operation, result});
-		} else {
-			this.#send(origin.peer, {type: 'configurationRead', operation, result});
-		}
-	}
-
 	/** The leader part, while this peer may act as leader. */
 	#findActiveLeader(): leaders.Leader | undefined {
 		return this.#log.isLeaderLeaseValid(this.#now) ? this.#leader : undefined;
