--- a/src/common/proxy/executor.ts
+++ b/src/common/proxy/executor.ts
@@ -385,7 +385,7 @@
 		queueMs: number,
 		isBound: boolean,
 	): void {
-		if (!this.rules.holdsWriteLease(server)) {
+		if (!this.rules.hasWriteLease(server)) {
 			this.replies.finishUnknown(item, 'the write lease ended', outcome);
 			return;
 		}
--- a/src/common/proxy/serving-rules.ts
+++ b/src/common/proxy/serving-rules.ts
@@ -29,7 +29,7 @@
 	}
 
 	/** True while no other proxy can send writes to the group or acknowledge them. */
-	holdsWriteLease(server: owned.OwnedServer): boolean {
+	hasWriteLease(server: owned.OwnedServer): boolean {
 		return (
 			server.writeTerm !== undefined && this.lease.isValid(this.context.now)
 		);
@@ -38,7 +38,7 @@
 	/** True while this proxy may send writes to the server and acknowledge them. */
 	isWritable(server: owned.OwnedServer): boolean {
 		return (
-			this.holdsWriteLease(server) &&
+			this.hasWriteLease(server) &&
 			server.releasingWriteSince === undefined &&
 			!this.hasDeparted(server) &&
 			!server.isUnreachable &&
