--- a/scripts/install-if-missing.mjs
+++ b/scripts/install-if-missing.mjs
@@ -23,8 +23,7 @@
 }
 
 if (!isInstalled()) {
-	// `npm ci` refuses the lock file: optional native parts of cbor-x that no registry offers are
-	// missing from it. `npm install --no-save` installs the locked versions and leaves the file alone.
+	// Installs the locked versions, leaves the lock file alone and keeps what is there already.
 	const result = childProcess.spawnSync(
 		'npm',
 		['install', '--no-save', '--no-audit', '--no-fund'],
