Elect a leader without waiting for a second round

After a restart the election timeout began when the log was loaded, although the process had been up for 0.4 s, and a campaign that began before the links were up waited for the next timeout. Change: of two peers that ask for pre-votes at the same time the lower id goes on; the timeout counts from the start of the process; a voter whose link comes up is asked again. Ruled out: shorter timeouts, because voters must refuse for as long as a leader may rely on them.

--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -12,18 +12,44 @@
 	return new simulation.Simulation({peers, seed: 1});
 }
 
-function makeVoter(): consensus.Consensus<string> {
+function makeVoter(
+	peer: ids.PeerId = a,
+	startedAt?: number,
+): consensus.Consensus<string> {
 	return new consensus.Consensus<string>({
-		peer: a,
+		peer,
 		initialVoters: [a, b, c],
 		stored: {
 			...fakeNetwork.makeEmptyStoredLog(),
 			hardState: {term: 1, votedFor: undefined},
 		},
 		incarnation: 1,
+		...(startedAt === undefined ? {} : {startedAt}),
 	});
 }
 
+function makePreVote(
+	from: ids.PeerId,
+	now: number,
+): types.ConsensusEvent<string> {
+	const message = {
+		type: 'preVote',
+		term: 2,
+		lastIndex: 0,
+		lastTerm: 0,
+	} as const;
+	return {type: 'message', now, from, message};
+}
+
+function listTargets(
+	effects: ReadonlyArray<types.ConsensusEffect<string>>,
+	type: types.ConsensusMessage['type'],
+): ids.PeerId[] {
+	return effects.flatMap((effect) =>
+		effect.type === 'send' && effect.message.type === type ? [effect.to] : [],
+	);
+}
+
 function requestVote(now: number): types.ConsensusEvent<string> {
 	const message = {type: 'vote', term: 2, lastIndex: 0, lastTerm: 0} as const;
 	return {type: 'message', now, from: b, message};
@@ -148,3 +174,43 @@
 	t.ok(record.applyReply({...reply, round: 7}, 100));
 	t.equal(record.match, 9);
 });
+
+// Guards against two peers that campaign at the same time, vote for themselves and both lose.
+tap.test('simultaneous campaigns yield to the lower id', async (t) => {
+	const first = makeVoter(a, 0);
+	const second = makeVoter(b, 0);
+	for (const voter of [first, second]) {
+		voter.step({type: 'tick', now: 700, random: 0.5});
+		t.equal(voter.role, 'candidate');
+	}
+
+	t.same(listTargets(first.step(makePreVote(b, 710)), 'preVoteReply'), []);
+	t.equal(first.role, 'candidate');
+	t.same(listTargets(second.step(makePreVote(a, 710)), 'preVoteReply'), [a]);
+	t.equal(second.role, 'follower');
+});
+
+// Guards against a peer whose own requests do not arrive and that blocks the election of others.
+tap.test('a campaign without answers helps others', async (t) => {
+	const voter = makeVoter(a, 0);
+	voter.step({type: 'tick', now: 700, random: 0.5});
+	t.same(listTargets(voter.step(makePreVote(b, 900)), 'preVoteReply'), [b]);
+});
+
+// Guards against an election timeout that begins only after a slow start.
+tap.test('the start of the process counts for the timeout', async (t) => {
+	const late = makeVoter(a, 0);
+	late.step({type: 'tick', now: 700, random: 0.5});
+	t.equal(late.role, 'candidate');
+	const early = makeVoter(a, 0);
+	early.step({type: 'tick', now: 200, random: 0});
+	t.equal(early.role, 'follower', 'it may have answered a leader before');
+});
+
+// Guards against a campaign that began before its links and waits for the next timeout.
+tap.test('a connected voter is asked again', async (t) => {
+	const voter = makeVoter(a, 0);
+	voter.step({type: 'tick', now: 700, random: 0.5});
+	const effects = voter.step({type: 'peerConnected', now: 710, peer: c});
+	t.same(listTargets(effects, 'preVote'), [c]);
+});
--- a/src/common/consensus/consensus.ts
+++ b/src/common/consensus/consensus.ts
@@ -34,6 +34,8 @@
 	readonly stored: types.StoredLog<Command>;
 	/** Differs at each start of the process, for example the start time in ms since the epoch. */
 	readonly incarnation: number;
+	/** Monotonic time of the start of the process, in ms; the time of the first event by default. */
+	readonly startedAt?: number;
 	readonly faults?: FaultInjection;
 };
 
@@ -160,7 +162,7 @@
 		}
 
 		this.#isStarted = true;
-		this.#voting.recordStart(this.#now);
+		this.#voting.recordStart(this.#options.startedAt ?? this.#now);
 		if (this.#log.snapshot) {
 			this.#effects.push({type: 'restore', snapshot: this.#log.snapshot});
 		}
@@ -188,6 +190,11 @@
 				return;
 			}
 
+			case 'peerConnected': {
+				this.#voting.handleConnected(event.peer);
+				return;
+			}
+
 			case 'written': {
 				this.#runDependents(this.#writes.complete(event.write));
 				return;
--- a/src/common/consensus/election.ts
+++ b/src/common/consensus/election.ts
@@ -48,6 +48,14 @@
 		this.resetTimer(now);
 	}
 
+	/** Tells whether the answers to a pre-vote that this peer asked for may still be on their way. */
+	isPreVoteFresh(now: number): boolean {
+		return (
+			this.#phase === 'preVote' &&
+			now - this.#timerStartedAt < timing.preVoteAnswerMs
+		);
+	}
+
 	stop(): void {
 		this.#phase = 'idle';
 		this.#votes.clear();
--- a/src/common/consensus/timing.ts
+++ b/src/common/consensus/timing.ts
@@ -8,6 +8,9 @@
 /** Upper bound of the random part of the election timeout, in ms; it keeps peers from tying. */
 export const electionJitterMs = 300;
 
+/** Answers to a pre-vote arrive within this time, in ms; above two round trips between regions. */
+export const preVoteAnswerMs = 100;
+
 /** Interval of the leader's appends while there is nothing to replicate, in ms. */
 export const heartbeatMs = 75;
 
--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -157,6 +157,12 @@
 			readonly now: number;
 			readonly voters: readonly ids.PeerId[];
 	  }
+	| {
+			/** Messages to the peer arrive from now on. */
+			readonly type: 'peerConnected';
+			readonly now: number;
+			readonly peer: ids.PeerId;
+	  }
 	| {
 			/** The storage write with this number is synced. */
 			readonly type: 'written';
--- a/src/common/consensus/voting.ts
+++ b/src/common/consensus/voting.ts
@@ -55,9 +55,23 @@
 		return this.#election.phase !== 'idle';
 	}
 
-	/** A restarted peer may have answered a leader just before it stopped, so it waits like one. */
-	recordStart(now: number): void {
-		this.#election.recordLeader(now);
+	/**
+	 * A restarted peer may have answered a leader just before it stopped, so it waits like one.
+	 *
+	 * @param startedAt - Monotonic time of the start of the process, in ms.
+	 */
+	recordStart(startedAt: number): void {
+		this.#election.recordLeader(startedAt);
+	}
+
+	/** Asks a peer that was not reachable when the campaign began. */
+	handleConnected(peer: ids.PeerId): void {
+		if (
+			this.#election.phase === 'preVote' &&
+			this.#context.log.configuration.voters.includes(peer)
+		) {
+			this.#sendRequest(peer, 'preVote', this.term + 1);
+		}
 	}
 
 	recordLeader(now: number): void {
@@ -113,6 +127,10 @@
 
 		if (message.type === 'preVote') {
 			const granted = this.#isUpToDate(message) && message.term > this.term;
+			if (granted && !this.#yieldTo(from, now)) {
+				return;
+			}
+
 			const term = granted ? message.term : this.term;
 			this.#context.sendAfterWrites(from, {
 				type: 'preVoteReply',
@@ -183,6 +201,26 @@
 		this.#storeHardState({term: this.term, votedFor});
 	}
 
+	/**
+	 * Settles which of two peers that ask for pre-votes at the same time goes on, because each would
+	 * vote for itself and neither win. The lower id goes on; the other one gives up its own candidacy.
+	 *
+	 * @returns False when this peer goes on, so that the other one must not be helped. That ends with
+	 * the time for answers: a peer whose requests do not arrive must not block the others for good.
+	 */
+	#yieldTo(candidate: ids.PeerId, now: number): boolean {
+		if (this.#election.phase !== 'preVote') {
+			return true;
+		}
+
+		if (this.#context.self < candidate) {
+			return !this.#election.isPreVoteFresh(now);
+		}
+
+		this.stop(now);
+		return true;
+	}
+
 	#isUpToDate(message: VoteRequest): boolean {
 		return this.#context.log.isCoveredBy(message.lastIndex, message.lastTerm);
 	}
@@ -210,14 +248,18 @@
 	}
 
 	#sendRequests(type: 'preVote' | 'vote', term: number): void {
-		const {lastIndex, lastTerm, configuration} = this.#context.log;
-		for (const peer of configuration.voters) {
+		for (const peer of this.#context.log.configuration.voters) {
 			if (peer !== this.#context.self) {
-				this.#context.sendAfterWrites(peer, {type, term, lastIndex, lastTerm});
+				this.#sendRequest(peer, type, term);
 			}
 		}
 	}
 
+	#sendRequest(peer: ids.PeerId, type: 'preVote' | 'vote', term: number): void {
+		const {lastIndex, lastTerm} = this.#context.log;
+		this.#context.sendAfterWrites(peer, {type, term, lastIndex, lastTerm});
+	}
+
 	/** A joining peer keeps its term in memory only: a stored term makes it a voter. */
 	#storeHardState(hardState: types.HardState): void {
 		this.#hardState = hardState;
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -157,6 +157,9 @@
 	private handleLinkChange(peer: ids.PeerId, up: boolean): void {
 		if (up) {
 			this.membership.startSync(peer);
+			this.effects.push(
+				...this.control.step({type: 'peerConnected', now: this.now, peer}),
+			);
 		} else {
 			this.membership.handleLinkDown(peer, this.now);
 		}
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -157,6 +157,15 @@
 				return;
 			}
 
+			case 'peerConnected': {
+				this.#runLog({
+					type: 'peerConnected',
+					now: event.now,
+					peer: event.peer,
+				});
+				return;
+			}
+
 			case 'written': {
 				this.#runLog({type: 'written', now: event.now, write: event.write});
 				return;
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -227,6 +227,12 @@
 			readonly now: number;
 			readonly announcement: types.VersionedAnnouncement;
 	  }
+	| {
+			/** Messages to the peer arrive from now on. */
+			readonly type: 'peerConnected';
+			readonly now: number;
+			readonly peer: ids.PeerId;
+	  }
 	| {
 			/** The storage write with this number is synced. */
 			readonly type: 'written';
--- a/src/daemon/clock.ts
+++ b/src/daemon/clock.ts
@@ -36,6 +36,9 @@
 	}
 }
 
+/** The steady clock of Node.js counts from the start of the process. */
+export const processStartedAt = 0;
+
 const clock = new SuspensionClock(
 	() => performance.now(),
 	() => Date.now(),
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -36,6 +36,9 @@
 				? {...stored, isDataLost: true}
 				: stored,
 		incarnation,
+		...(settings.startedAt === undefined
+			? {}
+			: {startedAt: settings.startedAt}),
 	});
 	const reducer = new controlPeer.ControlPeer({
 		...settings,
--- a/src/daemon/control-types.ts
+++ b/src/daemon/control-types.ts
@@ -30,6 +30,8 @@
 	readonly mayFound?: boolean;
 	/** Number of voters that the installation wants; a larger one tolerates more lost disks. */
 	readonly wantedVoters?: number;
+	/** Monotonic time of the start of the process, in ms; the time of the first event by default. */
+	readonly startedAt?: number;
 	/** See `ControlPeerOptions`. */
 	readonly recordsLeaseHolders?: boolean;
 	/** The control peers of a new installation, this one included, with their peer addresses. */
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -768,6 +768,8 @@
 	/** `proposal`: Returned in `applied` or `proposalLost`. */
 	| {type: 'propose'; proposal: number; command: Command}
 	| {type: 'changeVoters'; voters: PeerId[]}
+	/** Messages to the peer arrive from now on. */
+	| {type: 'peerConnected'; peer: PeerId}
 	/** The storage write with this number is synced. */
 	| {type: 'written'; write: number}
 	/**
@@ -804,6 +806,8 @@
 	readonly stored: StoredLog<Command>;
 	/** Differs at each start, for example the start time in ms since the epoch. */
 	readonly incarnation: number;
+	/** Monotonic time of the start of the process, in ms; the time of the first event by default. */
+	readonly startedAt?: number;
 };
 /** One peer of the replicated log as a reducer. */
 export class Consensus<Command> {
@@ -891,6 +895,8 @@
 	| {type: 'peerMessage'; from: PeerId; message: PeerMessage}
 	/** Membership brought an announcement, which a new leader may not get from renewals. */
 	| {type: 'announcementHeard'; announcement: VersionedAnnouncement}
+	/** Messages to the peer arrive from now on. */
+	| {type: 'peerConnected'; peer: PeerId}
 	/** The storage write with this number is synced. */
 	| {type: 'written'; write: number}
 	| {type: 'serverAnswered'; call: number; answer: ServerAnswer}
