Refuse at once what a cut-off proxy cannot serve

Change: a proxy that reaches a minority of its peers and got no grant for 800 ms is not ready, refuses the requests that wait for a server and ends its idle sessions. Proxies that all lost control go on. Ruled out: a shorter limit for all, because then all would leave when only control is lost.

--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -353,6 +353,21 @@
 		}
 	}
 
+	/** Refuses the requests that no server can take now. */
+	refuseWaiting(message: string): void {
+		for (const request of this.table.listRequests()) {
+			const {lastReason} = request;
+			if (
+				request.attempts.size === 0 &&
+				(lastReason === 'noServer' ||
+					lastReason === 'noPrimary' ||
+					lastReason === 'tooStale')
+			) {
+				this.replies.refuse(request, lastReason, message);
+			}
+		}
+	}
+
 	/** Ends the sessions that have no request and no transaction. */
 	closeIdleSessions(includeBound: boolean): void {
 		for (const session of this.sessions.values()) {
--- a/src/common/proxy/health.test.ts
+++ b/src/common/proxy/health.test.ts
@@ -18,7 +18,7 @@
 	};
 }
 
-function createHealth() {
+function createHealth(timing: Partial<context.ProxyTiming> = {}) {
 	const shared = new context.ProxyContext(
 		{
 			peer: self,
@@ -29,7 +29,12 @@
 			controlPeers: [],
 			drainDeadlineMs: 5000,
 			maxSessions: 10,
-			timing: {grantLimitMs: 2000, isolationLimitMs: 2000, startGraceMs: 2500},
+			timing: {
+				grantLimitMs: 2000,
+				isolationLimitMs: 2000,
+				startGraceMs: 2500,
+				...timing,
+			},
 		},
 		random.createRandom(1),
 	);
@@ -84,3 +89,22 @@
 	state.isDraining = true;
 	t.equal(update(20), false);
 });
+
+// Guards against a proxy behind a partition that takes callers until the longer limit has passed,
+// and against one that leaves its callers when all of them have lost control.
+tap.test('a minority is noticed sooner', async (t) => {
+	const {shared, state, health, update} = createHealth({
+		minorityGrantLimitMs: 800,
+	});
+	state.lastGrantAt = 4000;
+	health.recordContact(4700);
+	t.equal(update(4700), true);
+	t.equal(update(4900), false);
+	t.ok(health.isCutOff);
+	for (const peer of ['p2', 'p3'] as ids.PeerId[]) {
+		shared.setLink(peer, true);
+	}
+
+	t.equal(update(4950), true);
+	t.notOk(health.isCutOff);
+});
--- a/src/common/proxy/health.ts
+++ b/src/common/proxy/health.ts
@@ -33,19 +33,18 @@
 	 * better off elsewhere. When all proxies have lost control, nobody would be better off.
 	 */
 	get isCutOff(): boolean {
-		const {lastGrantAt} = this.source.lease;
+		const {grantLimitMs, minorityGrantLimitMs} = this.context.timing;
 		return (
-			this.reported?.ready === false &&
 			!this.source.isDraining() &&
-			lastGrantAt > 0 &&
-			!this.isGranted &&
+			this.source.lease.lastGrantAt > 0 &&
+			this.silentMs > Math.min(grantLimitMs, minorityGrantLimitMs) &&
 			this.isInMinority
 		);
 	}
 
-	private get isGranted(): boolean {
-		const silentMs = this.context.now - this.source.lease.lastGrantAt;
-		return silentMs <= this.context.timing.grantLimitMs;
+	/** Time since the last grant of control. */
+	private get silentMs(): number {
+		return this.context.now - this.source.lease.lastGrantAt;
 	}
 
 	private get isInMinority(): boolean {
@@ -99,10 +98,14 @@
 			return 'no contact with other peers';
 		}
 
-		if (!this.isGranted) {
+		if (this.silentMs > this.context.timing.grantLimitMs) {
 			return 'no contact with the control leader';
 		}
 
+		if (this.isCutOff) {
+			return 'cut off with a minority of the peers';
+		}
+
 		return this.source.lacksRoutes() ? 'no configuration yet' : undefined;
 	}
 }
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -294,6 +294,8 @@
 		this.drain.handleTick();
 		this.health.update();
 		if (this.health.isCutOff) {
+			// Their callers are served sooner through another proxy.
+			this.entry.refuseWaiting('the proxy is cut off from its peers');
 			this.entry.closeIdleSessions(false);
 		}
 	}
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -529,6 +529,8 @@
 	readonly isolationLimitMs: number;
 	/** A proxy without a grant of control for this long is not ready. */
 	readonly grantLimitMs: number;
+	/** The same for a proxy that reaches only a minority of its peers. */
+	readonly minorityGrantLimitMs: number;
 	/**
 	 * A proxy counts as ready for this long after its start, so that a load balancer that looks once a
 	 * second does not take it out of use while it waits for its first grant.
