Keep the slots of a server busy from another region

The server i-1e758650dd had got an owner in another region while the proxies near it were lost, and kept it for 30 s. The owner counted a slot as taken for the whole execution, with up to five round trips of 24 ms for a statement of 20 ms, so the server ran at a third of its capacity and refused the rest. Ruled out: a leak of slots (every path that ends an execution gives its slot back).

--- a/src/common/control/ownership.test.ts
+++ b/src/common/control/ownership.test.ts
@@ -231,6 +231,24 @@
 	);
 });
 
+// Guards against a server that stays with an owner in another region after its own one is back.
+tap.test('a server far from its owner moves after 10 s', async (t) => {
+	const {table, renew} = makeTable(-2000);
+	const owned = [{server: s1, epoch: makeEpoch(5, 1)}];
+	renew(0, 'p1', {announcements: [makeAnnouncement('s1', 'b')]});
+	placement.assignServers(0, table);
+	let movedAt: number | undefined;
+	for (let now = 250; movedAt === undefined && now <= 30_000; now += 250) {
+		renew(now, 'p1', {owned});
+		renew(now, 'p2', {dataCentre: 'b' as ids.DataCentre});
+		if (placement.chooseMove(now, table, () => true) !== undefined) {
+			movedAt = now;
+		}
+	}
+
+	t.equal(movedAt, 250 + timing.proxyStableMs);
+});
+
 // Guards against two valid grants when the leader changes and clocks are off by the drift bound.
 tap.test('leader change with clock drift', async (t) => {
 	for (const sign of [1, -1]) {
--- a/src/common/control/placement.ts
+++ b/src/common/control/placement.ts
@@ -101,6 +101,7 @@
 
 /** True when a server has an owner, and `better` should own it instead. */
 function isMoveWorthwhile(
+	now: number,
 	table: ownership.OwnershipTable,
 	record: leases.ServerRecord,
 	better: leases.ProxyRecord,
@@ -111,8 +112,13 @@
 		return false;
 	}
 
+	const sinceMoveMs = now - record.movedAt;
+	if (owner.dataCentre !== dataCentre) {
+		return sinceMoveMs >= timing.misplacedStableMs;
+	}
+
 	return (
-		owner.dataCentre !== dataCentre ||
+		sinceMoveMs >= timing.serverStableMs &&
 		table.countOwned(owner.peer) - table.countOwned(better.peer) >=
 			timing.balanceDifference
 	);
@@ -145,9 +151,8 @@
 			record.announcement && best.get(record.announcement.dataCentre);
 		return (
 			better &&
-			now - record.movedAt >= timing.serverStableMs &&
 			canMove(record.server) &&
-			isMoveWorthwhile(table, record, better)
+			isMoveWorthwhile(now, table, record, better)
 		);
 	})?.server;
 }
--- a/src/common/control/timing.ts
+++ b/src/common/control/timing.ts
@@ -44,6 +44,12 @@
 /** A server that was moved stays where it is for this long. */
 export const serverStableMs = 30_000;
 
+/**
+ * The same for a server whose owner is in another data centre: the network between them delays each
+ * of its statements, so it moves as soon as a stable proxy is near.
+ */
+export const misplacedStableMs = 10_000;
+
 /** Pause between two moves; each makes one server unavailable for the time of the handover. */
 export const moveIntervalMs = 2000;
 
--- a/src/common/proxy/dispatcher.ts
+++ b/src/common/proxy/dispatcher.ts
@@ -51,8 +51,8 @@
 			this.refuseAwaiting(server);
 		}
 
-		const {slots} = server.announcement;
-		while (server.busy + server.awaitingConnection.length < slots) {
+		const {concurrency} = server;
+		while (server.busy + server.awaitingConnection.length < concurrency) {
 			const bound = server.boundQueue.shift();
 			if (bound) {
 				this.waiting.delete(makeAttemptKey(bound));
--- a/src/common/proxy/executor.ts
+++ b/src/common/proxy/executor.ts
@@ -70,12 +70,14 @@
 		connection.item = undefined;
 		connection.queued = undefined;
 		server.busy--;
+		const {now} = this.context;
+		const durationMs = now - startedAt;
+		const statementMs =
+			(outcome.type === 'answered' ? outcome.statementMs : undefined) ??
+			durationMs;
+		const slotMs = server.recordExecution(durationMs, statementMs, now);
 		if (queued) {
-			server.scheduler.complete(
-				queued,
-				this.context.now - startedAt,
-				this.context.now,
-			);
+			server.scheduler.complete(queued, slotMs, now);
 		}
 
 		if (item) {
@@ -151,8 +153,17 @@
 		server: owned.OwnedServer,
 		connection: owned.Connection,
 	): void {
-		const {binding, item} = connection;
+		const {binding, item, queued} = connection;
 		this.running.delete(connection.id);
+		if (queued) {
+			connection.queued = undefined;
+			server.scheduler.complete(
+				queued,
+				this.context.now - connection.startedAt,
+				this.context.now,
+			);
+		}
+
 		if (item) {
 			server.busy--;
 			connection.item = undefined;
--- a/src/common/proxy/owned-server.ts
+++ b/src/common/proxy/owned-server.ts
@@ -5,6 +5,9 @@
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
 import type * as policy from '../policy/types.js';
+import * as concurrency from '../policy/concurrency.js';
+import * as roundTrip from '../policy/round-trip.js';
+import * as serviceEstimate from '../policy/service-estimate.js';
 import * as positions from '../position.js';
 import type * as types from '../types.js';
 import * as evidence from './evidence.js';
@@ -106,6 +109,9 @@
 	retryOpenAt = 0;
 	/** Entries that asked for reports, with the time until which they get them. */
 	readonly subscribers = new Map<ids.PeerId, number>();
+	private readonly roundTrip = new roundTrip.RoundTripEstimate();
+	private readonly slotTime = new serviceEstimate.ServiceEstimate();
+	private readonly transitTime = new serviceEstimate.ServiceEstimate(0);
 
 	constructor(
 		readonly server: ids.UpstreamId,
@@ -156,11 +162,42 @@
 		return false;
 	}
 
+	/** Statements that may be under way at once. */
+	get concurrency(): number {
+		return concurrency.computeConcurrency(
+			this.announcement.slots,
+			this.transitTime.meanMs,
+			this.slotTime.meanMs,
+		);
+	}
+
 	/** Connections that sessions may hold without blocking everybody else. */
 	get boundLimit(): number {
 		return Math.max(1, this.poolLimit - this.announcement.slots);
 	}
 
+	/** Takes the time after which the server answered a poll, in ms. */
+	recordAnswer(answerMs: number, now: number): void {
+		this.roundTrip.observe(answerMs, now);
+	}
+
+	/**
+	 * Takes the duration of an execution and that of its statement alone, in ms.
+	 *
+	 * @returns The time in which the statement held a slot, or waited for one at the server.
+	 */
+	recordExecution(
+		durationMs: number,
+		statementMs: number,
+		now: number,
+	): number {
+		this.roundTrip.observe(statementMs, now);
+		const slotMs = Math.max(0, statementMs - this.roundTrip.roundTripMs);
+		this.slotTime.observe(slotMs);
+		this.transitTime.observe(durationMs - slotMs);
+		return slotMs;
+	}
+
 	countBound(): number {
 		let count = 0;
 		for (const connection of this.connections.values()) {
--- a/src/common/proxy/owner-pool.ts
+++ b/src/common/proxy/owner-pool.ts
@@ -117,7 +117,7 @@
 
 		const wanted = Math.min(
 			server.poolLimit,
-			server.announcement.slots + spareConnections + server.countBound(),
+			server.concurrency + spareConnections + server.countBound(),
 		);
 		while (server.connections.size < wanted) {
 			if (!this.openConnection(server)) {
--- a/src/common/proxy/poller.ts
+++ b/src/common/proxy/poller.ts
@@ -74,6 +74,7 @@
 		server.pollInFlight = false;
 		server.status = status;
 		server.lastAnswerAt = this.context.now;
+		server.recordAnswer(this.context.now - sentAt, this.context.now);
 		if (previousTerm !== undefined && previousTerm !== status.term) {
 			// Marks of another term say nothing about the log that the server follows now.
 			server.evidence.clear();
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -73,6 +73,11 @@
 			readonly sqlState?: string;
 			/** Log position that the server reported with the answer. */
 			readonly position?: types.Position;
+			/**
+			 * Time between the statement and its answer, without the preparation of the connection, in ms;
+			 * the whole execution when it is not set.
+			 */
+			readonly statementMs?: number;
 	  }
 	| {
 			/** The server refused before it executed anything; the connection is idle. */
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -283,6 +283,11 @@
 			transactionStatus: TransactionStatus;
 			sqlState?: string;
 			position?: Position;
+			/**
+			 * Time between the statement and its answer, without the preparation of the connection, in
+			 * ms; the whole execution when it is not set.
+			 */
+			statementMs?: number;
 	  }
 	/** The server refused before it executed anything; the connection is idle. */
 	| {type: 'refused'; reason: RefusalReason; message: string}
