Use the time limit of a statement for waiting, and try another server

A caller has three tries. The same refusals came while servers were lost, from the nearest server only, because all entries see the same reports for 200 ms. Ruled out: holding requests beyond the limit of their route.

--- a/src/common/consensus/election.ts
+++ b/src/common/consensus/election.ts
@@ -24,6 +24,15 @@
 		this.resetTimer(now);
 	}
 
+	/**
+	 * Begins the first timer, without a random part: peers that start together settle by their ids
+	 * which of them leads.
+	 */
+	recordStart(startedAt: number): void {
+		this.recordLeader(startedAt);
+		this.#jitterMs = 0;
+	}
+
 	/** Tells whether the peer must not help to replace the leader that it last heard. */
 	isSticky(now: number): boolean {
 		return now - this.#heardAt < timing.minElectionTimeoutMs;
--- a/src/common/consensus/voting.ts
+++ b/src/common/consensus/voting.ts
@@ -61,7 +61,7 @@
 	 * @param startedAt - Monotonic time of the start of the process, in ms.
 	 */
 	recordStart(startedAt: number): void {
-		this.#election.recordLeader(startedAt);
+		this.#election.recordStart(startedAt);
 	}
 
 	/** Asks a peer that was not reachable when the campaign began. */
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -27,10 +27,7 @@
 	readonly dataCentre: ids.DataCentre;
 	/** Higher for each start of the process. */
 	readonly incarnation: number;
-	readonly controlPeers: ReadonlyArray<{
-		readonly peer: ids.PeerId;
-		readonly address: string;
-	}>;
+	readonly controlPeers: readonly types.PeerAddress[];
 	readonly log: control.ReplicatedLog;
 	/** Number of voters that the installation wants; the present number when it is not set. */
 	readonly wantedVoters?: number;
@@ -40,6 +37,12 @@
 
 export type ControlPeerEvent =
 	| control.ControlEvent
+	| {
+			/** The settings name other control peers. */
+			readonly type: 'controlPeersChanged';
+			readonly now: number;
+			readonly controlPeers: readonly types.PeerAddress[];
+	  }
 	| {
 			/** A server spoke to this peer. */
 			readonly type: 'announcementReceived';
@@ -80,7 +83,10 @@
 	private readonly spreadAt = new Map<ids.UpstreamId, number>();
 	private readonly announcements = new Map<ids.UpstreamId, KnownAnnouncement>();
 
+	private controlPeers: readonly types.PeerAddress[];
+
 	constructor(private readonly options: ControlPeerOptions) {
+		this.controlPeers = options.controlPeers;
 		this.control = new reducer.ControlReducer({
 			peer: options.peer,
 			log: options.log,
@@ -92,18 +98,19 @@
 	/** Effects that start the process: links to the other control peers. */
 	start(now: number): ControlPeerEffect[] {
 		this.now = now;
-		for (const {peer, address} of this.options.controlPeers) {
-			if (peer !== this.options.peer) {
-				this.effects.push({type: 'connectPeer', peer, address});
-			}
-		}
-
+		this.connectControlPeers();
 		return this.takeEffects();
 	}
 
 	/** Handles one event. */
 	step(event: ControlPeerEvent): ControlPeerEffect[] {
 		this.now = event.now;
+		if (event.type === 'controlPeersChanged') {
+			this.controlPeers = event.controlPeers;
+			this.connectControlPeers();
+			return this.takeEffects();
+		}
+
 		if (event.type === 'peerLinkChanged') {
 			this.handleLinkChange(event.peer, event.up);
 			return this.takeEffects();
@@ -129,6 +136,14 @@
 		return this.takeEffects();
 	}
 
+	private connectControlPeers(): void {
+		for (const {peer, address} of this.controlPeers) {
+			if (peer !== this.options.peer) {
+				this.effects.push({type: 'connectPeer', peer, address});
+			}
+		}
+	}
+
 	private updateVoters(): void {
 		const {log, peer: self, wantedVoters} = this.options;
 		if (
@@ -201,7 +216,7 @@
 			this.effects.push({type: 'connectPeer', peer, address});
 		} else if (
 			(state.condition === 'dead' || state.condition === 'left') &&
-			!this.options.controlPeers.some((known) => known.peer === peer)
+			!this.controlPeers.some((known) => known.peer === peer)
 		) {
 			this.effects.push({type: 'disconnectPeer', peer});
 		}
--- a/src/common/policy/admission-scenarios.test.ts
+++ b/src/common/policy/admission-scenarios.test.ts
@@ -14,7 +14,7 @@
 type Counts = {offered: number; served: number; slotMs: number};
 
 /**
- * Verbs: `server slots=N`, `member NAME weight=N urgent=FLOOR normal=FLOOR background=FLOOR`,
+ * Verbs: `server slots=N usable=SHARE`, `member NAME weight=N urgent=FLOOR normal=FLOOR background=FLOOR`,
  * `offer RANK member=NAME count=N service=MS deadline=MS`. Measures: `RANK served`,
  * `RANK NAME served` and `RANK share`; a served request ended by its deadline.
  */
@@ -23,6 +23,7 @@
 	readonly #members = new Map<string, types.TemplateParameters>();
 	readonly #counts = new Map<string, Counts>();
 	#slots = 1;
+	#usableDeadlineShare: number | undefined;
 	#scheduler: ServerAdmissionScheduler<Item> | undefined;
 	#now = 0;
 	/** Running requests by the time at which they end. */
@@ -36,6 +37,8 @@
 			Number(action.options.get(name) ?? fallback);
 		if (action.verb === 'server') {
 			this.#slots = readNumber('slots', 1);
+			const usable = readNumber('usable', 0);
+			this.#usableDeadlineShare = usable === 0 ? undefined : usable;
 		} else if (action.verb === 'member') {
 			const weight = readNumber('weight', 1);
 			this.#members.set(
@@ -107,6 +110,9 @@
 		this.#scheduler ??= new ServerAdmissionScheduler({
 			slots: this.#slots,
 			getParameters: (member) => this.#members.get(member),
+			...(this.#usableDeadlineShare === undefined
+				? {}
+				: {usableDeadlineShare: this.#usableDeadlineShare}),
 		});
 		const request = {
 			member: work.member as ids.MemberId,
@@ -214,6 +220,13 @@
 at 5s expect normal a share >= 70%
 at 5s expect normal b share >= 22%
 
+scenario a backlog after an outage fills the time until its deadline
+server slots=3 usable=0.85
+member a
+at 0ms every 20ms until 1s offer background count=2 service=20 deadline=800
+at 2s offer background member=b count=150 service=20 deadline=800
+at 3s expect background b served >= 64%
+
 scenario goodput does not collapse at ten times the capacity
 server slots=3
 member a
--- a/src/common/policy/admission.ts
+++ b/src/common/policy/admission.ts
@@ -27,11 +27,8 @@
 /** Floors, weights and idle members are looked at again this often. */
 const refreshIntervalMs = 1000;
 
-/**
- * Share of the remaining time that wait and service may take. The rest is for the way of the answer,
- * the acknowledgement of commits and the error of the estimate.
- */
-const usableDeadlineShare = 0.6;
+/** See `AdmissionOptions.usableDeadlineShare`. */
+const defaultUsableShare = 0.6;
 
 /** For members without template, whose requests the proxy refuses before they come here. */
 const defaultPolicy = {floorPercent: 0, queueLimit: 100, weight: 1} as const;
@@ -205,7 +202,9 @@
 		);
 		const wait = this.#estimateWaitForWork(rank, work, now);
 		return (
-			wait + flow.service.highMs <= (deadlineAt - now) * usableDeadlineShare
+			wait + flow.service.highMs <=
+			(deadlineAt - now) *
+				(this.#options.usableDeadlineShare ?? defaultUsableShare)
 		);
 	}
 
--- a/src/common/policy/types.ts
+++ b/src/common/policy/types.ts
@@ -44,6 +44,11 @@
 	readonly getParameters: (
 		member: ids.MemberId,
 	) => types.TemplateParameters | undefined;
+	/**
+	 * Share of the remaining time, 0 to 1, that wait and service may take; 0.6 by default. The rest is
+	 * for the way of the answer, the acknowledgement of commits and the error of the estimate.
+	 */
+	readonly usableDeadlineShare?: number;
 };
 
 /** A server that could serve a request. */
--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -83,14 +83,14 @@
 			case 'cancelled':
 			case 'memberLimit':
 			case 'noTemplate':
-			case 'draining':
-			case 'deadline': {
+			case 'draining': {
 				this.replies.refuse(request, reason, message);
 				return;
 			}
 
+			case 'deadline':
 			case 'queueFull': {
-				this.retryAfterQueueFull(request, attempt, message);
+				this.retryElsewhere(request, attempt, reason, message);
 				return;
 			}
 
@@ -179,17 +179,20 @@
 	}
 
 	/**
-	 * A full queue of one server sends a read to another one. The refused server has spent nothing on
-	 * it and each server is tried once, so the retry budget is left for requests that may have run.
+	 * A full or long queue of one server sends a read to another one: when many requests come at the
+	 * same time, as after an outage, the reports of the servers are too old to spread them. The refused
+	 * server has spent nothing on it and each server is tried once, so the retry budget is left for
+	 * requests that may have run.
 	 */
-	private retryAfterQueueFull(
+	private retryElsewhere(
 		request: entryState.EntryRequest,
 		attempt: entryState.Attempt,
+		reason: 'deadline' | 'queueFull',
 		message: string,
 	): void {
 		request.excluded.add(attempt.server);
 		if (entryState.needsPrimary(request.kind)) {
-			this.replies.refuse(request, 'queueFull', message);
+			this.replies.refuse(request, reason, message);
 			return;
 		}
 
@@ -202,7 +205,7 @@
 		if (decision.type === 'server' && owner !== undefined) {
 			this.router.sendAttempt(request, decision.server, owner);
 		} else {
-			this.replies.refuse(request, 'queueFull', message);
+			this.replies.refuse(request, reason, message);
 		}
 	}
 
--- a/src/common/proxy/context.ts
+++ b/src/common/proxy/context.ts
@@ -18,10 +18,7 @@
 	readonly dataCentre: ids.DataCentre;
 	/** Higher for each start of the process. */
 	readonly incarnation: number;
-	readonly controlPeers: ReadonlyArray<{
-		readonly peer: ids.PeerId;
-		readonly address: string;
-	}>;
+	readonly controlPeers: readonly types.PeerAddress[];
 	readonly drainDeadlineMs: number;
 	/** Caller sessions that the process accepts. */
 	readonly maxSessions: number;
@@ -77,6 +74,8 @@
 };
 
 export class ProxyContext {
+	/** The control peers that the settings name at present. */
+	controlPeers: readonly types.PeerAddress[];
 	now = 0;
 	effects: proxy.ProxyEffect[] = [];
 	readonly timing: ProxyTiming;
@@ -87,6 +86,7 @@
 		readonly config: ProxyConfig,
 		readonly random: random.RandomSource,
 	) {
+		this.controlPeers = config.controlPeers;
 		this.timing = {...defaultTiming, ...config.timing};
 	}
 
--- a/src/common/proxy/peer-view.ts
+++ b/src/common/proxy/peer-view.ts
@@ -75,7 +75,7 @@
 			case 'dead':
 			case 'left': {
 				this.context.log('info', part, `Peer ${state.peer} is gone`);
-				const isConfigured = this.context.config.controlPeers.some(
+				const isConfigured = this.context.controlPeers.some(
 					({peer}) => peer === state.peer,
 				);
 				if (!isConfigured) {
--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -1,6 +1,7 @@
 import tap from 'tap';
 import * as policyTesting from '../policy/testing.js';
 import * as smallFleet from '../../scenario/fleet/small-fleet.js';
+import type * as ids from '../ids.js';
 import type * as proxyProcess from '../../scenario/fleet/proxy-process.js';
 
 const put = (value: string) => ({type: 'put', key: 'a', value}) as const;
@@ -339,3 +340,29 @@
 		['dead', 'dead', 'dead'],
 	);
 });
+
+// Guards against seeds that are exchanged while a process runs and that it never asks.
+tap.test('changed control peers are connected', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	const added = {peer: 'k9' as ids.PeerId, address: '10.9.0.1:7440'};
+	const effects = fleet.proxies[0].reducer.step({
+		type: 'controlPeersChanged',
+		now: fleet.timeline.now,
+		controlPeers: [added],
+	});
+	t.match(effects, [{type: 'connectPeer', ...added}]);
+});
+
+// Guards against a read that is refused by the longest queue while another server is free.
+tap.test('a read refused for its deadline tries another server', async (t) => {
+	const fleet = createTolerantFleet(10_000);
+	const {group} = fleet;
+	const session = fleet.openSession(1);
+	fleet.run(1, session, get);
+	const {owner} = fleet.proxies[1].reducer;
+	const near = fleet.getServer('s2').id;
+	const server = owner.servers.get(near)!;
+	t.equal(server.group, group);
+	server.scheduler.offer = () => ({type: 'refused', reason: 'deadline'});
+	t.match(fleet.run(1, session, get), {type: 'answered'});
+});
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -141,10 +141,7 @@
 	start(now: number): proxy.ProxyEffect[] {
 		this.context.now = now;
 		this.health.start(now);
-		for (const {peer, address} of this.context.config.controlPeers) {
-			this.context.emit({type: 'connectPeer', peer, address});
-		}
-
+		this.connectControlPeers();
 		this.health.update();
 		return this.context.takeEffects();
 	}
@@ -172,6 +169,12 @@
 				return;
 			}
 
+			case 'controlPeersChanged': {
+				this.context.controlPeers = event.controlPeers;
+				this.connectControlPeers();
+				return;
+			}
+
 			case 'sessionOpened': {
 				this.entry.openSession(
 					event.session,
@@ -280,6 +283,12 @@
 		}
 	}
 
+	private connectControlPeers(): void {
+		for (const {peer, address} of this.context.controlPeers) {
+			this.context.emit({type: 'connectPeer', peer, address});
+		}
+	}
+
 	private handleTick(): void {
 		this.membership.handleTick(this.context.now);
 		this.lease.handleTick();
@@ -535,9 +544,7 @@
 
 	/** The configured control peers and those that membership found, each once. */
 	private listControlPeers(): ids.PeerId[] {
-		const peers = new Set(
-			this.context.config.controlPeers.map(({peer}) => peer),
-		);
+		const peers = new Set(this.context.controlPeers.map(({peer}) => peer));
 		for (const state of this.membership.listLivePeers()) {
 			if (state.role === 'control') {
 				peers.add(state.peer);
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -112,6 +112,12 @@
 			readonly type: 'tick';
 			readonly now: number;
 	  }
+	| {
+			/** The settings name other control peers. */
+			readonly type: 'controlPeersChanged';
+			readonly now: number;
+			readonly controlPeers: readonly types.PeerAddress[];
+	  }
 	| {
 			readonly type: 'sessionOpened';
 			readonly now: number;
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -10,6 +10,12 @@
 /** A rank of work. */
 export type Rank = (typeof ranks)[number];
 
+/** A peer and the `ip:port` of its listener for peers. */
+export type PeerAddress = {
+	readonly peer: ids.PeerId;
+	readonly address: string;
+};
+
 /** A place in a group's log. Compared by `term` first, then by `offset`. */
 export type Position = {
 	/** Group term; one promotion adds at least one. */
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -223,6 +223,11 @@
 		return status;
 	}
 
+	setControlPeers(controlPeers: readonly types.PeerAddress[]): void {
+		const now = this.#adapters.clock.now();
+		this.#dispatch({type: 'controlPeersChanged', now, controlPeers});
+	}
+
 	async drain(): Promise<void> {
 		this.#dispatch({type: 'drainRequested', now: this.#adapters.clock.now()});
 		return this.#drained.promise;
--- a/src/daemon/control-types.ts
+++ b/src/daemon/control-types.ts
@@ -35,11 +35,7 @@
 	/** See `ControlPeerOptions`. */
 	readonly recordsLeaseHolders?: boolean;
 	/** The control peers of a new installation, this one included, with their peer addresses. */
-	readonly controlPeers: ReadonlyArray<{
-		readonly peer: ids.PeerId;
-		/** `ip:port` of its peer listener. */
-		readonly address: string;
-	}>;
+	readonly controlPeers: readonly types.PeerAddress[];
 	readonly peerListener: ListenSettings;
 	readonly httpListener: ListenSettings;
 };
@@ -106,6 +102,8 @@
 	readonly httpPort: number;
 	/** Resolves when the daemon has stopped; with an error when its storage failed. */
 	readonly stopped: Promise<Error | undefined>;
+	/** Takes the control peers that the settings name now. */
+	setControlPeers(controlPeers: readonly types.PeerAddress[]): void;
 	/** Closes everything. The storage may be opened again afterwards. */
 	dispose(): Promise<void>;
 };
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -54,6 +54,9 @@
 		startDrain() {
 			void opened.drain();
 		},
+		setControlPeers(controlPeers) {
+			opened.setControlPeers(controlPeers);
+		},
 	};
 }
 
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -4,6 +4,7 @@
  */
 import * as admission from '../common/policy/admission.js';
 import * as hedgeDelay from '../common/policy/hedge-delay.js';
+import type * as policy from '../common/policy/types.js';
 import * as retryBudget from '../common/policy/retry-budget.js';
 import * as routing from '../common/policy/routing.js';
 import type * as ids from '../common/ids.js';
@@ -49,6 +50,7 @@
 	/** Differences from the configuration that the settings give. */
 	readonly config?: Partial<context.ProxyConfig>;
 	readonly services?: Partial<proxyReducer.ProxyServices>;
+	readonly admission?: Pick<policy.AdmissionOptions, 'usableDeadlineShare'>;
 	readonly linkLimits?: Partial<peerTypes.LinkLimits>;
 	createCallers(
 		context: AdapterContext,
@@ -154,6 +156,15 @@
 		});
 	}
 
+	/** Takes the control peers that the settings name now. */
+	setControlPeers(controlPeers: readonly types.PeerAddress[]): void {
+		this.driver.dispatch({
+			type: 'controlPeersChanged',
+			now: clock.systemClock.now(),
+			controlPeers,
+		});
+	}
+
 	/** Closes everything at once. */
 	async dispose(): Promise<void> {
 		this.driver.stop();
@@ -190,7 +201,11 @@
 				retryBudget: new retryBudget.SuccessRetryBudget(),
 				hedging: new hedgeDelay.HedgeDelayEstimator(),
 				createScheduler: (slots) =>
-					new admission.ServerAdmissionScheduler({slots, getParameters}),
+					new admission.ServerAdmissionScheduler({
+						slots,
+						getParameters,
+						...this.parts.admission,
+					}),
 				parseTemplate: (text) =>
 					template.parseTemplate(text).unwrapOr(undefined),
 				...this.parts.services,
@@ -341,5 +356,8 @@
 		startDrain() {
 			proxy.startDrain();
 		},
+		setControlPeers(controlPeers) {
+			proxy.setControlPeers(controlPeers);
+		},
 	};
 }
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -46,6 +46,11 @@
 export const ranks: readonly ['urgent', 'normal', 'background'];
 /** A rank of work. */
 export type Rank = (typeof ranks)[number];
+/** A peer and the `ip:port` of its listener for peers. */
+export type PeerAddress = {
+	readonly peer: PeerId;
+	readonly address: string;
+};
 /** A place in a group's log. Compared by `term` first, then by `offset`. */
 export type Position = {
 	/** Group term; one promotion adds at least one. */
@@ -307,6 +312,8 @@
 export type ProxyEvent = Timed<
 	/** Sent every 10 ms. */
 	| {type: 'tick'}
+	/** The settings name other control peers. */
+	| {type: 'controlPeersChanged'; controlPeers: readonly PeerAddress[]}
 	| {type: 'sessionOpened'; session: SessionId; attributes: SessionAttributes}
 	/** The caller changed its floor with SET hemlockarch.token. */
 	| {type: 'tokenSet'; session: SessionId; token: Position}
@@ -612,6 +619,11 @@
 	readonly slots: number;
 	/** Current parameters of a member; undefined for a member without template. */
 	readonly getParameters: (member: MemberId) => TemplateParameters | undefined;
+	/**
+	 * Share of the remaining time, 0 to 1, that wait and service may take; 0.6 by default. The rest is
+	 * for the way of the answer, the acknowledgement of commits and the error of the estimate.
+	 */
+	readonly usableDeadlineShare?: number;
 };
 /** A server that could serve a request. */
 export type RoutingCandidate = {
@@ -972,6 +984,11 @@
 			announcement: Announcement;
 			sequence: number;
 	  }>
+	/** The settings name other control peers. */
+	| Timed<{
+			type: 'controlPeersChanged';
+			controlPeers: readonly PeerAddress[];
+	  }>
 	| Timed<{type: 'peerLinkChanged'; peer: PeerId; up: boolean}>;
 export type ControlPeerEffect =
 	| ControlEffect
@@ -1127,6 +1144,8 @@
 	readonly finished: Promise<number>;
 	/** Begins the graceful shutdown; further calls change nothing. */
 	startDrain(): void;
+	/** Takes the control peers that changed settings name. */
+	setControlPeers(controlPeers: readonly PeerAddress[]): void;
 };
 /** Starts a proxy. Rejects with the system's error when a listener cannot be opened. */
 export function startProxy(settings: Settings): Promise<RunningDaemon>;
