Poll replicas less often

A replica was polled after 100 ms without an answer, although its evidence of freshness grows with the marks of the primary, every 250 ms. Change: replicas of servers that confirm commits themselves are polled after 250 ms, idle ones after 800 ms. Primaries keep 100 and 400 ms, which the failover relies on.

--- a/src/common/proxy/poller.ts
+++ b/src/common/proxy/poller.ts
@@ -13,6 +13,12 @@
 const pollIntervalMs = 100;
 /** Interval for a server that has had no request for some time. */
 const idlePollIntervalMs = 400;
+/**
+ * The same for replicas whose primary confirms commits itself: their evidence grows with the marks
+ * only, and nothing but reads depends on them.
+ */
+const replicaPollIntervalMs = 250;
+const idleReplicaPollIntervalMs = 800;
 /** A server without a request for this long is polled at the longer interval. */
 const idleAfterMs = 1500;
 /** Marks only have to be much younger than the staleness that reads tolerate. */
@@ -126,7 +132,9 @@
 			isConfirmed &&
 			server.countWork() === 0 &&
 			now - server.lastRequestAt > idleAfterMs;
-		if (quietMs >= (isIdle ? idlePollIntervalMs : pollIntervalMs)) {
+		if (
+			quietMs >= getPollInterval(isConfirmed ? status.role : undefined, isIdle)
+		) {
 			this.startPoll(server, 0);
 		}
 
@@ -171,3 +179,15 @@
 		});
 	}
 }
+
+/** @param role - Undefined until a poll has confirmed it. */
+function getPollInterval(
+	role: types.UpstreamRole | undefined,
+	isIdle: boolean,
+): number {
+	if (role === 'replica') {
+		return isIdle ? idleReplicaPollIntervalMs : replicaPollIntervalMs;
+	}
+
+	return isIdle ? idlePollIntervalMs : pollIntervalMs;
+}
