Let a new leader announce itself to the proxies

Change: a new leader tells the lease holders that it leads, and each peer whose link comes up later; they renew at once. A regained link is logged. Ruled out: a shorter search interval, which costs messages whenever control is lost.

--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -163,6 +163,11 @@
 					now: event.now,
 					peer: event.peer,
 				});
+				if (this.#leader) {
+					const {term} = this.#log;
+					this.#send(event.peer, {type: 'leaderAnnounced', term});
+				}
+
 				return;
 			}
 
@@ -386,6 +391,9 @@
 			}
 
 			this.#logRecord('info', `leading in consensus term ${term}`);
+			for (const peer of this.#machine.leaseHolders) {
+				this.#send(peer, {type: 'leaderAnnounced', term});
+			}
 		}
 	}
 
--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -153,6 +153,14 @@
 			/** Term of the write lease; set when the scope is `write`. */
 			readonly writeTerm?: number;
 	  }
+	| {
+			/**
+			 * The sender leads: proxies renew with it at once instead of looking for a leader. It is sent
+			 * to known lease holders after an election, and to each peer whose link comes up later.
+			 */
+			readonly type: 'leaderAnnounced';
+			readonly term: number;
+	  }
 	| {
 			readonly type: 'notLeader';
 			readonly sequence: number;
--- /dev/null
+++ b/src/common/proxy/lease-client.test.ts
@@ -0,0 +1,80 @@
+import tap from 'tap';
+import type * as ids from '../ids.js';
+import * as random from '../random.js';
+import * as context from './context.js';
+import * as leaseClient from './lease-client.js';
+
+const [k1, k2] = ['k1', 'k2'] as ids.PeerId[];
+
+function createClient() {
+	const shared = new context.ProxyContext(
+		{
+			peer: 'p1' as ids.PeerId,
+			vm: 'v1' as ids.VmId,
+			address: 'p1',
+			dataCentre: 'a' as ids.DataCentre,
+			incarnation: 1,
+			controlPeers: [],
+			drainDeadlineMs: 5000,
+			maxSessions: 10,
+		},
+		random.createRandom(1),
+	);
+	const client = new leaseClient.LeaseClient(shared, {
+		listOwned: () => [],
+		listAnnouncements: () => [],
+		listTemplateVersions: () => [],
+		getConfigurationVersion: () => 0,
+		listControlPeers: () => [k1, k2],
+		isDraining: () => false,
+	});
+	for (const peer of [k1, k2]) {
+		shared.setLink(peer, true);
+	}
+
+	const listRenewals = (): ids.PeerId[] =>
+		shared
+			.takeEffects()
+			.flatMap((effect) =>
+				effect.type === 'sendPeer' && effect.message.type === 'renewLease'
+					? [effect.to]
+					: [],
+			);
+	return {shared, client, listRenewals};
+}
+
+// Guards against a proxy that looks for the leader in turn although a new one has announced itself:
+// its servers stay without owner for as long.
+tap.test('an announced leader is asked at once', async (t) => {
+	const {shared, client, listRenewals} = createClient();
+	shared.now = 1000;
+	client.handleTick();
+	listRenewals();
+	client.handleLeader(k2, 5);
+	t.same(listRenewals(), [k2]);
+	t.equal(client.getLeader(), k2);
+});
+
+// Guards against a deposed leader, woken from a freeze, that draws renewals to itself.
+tap.test('an earlier leader is ignored', async (t) => {
+	const {shared, client, listRenewals} = createClient();
+	shared.now = 1000;
+	client.handleLeader(k2, 5);
+	client.handleGrant(k2, {
+		type: 'leaseGranted',
+		sequence: 1,
+		durationMs: 1500,
+		appliedIndex: 1,
+		owned: [],
+		owners: [],
+		ownersVersion: {consensusTerm: 5, counter: 1},
+		groups: [],
+		confirmed: [],
+		templates: [],
+	});
+	listRenewals();
+	client.handleLeader(k1, 4);
+	client.handleLeader(k2, 5);
+	t.same(listRenewals(), []);
+	t.equal(client.getLeader(), k2);
+});
--- a/src/common/proxy/lease-client.ts
+++ b/src/common/proxy/lease-client.ts
@@ -165,6 +165,18 @@
 		}
 	}
 
+	/** Turns to a leader that has announced itself, unless a later one has granted leases. */
+	handleLeader(peer: ids.PeerId, term: number): void {
+		const known = this.ownersVersion?.consensusTerm ?? 0;
+		if (term < known || (term === known && this.leader === peer)) {
+			return;
+		}
+
+		this.leader = peer;
+		this.lastAnswerAt = this.context.now;
+		this.sendRenewal();
+	}
+
 	handleLinkDown(peer: ids.PeerId): void {
 		if (this.leader === peer) {
 			this.chooseNextCandidate();
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -376,6 +376,11 @@
 				return;
 			}
 
+			case 'leaderAnnounced': {
+				this.lease.handleLeader(from, message.term);
+				return;
+			}
+
 			case 'templatePush': {
 				this.mergeTemplate(message.template);
 				return;
--- a/src/node/peer/outgoing-link.ts
+++ b/src/node/peer/outgoing-link.ts
@@ -14,6 +14,8 @@
 	#link: linkSocket.LinkSocket | undefined;
 	#up = false;
 	#disposed = false;
+	/** True from the loss of the link until it is up again. */
+	#isLost = false;
 	#failures = 0;
 	#sequence = 0;
 	#reconnect: NodeJS.Timeout | undefined;
@@ -123,6 +125,15 @@
 
 		this.#up = true;
 		this.#failures = 0;
+		if (this.#isLost) {
+			this.#isLost = false;
+			this.options.logger.write({
+				level: 'info',
+				part: 'peer',
+				message: `Regained the link to ${this.peer}`,
+			});
+		}
+
 		this.options.listener.handleLinkChange(this.peer, true);
 	}
 
@@ -132,6 +143,7 @@
 		const wasUp = this.#up;
 		this.#up = false;
 		if (wasUp) {
+			this.#isLost = true;
 			this.options.logger.write({
 				level: this.#disposed ? 'debug' : 'warn',
 				part: 'peer',
