Keep replicas usable while the primary does not answer

Change: for servers that confirm commits themselves the owner answers while it holds the write lease: every acknowledged commit of the term went through it. Ruled out: marks without a lease; another proxy could acknowledge commits then.

--- a/src/common/proxy/owner.ts
+++ b/src/common/proxy/owner.ts
@@ -222,14 +222,13 @@
 	): void {
 		const waiter = {from, sequence, arrivedAt: this.context.now};
 		const server = this.servers.get(serverId);
-		if (!server || !this.rules.isWritable(server)) {
-			this.replies.answerFloor(waiter, undefined);
+		if (server?.isSelfConfirming && this.rules.ownsLatestPosition(server)) {
+			this.replies.answerFloor(waiter, server.getApplied());
 			return;
 		}
 
-		if (server.isSelfConfirming) {
-			// Every commit of the term was acknowledged through this owner, after its position was seen.
-			this.replies.answerFloor(waiter, server.getApplied());
+		if (!server || !this.rules.isWritable(server)) {
+			this.replies.answerFloor(waiter, undefined);
 			return;
 		}
 
--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -366,3 +366,34 @@
 	server.scheduler.offer = () => ({type: 'refused', reason: 'deadline'});
 	t.match(fleet.run(1, session, get), {type: 'answered'});
 });
+
+// Guards against replicas that count as too old as soon as a dead primary gives no more positions,
+// although nothing was committed that they lack.
+tap.test('the position of an unreachable primary is known', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	const {reducer} = fleet.proxies[0];
+	const {id} = fleet.getServer('s1');
+	const server = reducer.owner.servers.get(id)!;
+	server.announcement = {...server.announcement, synchronousReplicas: 0};
+	server.openFailures = 5;
+	server.connections.clear();
+	t.ok(server.isUnreachable);
+	const effects = reducer.step({
+		type: 'peerMessage',
+		now: fleet.timeline.now,
+		from: fleet.proxies[1].peer,
+		message: {
+			type: 'floorRequest',
+			sequence: 9,
+			group: fleet.group,
+			server: id,
+		},
+	});
+	t.match(
+		effects.find(
+			(effect) =>
+				effect.type === 'sendPeer' && effect.message.type === 'floorAnswer',
+		),
+		{message: {sequence: 9, position: {term: 1}}},
+	);
+});
--- a/src/common/proxy/serving-rules.ts
+++ b/src/common/proxy/serving-rules.ts
@@ -35,15 +35,26 @@
 		);
 	}
 
+	/**
+	 * True while every acknowledged commit of the group is at or below the position that this proxy
+	 * has seen: commits of the term are acknowledged through it, after their positions came with the
+	 * answers. That holds also while the primary does not answer, so that replicas stay usable.
+	 */
+	ownsLatestPosition(server: owned.OwnedServer): boolean {
+		return (
+			this.hasWriteLease(server) &&
+			server.status?.role === 'primary' &&
+			server.status.term === server.writeTerm
+		);
+	}
+
 	/** True while this proxy may send writes to the server and acknowledge them. */
 	isWritable(server: owned.OwnedServer): boolean {
 		return (
-			this.hasWriteLease(server) &&
+			this.ownsLatestPosition(server) &&
 			server.releasingWriteSince === undefined &&
 			!this.hasDeparted(server) &&
-			!server.isUnreachable &&
-			server.status?.role === 'primary' &&
-			server.status.term === server.writeTerm
+			!server.isUnreachable
 		);
 	}
 
