Tell the caller when its transaction ended under a statement

An owner that loses its link to an entry releases the sessions of that entry and closes the connections that run a statement when it ends. When the link was back by then, the answer still reached the entry, with an open transaction for the caller but no connection bound to it, and the next statement ran alone. Change: such an answer is an unknown outcome, so the caller is told that nothing of it is kept. Ruled out: the refusals of cut-off proxies and the second try of refused reads; neither touches a bound session. Test: proxy test 'transaction released under a statement', which fails without the change.

--- a/src/common/proxy/executor.ts
+++ b/src/common/proxy/executor.ts
@@ -334,6 +334,16 @@
 		const refusedAsReplica =
 			outcome.sqlState === '25006' && !wasBound && !outcome.relayed;
 		const isBound = this.updateBinding(server, connection, item, outcome);
+		if (!isBound && outcome.transactionStatus !== 'idle') {
+			// Its session was released meanwhile, and the transaction ended with the connection.
+			this.replies.finishUnknown(
+				item,
+				'the transaction was rolled back',
+				outcome,
+			);
+			return;
+		}
+
 		if (refusedAsReplica && outcome.transactionStatus === 'idle') {
 			this.replies.refuseItem(
 				item,
--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -152,6 +152,33 @@
 	t.equal(answer?.type, 'refused');
 });
 
+// Guards against an answer that leaves a transaction open for its caller although its connection was
+// closed, because the owner lost the link to the entry for a moment: the next statement would run
+// outside of the transaction.
+tap.test('transaction released under a statement', async (t) => {
+	const fleet = createTolerantFleet(10_000);
+	const session = fleet.openSession(1);
+	fleet.run(1, session, {type: 'begin'});
+	fleet.getServer('s1').serviceMs = 100;
+	let answer: proxyProcess.CallerAnswer | undefined;
+	fleet.proxies[1].send(session, put('1'), {}, (result) => {
+		answer = result;
+	});
+	fleet.timeline.runUntil(fleet.timeline.now + 50);
+	const [owner, entry] = fleet.proxies;
+	for (const up of [false, true]) {
+		owner.step({
+			type: 'peerLinkChanged',
+			now: fleet.timeline.now,
+			peer: entry.peer,
+			up,
+		});
+	}
+
+	fleet.timeline.runUntil(fleet.timeline.now + 500);
+	t.same(answer, {type: 'refused', sqlState: '08007'});
+});
+
 // Guards against a transaction that keeps its connection and locks although its entry has forgotten
 // it, and against a proxy that fails on the rollback.
 tap.test('idle transaction is rolled back', async (t) => {
--- a/src/node/peer/link-socket.ts
+++ b/src/node/peer/link-socket.ts
@@ -8,6 +8,7 @@
 import type * as node from '../types.js';
 import * as frameReader from '../wire/frame-reader.js';
 import * as frameCodec from './frame-codec.js';
+import type * as linkTicker from './link-ticker.js';
 import type * as types from './types.js';
 
 /** Frames up to this total size are joined into one write. */
@@ -30,13 +31,14 @@
 	#congested = false;
 	#closed = false;
 	#heardAt: number;
-	readonly #timer: NodeJS.Timeout;
+	readonly #stopChecks: () => void;
 
 	constructor(
 		readonly socket: net.Socket,
 		private readonly limits: types.LinkLimits,
 		private readonly clock: node.Clock,
 		private readonly handler: LinkSocketHandler,
+		ticker: linkTicker.LinkTicker,
 	) {
 		this.#reader = new frameReader.FrameReader(limits.frameBytes);
 		this.#heardAt = clock.now();
@@ -53,9 +55,9 @@
 		socket.on('close', () => {
 			this.close('the connection was closed');
 		});
-		this.#timer = setInterval(() => {
+		this.#stopChecks = ticker.add(() => {
 			this.#checkSilence();
-		}, limits.pingIntervalMs / 3);
+		});
 	}
 
 	/** True while producers of large data should pause. */
@@ -102,7 +104,7 @@
 		}
 
 		this.#closed = true;
-		clearInterval(this.#timer);
+		this.#stopChecks();
 		this.#waiting = [];
 		this.socket.destroy();
 		this.handler.handleEnd(reason);
--- /dev/null
+++ b/src/node/peer/link-ticker.test.ts
@@ -0,0 +1,29 @@
+import process from 'node:process';
+import tap from 'tap';
+import * as linkTicker from './link-ticker.js';
+
+function countTimers(): number {
+	return process.getActiveResourcesInfo().filter((type) => type === 'Timeout')
+		.length;
+}
+
+// Guards against a timer for each link, and against one that keeps running without links.
+tap.test('links share one timer', async (t) => {
+	const before = countTimers();
+	const ticker = new linkTicker.LinkTicker(1);
+	const removals: Array<() => void> = [];
+	const calls = Array.from(
+		{length: 20},
+		async () =>
+			new Promise<void>((resolve) => {
+				removals.push(ticker.add(resolve));
+			}),
+	);
+	t.equal(countTimers(), before + 1);
+	await Promise.all(calls);
+	for (const remove of removals) {
+		remove();
+	}
+
+	t.equal(countTimers(), before);
+});
--- a/src/node/peer/outgoing-link.ts
+++ b/src/node/peer/outgoing-link.ts
@@ -7,6 +7,7 @@
 import type * as messages from '../../common/messages.js';
 import * as addresses from './addresses.js';
 import * as linkSocket from './link-socket.js';
+import type * as linkTicker from './link-ticker.js';
 import type * as types from './types.js';
 
 /** Keeps the connection to one peer open. */
@@ -19,7 +20,7 @@
 	#failures = 0;
 	#sequence = 0;
 	#reconnect: NodeJS.Timeout | undefined;
-	#ping: NodeJS.Timeout | undefined;
+	#stopPings: (() => void) | undefined;
 	#connecting: net.Socket | undefined;
 
 	constructor(
@@ -27,6 +28,7 @@
 		readonly address: string,
 		private readonly options: types.PeerLinksOptions,
 		private readonly limits: types.LinkLimits,
+		private readonly ticker: linkTicker.LinkTicker,
 	) {
 		this.#connect();
 	}
@@ -94,13 +96,19 @@
 					});
 				},
 			},
+			this.ticker,
 		);
 		this.#link = link;
 		link.send(this.options.hello);
-		this.#ping = setInterval(() => {
-			this.#sequence++;
-			link.send({type: 'linkPing', sequence: this.#sequence});
-		}, this.limits.pingIntervalMs);
+		let pingedAt = this.options.clock.now();
+		this.#stopPings = this.ticker.add(() => {
+			const now = this.options.clock.now();
+			if (now - pingedAt >= this.limits.pingIntervalMs) {
+				pingedAt = now;
+				this.#sequence++;
+				link.send({type: 'linkPing', sequence: this.#sequence});
+			}
+		});
 	}
 
 	#handleMessage(message: messages.PeerMessage): void {
@@ -138,7 +146,7 @@
 	}
 
 	#handleEnd(reason: string): void {
-		clearInterval(this.#ping);
+		this.#stopPings?.();
 		this.#link = undefined;
 		const wasUp = this.#up;
 		this.#up = false;
--- a/src/node/peer/peer-links.ts
+++ b/src/node/peer/peer-links.ts
@@ -7,6 +7,7 @@
 import type * as messages from '../../common/messages.js';
 import type * as node from '../types.js';
 import * as linkSocket from './link-socket.js';
+import * as linkTicker from './link-ticker.js';
 import * as outgoingLink from './outgoing-link.js';
 import * as types from './types.js';
 
@@ -21,15 +22,22 @@
 	return new TcpPeerLinks(options);
 }
 
+/** Silence is noticed within this fraction of the ping interval. */
+const ticksPerPing = 3;
+
 class TcpPeerLinks implements PeerLinks {
 	readonly #links = new Map<ids.PeerId, outgoingLink.OutgoingLink>();
 	readonly #accepted = new Set<linkSocket.LinkSocket>();
 	readonly #acceptedByPeer = new Map<ids.PeerId, linkSocket.LinkSocket>();
 	readonly #limits: types.LinkLimits;
+	readonly #ticker: linkTicker.LinkTicker;
 	readonly #server: net.Server;
 
 	constructor(private readonly options: types.PeerLinksOptions) {
 		this.#limits = {...types.defaultLimits, ...options.limits};
+		this.#ticker = new linkTicker.LinkTicker(
+			this.#limits.pingIntervalMs / ticksPerPing,
+		);
 		this.#server = net.createServer((socket) => {
 			this.#accept(socket);
 		});
@@ -61,7 +69,13 @@
 		link?.dispose();
 		this.#links.set(
 			peer,
-			new outgoingLink.OutgoingLink(peer, address, this.options, this.#limits),
+			new outgoingLink.OutgoingLink(
+				peer,
+				address,
+				this.options,
+				this.#limits,
+				this.#ticker,
+			),
 		);
 	}
 
@@ -124,6 +138,7 @@
 				handleDrain: () => undefined,
 				handleOversize: () => undefined,
 			},
+			this.#ticker,
 		);
 		this.#accepted.add(link);
 	}
