--- a/src/common/proxy/executor.ts
+++ b/src/common/proxy/executor.ts
@@ -381,18 +381,32 @@
 			return;
 		}
 
+		this.finishUncommitted(server, item, outcome, {queueMs, isBound, wasBound});
+	}
+
+	/** Passes on an answer that committed nothing; a read outside of transactions says how old it is. */
+	private finishUncommitted(
+		server: owned.OwnedServer,
+		{origin, request}: owned.OwnerItem,
+		outcome: Extract<proxy.ExecutionOutcome, {type: 'answered'}>,
+		details: {
+			readonly queueMs: number;
+			readonly isBound: boolean;
+			readonly wasBound: boolean;
+		},
+	): void {
 		const applied = server.getApplied();
-		this.context.send(item.origin, {
+		this.context.send(origin, {
 			type: 'forwardDone',
 			attempt: request.attempt,
 			verdict: 'completed',
 			tail: outcome.tail,
 			relayed: outcome.relayed,
 			transactionStatus: outcome.transactionStatus,
-			bound: isBound,
-			queueMs,
+			bound: details.isBound,
+			queueMs: details.queueMs,
 			...(server.status ? {servedBy: server.status.role} : {}),
-			...(applied && request.kind === 'read' && !wasBound
+			...(applied && request.kind === 'read' && !details.wasBound
 				? {position: applied, stalenessMs: this.rules.computeStaleness(server)}
 				: {}),
 		});
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -15,7 +15,6 @@
 import * as serverCalls from './server-calls.js';
 import type * as daemon from './types.js';
 
-const protocolVersion = 1;
 /** Name and database of control's connections; servers trust the control VMs. */
 const upstreamUser = 'hemlockarch';
 /** The process ends with this code when its storage failed. */
@@ -88,7 +87,7 @@
 					peer: settings.process.id,
 					role: 'control',
 					incarnation: clock.systemClock.readWallClock(),
-					protocol: protocolVersion,
+					protocol: peerLinks.protocolVersion,
 				},
 				listener,
 				clock: clock.systemClock,
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -27,7 +27,6 @@
 import * as deferred from './deferred.js';
 import * as proxyDriver from './proxy-driver.js';
 
-const protocolVersion = 1;
 const gaugeIntervalMs = 1000;
 
 /** What the adapters get of the process they belong to. */
@@ -221,7 +220,7 @@
 				peer: this.settings.process.id,
 				role: 'proxy',
 				incarnation,
-				protocol: protocolVersion,
+				protocol: peerLinks.protocolVersion,
 			},
 			listener: {
 				handleMessage: this.driver.handlePeerMessage,
--- a/src/node/peer/peer-links.ts
+++ b/src/node/peer/peer-links.ts
@@ -11,6 +11,9 @@
 import * as outgoingLink from './outgoing-link.js';
 import * as types from './types.js';
 
+/** Version of the messages between peers; peers of different versions do not talk. */
+export const protocolVersion = 1;
+
 /** The links of this process, with what producers of large data need. */
 export type PeerLinks = node.PeerLinks & {
 	/** True while the send buffer of the link is so full that producers should pause. */
