Keep a working link to a peer that is said to be dead

A VM that was cut off took the others for dead and told so the peers that it reached, and these closed their working links to them. That is the loss of the link that ended the transaction. Change: a link is given up for a dead peer only when it does not work; proxies and control alike. The log line says whether the link is up. Ruled out: a longer suspicion; news of a death can always come from behind a partition. Test: proxy test 'news of a death do not end a working link', which fails without the change.

--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -4,6 +4,7 @@
  */
 import type * as ids from '../ids.js';
 import * as announcements from '../announcement.js';
+import * as linkPolicy from '../membership/link-policy.js';
 import * as membershipService from '../membership/membership.js';
 import type * as membership from '../membership/types.js';
 import type * as messages from '../messages.js';
@@ -84,6 +85,7 @@
 	private readonly announcements = new Map<ids.UpstreamId, KnownAnnouncement>();
 
 	private controlPeers: readonly types.PeerAddress[];
+	private readonly linksUp = new Set<ids.PeerId>();
 
 	constructor(private readonly options: ControlPeerOptions) {
 		this.controlPeers = options.controlPeers;
@@ -171,12 +173,28 @@
 
 	private handleLinkChange(peer: ids.PeerId, up: boolean): void {
 		if (up) {
+			this.linksUp.add(peer);
 			this.membership.startSync(peer);
 			this.effects.push(
 				...this.control.step({type: 'peerConnected', now: this.now, peer}),
 			);
 		} else {
+			this.linksUp.delete(peer);
 			this.membership.handleLinkDown(peer, this.now);
+			const state = this.membership.getPeer(peer);
+			if (state) {
+				this.removeUnwantedLink(state);
+			}
+		}
+	}
+
+	private removeUnwantedLink({peer, condition}: membership.PeerState): void {
+		const isWanted = linkPolicy.isLinkWanted(condition, {
+			isUp: this.linksUp.has(peer),
+			isConfigured: this.controlPeers.some((known) => known.peer === peer),
+		});
+		if (!isWanted) {
+			this.effects.push({type: 'disconnectPeer', peer});
 		}
 	}
 
@@ -214,11 +232,8 @@
 		const {peer, address} = state;
 		if (state.condition === 'alive') {
 			this.effects.push({type: 'connectPeer', peer, address});
-		} else if (
-			(state.condition === 'dead' || state.condition === 'left') &&
-			!this.controlPeers.some((known) => known.peer === peer)
-		) {
-			this.effects.push({type: 'disconnectPeer', peer});
+		} else {
+			this.removeUnwantedLink(state);
 		}
 	}
 
--- a/src/common/proxy/peer-view.ts
+++ b/src/common/proxy/peer-view.ts
@@ -3,6 +3,8 @@
  * servers, and that a peer has a newer template.
  */
 import {assertNever} from '../assert-never.js';
+import type * as ids from '../ids.js';
+import * as linkPolicy from '../membership/link-policy.js';
 import * as membershipService from '../membership/membership.js';
 import type * as membership from '../membership/types.js';
 import type * as context from './context.js';
@@ -22,6 +24,26 @@
 		this.membership = this.createMembership();
 	}
 
+	/** Gives up the link to a peer that was said to be dead while the link still worked. */
+	handleLinkDown(peer: ids.PeerId): void {
+		const state = this.membership.getPeer(peer);
+		if (state) {
+			this.removeUnwantedLink(state);
+		}
+	}
+
+	private removeUnwantedLink({peer, condition}: membership.PeerState): void {
+		const isWanted = linkPolicy.isLinkWanted(condition, {
+			isUp: this.context.isReachable(peer),
+			isConfigured: this.context.controlPeers.some(
+				(configured) => configured.peer === peer,
+			),
+		});
+		if (!isWanted) {
+			this.context.emit({type: 'disconnectPeer', peer});
+		}
+	}
+
 	private createMembership(): membershipService.Membership {
 		const {config, random} = this.context;
 		return new membershipService.Membership({
@@ -74,14 +96,10 @@
 
 			case 'dead':
 			case 'left': {
-				this.context.log('info', part, `Peer ${state.peer} is gone`);
-				const isConfigured = this.context.controlPeers.some(
-					({peer}) => peer === state.peer,
-				);
-				if (!isConfigured) {
-					this.context.emit({type: 'disconnectPeer', peer: state.peer});
-				}
-
+				this.context.log('info', part, `Peer ${state.peer} is gone`, {
+					isLinkUp: this.context.isReachable(state.peer),
+				});
+				this.removeUnwantedLink(state);
 				return;
 			}
 
--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -424,3 +424,35 @@
 		{message: {sequence: 9, position: {term: 1}}},
 	);
 });
+
+// Guards against transactions that end because a peer behind a partition says that another one is
+// dead, and against a link that is tried for good once the peer really is.
+tap.test('news of a death do not end a working link', async (t) => {
+	const fleet = new smallFleet.SmallFleet(3);
+	const [owner, entry, informant] = fleet.proxies;
+	const state = owner.reducer.membership.getPeer(entry.peer)!;
+	const step = (
+		event: Parameters<typeof owner.reducer.step>[0],
+	): ReadonlyArray<{type: string}> =>
+		owner.reducer.step(event).filter(({type}) => type === 'disconnectPeer');
+	const {now} = fleet.timeline;
+	const removed = step({
+		type: 'peerMessage',
+		now,
+		from: informant.peer,
+		message: {
+			type: 'ping',
+			sequence: 1,
+			deltas: [{type: 'peer', state: {...state, condition: 'dead'}}],
+		},
+	});
+	t.equal(owner.reducer.membership.getPeer(entry.peer)?.condition, 'dead');
+	t.same(removed, []);
+	const later = step({
+		type: 'peerLinkChanged',
+		now,
+		peer: entry.peer,
+		up: false,
+	});
+	t.match(later, [{type: 'disconnectPeer', peer: entry.peer}]);
+});
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -44,6 +44,7 @@
 	readonly membership: membershipService.Membership;
 	readonly lease: leaseClient.LeaseClient;
 	private readonly context: context.ProxyContext;
+	private readonly peerView: peerView.PeerView;
 	private readonly ownership: ownership.OwnershipKeeper;
 	private readonly positionClient: positionClient.PositionClient;
 	private readonly candidates: candidates.CandidateList;
@@ -64,11 +65,12 @@
 			services.parseConfiguration,
 		);
 		this.directory = new directory.Directory(this.context);
-		this.membership = new peerView.PeerView(
+		this.peerView = new peerView.PeerView(
 			this.context,
 			this.directory,
 			this.templates,
-		).membership;
+		);
+		this.membership = this.peerView.membership;
 		this.lease = new leaseClient.LeaseClient(this.context, {
 			listOwned: () =>
 				this.ownership.listOwned(this.lease.isValid(this.context.now)),
@@ -580,6 +582,7 @@
 		}
 
 		this.membership.handleLinkDown(peer, this.context.now);
+		this.peerView.handleLinkDown(peer);
 		this.lease.handleLinkDown(peer);
 		this.owner.handleOriginLost(peer);
 		this.entry.handleLinkDown(peer);
