--- a/src/common/proxy/owner.ts
+++ b/src/common/proxy/owner.ts
@@ -222,7 +222,7 @@
 	): void {
 		const waiter = {from, sequence, arrivedAt: this.context.now};
 		const server = this.servers.get(serverId);
-		if (server?.isSelfConfirming && this.rules.ownsLatestPosition(server)) {
+		if (server?.isSelfConfirming && this.rules.hasLatestPosition(server)) {
 			this.replies.answerFloor(waiter, server.getApplied());
 			return;
 		}
--- a/src/common/proxy/serving-rules.ts
+++ b/src/common/proxy/serving-rules.ts
@@ -40,7 +40,7 @@
 	 * has seen: commits of the term are acknowledged through it, after their positions came with the
 	 * answers. That holds also while the primary does not answer, so that replicas stay usable.
 	 */
-	ownsLatestPosition(server: owned.OwnedServer): boolean {
+	hasLatestPosition(server: owned.OwnedServer): boolean {
 		return (
 			this.hasWriteLease(server) &&
 			server.status?.role === 'primary' &&
@@ -51,7 +51,7 @@
 	/** True while this proxy may send writes to the server and acknowledge them. */
 	isWritable(server: owned.OwnedServer): boolean {
 		return (
-			this.ownsLatestPosition(server) &&
+			this.hasLatestPosition(server) &&
 			server.releasingWriteSince === undefined &&
 			!this.hasDeparted(server) &&
 			!server.isUnreachable
