Let a read that one server refused wait for a lagging replica

Change: such a read waits and is placed again, at most four times. Ruled out: a second try for writes; only the primary runs them. Test: proxy test 'a refused read waits for a lagging replica or the primary', which fails without it.

--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -13,6 +13,9 @@
 import type * as requestTable from './request-table.js';
 import type * as entry from './entry.js';
 
+/** Servers that may refuse a read for their load before its caller is told. */
+const maxRefusedAttempts = 4;
+
 export class AttemptOutcomes {
 	constructor(
 		private readonly context: context.ProxyContext,
@@ -191,7 +194,10 @@
 		message: string,
 	): void {
 		request.excluded.add(attempt.server);
-		if (entryState.needsPrimary(request.kind)) {
+		if (
+			entryState.needsPrimary(request.kind) ||
+			request.attemptCount >= maxRefusedAttempts
+		) {
 			this.replies.refuse(request, reason, message);
 			return;
 		}
@@ -204,6 +210,12 @@
 				: undefined;
 		if (decision.type === 'server' && owner !== undefined) {
 			this.router.sendAttempt(request, decision.server, owner);
+		} else if (decision.type === 'wait') {
+			// A replica will be fresh enough soon, or else the primary takes the read.
+			request.wait = {
+				type: 'until',
+				at: this.context.now + decision.delayMs,
+			};
 		} else {
 			this.replies.refuse(request, reason, message);
 		}
--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -394,6 +394,27 @@
 	t.match(fleet.run(1, session, get), {type: 'answered'});
 });
 
+// Guards against a read that is refused while the only other replica lacks little and the primary is
+// free: the load of a burst while replicas lag.
+tap.test(
+	'a refused read waits for a lagging replica or the primary',
+	async (t) => {
+		const fleet = createTolerantFleet(150);
+		const session = fleet.openSession(1);
+		fleet.run(1, session, get);
+		const {owner} = fleet.proxies[1].reducer;
+		const server = owner.servers.get(fleet.getServer('s2').id)!;
+		server.scheduler.offer = () => ({type: 'refused', reason: 'deadline'});
+		const lagging = fleet.getServer('s3');
+		lagging.applyLagMs = 200;
+		fleet.run(0, fleet.openSession(0), put('1'));
+		for (let count = 0; count < 20; count++) {
+			fleet.timeline.runUntil(fleet.timeline.now + 7);
+			t.match(fleet.run(1, session, get), {type: 'answered'});
+		}
+	},
+);
+
 // Guards against replicas that count as too old as soon as a dead primary gives no more positions,
 // although nothing was committed that they lack.
 tap.test('the position of an unreachable primary is known', async (t) => {
