Add a command that follows one request through the logs

On-call engineers have only logs. `hemlockarch trace` prints the lines that name a request, then the lines about its server, its owner and control around it, from files or standard input. Requests that succeed are not logged, so they have no trace.

--- a/src/cli/cli.test.ts
+++ b/src/cli/cli.test.ts
@@ -280,3 +280,19 @@
 	child.kill('SIGTERM');
 	t.equal(await ended, 0);
 });
+
+// Guards against a trace that cannot be had from a collected stream, or that hides a wrong id.
+tap.test('trace reads standard input', async (t) => {
+	const line = JSON.stringify({
+		timestamp: '2026-12-04T10:00:00.000Z',
+		part: 'request',
+		message: 'Refused',
+		id: 'q1',
+	});
+	const found = await runCli(['trace', 'q1', '-'], `vm-1 ${line}\n`);
+	t.equal(found.code, 0);
+	t.match(found.output, 'vm-1 request: Refused');
+	const missing = await runCli(['trace', 'q2', '-'], `vm-1 ${line}\n`);
+	t.equal(missing.code, 1);
+	t.match(missing.errors, 'no line of 1 names the request q2');
+});
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -11,6 +11,7 @@
 import * as exits from './exit-codes.js';
 import * as standIn from './stand-in-command.js';
 import * as templates from './template-commands.js';
+import * as trace from './trace-command.js';
 
 const version = '0.1.0';
 
@@ -24,6 +25,7 @@
 	ctl.StatusCommand,
 	ctl.MetricsCommand,
 	ctl.DrainCommand,
+	trace.TraceCommand,
 	standIn.StandInCommand,
 	clipanion.Builtins.HelpCommand,
 	clipanion.Builtins.VersionCommand,
