--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -477,3 +477,24 @@
 	});
 	t.match(later, [{type: 'disconnectPeer', peer: entry.peer}]);
 });
+
+// Guards against callers that a proxy behind a partition keeps until the limit of each request.
+tap.test('a cut-off proxy refuses at once', async (t) => {
+	const fleet = new smallFleet.SmallFleet(3, undefined, {
+		grantLimitMs: 2000,
+		minorityGrantLimitMs: 800,
+	});
+	const session = fleet.openSession(2);
+	fleet.run(2, session, put('1'));
+	const [first, second, third] = fleet.proxies;
+	for (const other of [first.peer, second.peer, fleet.control.peer]) {
+		fleet.links.cut(third.peer, other);
+	}
+
+	fleet.timeline.runUntil(fleet.timeline.now + 2000);
+	const later = fleet.openSession(2);
+	const sentAt = fleet.timeline.now;
+	const answer = fleet.run(2, later, put('2'), {deadlineMs: 5000});
+	t.match(answer, {type: 'refused', sqlState: 'HK004'});
+	t.ok(fleet.timeline.now - sentAt < 100);
+});
