Review: a write is committed after the promise that nothing is kept

Cause: as in case 1, the owner lets a running first statement of a transaction bind its connection to the session after the link to the entry was lost, here through a freeze of the entry. The later COMMIT of the session ends that transaction instead of its own. The stand-in for servers replicates from the primary of the newest term.

--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,110 +1,120 @@
 /**
- * A replica crashes and starts again under its id. It holds nothing of before until the log has been
- * transferred to it. Clients read with a bounded staleness meanwhile.
+ * The machine of an entry freezes for less than a second while the first statements of its transactions
+ * run at the owner of the primary. The same sessions go on after it has woken.
  */
 import * as path from 'node:path';
 import {Client, runCase, wait} from '../lib/deployment.mjs';
 
-const boundedDatabase = 'xapu221ny95';
-const primaryDatabase = 'lepu270';
-const maxStalenessMs = 1500;
-const downMs = 300;
-/** The replica has its log again this long after it has started. */
-const transferMs = 800;
-const sessionsPerMachine = 2;
-const pauseMs = 20;
+const sessions = 3;
+/** `TimeoutMs` of the route, as in the example of PROTOCOL.md. */
+const timeoutMs = 1000;
+/** How late the answers to the first statements are. */
+const lateMs = 950;
+const freezeMs = 800;
+const pauseMs = 400;
+const maxTries = 3;
+const database = 'lepu270';
+/** Codes that promise that nothing of the attempt is kept. */
+const promises = new Set(['ABORTED', 'BUSY', 'LAGGING', 'READONLY']);
 
-/** Reads the item again and again, and returns the answers that lack the acknowledged write. */
-async function readUntil(deployment, machine, number, state) {
-	const stale = [];
-	const client = new Client(deployment, `${machine.name}-r${number}`, machine);
-	await client.open(boundedDatabase);
-	while (!state.isOver && !client.isClosed) {
-		const startedAt = Date.now();
-		const answer = await client.query('READ a');
-		state.count++;
-		if (
-			answer.signature !== undefined &&
-			answer.rows[0] !== 'first' &&
-			startedAt - state.acknowledgedAt > maxStalenessMs
-		) {
-			stale.push({...answer, ageMs: startedAt - state.acknowledgedAt});
+/** Runs a transaction of two writes; returns its writes and the answer that ended it. */
+async function runTransaction(client, number, attempt) {
+	const writes = [];
+	await client.query('BEGIN');
+	for (const item of ['a', 'b']) {
+		const write = await client.query(`WRITE ${item}${number} try${attempt}`);
+		writes.push(write.id);
+		if (write.signature === undefined) {
+			return {writes, end: write};
 		}
 
 		await wait(pauseMs);
 	}
 
-	client.close();
-	return stale;
+	return {writes, end: await client.query('COMMIT')};
+}
+
+/** Runs the transaction again after each promise that nothing of it is kept. */
+async function runOperation(client, number) {
+	const attempts = [];
+	for (let attempt = 1; attempt <= maxTries; attempt++) {
+		const result = await runTransaction(client, number, attempt);
+		attempts.push(result);
+		if (!promises.has(result.end.error)) {
+			break;
+		}
+
+		if (result.end.ready !== 'I') {
+			await client.query('ROLLBACK');
+		}
+	}
+
+	return attempts;
+}
+
+function checkAttempt(committed, {writes, end}) {
+	const kept = writes.filter((id) => committed.has(id));
+	if (promises.has(end.error) && kept.length > 0) {
+		return [
+			`REFUSED: ${kept.join(' ')} is committed, though ${end.id} was answered with ${end.error}`,
+		];
+	}
+
+	return end.signature !== undefined && kept.length < writes.length
+		? [
+				`LOST: the COMMIT ${end.id} succeeded, but of ${writes.join(' ')} only ${kept.join(' ')} is committed`,
+			]
+		: [];
 }
 
 async function run(deployment, hasTrouble) {
 	const {service, machines} = deployment;
 	await deployment.start([
 		{
-			Host: primaryDatabase,
+			Host: database,
 			RouteKind: 'primary',
-			TimeoutMs: 800,
+			TimeoutMs: timeoutMs,
 			Priority: 0,
 		},
-		{
-			Host: boundedDatabase,
-			RouteKind: 'bounded',
-			TimeoutMs: 2000,
-			TargetLatencyMs: 1000,
-			Priority: 1,
-			MaxStalenessMs: maxStalenessMs,
-		},
 	]);
 	for (const machine of machines) {
-		await deployment.waitForService(machine, primaryDatabase);
+		await deployment.waitForService(machine, database);
 	}
 
-	const writer = new Client(deployment, 'writer', machines[0]);
-	await writer.open(primaryDatabase);
-	const write = await writer.query('WRITE a first');
-	if (write.signature === undefined) {
-		throw new Error('the write was not acknowledged');
+	await wait(1500);
+	const {primary} = service;
+	const machine = deployment.findMachineWithoutServers([primary]);
+	service.chooseLateness = (server, id, text) =>
+		/WRITE a\d try1/v.test(text) ? lateMs : 0;
+	const clients = [];
+	for (let number = 1; number <= sessions; number++) {
+		const client = new Client(deployment, `c${number}`, machine);
+		await client.open(database);
+		clients.push(client);
 	}
 
-	const state = {acknowledgedAt: Date.now(), count: 0, isOver: false};
-	writer.close();
-	await wait(5000);
-	const replica = service.servers[1];
-	const readers = machines
-		.filter(({zone}) => zone === replica.zone)
-		.flatMap((machine) =>
-			Array.from({length: sessionsPerMachine}, async (_, index) =>
-				readUntil(deployment, machine, index + 1, state),
-			),
-		);
-	await wait(1000);
+	const operations = Promise.all(
+		clients.map(async (client, index) => runOperation(client, index + 1)),
+	);
 	if (hasTrouble) {
-		replica.stop();
-		replica.log = [];
-		replica.applied = 0;
-		replica.sequence = 0;
-		deployment.record(`server ${replica.id} crashes`);
-		await wait(downMs);
-		replica.born = Date.now();
-		await replica.listen();
-		deployment.record(`server ${replica.id} has started again`);
-		await wait(transferMs);
-		service.follow(replica);
-		deployment.record(`server ${replica.id} has the log again`);
+		await wait(40);
+		machine.proxy.kill('SIGSTOP');
+		deployment.record(`${machine.name} freezes`);
+		await wait(freezeMs);
+		machine.proxy.kill('SIGCONT');
+		deployment.record(`${machine.name} wakes`);
+	}
+
+	const attempts = await operations;
+	await wait(500);
+	for (const client of clients) {
+		client.close();
 	}
 
-	await wait(2000);
-	state.isOver = true;
-	const results = await Promise.all(readers);
-	const stale = results.flat();
-	deployment.record(`${stale.length} of ${state.count} reads were stale`);
-	return stale
-		.slice(0, 5)
-		.map(
-			({id, rows, ageMs}) =>
-				`STALE: the read ${id} got ${rows.join(',')}, but the write was acknowledged ${ageMs} ms before it was sent`,
-		);
+	const committed = new Set(
+		primary.log.flatMap(({queries}) => queries.map(({id}) => id)),
+	);
+	return attempts.flat().flatMap((attempt) => checkAttempt(committed, attempt));
 }
 
 await runCase(path.dirname(new URL(import.meta.url).pathname), {}, run);
--- a/review/lib/servers.mjs
+++ b/review/lib/servers.mjs
@@ -484,8 +484,12 @@
 		this.recorder(`server ${connection.name} ${what}: ${text}`);
 	}
 
+	/** The primary of the newest term. */
 	get primary() {
-		return this.servers.find(({role}) => role === 'primary');
+		const [newest] = this.servers
+			.filter(({role}) => role === 'primary')
+			.toSorted((left, right) => right.term - left.term);
+		return newest;
 	}
 
 	replicate(source) {
@@ -506,9 +510,9 @@
 	}
 
 	follow(server) {
-		const {primary} = this;
 		server.role = 'replica';
-		if (primary && primary !== server) {
+		const {primary} = this;
+		if (primary) {
 			server.term = primary.term;
 			server.log = [...primary.log];
 			server.applied = server.log.length;
