--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -344,9 +344,9 @@
 		for (const machine of this.machines) {
 			for (const line of this.readLog(machine, 'proxy').split('\n')) {
 				if (line.includes(`Now owns server ${server.id}`)) {
-					const {time = ''} = JSON.parse(line);
-					if (String(time) >= latest) {
-						latest = String(time);
+					const {timestamp = ''} = JSON.parse(line);
+					if (timestamp >= latest) {
+						latest = timestamp;
 						owner = machine;
 					}
 				}
@@ -493,6 +493,14 @@
 		deployment.record('the case took too long');
 		deployment.finish().then(() => process.exit(2));
 	}, 110_000);
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, async () => {
+			deployment.record(`ended by ${signal}`);
+			await deployment.finish();
+			process.exit(2);
+		});
+	}
+
 	try {
 		const problems = await run(deployment, hasTrouble);
 		for (const problem of problems) {
