Name bindings by their attempt, and end those of a lost entry

Cause: an owner that lost the link to an entry ended its bound and queued sessions, but not a first statement that was still running. When that ended, it bound its connection under the entry's id and session number. The next transaction of the session, or of the session with that number at the restarted entry, already had a binding under the same key, which was replaced, so its later statements ran in the old transaction. The requests of an ended session or lost link are abandoned: they bind no connection, and a connection that needs a binding is closed. A connection that a finished statement leaves idle goes back to the pool. Evidence: in virtual time, 'a killed entry leaves no transaction behind', 'a lost link leaves no transaction behind' and 'a link lost at one end does not mix transactions' gave the log ['2'] in place of ['1', '2'] before the change. The fleet's proxies number their sessions from 1 after a restart, as the real ones do.

--- a/src/bench/slope-messages.ts
+++ b/src/bench/slope-messages.ts
@@ -17,7 +17,6 @@
 		deadlineMs: 300,
 		floor: {term: 3, offset: 123_456_789},
 		stalenessMs: 0,
-		bound: false,
 		templateVersion: 7,
 		payload: {frames: new Uint8Array(payloadBytes)},
 	};
--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -23,8 +23,11 @@
 	/** The session floor; undefined when the owner of the primary must read the current position. */
 	readonly floor?: types.Position;
 	readonly stalenessMs: number;
-	/** The session has a transaction or a pinned connection at this owner. */
-	readonly bound: boolean;
+	/**
+	 * The attempt that bound the session to a connection of this owner. Undefined for a request outside
+	 * of transactions and pinned connections.
+	 */
+	readonly binding?: ids.AttemptId;
 	readonly key?: string;
 	readonly templateVersion: number;
 	readonly payload: proxy.RequestPayload;
@@ -226,6 +229,7 @@
 			 */
 			readonly type: 'forwardUnbound';
 			readonly session: ids.SessionId;
+			readonly binding: ids.AttemptId;
 			readonly server: ids.UpstreamId;
 	  }
 	| {
--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -179,8 +179,9 @@
 		attempt: entryState.Attempt,
 		isBound: boolean,
 	): void {
+		const {id, server, owner} = attempt;
 		session.binding = isBound
-			? {server: attempt.server, owner: attempt.owner}
+			? (session.binding ?? {id, server, owner})
 			: undefined;
 	}
 
--- a/src/common/proxy/binding-table.ts
+++ b/src/common/proxy/binding-table.ts
@@ -1,5 +1,7 @@
 /**
- * Sessions that are bound to a connection of this owner, by a transaction or by session state.
+ * Sessions that are bound to a connection of this owner, by a transaction or by session state. A binding
+ * is identified by the attempt that made it, so that a request never runs in another transaction of its
+ * session, or in one of an earlier instance of its entry, whose sessions have the same numbers.
  */
 import type * as ids from '../ids.js';
 import type * as context from './context.js';
@@ -10,19 +12,14 @@
 
 	constructor(private readonly context: context.ProxyContext) {}
 
-	findBinding(
-		origin: ids.PeerId,
-		session: ids.SessionId,
-	): owned.ConnectionBinding | undefined {
-		return this.bindings.get(makeSessionKey(origin, session));
-	}
-
-	/** True when the session of the request is bound to a connection. */
-	hasBinding(ownerRequest: owned.OwnerRequest): boolean {
-		return (
-			this.findBinding(ownerRequest.origin, ownerRequest.request.session) !==
-			undefined
-		);
+	/** Finds the binding that a request names. */
+	findBinding({
+		origin,
+		request,
+	}: owned.OwnerRequest): owned.ConnectionBinding | undefined {
+		return request.binding === undefined
+			? undefined
+			: this.bindings.get(makeBindingKey(origin, request.binding));
 	}
 
 	/** Binds the session of a request to the connection that ran it. */
@@ -32,7 +29,7 @@
 	): owned.ConnectionBinding {
 		const {origin, request} = ownerRequest;
 		const binding: owned.ConnectionBinding = {
-			key: makeSessionKey(origin, request.session),
+			id: request.attempt,
 			origin,
 			session: request.session,
 			connection,
@@ -41,12 +38,12 @@
 			readOnly: request.kind === 'beginReadOnly',
 		};
 		connection.binding = binding;
-		this.bindings.set(binding.key, binding);
+		this.bindings.set(makeBindingKey(origin, binding.id), binding);
 		return binding;
 	}
 
 	remove(binding: owned.ConnectionBinding): void {
-		this.bindings.delete(binding.key);
+		this.bindings.delete(makeBindingKey(binding.origin, binding.id));
 		binding.connection.binding = undefined;
 	}
 
@@ -59,18 +56,19 @@
 		this.context.send(binding.origin, {
 			type: 'forwardUnbound',
 			session: binding.session,
+			binding: binding.id,
 			server: server.server,
 		});
 	}
 
-	/** Lists the bound sessions of an entry. */
-	listSessions(origin: ids.PeerId): ids.SessionId[] {
-		return [...this.bindings.values()]
-			.filter((binding) => binding.origin === origin)
-			.map((binding) => binding.session);
+	/** Lists the bindings of an entry. */
+	listBindings(origin: ids.PeerId): owned.ConnectionBinding[] {
+		return [...this.bindings.values()].filter(
+			(binding) => binding.origin === origin,
+		);
 	}
 }
 
-function makeSessionKey(origin: ids.PeerId, session: ids.SessionId): string {
-	return `${origin}/${session}`;
+function makeBindingKey(origin: ids.PeerId, id: ids.AttemptId): string {
+	return `${origin}/${id}`;
 }
--- a/src/common/proxy/dispatcher.ts
+++ b/src/common/proxy/dispatcher.ts
@@ -131,10 +131,7 @@
 		server: owned.OwnedServer,
 		ownerRequest: owned.OwnerRequest,
 	): void {
-		const binding = this.bindings.findBinding(
-			ownerRequest.origin,
-			ownerRequest.request.session,
-		);
+		const binding = this.bindings.findBinding(ownerRequest);
 		if (!binding) {
 			this.replies.refuse(ownerRequest, 'noServer', 'the transaction is gone');
 			return;
--- a/src/common/proxy/entry-state.ts
+++ b/src/common/proxy/entry-state.ts
@@ -5,12 +5,18 @@
 import type * as types from '../types.js';
 import type * as proxy from './types.js';
 
-/** The server and owner that hold a session's transaction or pinned connection. */
-export type SessionBinding = {
+/** A server and its owner, to which an attempt goes. */
+export type AttemptTarget = {
 	readonly server: ids.UpstreamId;
 	readonly owner: ids.PeerId;
 };
 
+/** Where a session's transaction or pinned connection is. */
+export type SessionBinding = AttemptTarget & {
+	/** The attempt that bound the session; it identifies the binding at the owner. */
+	readonly id: ids.AttemptId;
+};
+
 export type Session = {
 	readonly id: ids.SessionId;
 	readonly member: ids.MemberId;
@@ -69,7 +75,7 @@
 	retries: number;
 	/** Number of attempts so far; `lastTarget` is the server and owner of the last one. */
 	attemptCount: number;
-	lastTarget: SessionBinding | undefined;
+	lastTarget: AttemptTarget | undefined;
 	isHedged: boolean;
 	/** The attempt whose first bytes went to the caller. */
 	relayedAttempt: ids.AttemptId | undefined;
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -346,10 +346,10 @@
 	handleUnbound(
 		from: ids.PeerId,
 		id: ids.SessionId,
-		server: ids.UpstreamId,
+		binding: ids.AttemptId,
 	): void {
 		const session = this.sessions.get(id);
-		if (session?.binding?.owner !== from || session.binding.server !== server) {
+		if (session?.binding?.owner !== from || session.binding.id !== binding) {
 			return;
 		}
 
--- a/src/common/proxy/execution-outcomes.ts
+++ b/src/common/proxy/execution-outcomes.ts
@@ -12,6 +12,8 @@
 import type * as servingRules from './serving-rules.js';
 import type * as proxy from './types.js';
 
+type Answer = Extract<proxy.ExecutionOutcome, {type: 'answered'}>;
+
 export class ExecutionOutcomes {
 	constructor(
 		private readonly context: context.ProxyContext,
@@ -142,7 +144,7 @@
 		server: owned.OwnedServer,
 		connection: owned.Connection,
 		ownerRequest: owned.OwnerRequest,
-		outcome: Extract<proxy.ExecutionOutcome, {type: 'answered'}>,
+		outcome: Answer,
 		startedAt: number,
 	): void {
 		const {request} = ownerRequest;
@@ -163,8 +165,8 @@
 			ownerRequest,
 			outcome,
 		);
-		if (!isBound && outcome.transactionStatus !== 'idle') {
-			// The session was released during the execution; closing its connection ended the transaction.
+		if (!isBound && needsBinding(request.kind, outcome)) {
+			// The session ended during the execution; closing its connection ended the transaction.
 			this.replies.finishUnknown(
 				ownerRequest,
 				'the transaction was rolled back',
@@ -228,7 +230,7 @@
 	private finishUncommitted(
 		server: owned.OwnedServer,
 		{origin, request}: owned.OwnerRequest,
-		outcome: Extract<proxy.ExecutionOutcome, {type: 'answered'}>,
+		outcome: Answer,
 		details: {
 			readonly queueMs: number;
 			readonly isBound: boolean;
@@ -257,7 +259,7 @@
 	private finishCommit(
 		server: owned.OwnedServer,
 		ownerRequest: owned.OwnerRequest,
-		outcome: Extract<proxy.ExecutionOutcome, {type: 'answered'}>,
+		outcome: Answer,
 		queueMs: number,
 		isBound: boolean,
 	): void {
@@ -296,20 +298,18 @@
 		server: owned.OwnedServer,
 		connection: owned.Connection,
 		ownerRequest: owned.OwnerRequest,
-		outcome: Extract<proxy.ExecutionOutcome, {type: 'answered'}>,
+		outcome: Answer,
 	): boolean {
-		const {request} = ownerRequest;
-		const isTransactionOpen = outcome.transactionStatus !== 'idle';
-		const setsSessionState =
-			request.kind === 'sessionState' && outcome.sqlState === undefined;
-		if (connection.mustClose) {
+		const {request, isAbandoned} = ownerRequest;
+		const isBindingNeeded = needsBinding(request.kind, outcome);
+		if (connection.mustClose || (isAbandoned && isBindingNeeded)) {
 			this.closeConnection(server, connection);
 			return false;
 		}
 
 		const binding =
 			connection.binding ??
-			(isTransactionOpen || setsSessionState
+			(isBindingNeeded
 				? this.bindings.add(ownerRequest, connection)
 				: undefined);
 		if (!binding) {
@@ -317,9 +317,9 @@
 			return false;
 		}
 
-		binding.inTransaction = isTransactionOpen;
-		binding.pinned ||= setsSessionState;
-		if (isTransactionOpen || binding.pinned) {
+		binding.inTransaction = outcome.transactionStatus !== 'idle';
+		binding.pinned ||= setsSessionState(request.kind, outcome);
+		if (binding.inTransaction || binding.pinned) {
 			server.setState(connection, 'bound', this.context.now);
 			return true;
 		}
@@ -329,3 +329,15 @@
 		return false;
 	}
 }
+
+function setsSessionState(
+	kind: proxy.RequestKind,
+	{sqlState}: Answer,
+): boolean {
+	return kind === 'sessionState' && sqlState === undefined;
+}
+
+/** True when later requests of the session need the connection, for its transaction or its state. */
+function needsBinding(kind: proxy.RequestKind, answer: Answer): boolean {
+	return answer.transactionStatus !== 'idle' || setsSessionState(kind, answer);
+}
--- a/src/common/proxy/executor.ts
+++ b/src/common/proxy/executor.ts
@@ -46,10 +46,11 @@
 	cancel(from: ids.PeerId, attempt: ids.AttemptId): void {
 		for (const connection of this.listRunningConnections(from)) {
 			if (connection.ownerRequest?.request.attempt === attempt) {
-				const {kind, bound} = connection.ownerRequest.request;
+				const {kind, binding} = connection.ownerRequest.request;
 				// No caller would end a transaction that the cancelled request opens.
 				connection.mustClose ||=
-					!bound && (kind === 'begin' || kind === 'beginReadOnly');
+					binding === undefined &&
+					(kind === 'begin' || kind === 'beginReadOnly');
 				this.context.emit({
 					type: 'cancelExecution',
 					connection: connection.id,
@@ -59,11 +60,14 @@
 		}
 	}
 
-	/** Marks the connection of a session's running request to be closed when the request ends. */
-	closeAfterExecution(from: ids.PeerId, session: ids.SessionId): void {
-		for (const connection of this.listRunningConnections(from)) {
-			if (connection.ownerRequest?.request.session === session) {
-				connection.mustClose = true;
+	/** Abandons the running requests of sessions that have ended. */
+	abandonExecutions(
+		origin: ids.PeerId,
+		isEnded: (session: ids.SessionId) => boolean,
+	): void {
+		for (const {ownerRequest} of this.listRunningConnections(origin)) {
+			if (ownerRequest && isEnded(ownerRequest.request.session)) {
+				ownerRequest.isAbandoned = true;
 			}
 		}
 	}
--- a/src/common/proxy/owned-server.ts
+++ b/src/common/proxy/owned-server.ts
@@ -27,11 +27,17 @@
 	readonly request: messages.ForwardRequest;
 	readonly deadlineAt: number;
 	readonly arrivedAt: number;
+	/**
+	 * True once the session has ended or the link to the entry was lost. Nobody would end what the
+	 * request binds, so it binds no connection.
+	 */
+	isAbandoned: boolean;
 };
 
 /** Binds a session to a connection, for a transaction or for session state. */
 export type ConnectionBinding = {
-	readonly key: string;
+	/** The attempt that made the binding. */
+	readonly id: ids.AttemptId;
 	readonly origin: ids.PeerId;
 	readonly session: ids.SessionId;
 	readonly connection: Connection;
--- a/src/common/proxy/owner-replies.ts
+++ b/src/common/proxy/owner-replies.ts
@@ -60,7 +60,7 @@
 			message,
 			relayed: false,
 			transactionStatus: 'idle',
-			bound: this.bindings.hasBinding(ownerRequest),
+			bound: this.bindings.findBinding(ownerRequest) !== undefined,
 			queueMs: this.context.now - ownerRequest.arrivedAt,
 		});
 	}
@@ -77,7 +77,7 @@
 			message,
 			relayed: details.relayed,
 			transactionStatus: 'idle',
-			bound: this.bindings.hasBinding(ownerRequest),
+			bound: this.bindings.findBinding(ownerRequest) !== undefined,
 			queueMs: this.context.now - ownerRequest.arrivedAt,
 		});
 	}
--- a/src/common/proxy/owner.ts
+++ b/src/common/proxy/owner.ts
@@ -120,11 +120,13 @@
 			request,
 			arrivedAt: now,
 			deadlineAt: now + request.deadlineMs,
+			isAbandoned: false,
 		};
 		const server = this.servers.get(request.server);
 		if (
 			!server ||
-			(server.ownershipReleaseStartedAt !== undefined && !request.bound)
+			(server.ownershipReleaseStartedAt !== undefined &&
+				request.binding === undefined)
 		) {
 			this.replies.refuse(
 				ownerRequest,
@@ -135,7 +137,7 @@
 		}
 
 		server.lastRequestAt = now;
-		if (request.bound) {
+		if (request.binding !== undefined) {
 			this.handleBoundRequest(server, ownerRequest);
 			return;
 		}
@@ -191,36 +193,14 @@
 		}
 	}
 
-	/** Ends a session: drops its queued requests and rolls back its transaction. */
+	/** Ends a session. */
 	handleRelease(from: ids.PeerId, session: ids.SessionId): void {
-		for (const ownerRequest of this.dispatcher.listPendingRequests(from)) {
-			if (ownerRequest.request.session === session) {
-				this.dispatcher.removePendingRequest(ownerRequest);
-				const server = this.servers.get(ownerRequest.request.server);
-				if (server) {
-					ownerPool.removeFromQueues(server, ownerRequest);
-				}
-			}
-		}
-
-		const binding = this.bindings.findBinding(from, session);
-		if (binding) {
-			this.executor.releaseBinding(binding);
-		}
-
-		this.executor.closeAfterExecution(from, session);
+		this.endSessions(from, (candidate) => candidate === session);
 	}
 
 	/** Ends all sessions of an entry whose link was lost. */
 	handleLinkDown(origin: ids.PeerId): void {
-		const sessions = new Set(this.bindings.listSessions(origin));
-		for (const ownerRequest of this.dispatcher.listPendingRequests(origin)) {
-			sessions.add(ownerRequest.request.session);
-		}
-
-		for (const session of sessions) {
-			this.handleRelease(origin, session);
-		}
+		this.endSessions(origin, () => true);
 	}
 
 	/**
@@ -400,14 +380,37 @@
 		server.pendingFloorRequests.push(...remaining);
 	}
 
+	/**
+	 * Ends sessions of an entry: drops their queued requests, abandons the running ones and rolls back
+	 * their transactions.
+	 */
+	private endSessions(
+		origin: ids.PeerId,
+		isEnded: (session: ids.SessionId) => boolean,
+	): void {
+		for (const ownerRequest of this.dispatcher.listPendingRequests(origin)) {
+			if (isEnded(ownerRequest.request.session)) {
+				this.dispatcher.removePendingRequest(ownerRequest);
+				const server = this.servers.get(ownerRequest.request.server);
+				if (server) {
+					ownerPool.removeFromQueues(server, ownerRequest);
+				}
+			}
+		}
+
+		this.executor.abandonExecutions(origin, isEnded);
+		for (const binding of this.bindings.listBindings(origin)) {
+			if (isEnded(binding.session)) {
+				this.executor.releaseBinding(binding);
+			}
+		}
+	}
+
 	private handleBoundRequest(
 		server: owned.OwnedServer,
 		ownerRequest: owned.OwnerRequest,
 	): void {
-		const binding = this.bindings.findBinding(
-			ownerRequest.origin,
-			ownerRequest.request.session,
-		);
+		const binding = this.bindings.findBinding(ownerRequest);
 		if (!binding) {
 			this.replies.refuse(ownerRequest, 'noServer', 'the transaction is gone');
 			return;
--- a/src/common/proxy/peer-messages.ts
+++ b/src/common/proxy/peer-messages.ts
@@ -66,7 +66,7 @@
 			}
 
 			case 'forwardUnbound': {
-				this.parts.entry.handleUnbound(from, message.session, message.server);
+				this.parts.entry.handleUnbound(from, message.session, message.binding);
 				return;
 			}
 
--- a/src/common/proxy/request-router.ts
+++ b/src/common/proxy/request-router.ts
@@ -180,9 +180,9 @@
 			kind: request.kind,
 			deadlineMs: Math.floor(request.deadlineAt - now),
 			stalenessMs: request.stalenessMs,
-			bound: session.binding !== undefined,
 			templateVersion: this.templates.getVersion(session.member),
 			payload: request.payload,
+			...(session.binding ? {binding: session.binding.id} : {}),
 			...(session.floor ? {floor: session.floor} : {}),
 			...(request.key === undefined ? {} : {key: request.key}),
 		});
--- a/src/common/proxy/transactions.test.ts
+++ b/src/common/proxy/transactions.test.ts
@@ -1,10 +1,47 @@
 import tap from 'tap';
+import type * as ids from '../ids.js';
 import * as smallFleet from '../../scenario/fleet/small-fleet.js';
 import type * as proxyProcess from '../../scenario/fleet/proxy-process.js';
 
 const put = (value: string) => ({type: 'put', key: 'a', value}) as const;
 const get = {type: 'get', key: 'a'} as const;
 
+/** Time after which a statement of these tests that is still running has reached its server, in ms. */
+const statementStartMs = 20;
+/** Service time of a statement that is still running when its entry is lost, in ms. */
+const slowServiceMs = 600;
+/** Time in which a restarted proxy gets its links and a grant, in ms. */
+const restartMs = 300;
+
+/** Starts a slow BEGIN at the owner of s1, which is the first proxy, from a session of the second. */
+function startSlowBegin(fleet: smallFleet.SmallFleet): ids.SessionId {
+	const session = fleet.openSession(1);
+	const server = fleet.getServer('s1');
+	server.serviceMs = slowServiceMs;
+	fleet.proxies[1].send(
+		session,
+		{type: 'begin'},
+		{deadlineMs: 2000},
+		() => undefined,
+	);
+	fleet.timeline.runUntil(fleet.timeline.now + statementStartMs);
+	server.serviceMs = 1;
+	return session;
+}
+
+/** Runs a transaction of two writes with a pause between them that is longer than a slow BEGIN. */
+function runTransaction(
+	fleet: smallFleet.SmallFleet,
+	session: ids.SessionId,
+): string[] {
+	fleet.run(1, session, {type: 'begin'});
+	fleet.run(1, session, put('1'));
+	fleet.timeline.runUntil(fleet.timeline.now + 2 * slowServiceMs);
+	fleet.run(1, session, put('2'));
+	fleet.run(1, session, {type: 'commit'});
+	return fleet.getServer('s1').log.map(({value}) => value);
+}
+
 // Guards against two transactions that share a connection.
 tap.test('interleaved transactions do not share a connection', async (t) => {
 	const fleet = new smallFleet.SmallFleet(2);
@@ -84,6 +121,49 @@
 	t.same(answer, {type: 'refused', sqlState: '08007'});
 });
 
+// Guards against a late BEGIN of a killed entry that takes the place of a transaction of its next
+// instance, so that a COMMIT leaves out an acknowledged write.
+tap.test('a killed entry leaves no transaction behind', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	startSlowBegin(fleet);
+	fleet.proxies[1].kill();
+	fleet.timeline.runUntil(fleet.timeline.now + 5);
+	fleet.proxies[1].restart();
+	fleet.timeline.runUntil(fleet.timeline.now + restartMs);
+	t.same(runTransaction(fleet, fleet.openSession(1)), ['1', '2']);
+});
+
+// Guards against a late BEGIN that takes the place of the next transaction of its session, after the
+// link between entry and owner was lost.
+tap.test('a lost link leaves no transaction behind', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	const session = startSlowBegin(fleet);
+	const [owner, entry] = fleet.proxies;
+	for (const up of [false, true]) {
+		for (const [process, {peer}] of [
+			[owner, entry],
+			[entry, owner],
+		] as const) {
+			process.handleLinkChange(peer, up);
+		}
+	}
+
+	t.same(runTransaction(fleet, session), ['1', '2']);
+});
+
+// Guards against an owner that takes a statement for one of another transaction of its session, when
+// only the entry has noticed the loss of their link.
+tap.test('a link lost at one end does not mix transactions', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	const session = startSlowBegin(fleet);
+	const [{peer}, entry] = fleet.proxies;
+	for (const up of [false, true]) {
+		entry.handleLinkChange(peer, up);
+	}
+
+	t.same(runTransaction(fleet, session), ['1', '2']);
+});
+
 // Guards against a transaction that keeps its connection and locks although its entry no longer
 // knows it, and against a proxy that fails during the rollback.
 tap.test('an idle transaction is rolled back', async (t) => {
--- a/src/node/peer/frame-keys.ts
+++ b/src/node/peer/frame-keys.ts
@@ -112,4 +112,5 @@
 	'termStart',
 	'promoting',
 	'nextReportMs',
+	'binding',
 ] as const;
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -143,7 +143,8 @@
 					controlPeers,
 					parameters:
 						this.options.parameters ?? policyTesting.buildParameters(),
-					seed: this.options.seed * 1000 + index,
+					seed:
+						this.options.seed * 1000 + index + 1_000_000 * (incarnation - 1),
 				}),
 		);
 		this.links.addProcess(process);
--- a/src/scenario/fleet/proxy-process.ts
+++ b/src/scenario/fleet/proxy-process.ts
@@ -115,6 +115,9 @@
 	override restart(): void {
 		super.restart();
 		this.generation++;
+		// Like the caller adapters, an instance numbers its sessions and requests from 1.
+		this.nextSession = 1;
+		this.nextRequest = 1;
 		this.reducer = this.createReducer(this.generation + 1);
 		this.upstreams = this.createUpstreams();
 		this.start();
--- a/src/scenario/fleet/small-fleet.ts
+++ b/src/scenario/fleet/small-fleet.ts
@@ -159,7 +159,7 @@
 					incarnation,
 					controlPeers: [controlPeer],
 					parameters,
-					seed: index,
+					seed: index + 1000 * incarnation,
 					timing,
 				}),
 		);
