Number attempts differently in each instance of an entry

Cause: an entry numbered its attempts from 1 at each start. An owner goes on with the running requests of a lost link and answers them over the next one, and a restarted entry took such an answer for one to its own attempt with that number. Response bytes that are relayed before the answer, and bindings, are matched by the same number. Done: the first attempt number of an instance is drawn at random. Evidence: in virtual time, 'a restarted entry ignores answers to its predecessor' got the value 'a' for the key 'b' before the change.

--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -26,7 +26,7 @@
 export type SessionId = Branded<number, 'SessionId'>;
 /** A request of a caller, unique within its entry proxy. */
 export type RequestId = Branded<number, 'RequestId'>;
-/** One attempt to execute a request, unique within its entry proxy. */
+/** One attempt to execute a request, unique within all instances of its entry proxy. */
 export type AttemptId = Branded<number, 'AttemptId'>;
 /** A connection of an owner to a server, unique within the owner process. */
 export type ConnectionId = Branded<number, 'ConnectionId'>;
--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -41,6 +41,31 @@
 	t.ok(record.stalenessMs! <= 1000);
 });
 
+// Guards against a caller that gets the answer to a request of an earlier instance of its proxy.
+tap.test('a restarted entry ignores answers to its predecessor', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	const statement = (key: string) => ({type: 'get', key}) as const;
+	for (const key of ['a', 'b']) {
+		fleet.run(1, fleet.openSession(1), {type: 'put', key, value: key});
+	}
+
+	const [, entry] = fleet.proxies;
+	entry.kill();
+	fleet.timeline.runUntil(fleet.timeline.now + 5);
+	entry.restart();
+	fleet.timeline.runUntil(fleet.timeline.now + 500);
+	fleet.getServer('s1').serviceMs = 600;
+	const attributes = {deadlineMs: 2000};
+	entry.send(fleet.openSession(1), statement('a'), attributes, () => undefined);
+	fleet.timeline.runUntil(fleet.timeline.now + 20);
+	entry.kill();
+	fleet.timeline.runUntil(fleet.timeline.now + 5);
+	entry.restart();
+	fleet.timeline.runUntil(fleet.timeline.now + 500);
+	const answer = fleet.run(1, fleet.openSession(1), statement('b'), attributes);
+	t.match(answer, {type: 'answered', answer: {value: 'b'}});
+});
+
 // Guards against an acknowledgement of a commit that only the primary holds.
 tap.test('a commit without a majority is not acknowledged', async (t) => {
 	const fleet = new smallFleet.SmallFleet(3);
--- a/src/common/proxy/request-table.ts
+++ b/src/common/proxy/request-table.ts
@@ -2,6 +2,7 @@
  * The requests in flight at an entry, their running attempts, and how many each member has.
  */
 import type * as ids from '../ids.js';
+import * as random from '../random.js';
 import type * as context from './context.js';
 import type * as entryState from './entry-state.js';
 
@@ -11,9 +12,11 @@
 	private readonly attempts = new Map<ids.AttemptId, entryState.EntryRequest>();
 
 	private readonly inFlightCounts = new Map<ids.MemberId, number>();
-	private nextAttemptId = 1;
+	private nextAttemptId: number;
 
-	constructor(private readonly context: context.ProxyContext) {}
+	constructor(private readonly context: context.ProxyContext) {
+		this.nextAttemptId = random.drawSequenceStart(context.random);
+	}
 
 	get size(): number {
 		return this.requests.size;
--- a/src/common/random.ts
+++ b/src/common/random.ts
@@ -6,6 +6,9 @@
 import * as integer from 'pure-rand/distribution/uniformInt';
 import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
 
+/** Leaves room for 2 ** 52 numbers below the largest safe integer. */
+const maxSequenceStart = 2 ** 52;
+
 /** A stream of random numbers. */
 export type RandomSource = {
 	/** Uniform in [0, 1). */
@@ -38,3 +41,11 @@
 		readInteger: (min, max) => integer.uniformInt(generator, min, max),
 	};
 }
+
+/**
+ * Draws the first number of a sequence that identifies messages. Each instance of a process starts at
+ * another number, so that it takes no answer to an earlier instance for one to itself.
+ */
+export function drawSequenceStart(source: RandomSource): number {
+	return source.readInteger(1, maxSequenceStart);
+}
