Number position requests differently in each instance of a proxy

Cause: position requests were numbered from 1 at each start. An owner keeps a request until its next status poll, and a restarted entry took the answer to its predecessor for one to itself. The position may be older than its request, so a session that takes it as floor can miss a commit (STALE). Done: the first number of an instance is drawn at random. Evidence: 'an answer to an earlier instance is no reading' got the reading of the earlier instance before the change. Result: the test passes.

--- a/src/common/proxy/position-client.ts
+++ b/src/common/proxy/position-client.ts
@@ -4,6 +4,7 @@
  * request was sent, so every commit before the send time lies at or below it.
  */
 import type * as ids from '../ids.js';
+import * as random from '../random.js';
 import type * as types from '../types.js';
 import type * as context from './context.js';
 import type * as directory from './directory.js';
@@ -25,14 +26,16 @@
 };
 
 export class PositionClient {
-	private sequence = 0;
+	private sequence: number;
 	private readonly groups = new Map<ids.GroupId, GroupRequests>();
 	private readonly groupsBySequence = new Map<number, ids.GroupId>();
 
 	constructor(
 		private readonly context: context.ProxyContext,
 		private readonly directory: directory.Directory,
-	) {}
+	) {
+		this.sequence = random.drawSequenceStart(context.random);
+	}
 
 	/** Calls back once, with `undefined` when the position cannot be read now. */
 	requestPosition(
