Ignore grants to an earlier instance of a proxy

Cause: renewals were numbered from 1 at each start. A grant that control sends by itself after a proxy has started again names the last renewal of the earlier instance and leaves out what that one knew. The new instance took over its log index and owners version, so it was not sent the groups and owners before them, and counted its lease from its own renewal with that number, which control had not yet received. Done: the first number of an instance is drawn at random, and a grant that follows from no renewal of this instance is outdated. Evidence: 'a grant to an earlier instance is ignored' failed before.

--- a/src/common/proxy/lease-client.test.ts
+++ b/src/common/proxy/lease-client.test.ts
@@ -6,7 +6,7 @@
 
 const [k1, k2] = ['k1', 'k2'] as ids.PeerId[];
 
-function createClient() {
+function createClient(seed = 1) {
 	const shared = new context.ProxyContext(
 		{
 			peer: 'p1' as ids.PeerId,
@@ -18,7 +18,7 @@
 			drainDeadlineMs: 5000,
 			maxSessions: 10,
 		},
-		random.createRandom(1),
+		random.createRandom(seed),
 	);
 	const client = new leaseClient.LeaseClient(shared, {
 		listOwnedServers: () => [],
@@ -78,3 +78,37 @@
 	t.same(listRenewals(), []);
 	t.equal(client.getLeader(), k2);
 });
+
+// Guards against a restarted proxy that takes over the log index of a grant to its predecessor, so that
+// it is never sent the groups and owners before it, or that extends its lease by that grant.
+tap.test('a grant to an earlier instance is ignored', async (t) => {
+	const [earlier, later] = [createClient(1), createClient(2)].map(
+		({shared, client}) => {
+			client.sendRenewal();
+			const [effect] = shared.takeEffects();
+			const sequence =
+				effect.type === 'sendPeer' && effect.message.type === 'renewLease'
+					? effect.message.sequence
+					: undefined;
+			return {client, sequence: sequence!};
+		},
+	);
+	const buildGrant = (sequence: number) =>
+		({
+			type: 'leaseGranted',
+			sequence,
+			durationMs: 1500,
+			appliedIndex: 1,
+			owned: [],
+			groups: [],
+			owners: [],
+			templates: [],
+			confirmed: [],
+		}) as const;
+	t.ok(later.client.isOutdated(buildGrant(earlier.sequence)));
+	later.client.handleGrant(k1, buildGrant(earlier.sequence));
+	t.equal(later.client.expiresAt, 0);
+	t.notOk(later.client.isOutdated(buildGrant(later.sequence)));
+	later.client.handleGrant(k1, buildGrant(later.sequence));
+	t.ok(later.client.expiresAt > 0);
+});
--- a/src/common/proxy/lease-client.ts
+++ b/src/common/proxy/lease-client.ts
@@ -4,6 +4,7 @@
  */
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
+import * as random from '../random.js';
 import type * as types from '../types.js';
 import type * as context from './context.js';
 
@@ -38,7 +39,9 @@
 	private ownersVersion: types.Epoch | undefined;
 	private leader: ids.PeerId | undefined;
 	private candidateIndex = 0;
-	private sequence = 0;
+	/** Renewals of this instance have higher sequences, up to `sequence`. */
+	private readonly sequenceStart: number;
+	private sequence: number;
 	private lastRenewalAt = Number.NEGATIVE_INFINITY;
 	private lastAnswerAt = 0;
 	/** The last leader that did not answer in time, and when that was noticed. */
@@ -48,7 +51,10 @@
 	constructor(
 		private readonly context: context.ProxyContext,
 		private readonly source: RenewalSource,
-	) {}
+	) {
+		this.sequenceStart = random.drawSequenceStart(context.random);
+		this.sequence = this.sequenceStart;
+	}
 
 	isValid(now: number): boolean {
 		return now < this.expiresAt;
@@ -135,10 +141,20 @@
 		return isNewLeader;
 	}
 
-	/** Grants from an earlier leader are invalid once a later leader has sent one. */
+	/**
+	 * Grants from an earlier leader are invalid once a later leader has sent one. A grant that follows
+	 * from a renewal of an earlier instance leaves out what that instance knew.
+	 */
 	isOutdated(
 		grant: Extract<messages.ControlMessage, {type: 'leaseGranted'}>,
 	): boolean {
+		if (
+			grant.sequence <= this.sequenceStart ||
+			grant.sequence > this.sequence
+		) {
+			return true;
+		}
+
 		return (
 			grant.ownersVersion !== undefined &&
 			this.ownersVersion !== undefined &&
