Number operators' messages differently in each instance

Cause: forwarded changes and reads of the configuration were numbered from 1 at each start, by control peers and by proxies. The leader's answer to an earlier instance ended the change or read of the next instance with that number: a change that was not stored could be reported as stored, and a read could be answered with an older configuration (CONFIG). Done: the numbers in messages start at a random one for each instance.

--- a/src/common/control/configuration-reads.ts
+++ b/src/common/control/configuration-reads.ts
@@ -12,6 +12,8 @@
 /** What configuration reads need from the control reducer. */
 export type ReadEnvironment = {
 	readonly peer: ids.PeerId;
+	/** Added to the numbers of forwarded reads; differs between instances of the peer. */
+	readonly messageNumberStart: number;
 	/** The leader of the current term, if this peer knows it. */
 	getLeader(): ids.PeerId | undefined;
 	/** True while this peer is the leader and its leader lease is valid. */
@@ -41,7 +43,7 @@
 		if (canForward) {
 			environment.send(leader, {
 				type: 'readConfiguration',
-				operation: origin.operation,
+				operation: environment.messageNumberStart + origin.operation,
 			});
 		} else {
 			this.answer(origin, {type: 'unavailable'});
@@ -52,8 +54,9 @@
 	handleResult(
 		message: Extract<messages.OperatorMessage, {type: 'configurationRead'}>,
 	): void {
-		const {operation, result} = message;
-		this.answer({type: 'local', operation}, result);
+		// The number of a read that an earlier instance forwarded is that of no operation here.
+		const operation = message.operation - this.environment.messageNumberStart;
+		this.answer({type: 'local', operation}, message.result);
 	}
 
 	private answer(
--- /dev/null
+++ b/src/common/control/operations.test.ts
@@ -0,0 +1,91 @@
+import tap from 'tap';
+import type * as ids from '../ids.js';
+import type * as messages from '../messages.js';
+import type * as types from '../types.js';
+import * as configurationReads from './configuration-reads.js';
+import * as operations from './operations.js';
+
+const [peer, leader] = ['k1', 'k2'] as ids.PeerId[];
+const operation = 1;
+
+function buildConfiguration(version: number): types.Configuration {
+	return {version, text: ''};
+}
+
+/** Creates an instance of a follower that has forwarded one change to the leader. */
+function forwardChange(messageNumberStart: number) {
+	const instance = new operations.Operations({
+		messageNumberStart,
+		createProposalNumber: () => 1,
+		findAnswer: () => undefined,
+	});
+	instance.add(
+		0,
+		{type: 'local', operation},
+		{type: 'configuration', configuration: buildConfiguration(7)},
+	);
+	const [action] = instance.step(0, false, leader);
+	const message = action.type === 'send' ? action.message : undefined;
+	return {instance, number: message!.operation};
+}
+
+/** Creates an instance of a follower that has forwarded one read to the leader. */
+function forwardRead(messageNumberStart: number) {
+	const sent: messages.PeerMessage[] = [];
+	const answers: Array<{operation: number; version: number | undefined}> = [];
+	const instance = new configurationReads.ConfigurationReads({
+		peer,
+		messageNumberStart,
+		getLeader: () => leader,
+		isActiveLeader: () => false,
+		getConfiguration: () => undefined,
+		send(_to, message) {
+			sent.push(message);
+		},
+		emit(effect) {
+			if (effect.type === 'answerConfigurationRead') {
+				const {result} = effect;
+				answers.push({
+					operation: effect.operation,
+					version:
+						result.type === 'read' ? result.configuration?.version : undefined,
+				});
+			}
+		},
+	});
+	instance.handleRead({type: 'local', operation});
+	const [message] = sent;
+	return {
+		answers,
+		number: message.type === 'readConfiguration' ? message.operation : 0,
+		receive(number: number, version: number) {
+			instance.handleResult({
+				type: 'configurationRead',
+				operation: number,
+				result: {type: 'read', configuration: buildConfiguration(version)},
+			});
+		},
+	};
+}
+
+// Guards against a change that is reported as stored because a change of an earlier instance was.
+tap.test('a result for an earlier instance decides no change', async (t) => {
+	const [earlier, later] = [forwardChange(1000), forwardChange(2000)];
+	const receive = (number: number) =>
+		later.instance.handleResult({
+			type: 'changeResult',
+			operation: number,
+			result: {type: 'accepted', version: 7},
+		});
+	t.same(receive(earlier.number), []);
+	t.match(receive(later.number), [{type: 'answer', origin: {operation}}]);
+});
+
+// Guards against a read that is answered with the configuration at the time of an earlier read.
+tap.test('a reading for an earlier instance answers no read', async (t) => {
+	const [earlier, later] = [forwardRead(1000), forwardRead(2000)];
+	later.receive(earlier.number, 6);
+	t.notOk(later.answers.some((answer) => answer.operation === operation));
+	later.receive(later.number, 7);
+	t.match(later.answers.at(-1), {operation, version: 7});
+});
--- a/src/common/control/operations.ts
+++ b/src/common/control/operations.ts
@@ -50,6 +50,8 @@
 
 /** What operations need from the control reducer. */
 export type OperationEnvironment = {
+	/** Messages to the leader have higher numbers; differs between instances of the peer. */
+	readonly messageNumberStart: number;
 	/** Returns a number that no other proposal of this process has. */
 	createProposalNumber(): number;
 	/** Finds the answer to a change whose outcome is already decided by the applied log. */
@@ -61,12 +63,13 @@
 /** The pending operations of one peer. */
 export class Operations {
 	readonly #operations = new Set<Operation>();
-	#messageCounter = 0;
+	#messageCounter: number;
 
 	readonly #environment: OperationEnvironment;
 
 	constructor(environment: OperationEnvironment) {
 		this.#environment = environment;
+		this.#messageCounter = environment.messageNumberStart;
 	}
 
 	get size(): number {
--- a/src/common/control/operator-changes.ts
+++ b/src/common/control/operator-changes.ts
@@ -17,6 +17,8 @@
 		machines.ControlMachine,
 		'findAnswer' | 'findConfigurationAnswer'
 	>;
+	/** Messages to the leader have higher numbers; differs between instances of the peer. */
+	readonly messageNumberStart: number;
 	/** True while the leader lease of this peer is valid. */
 	isActiveLeader(): boolean;
 	/** Returns a number that no other proposal of this process has. */
@@ -31,6 +33,7 @@
 
 	constructor(private readonly environment: OperatorChangesEnvironment) {
 		this.#operations = new operations.Operations({
+			messageNumberStart: environment.messageNumberStart,
 			createProposalNumber: () => environment.createProposalNumber(),
 			findAnswer: (change) => this.#findAnswer(change),
 		});
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -9,7 +9,7 @@
 import * as membershipService from '../membership/membership.js';
 import type * as membership from '../membership/types.js';
 import type * as messages from '../messages.js';
-import type * as random from '../random.js';
+import * as random from '../random.js';
 import type * as types from '../types.js';
 import type * as control from './types.js';
 import * as reducer from './reducer.js';
@@ -103,6 +103,7 @@
 			peer: options.peer,
 			log: options.log,
 			recordsLeaseHolders: options.recordsLeaseHolders ?? false,
+			messageNumberStart: random.drawSequenceStart(options.random),
 		});
 		this.membership = this.createMembership();
 	}
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -25,6 +25,8 @@
 	 * all peers at the cost of one log entry for each new proxy or server.
 	 */
 	readonly recordsLeaseHolders?: boolean;
+	/** Requests to the leader have higher numbers; differs between instances of the peer. */
+	readonly messageNumberStart?: number;
 };
 
 /** One control peer. */
@@ -68,8 +70,10 @@
 		);
 		this.#faults = options.faults ?? {};
 		this.#recordsLeaseHolders = options.recordsLeaseHolders ?? false;
+		const {messageNumberStart = 0} = options;
 		this.#configurationReads = new configurationReads.ConfigurationReads({
 			peer: options.peer,
+			messageNumberStart,
 			getLeader: () => this.#log.leader,
 			isActiveLeader: () => this.#findActiveLeader() !== undefined,
 			getConfiguration: () => this.#machine.configuration,
@@ -84,6 +88,7 @@
 			peer: options.peer,
 			log: options.log,
 			machine: this.#machine,
+			messageNumberStart,
 			isActiveLeader: () => this.#findActiveLeader() !== undefined,
 			createProposalNumber: () => ++this.#proposalCounter,
 			propose: (proposal, command) => {
--- a/src/common/proxy/operator-client.ts
+++ b/src/common/proxy/operator-client.ts
@@ -4,6 +4,7 @@
  */
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
+import * as random from '../random.js';
 import type * as types from '../types.js';
 import type * as context from './context.js';
 import type * as leaseClient from './lease-client.js';
@@ -20,11 +21,15 @@
 
 export class OperatorClient {
 	private readonly pending = new Map<number, PendingChange>();
+	/** Added to the numbers of changes in messages; differs between instances of the proxy. */
+	private readonly messageNumberStart: number;
 
 	constructor(
 		private readonly context: context.ProxyContext,
-		private readonly lease: leaseClient.LeaseClient,
-	) {}
+		private readonly lease: Pick<leaseClient.LeaseClient, 'getLeader'>,
+	) {
+		this.messageNumberStart = random.drawSequenceStart(context.random);
+	}
 
 	requestChange(operation: number, change: types.TemplateChange): void {
 		const pending: PendingChange = {
@@ -40,23 +45,24 @@
 	handleResult(
 		message: Extract<messages.OperatorMessage, {type: 'changeResult'}>,
 	): void {
-		const pending = this.pending.get(message.operation);
+		const operation = message.operation - this.messageNumberStart;
+		const pending = this.pending.get(operation);
 		if (!pending) {
 			return;
 		}
 
 		if (message.result.type === 'unavailable') {
 			if (message.leader !== undefined) {
-				this.sendChange(message.operation, pending, message.leader);
+				this.sendChange(operation, pending, message.leader);
 			}
 
 			return;
 		}
 
-		this.pending.delete(message.operation);
+		this.pending.delete(operation);
 		this.context.emit({
 			type: 'answerTemplateChange',
-			operation: message.operation,
+			operation,
 			result: message.result,
 		});
 	}
@@ -87,7 +93,7 @@
 		if (leader !== undefined) {
 			const sent = this.context.send(leader, {
 				type: 'proposeChange',
-				operation,
+				operation: this.messageNumberStart + operation,
 				change: pending.change,
 			});
 			pending.hasBeenSent ||= sent;
