Give back the slot of a request that leaves the connection queue

Seen: nothing by callers yet; found by following a statement that waits for a connection when its session ends. Cause: a request that waits for a connection has been taken from the scheduler. When it was cancelled, or its session or link ended, the scheduler was not told, and counted it as running for ever. Later requests were then expected to wait although slots were free, and were refused sooner. Done: removing a request from the connection queue completes it.

--- a/src/common/proxy/dispatcher.ts
+++ b/src/common/proxy/dispatcher.ts
@@ -93,9 +93,8 @@
 		const {now} = this.context;
 		for (const queued of server.connectionQueue) {
 			if (queued.deadlineAt <= now) {
-				ownerPool.removeFromQueues(server, queued.item);
+				ownerPool.removeFromQueues(server, queued.item, now);
 				this.pendingRequests.delete(makeAttemptKey(queued.item));
-				server.scheduler.complete(queued, 0, now);
 				this.replies.refuse(queued.item, 'deadline', 'the deadline has passed');
 			}
 		}
--- a/src/common/proxy/owner-pool.ts
+++ b/src/common/proxy/owner-pool.ts
@@ -170,10 +170,14 @@
 	return {values: payload.values ?? [], prepared: payload.prepared?.[0]?.name};
 }
 
-/** Removes a request that has not started. Returns false when it is in no queue. */
+/**
+ * Removes a request that has not started, and gives back the slot with which it waits for a connection.
+ * Returns false when it is in no queue.
+ */
 export function removeFromQueues(
 	server: owned.OwnedServer,
 	ownerRequest: owned.OwnerRequest,
+	now: number,
 ): boolean {
 	const boundIndex = server.boundQueue.indexOf(ownerRequest);
 	if (boundIndex !== -1) {
@@ -185,7 +189,8 @@
 		(queued) => queued.item === ownerRequest,
 	);
 	if (connectionQueueIndex !== -1) {
-		server.connectionQueue.splice(connectionQueueIndex, 1);
+		const [queued] = server.connectionQueue.splice(connectionQueueIndex, 1);
+		server.scheduler.complete(queued, 0, now);
 		return true;
 	}
 
--- a/src/common/proxy/owner.ts
+++ b/src/common/proxy/owner.ts
@@ -184,7 +184,10 @@
 
 		this.dispatcher.removePendingRequest(ownerRequest);
 		const server = this.servers.get(ownerRequest.request.server);
-		if (server && ownerPool.removeFromQueues(server, ownerRequest)) {
+		if (
+			server &&
+			ownerPool.removeFromQueues(server, ownerRequest, this.context.now)
+		) {
 			this.replies.refuse(
 				ownerRequest,
 				'cancelled',
@@ -393,7 +396,7 @@
 				this.dispatcher.removePendingRequest(ownerRequest);
 				const server = this.servers.get(ownerRequest.request.server);
 				if (server) {
-					ownerPool.removeFromQueues(server, ownerRequest);
+					ownerPool.removeFromQueues(server, ownerRequest, this.context.now);
 				}
 			}
 		}
