Report the loss of a link at both of its ends

Seen: nothing by callers yet; read in the review ('when two peers have connected to each other at the same time ...'). Cause: when both sides had opened a connection, each sent on its own, and only the side whose own connection ended reported a loss. The owner then kept the transactions and requests that the entry had given up, without a time limit where idle transactions have none. A restarted peer whose clock had been set back was taken for its earlier instance. Done: the end of a connection on which the peer has sent ends the link at this side too, and another incarnation, not only a higher one, is another instance.

--- a/src/node/peer/peer-connection.ts
+++ b/src/node/peer/peer-connection.ts
@@ -39,6 +39,7 @@
 	readonly #ticks: linkTicker.LinkTaskHandle;
 	readonly #openedAt: number;
 	#isGreeted = false;
+	#isUsedByPeer = false;
 
 	constructor(
 		socket: net.Socket,
@@ -74,6 +75,11 @@
 		return this.#isGreeted;
 	}
 
+	/** True once the peer has sent a message other than `hello` and those of the probes. */
+	get isUsedByPeer(): boolean {
+		return this.#isUsedByPeer;
+	}
+
 	get isCongested(): boolean {
 		return this.#socket.isCongested;
 	}
@@ -139,6 +145,7 @@
 		} else if (message.type === 'linkPong') {
 			this.#probe.recordPong(message.sequence);
 		} else {
+			this.#isUsedByPeer = true;
 			this.handler.handleMessage(message);
 		}
 	}
--- a/src/node/peer/peer-link.ts
+++ b/src/node/peer/peer-link.ts
@@ -4,7 +4,8 @@
  * loss, the link reconnects with jittered backoff before it accepts messages again.
  *
  * When both sides open a connection at the same time, each side keeps sending on the one that it used
- * first, because messages on another connection could overtake those in flight.
+ * first, because messages on another connection could overtake those in flight. The end of either
+ * connection then ends the link, so that both sides report the loss.
  */
 import * as net from 'node:net';
 import type * as ids from '../../common/ids.js';
@@ -122,7 +123,7 @@
 	): void {
 		// A new connection replaces the old one, whose late frames would be out of order.
 		this.#accepted?.close('the peer opened a new connection');
-		const isRestarted = incarnation > this.#incarnation;
+		const isRestarted = incarnation !== this.#incarnation;
 		this.#incarnation = incarnation;
 		const age = this.environment.clock.now() - this.#currentSince;
 		if (isRestarted || age > this.environment.limits.connectTimeoutMs) {
@@ -256,7 +257,11 @@
 			hello.peer === this.peer &&
 			hello.protocol === this.options.hello.protocol
 		) {
-			this.#incarnation = Math.max(this.#incarnation, hello.incarnation);
+			if (hello.incarnation !== this.#incarnation) {
+				this.#incarnation = hello.incarnation;
+				this.#current?.close('the peer has restarted');
+			}
+
 			this.#startUsing(connection);
 			return;
 		}
@@ -304,6 +309,10 @@
 		reason: string,
 	): void {
 		if (this.#current !== connection) {
+			if (connection.isUsedByPeer) {
+				this.#current?.close(`the connection of the peer ended, ${reason}`);
+			}
+
 			return;
 		}
 
@@ -317,7 +326,10 @@
 		const other = [this.#opened, this.#accepted].find(
 			(candidate) => candidate?.isGreeted,
 		);
-		if (other) {
+		if (other?.isUsedByPeer) {
+			other.close('the other connection of the link ended');
+			this.#scheduleReconnect();
+		} else if (other) {
 			this.#startUsing(other);
 		} else {
 			this.#scheduleReconnect();
--- a/src/node/peer/peer-links.test.ts
+++ b/src/node/peer/peer-links.test.ts
@@ -339,6 +339,73 @@
 	t.equal(connectionCount, 1);
 });
 
+/**
+ * Opens a connection from a silent peer to `left`, which already sends on another one, and returns its
+ * socket once `left` has answered the hello.
+ */
+async function openSecondConnection(
+	t: Test,
+	left: Peer,
+	incarnation?: number,
+): Promise<net.Socket> {
+	const hello = createHello('right', incarnation);
+	let first: net.Socket | undefined;
+	const silentServer = net.createServer((socket) => {
+		first = socket;
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.write(frameCodec.encodeFrame(createHello('right')));
+		});
+	});
+	await new Promise<void>((resolve) => {
+		silentServer.listen(0, host, resolve);
+	});
+	t.teardown(() => silentServer.close());
+	const {port} = silentServer.address() as net.AddressInfo;
+	left.links.connectPeer(hello.peer, `${host}:${port}`);
+	await waitUntil(() => left.changes.length === 1);
+	left.links.send(hello.peer, probeMessage);
+	const helloBytes = frameCodec.encodeFrame(createHello('left')).length;
+	await waitUntil(() => (first?.bytesRead ?? 0) > helloBytes);
+	const [leftHost, leftPort] = left.address.split(':');
+	const second = net.connect(Number(leftPort), leftHost);
+	t.teardown(() => second.destroy());
+	second.write(frameCodec.encodeFrame(hello));
+	await waitUntil(() => second.bytesRead > 0);
+	return second;
+}
+
+// Guards against a link whose loss only one side reports, when both had opened a connection and each
+// sent on its own: the other side would keep the transactions and requests that the first has given up.
+tap.test('the end of the connection of the peer ends the link', async (t) => {
+	const left = await startPeer(t, 'left');
+	const second = await openSecondConnection(t, left);
+	second.write(frameCodec.encodeFrame(probeMessage));
+	await waitUntil(() => left.received.length === 1);
+	second.destroy();
+	await waitUntil(() => left.changes.length > 1);
+	t.equal(left.changes[1], '-right');
+});
+
+// Guards against messages that are lost because a spare connection has ended.
+tap.test('the end of an unused connection is no loss', async (t) => {
+	const left = await startPeer(t, 'left');
+	const second = await openSecondConnection(t, left);
+	second.destroy();
+	await new Promise((resolve) => {
+		setTimeout(resolve, 50);
+	});
+	t.strictSame(left.changes, ['+right']);
+});
+
+// Guards against a peer that restarted with its clock set back and whose new instance is taken for the
+// earlier one, which keeps that one's transactions.
+tap.test('a lower incarnation is another instance too', async (t) => {
+	const left = await startPeer(t, 'left');
+	await openSecondConnection(t, left, 0);
+	t.strictSame(left.changes, ['+right', '-right', '+right']);
+});
+
 // Guards against connections to all peers at the start of a large fleet.
 tap.test('a known peer is connected by the first message', async (t) => {
 	const left = await startPeer(t, 'left');
