Drop the staleness bound of a replica that lost its log

Cause: the bound of a replica's staleness says that it has applied every commit before some time. It was dropped when the term changed, but not when a poll of the same term reported a lower position than was known, so a restarted replica counted as fresh until the bound was older than the route allows. PROTOCOL.md: 'A server may start again under the Id that it had. It then holds and knows nothing of before'. Done: a poll that reports less than the server held before it was sent drops the bound. A poll that a later answer has overtaken changes nothing, and no longer lowers the position that reads require of the server.

--- a/src/common/proxy/owned-server.ts
+++ b/src/common/proxy/owned-server.ts
@@ -117,6 +117,8 @@
 	openFailures = 0;
 	noConnectionLoggedAt = Number.NEGATIVE_INFINITY;
 	retryOpenAt = 0;
+	/** When an answer to a request last brought a position. */
+	private positionRecordedAt = Number.NEGATIVE_INFINITY;
 	private readonly roundTrip = new roundTrip.RoundTripEstimator();
 	private readonly slotTime = new serviceEstimate.ServiceTimeEstimator();
 	private readonly transitTime = new serviceEstimate.ServiceTimeEstimator(0);
@@ -265,12 +267,32 @@
 
 	/** Returns the applied position as of the last answer. */
 	getAppliedPosition(): types.Position | undefined {
-		return this.status
+		return this.status && buildAppliedPosition(this.status);
+	}
+
+	/** Records the answer to a status poll that was sent at `sentAt`. */
+	recordStatus(status: types.UpstreamStatus, sentAt: number): void {
+		const reported = buildAppliedPosition(status);
+		const known = this.getAppliedPosition();
+		const isBehind =
+			known !== undefined && positions.comparePositions(reported, known) < 0;
+		const isOvertaken = isBehind && this.positionRecordedAt > sentAt;
+		const isTermNew =
+			this.status !== undefined && this.status.term !== status.term;
+		if (isTermNew || (isBehind && !isOvertaken)) {
+			// The server follows another log, or has started again without its log.
+			this.stalenessTracker.clear();
+		}
+
+		this.status = isOvertaken
 			? {
-					term: this.status.logTerm ?? this.status.term,
-					offset: this.status.applied,
+					...status,
+					logTerm: known.term,
+					applied: known.offset,
+					position: Math.max(status.position, known.offset),
 				}
-			: undefined;
+			: status;
+		this.stalenessTracker.recordApplied(reported);
 	}
 
 	/** Records the log position that came with the answer to a request. */
@@ -285,6 +307,7 @@
 			return;
 		}
 
+		this.positionRecordedAt = now;
 		this.status = {
 			...this.status,
 			logTerm: position.term,
@@ -306,6 +329,14 @@
 	}
 }
 
+function buildAppliedPosition({
+	logTerm,
+	term,
+	applied,
+}: types.UpstreamStatus): types.Position {
+	return {term: logTerm ?? term, offset: applied};
+}
+
 /** Computes the position that a majority of the servers holds, from the status of the primary. */
 export function computeMajorityOffset(
 	status: types.UpstreamStatus,
--- a/src/common/proxy/poller.ts
+++ b/src/common/proxy/poller.ts
@@ -83,20 +83,10 @@
 		}
 
 		const wasWritable = this.owner.rules.isWritable(server);
-		const previousTerm = server.status?.term;
 		server.pollInFlight = false;
-		server.status = status;
 		server.lastAnswerAt = this.context.now;
 		server.recordPollRoundTrip(this.context.now - sentAt, this.context.now);
-		if (previousTerm !== undefined && previousTerm !== status.term) {
-			// Readings of another term say nothing about the log that the server follows now.
-			server.stalenessTracker.clear();
-		}
-
-		server.stalenessTracker.recordApplied({
-			term: status.logTerm ?? status.term,
-			offset: status.applied,
-		});
+		server.recordStatus(status, sentAt);
 		const view = this.directory.groups.get(server.group);
 		server.recordReplication(view?.servers ?? [serverId], this.context.now);
 		this.owner.applyPollStatus(server, sentAt, view);
