--- a/src/common/announcement.ts
+++ b/src/common/announcement.ts
@@ -57,6 +57,28 @@
 	};
 }
 
+/**
+ * How far a start time may lie ahead of the receiver's clock, in ms. Far more than clocks differ, and
+ * far less than a time in another unit.
+ */
+const maxClockDifferenceMs = 86_400_000;
+
+/**
+ * Tells whether a server can have sent this many announcements since it started. One that claims a
+ * later time would hide all announcements that follow it.
+ *
+ * @param startedAt - Start time of the server, in ms since the Unix epoch.
+ * @param sequence - Number of the announcement among those of the same instance of the server.
+ * @param wallClock - Time of the receiver, in ms since the Unix epoch.
+ */
+export function isPlausible(
+	startedAt: number,
+	sequence: number,
+	wallClock: number,
+): boolean {
+	return startedAt + sequence <= wallClock + maxClockDifferenceMs;
+}
+
 /**
  * Computes a version that orders the announcements of a server across its restarts. An instance
  * announces itself less than once per ms, so its versions stay below the start time of the next
--- a/src/node/http/bodies.ts
+++ b/src/node/http/bodies.ts
@@ -5,6 +5,7 @@
 import type * as http from 'node:http';
 import * as net from 'node:net';
 import * as zod from 'zod';
+import * as announcements from '../../common/announcement.js';
 import type * as types from './types.js';
 
 /** Largest accepted request body; a template has at most 8 KiB. */
@@ -49,7 +50,10 @@
 	slots: zod.number().int().min(1).max(10_000),
 	connectionLimit: zod.number().int().min(1).max(1_000_000),
 	departing: zod.boolean(),
-	startedAt: nonNegativeInteger,
+	startedAt: nonNegativeInteger.refine(
+		(startedAt) => announcements.isPlausible(startedAt, 0, Date.now()),
+		'in the future',
+	),
 });
 
 export const changeSchema = zod.strictObject({
