Let a joining control peer answer the leader that reaches it

Cause: a peer without state, on a new VM or after the loss of its disk, sent its join requests only to the control peers that its settings name, and only a leader acts on them. The settings name three; with six control VMs the leader is often none of them. A wiped voter then stayed a voter without a vote, and a new peer was chosen as learner but never accepted, which also kept all others from being added. Each such loss cost a vote for good, until further losses, within the tolerance, left no majority. Done: a joining peer answers an append that does not name its instance with a join request to the sender, which is the leader. Evidence: a group of six control peers in virtual time with at most two losses at a time. The fleet's links now work in both directions once one side has connected, as the real ones do. Whether the users' cases had this cause is not proved: their logs are cut short. npm run search:fleet runs the groups too.

--- a/src/bench/fleet-search.ts
+++ b/src/bench/fleet-search.ts
@@ -1,10 +1,11 @@
 /**
- * Runs random scenarios on a fleet of production reducers. Prints one JSON line per scenario that
+ * Runs random scenarios on a fleet of production reducers, and random losses of control peers. Prints one JSON line per scenario that
  * violates a guarantee, and exits with code 1 if there is any.
  *
  * Usage: npm run search:fleet -- [runs] [first seed]
  */
 import process from 'node:process';
+import * as controlGroup from '../scenario/fleet/control-group.js';
 import * as fleets from '../scenario/fleet/fleet.js';
 import * as interpreter from '../scenario/fleet/interpreter.js';
 import * as randomPlan from '../scenario/fleet/random-plan.js';
@@ -23,9 +24,12 @@
 			new fleets.Fleet({proxies: 7, controls: 3, seed}),
 		),
 	]);
-	if (failures.length > 0) {
+	const problems = [true, false].flatMap((endsWithRestart) =>
+		controlGroup.runRandomLosses(seed, endsWithRestart),
+	);
+	if (failures.length > 0 || problems.length > 0) {
 		failed++;
-		console.log(JSON.stringify({seed, failures}));
+		console.log(JSON.stringify({seed, failures, problems}));
 	}
 }
 
--- a/src/common/consensus/follower.ts
+++ b/src/common/consensus/follower.ts
@@ -44,7 +44,10 @@
 		commitIndex: number,
 	): number | undefined {
 		const {voting: votingState, log: localLog, writes} = this.#context;
-		if (!this.#context.joinState.isAccepted(message.joining)) {
+		const {joinState, incarnation} = this.#context;
+		if (!joinState.isAccepted(message.joining)) {
+			// The leader does not know yet that this peer has no state, and may be no initial voter.
+			this.#context.send(from, {type: 'joinRequest', incarnation});
 			return undefined;
 		}
 
--- /dev/null
+++ b/src/scenario/control-group.test.ts
@@ -0,0 +1,19 @@
+import tap from 'tap';
+import * as controlGroup from './fleet/control-group.js';
+
+// In these seeds a VM that lost its disk, or a new one, is not added to the voters unless the leader
+// hears of it by itself.
+const seeds = [2, 9, 25, 57, 64, 70, 72, 75, 118, 132, 276];
+
+for (const seed of seeds) {
+	for (const endsWithRestart of [true, false]) {
+		// Guards against a group of control peers without a leader after losses that it must bear, and
+		// against an acknowledged change that is lost by them.
+		tap.test(
+			`control survives the losses of seed ${seed}${endsWithRestart ? ' and a restart' : ''}`,
+			async (t) => {
+				t.same(controlGroup.runRandomLosses(seed, endsWithRestart), []);
+			},
+		);
+	}
+}
--- a/src/scenario/fleet/control-process.ts
+++ b/src/scenario/fleet/control-process.ts
@@ -21,8 +21,12 @@
 export type ControlProcessOptions = {
 	readonly peer: ids.PeerId;
 	readonly dataCentre: ids.DataCentre;
+	/** The control peers that the settings name at the first start. */
 	readonly controlPeers: readonly ids.PeerId[];
 	readonly seed: number;
+	readonly wantedVoters?: number;
+	/** False for a process that joins a group which has started before. */
+	readonly mayBootstrap?: boolean;
 };
 
 export class ControlProcess
@@ -31,6 +35,8 @@
 {
 	readonly peer: ids.PeerId;
 	readonly logs: string[] = [];
+	/** The control peers that the settings name at the next start. */
+	controlPeers: readonly ids.PeerId[];
 	private readonly disk: fakeNetwork.FakeDisk<control.ControlCommand>;
 	private readonly random: random.RandomSource;
 	private reducer: controlPeer.ControlPeer | undefined;
@@ -53,6 +59,7 @@
 	) {
 		super();
 		this.peer = options.peer;
+		this.controlPeers = options.controlPeers;
 		this.random = random.createRandom(options.seed);
 		this.disk = new fakeNetwork.FakeDisk(() => this.random.readFloat());
 		this.start();
@@ -133,11 +140,16 @@
 	}
 
 	private start(): void {
-		const {peer, dataCentre, controlPeers} = this.options;
+		const {peer, dataCentre, wantedVoters, mayBootstrap = true} = this.options;
+		const {controlPeers} = this;
+		const stored = this.disk.load();
 		this.consensus = new consensus.Consensus<control.ControlCommand>({
 			peer,
 			initialVoters: controlPeers,
-			stored: this.disk.load(),
+			stored:
+				!mayBootstrap && stored.hardState.term === 0
+					? {...stored, isDataLost: true}
+					: stored,
 			incarnation: this.generation + 1,
 		});
 		this.reducer = new controlPeer.ControlPeer({
@@ -148,6 +160,7 @@
 			controlPeers: controlPeers.map((id) => ({peer: id, address: id})),
 			log: this.consensus,
 			random: this.random,
+			...(wantedVoters === undefined ? {} : {wantedVoters}),
 		});
 		this.handleEffects(this.reducer.start(this.timeline.now));
 	}
--- a/src/scenario/fleet/links.ts
+++ b/src/scenario/fleet/links.ts
@@ -150,6 +150,21 @@
 			!this.cuts.has(key) &&
 			!this.cuts.has(`${to}>${from}`);
 		if (link?.isWanted && !link.isUp && canConnect) {
+			this.setUp(from, to);
+			// The other side sends on the connection that it has accepted.
+			this.setUp(to, from);
+		}
+	}
+
+	private setUp(from: ids.PeerId, to: ids.PeerId): void {
+		const key = `${from}>${to}`;
+		const link = this.links.get(key) ?? {
+			isWanted: false,
+			isUp: false,
+			idleSince: undefined,
+		};
+		this.links.set(key, link);
+		if (!link.isUp) {
 			link.isUp = true;
 			link.idleSince = undefined;
 			this.processes.get(from)!.handleLinkChange(to, true);
