Remove a lost voter when there are more voters than intended

Cause: a voter that lost its disk is taken out and added again. When a spare peer took its place meanwhile, there was one voter more than intended, and a lost voter was then never removed, because the planner only acted when a voter was missing. The majority counted the lost one: of six voters with three gone, the other three could not elect a leader. Done: the planner removes a lost voter also when enough others remain.

--- a/src/common/control/voters.test.ts
+++ b/src/common/control/voters.test.ts
@@ -86,3 +86,16 @@
 	t.same(chooseVoters(planner, 0, others, [a, b]), [a, b, c]);
 	t.equal(chooseVoters(planner, 0, others, [a, b, c]), undefined);
 });
+
+// Guards against a lost voter that stays because there are more voters than intended, so that the
+// majority needs one peer more than it must.
+tap.test('an absent voter beyond the intended number is removed', async (t) => {
+	const planner = new voters.VoterPlanner();
+	const others = [
+		buildState(b, 'alive'),
+		buildState(c, 'dead'),
+		buildState(d, 'alive'),
+	];
+	t.equal(chooseVoters(planner, 0, others, peers), undefined);
+	t.same(chooseVoters(planner, 2000, others, peers), [a, b, d]);
+});
--- a/src/common/control/voters.ts
+++ b/src/common/control/voters.ts
@@ -35,16 +35,15 @@
 		]);
 		const replaced = this.#findReplaceableVoter(input, alive);
 		const spare = [...alive].filter((peer) => !voters.includes(peer)).sort();
-		if (spare.length === 0) {
-			return undefined;
-		}
-
 		const kept =
 			replaced === undefined
 				? voters
 				: voters.filter((peer) => peer !== replaced);
 		const missing = Math.max(0, targetCount - kept.length);
-		return missing === 0 ? undefined : [...kept, ...spare.slice(0, missing)];
+		const added = spare.slice(0, missing);
+		// A voter that lost its disk is added again, so there can be more voters than intended.
+		const isSurplus = replaced !== undefined && missing === 0;
+		return added.length > 0 || isSurplus ? [...kept, ...added] : undefined;
 	}
 
 	/** Finds the voter that has been absent longest, of those that left or were absent long enough. */
--- a/src/scenario/control-group.test.ts
+++ b/src/scenario/control-group.test.ts
@@ -2,8 +2,8 @@
 import * as controlGroup from './fleet/control-group.js';
 
 // In these seeds a VM that lost its disk, or a new one, is not added to the voters unless the leader
-// hears of it by itself.
-const seeds = [2, 9, 25, 57, 64, 70, 72, 75, 118, 132, 276];
+// hears of it by itself; in seed 206 a lost voter stays because there are more voters than intended.
+const seeds = [2, 9, 25, 57, 64, 70, 72, 75, 118, 132, 206, 276];
 
 for (const seed of seeds) {
 	for (const endsWithRestart of [true, false]) {
