--- a/src/scenario/fleet/random-plan.ts
+++ b/src/scenario/fleet/random-plan.ts
@@ -57,8 +57,9 @@
 
 const writers = ['a', 'b', 'c'];
 const readers = ['d', 'e', 'f'];
-/** A fault while statements are slow, and the time in which they end, in ms. */
+/** Time from one period of slow statements to the next, in ms. */
 const slowIntervalMs = 3000;
+/** Length of such a period, and longest service time in it, in ms. */
 const slowMs = 900;
 const slowFaultCount = 6;
 
