--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -18,6 +18,10 @@
 export type DataCentre = Branded<string, 'DataCentre'>;
 /** A customer. */
 export type MemberId = Branded<string, 'MemberId'>;
+/** A customer that identifies itself with keys, on whatever route its requests arrive. */
+export type CustomerId = Branded<string, 'CustomerId'>;
+/** The digest of a customer's key. Keys themselves stay in the adapter that reads them. */
+export type KeyDigest = Branded<string, 'KeyDigest'>;
 /** A database group: one primary and its replicas. */
 export type GroupId = Branded<string, 'GroupId'>;
 /** A database server; unique in the whole installation. */
--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -14,6 +14,8 @@
 	readonly attempt: ids.AttemptId;
 	readonly session: ids.SessionId;
 	readonly member: ids.MemberId;
+	/** The customer as which the request runs; undefined on an open route. */
+	readonly customer?: ids.CustomerId;
 	readonly group: ids.GroupId;
 	readonly server: ids.UpstreamId;
 	readonly rank: types.Rank;
--- a/src/common/policy/types.ts
+++ b/src/common/policy/types.ts
@@ -8,6 +8,8 @@
 /** A request that waits for a slot of one server. */
 export type QueuedRequest<Item> = {
 	readonly member: ids.MemberId;
+	/** The customer whose share of the slots the request uses; undefined on an open route. */
+	readonly customer?: ids.CustomerId;
 	readonly rank: types.Rank;
 	readonly enqueuedAt: number;
 	/** Monotonic time after which an answer is no longer useful. */
--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -88,6 +88,8 @@
 			case 'cancelled':
 			case 'memberLimit':
 			case 'noTemplate':
+			case 'unknownKey':
+			case 'rateLimit':
 			case 'draining': {
 				this.replies.refuse(request, reason, message);
 				return;
--- a/src/common/proxy/refusals.ts
+++ b/src/common/proxy/refusals.ts
@@ -18,6 +18,8 @@
 	memberLimit: 'HK007',
 	keyUsed: 'HK008',
 	noTemplate: '28000',
+	unknownKey: '28P01',
+	rateLimit: 'HK009',
 	readOnlyServer: 'HK004',
 	cancelled: '57014',
 };
--- a/src/common/proxy/serving-rules.ts
+++ b/src/common/proxy/serving-rules.ts
@@ -161,6 +161,8 @@
 		case 'memberLimit':
 		case 'keyUsed':
 		case 'noTemplate':
+		case 'unknownKey':
+		case 'rateLimit':
 		case 'readOnlyServer':
 		case 'cancelled': {
 			return 'the request cannot be served';
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -50,6 +50,8 @@
 export type SessionAttributes = {
 	readonly member: ids.MemberId;
 	readonly group: ids.GroupId;
+	/** Digest of the key that the caller presented; undefined when it presented none. */
+	readonly key?: ids.KeyDigest;
 	readonly token?: types.Position;
 	/**
 	 * True when the session needs its own writes but not monotonic reads, so that the position of a
@@ -296,6 +298,8 @@
 			readonly server: ids.UpstreamId;
 			readonly address: string;
 			readonly epoch: types.Epoch;
+			/** The customer whose requests run on the connection; named to the server. */
+			readonly customer?: ids.CustomerId;
 	  }
 	| {
 			readonly type: 'closeConnection';
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -41,6 +41,8 @@
 	| 'memberLimit'
 	| 'keyUsed'
 	| 'noTemplate'
+	| 'unknownKey'
+	| 'rateLimit'
 	| 'readOnlyServer'
 	| 'cancelled';
 
@@ -193,6 +195,18 @@
 export type MemberRoute = {
 	readonly group: ids.GroupId;
 	readonly parameters: TemplateParameters;
+	/** True when requests need no key of a customer. */
+	readonly isOpen: boolean;
+};
+
+/** A customer of a configuration. */
+export type Customer = {
+	readonly customer: ids.CustomerId;
+	readonly keys: ReadonlySet<ids.KeyDigest>;
+	/** Operations per second over all proxies; `Infinity` without a limit. */
+	readonly ratePerS: number;
+	/** Operations that may run at once after a pause, beyond the rate. */
+	readonly burst: number;
 };
 
 /** A parsed and validated configuration. */
@@ -200,6 +214,10 @@
 	readonly members: ReadonlyMap<ids.MemberId, MemberRoute>;
 	/** Time after which an idle transaction is rolled back, in ms; `Infinity` without a limit. */
 	readonly idleTransactionMs: number;
+	/** Empty when the configuration has no customers; then no route needs a key. */
+	readonly customers: ReadonlyMap<ids.CustomerId, Customer>;
+	/** The customer that holds each key. */
+	readonly customerByKey: ReadonlyMap<ids.KeyDigest, ids.CustomerId>;
 };
 
 /** Levels of log records. */
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -25,6 +25,10 @@
 export type DataCentre = Branded<string, 'DataCentre'>;
 /** A customer. */
 export type MemberId = Branded<string, 'MemberId'>;
+/** A customer that identifies itself with keys, on whatever route its requests arrive. */
+export type CustomerId = Branded<string, 'CustomerId'>;
+/** The digest of a customer's key. Keys themselves stay in the adapter that reads them. */
+export type KeyDigest = Branded<string, 'KeyDigest'>;
 /** A database group: one primary and its replicas. */
 export type GroupId = Branded<string, 'GroupId'>;
 /** A database server; unique in the whole installation. */
@@ -73,6 +77,8 @@
 	| 'memberLimit'
 	| 'keyUsed'
 	| 'noTemplate'
+	| 'unknownKey'
+	| 'rateLimit'
 	| 'readOnlyServer'
 	| 'cancelled';
 /** The latest role, term and log positions that a server itself reported. */
@@ -201,10 +207,28 @@
 export type RouteSet = {
 	readonly members: ReadonlyMap<
 		MemberId,
-		{readonly group: GroupId; readonly parameters: TemplateParameters}
+		{
+			readonly group: GroupId;
+			readonly parameters: TemplateParameters;
+			/** True when requests need no key of a customer. */
+			readonly isOpen: boolean;
+		}
 	>;
 	/** Time after which an idle transaction is rolled back, in ms; `Infinity` without a limit. */
 	readonly idleTransactionMs: number;
+	/** Empty when the configuration has no customers; then no route needs a key. */
+	readonly customers: ReadonlyMap<CustomerId, Customer>;
+	/** The customer that holds each key. */
+	readonly customerByKey: ReadonlyMap<KeyDigest, CustomerId>;
+};
+/** A customer of a configuration. */
+export type Customer = {
+	readonly customer: CustomerId;
+	readonly keys: ReadonlySet<KeyDigest>;
+	/** Operations per second over all proxies; `Infinity` without a limit. */
+	readonly ratePerS: number;
+	/** Operations that may run at once after a pause, beyond the rate. */
+	readonly burst: number;
 };
 /** Levels of log records. */
 export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
@@ -270,6 +294,8 @@
 export type SessionAttributes = {
 	readonly member: MemberId;
 	readonly group: GroupId;
+	/** Digest of the key that the caller presented; undefined when it presented none. */
+	readonly key?: KeyDigest;
 	readonly token?: Position;
 	/**
 	 * True when the session needs its own writes but not monotonic reads, so that the position of a
@@ -417,6 +443,8 @@
 			server: UpstreamId;
 			address: string;
 			epoch: Epoch;
+			/** The customer whose requests run on the connection; named to the server. */
+			customer?: CustomerId;
 	  }
 	| {type: 'closeConnection'; connection: ConnectionId}
 	/** Run DISCARD ALL; answers with `connectionReset` or `connectionClosed`. */
@@ -597,6 +625,8 @@
 /** A request that waits for a slot of one server. */
 export type QueuedRequest<Item> = {
 	readonly member: MemberId;
+	/** The customer whose share of the slots the request uses; undefined on an open route. */
+	readonly customer?: CustomerId;
 	readonly rank: Rank;
 	readonly enqueuedAt: number;
 	/** Monotonic time after which an answer is no longer useful, in ms. */
