Add a soak of real processes with seeded faults

What is stored at the end is compared with what the callers were told; processes that end and their memory are checked. A stand-in can announce the address of a relay.

--- a/scripts/quickstart/cluster.mjs
+++ b/scripts/quickstart/cluster.mjs
@@ -48,7 +48,8 @@
 
 	/**
 	 * @param options - `controls`, `proxies`: number of processes; `log`: log level of the daemons;
-	 * `standIn`: further arguments of the stand-ins.
+	 * `standIn`: further arguments of the stand-ins; `openRelay(name, port)`: opens a relay to a
+	 * control peer or stand-in and resolves with the port that the other processes use instead.
 	 */
 	constructor(options) {
 		this.options = options;
@@ -61,7 +62,8 @@
 		this.portBlock = await portBlock.reservePortBlock(process.pid);
 		for (let index = 1; index <= controls; index++) {
 			const [peers, http] = this.portBlock.takePorts(2);
-			this.ports.set(`control-${index}`, {peers, http});
+			const relay = await this.openRelay(`control-${index}`, peers);
+			this.ports.set(`control-${index}`, {peers, http, relay});
 		}
 
 		for (let index = 1; index <= proxies; index++) {
@@ -92,6 +94,8 @@
 		const announce = [...this.ports]
 			.filter(([other]) => other.startsWith('proxy'))
 			.flatMap(([, {http}]) => ['--announce', `127.0.0.1:${http}`]);
+		const [port] = this.portBlock.takePorts(1);
+		const relay = await this.openRelay(name, port);
 		const child = this.startProcess(name, [
 			'stand-in',
 			'--json',
@@ -101,6 +105,9 @@
 			name,
 			'--data-centre',
 			dataCentres[index - 1],
+			'--port',
+			String(port),
+			...(relay === port ? [] : ['--announced-address', `127.0.0.1:${relay}`]),
 			...(primaryPort === undefined
 				? []
 				: ['--primary', `${primary}@127.0.0.1:${primaryPort}`]),
@@ -113,6 +120,10 @@
 		return ports;
 	}
 
+	async openRelay(name, port) {
+		return this.options.openRelay?.(name, port) ?? port;
+	}
+
 	/** Kills a process with SIGKILL. */
 	async kill(name) {
 		const child = this.children.get(name);
@@ -188,7 +199,10 @@
 		const ports = this.ports.get(name);
 		const peers = [...this.ports]
 			.filter(([other]) => other.startsWith('control'))
-			.map(([other, {peers: port}]) => `${other}@127.0.0.1:${port}`)
+			.map(([other, {peers: port, relay}]) => {
+				const usedPort = other === name ? port : relay;
+				return `${other}@127.0.0.1:${usedPort}`;
+			})
 			.join(', ');
 		const lines = [
 			'[process]',
--- a/src/cli/stand-in-command.ts
+++ b/src/cli/stand-in-command.ts
@@ -34,6 +34,10 @@
 		description: "ip:port of a proxy's HTTP listener; may be repeated",
 	});
 
+	announcedAddress = options.buildText('--announced-address', {
+		description: 'ip:port that announcements name in place of the listener',
+	});
+
 	json = options.buildFlag('--json', false, {description: 'write JSON'});
 
 	protected async runCommand(): Promise<exits.ExitCode> {
@@ -87,6 +91,14 @@
 			announceTo: (this.announce ?? []).map((text) =>
 				addresses.checkAddress('--announce', text),
 			),
+			...(this.announcedAddress === undefined
+				? {}
+				: {
+						announcedAddress: addresses.checkAddress(
+							'--announced-address',
+							this.announcedAddress,
+						),
+					}),
 		};
 	}
 }
--- /dev/null
+++ b/src/soak/checks.ts
@@ -0,0 +1,122 @@
+/**
+ * Compares what callers were told with what the database holds after a soak, and with what the
+ * processes did.
+ */
+import type * as callers from './callers.js';
+import type * as fleets from './fleet.js';
+import type * as types from './types.js';
+
+/** A request sent this long before a planned stop has reached the proxy by then. */
+const transitMs = 500;
+/** Time before and after a planned stop in which no other fault may excuse a cut request. */
+const calmMs = 4000;
+/** Far above what the daemons need for the load of a soak. */
+const memoryLimitMb = 512;
+
+/** Checks the rows of the table against the answers of the callers. */
+export function checkWrites(
+	writes: readonly types.WriteRecord[],
+	storedIds: readonly number[],
+): types.Violation[] {
+	const violations: types.Violation[] = [];
+	const counts = new Map<number, number>();
+	for (const id of storedIds) {
+		counts.set(id, (counts.get(id) ?? 0) + 1);
+	}
+
+	const countsByTransaction = new Map<number, number[]>();
+	for (const {id, outcome, transaction} of writes) {
+		const count = counts.get(id) ?? 0;
+		if (outcome === 'acknowledged' && count === 0) {
+			violations.push(buildViolation('acknowledgedWriteLost', id));
+		}
+
+		if (outcome === 'notRun' && count > 0) {
+			violations.push(buildViolation('refusedWriteRan', id));
+		}
+
+		if (count > 1) {
+			violations.push(buildViolation('writeRanTwice', id));
+		}
+
+		if (transaction !== undefined) {
+			const stored = countsByTransaction.get(transaction) ?? [];
+			stored.push(count);
+			countsByTransaction.set(transaction, stored);
+		}
+	}
+
+	for (const [transaction, stored] of countsByTransaction) {
+		if (new Set(stored).size > 1) {
+			violations.push(buildViolation('transactionMixed', transaction));
+		}
+	}
+
+	return violations;
+}
+
+/**
+ * Finds requests that a planned stop of their proxy has cut. Stops beside another fault are left out,
+ * because the other fault may have cut the request.
+ */
+export function checkPlannedStops(
+	stops: readonly fleets.PlannedStop[],
+	faults: ReadonlyArray<{readonly at: number; readonly endAt: number}>,
+	requests: readonly types.BrokenRequest[],
+): types.Violation[] {
+	return stops.flatMap(({proxy, at}) => {
+		const isCalm = faults.every(
+			(fault) => fault.endAt + calmMs < at || fault.at > at + calmMs,
+		);
+		const cut = requests.filter(
+			(request) =>
+				request.proxy === proxy &&
+				request.sentAt + transitMs < at &&
+				request.endedAt > at &&
+				request.endedAt < at + calmMs,
+		);
+		return isCalm && cut.length > 0
+			? [
+					{
+						promise: 'requestCutByStop' as const,
+						detail: `${cut.length} requests at ${proxy}`,
+					},
+				]
+			: [];
+	});
+}
+
+/** Checks that no process ended by itself or took too much memory. */
+export function checkProcesses(fleet: fleets.SoakFleet): types.Violation[] {
+	const ends = fleet.unexpectedEnds.map((detail) => ({
+		promise: 'processEnded' as const,
+		detail,
+	}));
+	return fleet.peakMemoryMb > memoryLimitMb
+		? [
+				...ends,
+				{
+					promise: 'memoryExceeded',
+					detail: `a daemon took ${fleet.peakMemoryMb} MB`,
+				},
+			]
+		: ends;
+}
+
+/** Counts the writes of each outcome. */
+export function countOutcomes(
+	record: callers.CallerRecord,
+): types.SoakReport['writes'] {
+	return {
+		acknowledged: record.countWrites('acknowledged'),
+		notRun: record.countWrites('notRun'),
+		unknown: record.countWrites('unknown'),
+	};
+}
+
+function buildViolation(
+	promise: types.Violation['promise'],
+	id: number,
+): types.Violation {
+	return {promise, detail: `write ${id}`};
+}
--- /dev/null
+++ b/src/soak/plan.ts
@@ -0,0 +1,118 @@
+/**
+ * Builds the plan of faults of a soak from its seed. Faults overlap, but at any time they affect at
+ * most one control peer, one database server and half of the proxies, which is what the system
+ * promises to bear.
+ */
+import * as random from '../common/random.js';
+import type * as types from './types.js';
+
+const minGapMs = 200;
+const maxGapMs = 2500;
+const minFaultMs = 100;
+const maxFaultMs = 4000;
+/** Time after a fault in which its target still counts as affected, in ms. */
+const recoveryMs = 3000;
+const maxDelayMs = 120;
+
+type Role = 'proxy' | 'control' | 'ledger';
+
+type PlanNames = Readonly<Record<Role, readonly string[]>>;
+
+type AffectedTarget = {
+	readonly role: Role;
+	readonly target: string;
+	readonly untilMs: number;
+};
+
+/** Lists the faults of a run in the order of their beginning. */
+export function buildPlan(
+	seed: number,
+	durationMs: number,
+	names: PlanNames,
+): types.PlannedFault[] {
+	const source = random.createRandom(seed);
+	const limits: Readonly<Record<Role, number>> = {
+		proxy: Math.max(1, Math.floor(names.proxy.length / 2)),
+		control: 1,
+		ledger: 1,
+	};
+	const plan: types.PlannedFault[] = [];
+	let affected: AffectedTarget[] = [];
+	let atMs = source.readInteger(minGapMs, maxGapMs);
+	while (atMs < durationMs) {
+		const now = atMs;
+		affected = affected.filter(({untilMs}) => untilMs > now);
+		const role = drawItem<Role>(source, [
+			'proxy',
+			'proxy',
+			'control',
+			'ledger',
+		]);
+		const target = drawItem(source, names[role]);
+		const fault = drawFault(source, role, target);
+		const count = affected.filter((other) => other.role === role).length;
+		if (
+			count < limits[role] &&
+			affected.every((other) => other.target !== target)
+		) {
+			plan.push({atMs, fault});
+			affected.push({
+				role,
+				target,
+				untilMs: atMs + fault.forMs + recoveryMs,
+			});
+		}
+
+		atMs += source.readInteger(minGapMs, maxGapMs);
+	}
+
+	return plan;
+}
+
+function drawFault(
+	source: random.RandomSource,
+	role: Role,
+	target: string,
+): types.Fault {
+	const forMs = source.readInteger(minFaultMs, maxFaultMs);
+	if (source.readFloat() < 0.4) {
+		return {type: 'relay', target, mode: drawRelayMode(source), forMs};
+	}
+
+	if (role === 'ledger') {
+		const name = drawItem(source, ['freeze', 'cut', 'crash']);
+		return {type: 'server', target, name, value: 'true', forMs};
+	}
+
+	return {
+		type: drawItem(source, ['kill', 'freeze', 'stop'] as const),
+		target,
+		forMs,
+	};
+}
+
+function drawRelayMode(source: random.RandomSource): types.RelayMode {
+	const type = drawItem(source, ['delay', 'cut', 'silence', 'reset'] as const);
+	switch (type) {
+		case 'delay': {
+			return {type, delayMs: source.readInteger(1, maxDelayMs)};
+		}
+
+		case 'cut': {
+			const direction = drawItem(source, ['toTarget', 'toClient'] as const);
+			return {type, direction};
+		}
+
+		case 'silence':
+		case 'reset': {
+			return {type};
+		}
+	}
+}
+
+function drawItem<Item>(
+	source: random.RandomSource,
+	items: readonly Item[],
+): Item {
+	return items[source.readInteger(0, items.length - 1)];
+}
--- /dev/null
+++ b/src/soak/types.ts
@@ -0,0 +1,95 @@
+/**
+ * Types of the soak: faults and their plan, what callers did, and what was found.
+ */
+
+/** How a relay treats the connections through it. */
+export type RelayMode =
+	| {readonly type: 'pass'}
+	| {readonly type: 'delay'; readonly delayMs: number}
+	/** Bytes in one direction are dropped; the connections stay open. */
+	| {readonly type: 'cut'; readonly direction: 'toTarget' | 'toClient'}
+	/** Open connections stay silent for good, also later; new connections work. */
+	| {readonly type: 'silence'}
+	/** Open connections are reset; new connections work. */
+	| {readonly type: 'reset'};
+
+/** A fault of one process, server or relay. Durations are in ms. */
+export type Fault =
+	| {readonly type: 'kill'; readonly target: string; readonly forMs: number}
+	| {readonly type: 'freeze'; readonly target: string; readonly forMs: number}
+	/** A planned stop with SIGTERM, followed by a start. */
+	| {readonly type: 'stop'; readonly target: string; readonly forMs: number}
+	| {
+			readonly type: 'relay';
+			readonly target: string;
+			readonly mode: RelayMode;
+			readonly forMs: number;
+	  }
+	/** A fault that the stand-in itself simulates, such as a crash that keeps its log. */
+	| {
+			readonly type: 'server';
+			readonly target: string;
+			readonly name: string;
+			readonly value: string;
+			readonly forMs: number;
+	  };
+
+export type PlannedFault = {
+	/** Time since the beginning of the load, in ms. */
+	readonly atMs: number;
+	readonly fault: Fault;
+};
+
+/** What a caller knows of a write. */
+export type WriteOutcome = 'acknowledged' | 'notRun' | 'unknown';
+
+export type WriteRecord = {
+	readonly id: number;
+	/** The same for all writes of one transaction. */
+	readonly transaction: number | undefined;
+	readonly outcome: WriteOutcome;
+};
+
+/** A request whose connection ended without an answer. */
+export type BrokenRequest = {
+	readonly proxy: string;
+	/** Wall clock, in ms. */
+	readonly sentAt: number;
+	readonly endedAt: number;
+};
+
+/** A promise that was not kept. */
+export type Violation = {
+	readonly promise:
+		| 'acknowledgedWriteLost'
+		| 'refusedWriteRan'
+		| 'writeRanTwice'
+		| 'transactionMixed'
+		| 'ownWriteNotRead'
+		| 'foreignAnswer'
+		| 'requestCutByStop'
+		| 'processEnded'
+		| 'memoryExceeded'
+		| 'notRecovered';
+	readonly detail: string;
+};
+
+export type SoakOptions = {
+	readonly seed: number;
+	/** Time during which faults are injected, in ms. */
+	readonly durationMs: number;
+	readonly proxies: number;
+	readonly callers: number;
+};
+
+export type SoakReport = {
+	readonly seed: number;
+	readonly faults: number;
+	readonly writes: Readonly<Record<WriteOutcome, number>>;
+	readonly reads: number;
+	/** Largest peak of the resident memory of a daemon, in MB. */
+	readonly peakMemoryMb: number;
+	readonly violations: readonly Violation[];
+	/** Folder with the logs of the processes; it is kept when there are violations. */
+	readonly logs: string | undefined;
+};
--- a/src/standin/server.ts
+++ b/src/standin/server.ts
@@ -275,7 +275,7 @@
 		return {
 			group: options.group as ids.GroupId,
 			server: options.server as ids.UpstreamId,
-			address: this.address,
+			address: options.announcedAddress ?? this.address,
 			dataCentre: options.dataCentre as ids.DataCentre,
 			role: this.replicationRole.role,
 			term: this.log.term,
--- a/src/standin/types.ts
+++ b/src/standin/types.ts
@@ -243,6 +243,8 @@
 	/** `ip:port` of the HTTP listeners of proxies. */
 	readonly announceTo?: readonly string[];
 	readonly announceIntervalMs?: number;
+	/** `ip:port` that announcements name in place of the listener, such as that of a relay. */
+	readonly announcedAddress?: string;
 };
 
 /** An error that is sent to the client as ErrorResponse. */
