Run requests as the customer that holds the caller's key

Cause: servers were not told which customer a request belongs to, so every request of a deployment with keys ran as nobody, and any key was accepted. A withdrawn or moved key also ends a transaction. The owner names the customer to the server and runs requests only on connections of the same customer. A full pool closes the idle connection that its customer can spare best, opens one connection for each waiting request, and opens none for nobody where all routes need keys.

--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -46,7 +46,7 @@
 
 		this.services.retryBudget.recordSuccess(this.context.now);
 		this.table.cancelOtherAttempts(request, done.attempt);
-		this.updateBinding(session, attempt, done.bound);
+		this.updateBinding(session, attempt, done);
 		const isCommit = request.kind !== 'read' && done.position !== undefined;
 		if (done.position && (isCommit || session.hasMonotonicReads)) {
 			session.floor = session.floor
@@ -202,11 +202,16 @@
 	private updateBinding(
 		session: entryState.Session,
 		attempt: entryState.Attempt,
-		isBound: boolean,
+		done: messages.ForwardDone,
 	): void {
-		const {id, server, owner} = attempt;
-		session.binding = isBound
-			? (session.binding ?? {id, server, owner})
+		const {server, owner} = attempt;
+		session.binding = done.bound
+			? {
+					id: session.binding?.id ?? attempt.id,
+					server,
+					owner,
+					inTransaction: done.transactionStatus !== 'idle',
+				}
 			: undefined;
 	}
 
--- a/src/common/proxy/binding-table.ts
+++ b/src/common/proxy/binding-table.ts
@@ -12,14 +12,18 @@
 
 	constructor(private readonly context: context.ProxyContext) {}
 
-	/** Finds the binding that a request names. */
+	/** Finds the binding that a request names, if it belongs to the customer of the request. */
 	findBinding({
 		origin,
 		request,
 	}: owned.OwnerRequest): owned.ConnectionBinding | undefined {
-		return request.binding === undefined
-			? undefined
-			: this.bindings.get(makeBindingKey(origin, request.binding));
+		const binding =
+			request.binding === undefined
+				? undefined
+				: this.bindings.get(makeBindingKey(origin, request.binding));
+		return binding?.connection.customer === request.customer
+			? binding
+			: undefined;
 	}
 
 	/** Binds the session of a request to the connection that ran it. */
--- a/src/common/proxy/dispatcher.ts
+++ b/src/common/proxy/dispatcher.ts
@@ -65,6 +65,9 @@
 			this.refuseConnectionQueue(server);
 		}
 
+		// Requests that were admitted earlier go first, also those whose customer has no connection yet.
+		this.serveConnectionQueue(server);
+		this.pool.openMissingConnections(server);
 		const {concurrency} = server;
 		while (server.runningCount + server.connectionQueue.length < concurrency) {
 			const bound = server.boundQueue.shift();
@@ -82,7 +85,7 @@
 			this.startQueuedRequest(server, queued);
 		}
 
-		this.serveConnectionQueue(server);
+		this.pool.openMissingConnections(server);
 		this.pool.ensureMinimumConnections(
 			server,
 			this.lease.isValid(this.context.now),
@@ -100,10 +103,18 @@
 		}
 	}
 
-	refuseConnectionQueue(server: owned.OwnedServer): void {
-		for (const queued of server.connectionQueue.splice(0)) {
+	/** Refuses the requests that wait for a connection, or those of them that are selected. */
+	refuseConnectionQueue(
+		server: owned.OwnedServer,
+		isRefused: (
+			queued: policy.QueuedRequest<owned.OwnerRequest>,
+		) => boolean = () => true,
+	): void {
+		for (const queued of server.connectionQueue.filter((candidate) =>
+			isRefused(candidate),
+		)) {
+			ownerPool.removeFromQueues(server, queued.item, this.context.now);
 			this.pendingRequests.delete(makeAttemptKey(queued.item));
-			server.scheduler.complete(queued, 0, this.context.now);
 			this.replies.refuse(
 				queued.item,
 				'noServer',
@@ -151,30 +162,26 @@
 		server: owned.OwnedServer,
 		queued: policy.QueuedRequest<owned.OwnerRequest>,
 	): void {
-		const {payload} = queued.item.request;
-		const connection = this.pool.takeIdle(server, payload);
+		const connection = this.pool.takeIdle(server, queued.item.request);
 		if (connection) {
 			this.startOnConnection(server, connection, queued);
-			return;
+		} else {
+			server.connectionQueue.push(queued);
 		}
-
-		server.connectionQueue.push(queued);
-		this.pool.openConnection(server);
 	}
 
+	/** Starts the waiting requests for whose customers there are idle connections. */
 	private serveConnectionQueue(server: owned.OwnedServer): void {
-		while (server.connectionQueue.length > 0) {
-			const [queued] = server.connectionQueue;
-			const connection = this.pool.takeIdle(
-				server,
-				queued.item.request.payload,
-			);
-			if (!connection) {
-				return;
+		const waiting = [...server.connectionQueue];
+		for (const queued of waiting) {
+			const connection = this.pool.takeIdle(server, queued.item.request);
+			if (connection) {
+				server.connectionQueue.splice(
+					server.connectionQueue.indexOf(queued),
+					1,
+				);
+				this.startOnConnection(server, connection, queued);
 			}
-
-			server.connectionQueue.shift();
-			this.startOnConnection(server, connection, queued);
 		}
 	}
 
--- a/src/common/proxy/entry-state.ts
+++ b/src/common/proxy/entry-state.ts
@@ -15,11 +15,17 @@
 export type SessionBinding = AttemptTarget & {
 	/** The attempt that bound the session; it identifies the binding at the owner. */
 	readonly id: ids.AttemptId;
+	/** False when only session state keeps the connection. */
+	readonly inTransaction: boolean;
 };
 
 export type Session = {
 	readonly id: ids.SessionId;
 	readonly member: ids.MemberId;
+	/** Digest of the key that the caller presented. */
+	readonly key: ids.KeyDigest | undefined;
+	/** The customer as which the last request ran; undefined on an open route. */
+	customer: ids.CustomerId | undefined;
 	/** Updated from the route of the member while no transaction is open. */
 	group: ids.GroupId;
 	/** False when only writes of the session raise its floor. */
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -8,6 +8,7 @@
 import type * as policy from '../policy/types.js';
 import type * as types from '../types.js';
 import * as attemptOutcomes from './attempt-outcomes.js';
+import type * as callerAccess from './caller-access.js';
 import type * as candidates from './candidates.js';
 import type * as context from './context.js';
 import type * as directory from './directory.js';
@@ -46,6 +47,7 @@
 		private readonly templates: templateStore.TemplateStore,
 		private readonly candidates: candidates.CandidateList,
 		positionClient: positionClient.PositionClient,
+		private readonly access: callerAccess.CallerAccess,
 		private readonly services: EntryServices,
 	) {
 		this.table = new requestTable.RequestTable(context);
@@ -111,6 +113,8 @@
 		this.sessions.set(id, {
 			id,
 			member: attributes.member,
+			key: attributes.key,
+			customer: undefined,
 			group: this.templates.getGroup(attributes.member) ?? attributes.group,
 			hasMonotonicReads: attributes.isFloorFromWrites !== true,
 			parameters: undefined,
@@ -183,6 +187,12 @@
 			return;
 		}
 
+		const problem = this.access.updateCustomer(session);
+		if (problem) {
+			this.refuseCaller(request, problem);
+			return;
+		}
+
 		const inFlight = this.table.countInFlight(session.member);
 		if (inFlight > parameters.maxInFlight && !session.binding) {
 			this.replies.refuse(
@@ -412,16 +422,22 @@
 
 	private checkSession(
 		attributes: proxy.SessionAttributes,
-	): {reason: types.RefusalReason; message: string} | undefined {
-		const parameters = this.templates.getParameters(attributes.member);
+	): callerAccess.AccessProblem | undefined {
+		const {member, key} = attributes;
+		const parameters = this.templates.getParameters(member);
 		if (!parameters) {
 			return {
 				reason: 'noTemplate',
-				message: describeMissingTemplate(attributes.member),
+				message: describeMissingTemplate(member),
 			};
 		}
 
-		const count = this.sessionCounts.get(attributes.member) ?? 0;
+		const identification = this.access.identifyCustomer(member, key);
+		if (identification.type === 'refused') {
+			return identification;
+		}
+
+		const count = this.sessionCounts.get(member) ?? 0;
 		if (
 			count >= parameters.maxSessions ||
 			this.sessions.size >= this.context.config.maxSessions
@@ -435,6 +451,23 @@
 		return undefined;
 	}
 
+	/** Refuses a request whose caller may not send it, rolls back its transaction and ends the session. */
+	private refuseCaller(
+		request: entryState.EntryRequest,
+		{reason, message}: callerAccess.AccessProblem,
+	): void {
+		const {session} = request;
+		this.releaseBinding(session);
+		this.replies.refuse(request, reason, message);
+		this.context.emit({
+			type: 'closeSession',
+			session: session.id,
+			sqlState: refusals.getRefusalSqlState(reason),
+			message,
+		});
+		this.closeSession(session.id);
+	}
+
 	private createRequest(
 		session: entryState.Session,
 		event: Extract<proxy.ProxyEvent, {type: 'requestArrived'}>,
--- a/src/common/proxy/owned-server.ts
+++ b/src/common/proxy/owned-server.ts
@@ -52,6 +52,8 @@
 
 export type Connection = {
 	readonly id: ids.ConnectionId;
+	/** The customer that the server was told; only its requests run on the connection. */
+	readonly customer: ids.CustomerId | undefined;
 	state: ConnectionState;
 	ownerRequest: OwnerRequest | undefined;
 	queuedRequest: policy.QueuedRequest<OwnerRequest> | undefined;
@@ -115,6 +117,8 @@
 	departureAnnouncedAt: number | undefined;
 	runningCount = 0;
 	openFailures = 0;
+	/** The customer of the last connection that could not be opened. */
+	failedCustomer: ids.CustomerId | undefined;
 	noConnectionLoggedAt = Number.NEGATIVE_INFINITY;
 	retryOpenAt = 0;
 	/** When an answer to a request last brought a position. */
--- a/src/common/proxy/owner-pool.ts
+++ b/src/common/proxy/owner-pool.ts
@@ -1,9 +1,13 @@
 /**
  * Pools the connections to owned servers. Enough connections for all slots stay open, so that urgent
- * requests do not wait for a new one, which takes about 12 ms.
+ * requests do not wait for a new one, which takes about 12 ms. A connection carries the name of one
+ * customer, so those of customers are opened on demand and stay open until another customer needs the
+ * room.
  */
 import type * as ids from '../ids.js';
+import type * as messages from '../messages.js';
 import * as connectionChoice from '../policy/connection-choice.js';
+import * as connectionEviction from '../policy/connection-eviction.js';
 import * as connectionState from '../session/connection-state.js';
 import type * as context from './context.js';
 import type * as owned from './owned-server.js';
@@ -27,7 +31,11 @@
 		owned.OwnedServer
 	>();
 
-	constructor(private readonly context: context.ProxyContext) {}
+	/** @param isOpenGroup - Tells whether requests without a customer may reach a group. */
+	constructor(
+		private readonly context: context.ProxyContext,
+		private readonly isOpenGroup: (group: ids.GroupId) => boolean,
+	) {}
 
 	findConnection(
 		id: ids.ConnectionId,
@@ -37,18 +45,25 @@
 		return server && connection ? {server, connection} : undefined;
 	}
 
-	/** Takes the idle connection that needs the least setup for a request. */
+	/** Takes the idle connection of the request's customer that needs the least setup for it. */
 	takeIdle(
 		server: owned.OwnedServer,
-		payload: proxy.RequestPayload,
+		request: Pick<messages.ForwardRequest, 'customer' | 'payload'>,
 	): owned.Connection | undefined {
+		const idle = server.idleConnections.filter(
+			({customer}) => customer === request.customer,
+		);
 		const index = connectionChoice.chooseConnection(
-			server.idleConnections.map(({setup}) => setup),
-			getRequirements(payload),
+			idle.map(({setup}) => setup),
+			getRequirements(request.payload),
 		);
-		return index === undefined
-			? undefined
-			: server.idleConnections.splice(index, 1)[0];
+		if (index === undefined) {
+			return undefined;
+		}
+
+		const connection = idle[index];
+		removeIdle(server, connection);
+		return connection;
 	}
 
 	/** Records that a request sets up the connection on which it starts. */
@@ -74,14 +89,35 @@
 	): void {
 		server.connections.delete(connection.id);
 		this.serverByConnection.delete(connection.id);
-		const index = server.idleConnections.indexOf(connection);
-		if (index !== -1) {
-			server.idleConnections.splice(index, 1);
+		removeIdle(server, connection);
+	}
+
+	/**
+	 * Opens a connection for each waiting request, less those of its customer that are about to become
+	 * idle. In a full pool, an idle connection of another customer gives its place.
+	 */
+	openMissingConnections(server: owned.OwnedServer): void {
+		for (const [customer, missing] of countMissingConnections(server)) {
+			for (let index = 0; index < missing; index++) {
+				if (
+					this.context.now >= server.retryOpenAt &&
+					server.connections.size >= server.poolLimit
+				) {
+					this.evictIdle(server);
+				}
+
+				if (!this.openConnection(server, customer)) {
+					return;
+				}
+			}
 		}
 	}
 
 	/** Opens a connection, unless the pool is at its limit or the delay after a failure has not passed. */
-	openConnection(server: owned.OwnedServer): boolean {
+	openConnection(
+		server: owned.OwnedServer,
+		customer: ids.CustomerId | undefined,
+	): boolean {
 		const {now} = this.context;
 		if (
 			server.connections.size >= server.poolLimit ||
@@ -108,6 +144,7 @@
 		const id = this.nextConnection++ as ids.ConnectionId;
 		const connection: owned.Connection = {
 			id,
+			customer,
 			state: 'opening',
 			ownerRequest: undefined,
 			queuedRequest: undefined,
@@ -126,12 +163,17 @@
 			server: server.server,
 			address: server.announcement.address,
 			epoch: server.epoch,
+			...(customer === undefined ? {} : {customer}),
 		});
 		return true;
 	}
 
-	recordOpenFailure(server: owned.OwnedServer): void {
+	recordOpenFailure(
+		server: owned.OwnedServer,
+		{customer}: owned.Connection,
+	): void {
 		server.openFailures++;
+		server.failedCustomer = customer;
 		server.retryOpenAt =
 			this.context.now +
 			Math.min(
@@ -142,7 +184,8 @@
 
 	/**
 	 * Opens connections until there is one for each statement that may be in flight, one for each bound
-	 * session, and a spare one.
+	 * session, and a spare one. Where all requests have a customer, it only tries an unreachable server
+	 * again.
 	 */
 	ensureMinimumConnections(
 		server: owned.OwnedServer,
@@ -152,16 +195,73 @@
 			return;
 		}
 
+		if (!this.isOpenGroup(server.group)) {
+			if (server.isUnreachable && server.connections.size === 0) {
+				this.openConnection(server, server.failedCustomer);
+			}
+
+			return;
+		}
+
 		const minimum = Math.min(
 			server.poolLimit,
 			server.concurrency + spareConnections + server.countBoundConnections(),
 		);
 		while (server.connections.size < minimum) {
-			if (!this.openConnection(server)) {
+			if (!this.openConnection(server, undefined)) {
 				return;
 			}
 		}
 	}
+
+	private evictIdle(server: owned.OwnedServer): void {
+		const index = connectionEviction.chooseEviction(
+			server.idleConnections.map(({customer, stateChangedAt}) => ({
+				customer,
+				idleSince: stateChangedAt,
+			})),
+		);
+		if (index !== undefined) {
+			const connection = server.idleConnections[index];
+			this.removeConnection(server, connection);
+			this.context.count('connectionsEvicted');
+			this.context.emit({type: 'closeConnection', connection: connection.id});
+		}
+	}
+}
+
+/**
+ * Counts by customer the waiting requests, less the connections that will be idle without a further
+ * statement.
+ */
+function countMissingConnections(
+	server: owned.OwnedServer,
+): Map<ids.CustomerId | undefined, number> {
+	const missing = new Map<ids.CustomerId | undefined, number>();
+	for (const {item} of server.connectionQueue) {
+		const {customer} = item.request;
+		missing.set(customer, (missing.get(customer) ?? 0) + 1);
+	}
+
+	if (missing.size > 0) {
+		for (const {customer, state} of server.connections.values()) {
+			if (state === 'opening' || state === 'resetting') {
+				missing.set(customer, (missing.get(customer) ?? 0) - 1);
+			}
+		}
+	}
+
+	return missing;
+}
+
+function removeIdle(
+	server: owned.OwnedServer,
+	connection: owned.Connection,
+): void {
+	const index = server.idleConnections.indexOf(connection);
+	if (index !== -1) {
+		server.idleConnections.splice(index, 1);
+	}
 }
 
 function getRequirements(
--- a/src/common/proxy/owner.ts
+++ b/src/common/proxy/owner.ts
@@ -16,6 +16,7 @@
 import * as ownerPool from './owner-pool.js';
 import * as ownerReplies from './owner-replies.js';
 import * as servingRules from './serving-rules.js';
+import type * as templateStore from './template-store.js';
 import type * as proxy from './types.js';
 
 const part = 'owner';
@@ -38,10 +39,13 @@
 	constructor(
 		private readonly context: context.ProxyContext,
 		directory: directory.Directory,
+		templates: templateStore.TemplateStore,
 		private readonly lease: leaseClient.LeaseClient,
 		private readonly services: OwnerServices,
 	) {
-		this.pool = new ownerPool.ConnectionPool(context);
+		this.pool = new ownerPool.ConnectionPool(context, (group) =>
+			templates.isOpenGroup(group),
+		);
 		this.bindings = new bindingTable.BindingTable(context);
 		this.replies = new ownerReplies.OwnerReplies(context, this.bindings);
 		this.rules = new servingRules.ServingRules(context, directory, lease);
@@ -155,6 +159,7 @@
 		const result = server.scheduler.offer(
 			{
 				member: request.member,
+				...(request.customer === undefined ? {} : {customer: request.customer}),
 				rank: request.rank,
 				enqueuedAt: now,
 				deadlineAt: ownerRequest.deadlineAt,
@@ -292,13 +297,16 @@
 		}
 
 		if (wasOpening) {
-			this.pool.recordOpenFailure(server);
+			this.pool.recordOpenFailure(server, connection);
 			this.context.log(
 				'warn',
 				part,
 				`Cannot connect to ${server.server}: ${message}`,
 			);
-			this.dispatcher.refuseConnectionQueue(server);
+			this.dispatcher.refuseConnectionQueue(
+				server,
+				({item}) => item.request.customer === connection.customer,
+			);
 		} else if (connection.state !== 'closing') {
 			this.context.count('connectionsLost');
 		}
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -8,6 +8,7 @@
 import type * as membershipService from '../membership/membership.js';
 import type * as random from '../random.js';
 import type * as types from '../types.js';
+import * as callerAccess from './caller-access.js';
 import * as candidates from './candidates.js';
 import * as context from './context.js';
 import * as directory from './directory.js';
@@ -94,6 +95,7 @@
 		this.owner = new owner.Owner(
 			this.context,
 			this.directory,
+			this.templates,
 			this.lease,
 			services,
 		);
@@ -122,6 +124,7 @@
 			this.templates,
 			this.candidates,
 			this.positionClient,
+			new callerAccess.CallerAccess(this.context, this.templates),
 			services,
 		);
 		this.poller = new poller.Poller(
--- a/src/common/proxy/request-router.ts
+++ b/src/common/proxy/request-router.ts
@@ -182,6 +182,7 @@
 			stalenessMs: request.stalenessMs,
 			templateVersion: this.templates.getVersion(session.member),
 			payload: request.payload,
+			...(session.customer === undefined ? {} : {customer: session.customer}),
 			...(session.binding ? {binding: session.binding.id} : {}),
 			...(session.floor ? {floor: session.floor} : {}),
 			...(request.key === undefined ? {} : {key: request.key}),
--- a/src/common/proxy/template-store.ts
+++ b/src/common/proxy/template-store.ts
@@ -18,15 +18,26 @@
 /** Parses the text of a configuration; undefined when the text is not valid. */
 export type ConfigurationParser = (text: string) => types.RouteSet | undefined;
 
+/** Who may send requests on the route of a member. */
+export type MemberAccess = {
+	/** True when requests need no key of a customer. */
+	readonly isOpen: boolean;
+	readonly customerByKey: ReadonlyMap<ids.KeyDigest, ids.CustomerId>;
+};
+
+const openAccess: MemberAccess = {isOpen: true, customerByKey: new Map()};
+
 export class TemplateStore {
 	/** Routes of the configuration in force; they take precedence over templates. */
 	routes: types.RouteSet | undefined;
 	configuration: types.Configuration | undefined;
 	private readonly templates = new Map<ids.MemberId, StoredTemplate>();
+	/** Groups with an open route; undefined until it is needed after a change. */
+	private openGroups: ReadonlySet<ids.GroupId> | undefined;
 
 	constructor(
 		private readonly parseTemplate: TemplateParser,
-		private readonly parseConfiguration: ConfigurationParser = () => undefined,
+		private readonly parseConfiguration?: ConfigurationParser,
 	) {}
 
 	getParameters(member: ids.MemberId): types.TemplateParameters | undefined {
@@ -41,19 +52,48 @@
 		return this.routes?.members.get(member)?.group;
 	}
 
+	getAccess(member: ids.MemberId): MemberAccess {
+		const route = this.routes?.members.get(member);
+		return this.routes && route
+			? {
+					isOpen: route.isOpen,
+					customerByKey: this.routes.customerByKey,
+				}
+			: openAccess;
+	}
+
+	/** True when requests without a customer may reach the servers of a group. */
+	isOpenGroup(group: ids.GroupId): boolean {
+		if (!this.routes) {
+			return this.parseConfiguration === undefined;
+		}
+
+		if (this.routes.customers.size === 0) {
+			return true;
+		}
+
+		this.openGroups ??= new Set(
+			[...this.routes.members.values()]
+				.filter(({isOpen}) => isOpen)
+				.map((route) => route.group),
+		);
+		return this.openGroups.has(group);
+	}
+
 	/** Returns true when the configuration was newer than the one in force and replaced it. */
 	mergeConfiguration(configuration: types.Configuration): boolean {
 		if ((this.configuration?.version ?? 0) >= configuration.version) {
 			return false;
 		}
 
-		const routes = this.parseConfiguration(configuration.text);
+		const routes = this.parseConfiguration?.(configuration.text);
 		if (routes === undefined) {
 			return false;
 		}
 
 		this.configuration = configuration;
 		this.routes = routes;
+		this.openGroups = undefined;
 		return true;
 	}
 
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -415,12 +415,14 @@
 export type CounterName =
 	| 'connectionsOpened'
 	| 'connectionsLost'
+	| 'connectionsEvicted'
 	| 'ownershipGained'
 	| 'ownershipLost'
 	| 'retries'
 	| 'hedges'
 	| 'internalErrors'
-	| 'templateUpdates';
+	| 'templateUpdates'
+	| 'unknownKeys';
 
 /** Measurements of one request at its entry. Durations in ms. */
 export type RequestRecord = {
--- a/src/scenario/fleet/fake-server.ts
+++ b/src/scenario/fleet/fake-server.ts
@@ -39,6 +39,7 @@
 export type ServerSession = {
 	pendingWrites: Array<{key: string; value: string}> | undefined;
 	isOpen: boolean;
+	readonly customer?: ids.CustomerId | undefined;
 };
 
 export class FakeServer {
@@ -60,6 +61,8 @@
 	readonly committedRecords: LogRecord[] = [];
 	/** Times at which statements were executed. */
 	readonly executedAt: number[] = [];
+	/** The customers that the connections of these statements named. */
+	readonly executedBy: Array<ids.CustomerId | undefined> = [];
 	/** The primary that this replica follows. */
 	source: FakeServer | undefined;
 	readonly sessions = new Set<ServerSession>();
@@ -191,6 +194,7 @@
 		claimKey?: string,
 	): FakeAnswer | 'keyUsed' {
 		this.executedAt.push(this.timeline.now);
+		this.executedBy.push(session.customer);
 		if (claimKey !== undefined) {
 			const key = `claim/${claimKey}`;
 			if (this.readValue(key) !== undefined) {
--- a/src/scenario/fleet/fake-upstreams.ts
+++ b/src/scenario/fleet/fake-upstreams.ts
@@ -125,7 +125,11 @@
 				return;
 			}
 
-			const session = {pendingWrites: undefined, isOpen: true};
+			const session = {
+				pendingWrites: undefined,
+				isOpen: true,
+				customer: effect.customer,
+			};
 			server.sessions.add(session);
 			this.connections.set(effect.connection, {
 				id: effect.connection,
--- a/src/scenario/fleet/scripted-control.ts
+++ b/src/scenario/fleet/scripted-control.ts
@@ -19,6 +19,7 @@
 	readonly claimedServers: string[][] = [];
 	groups: types.GroupView[] = [];
 	templates: types.Template[] = [];
+	configuration: types.Configuration | undefined;
 	private appliedIndex = 1;
 	private readonly owners = new Map<ids.UpstreamId, ids.PeerId>();
 	private readonly epochs = new Map<ids.UpstreamId, types.Epoch>();
@@ -161,6 +162,10 @@
 			groups: this.groups,
 			owners: [...this.owners].map(([server, owner]) => ({server, owner})),
 			templates: this.templates,
+			...(this.configuration &&
+			(renewal.configurationVersion ?? 0) < this.configuration.version
+				? {configuration: this.configuration}
+				: {}),
 			confirmed: renewal.announcements.map(
 				({server, version}) => [server, version] as const,
 			),
--- a/src/scenario/fleet/small-fleet.ts
+++ b/src/scenario/fleet/small-fleet.ts
@@ -10,6 +10,7 @@
 import type * as context from '../../common/proxy/context.js';
 import * as reducer from '../../common/proxy/reducer.js';
 import type * as proxy from '../../common/proxy/types.js';
+import type * as templateStore from '../../common/proxy/template-store.js';
 import * as random from '../../common/random.js';
 import type * as types from '../../common/types.js';
 import * as fakeServer from './fake-server.js';
@@ -31,6 +32,7 @@
 	readonly parameters: types.TemplateParameters;
 	readonly seed: number;
 	readonly timing?: Partial<context.ProxyTiming>;
+	readonly parseConfiguration?: templateStore.ConfigurationParser;
 }): reducer.ProxyReducer {
 	const {parameters} = options;
 	return new reducer.ProxyReducer(
@@ -58,6 +60,9 @@
 					getParameters: () => parameters,
 				}),
 			parseTemplate: () => parameters,
+			...(options.parseConfiguration
+				? {parseConfiguration: options.parseConfiguration}
+				: {}),
 		},
 		random.createRandom(options.seed),
 	);
@@ -75,6 +80,7 @@
 		proxyCount: number,
 		parameters: types.TemplateParameters = policyTesting.buildParameters(),
 		timing: Partial<context.ProxyTiming> = {},
+		parseConfiguration?: templateStore.ConfigurationParser,
 	) {
 		this.control = new scriptedControl.ScriptedControl(
 			controlPeer,
@@ -92,7 +98,7 @@
 		];
 		this.servers = fakeServer.createGroup(this.group, this.timeline);
 		for (let index = 1; index <= proxyCount; index++) {
-			this.addProxy(index, parameters, timing);
+			this.addProxy(index, parameters, timing, parseConfiguration);
 		}
 
 		this.assignAll();
@@ -133,11 +139,14 @@
 		return result;
 	}
 
-	openSession(proxyIndex: number, token?: types.Position): ids.SessionId {
+	openSession(
+		proxyIndex: number,
+		attributes: Pick<proxy.SessionAttributes, 'key' | 'token'> = {},
+	): ids.SessionId {
 		return this.proxies[proxyIndex].openSession({
 			member: 'm' as ids.MemberId,
 			group: this.group,
-			...(token ? {token} : {}),
+			...attributes,
 		});
 	}
 
@@ -145,6 +154,7 @@
 		index: number,
 		parameters: types.TemplateParameters,
 		timing: Partial<context.ProxyTiming>,
+		parseConfiguration: templateStore.ConfigurationParser | undefined,
 	): void {
 		const peer = `p${index}` as ids.PeerId;
 		const process = new proxyProcess.ProxyProcess(
@@ -161,6 +171,7 @@
 					parameters,
 					seed: index + 1000 * incarnation,
 					timing,
+					...(parseConfiguration ? {parseConfiguration} : {}),
 				}),
 		);
 		this.links.addProcess(process);
