Count bytes and messages between peers by type and distance

Cause: bytes between regions are a price of their own, and neither a metric nor a measurement showed which messages cause them.

--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -265,6 +265,9 @@
 			readonly role: 'proxy' | 'control';
 			readonly incarnation: number;
 			readonly protocol: number;
+			readonly dataCentre?: string;
+			/** Empty when it is not known. */
+			readonly region?: string;
 	  }
 	| {readonly type: 'linkPing'; readonly sequence: number}
 	| {readonly type: 'linkPong'; readonly sequence: number};
--- a/src/common/metrics/metrics.ts
+++ b/src/common/metrics/metrics.ts
@@ -1,10 +1,11 @@
 /**
- * Collects the metrics of one process: requests per member and rank, counters and gauges. The
- * number of series is bounded, whatever names callers send.
+ * Collects the metrics of one process: requests per member and rank, counters, gauges, and the
+ * traffic with peers. The number of series is bounded, whatever names callers send.
  */
 import type * as proxy from '../proxy/types.js';
 import * as format from './prometheus.js';
 import * as series from './series.js';
+import * as trafficCounters from './traffic.js';
 import type * as metricsTypes from './types.js';
 
 const defaultLimits: metricsTypes.MetricsLimits = {
@@ -16,6 +17,7 @@
 const otherMember = 'other';
 
 export class Metrics {
+	readonly traffic = new trafficCounters.TrafficCounters();
 	private readonly members = new Set<string>();
 	private readonly seriesByKey = new Map<string, series.RequestSeries>();
 	private readonly counters = new Map<proxy.CounterName, number>();
@@ -77,6 +79,7 @@
 			counters: Object.fromEntries(this.counters),
 			gauges: Object.fromEntries(this.gauges),
 			replicaShare: reads === 0 ? null : byReplica / reads,
+			traffic: this.traffic.getSnapshot(),
 		};
 	}
 
@@ -86,6 +89,7 @@
 			[...this.seriesByKey.values()],
 			this.counters,
 			this.gauges,
+			this.traffic.getSnapshot(),
 		);
 	}
 
--- a/src/common/metrics/prometheus.ts
+++ b/src/common/metrics/prometheus.ts
@@ -2,6 +2,7 @@
  * The text format of Prometheus (exposition format 0.0.4).
  */
 import type * as series from './series.js';
+import type * as traffic from './traffic.js';
 
 const metricPrefix = 'hemlockarch';
 const quantiles = [0.5, 0.9, 0.99, 0.999] as const;
@@ -14,11 +15,12 @@
 	readonly value: number;
 };
 
-/** Formats request series, counters and gauges. */
+/** Formats request series, counters, gauges and the traffic with peers. */
 export function formatMetrics(
 	requestSeries: readonly series.RequestSeries[],
 	counters: ReadonlyMap<string, number>,
 	gauges: ReadonlyMap<string, number>,
+	peerTraffic: readonly traffic.TrafficSnapshot[],
 ): string {
 	const families = [
 		formatFamily(
@@ -95,6 +97,24 @@
 				{labels: {}, value},
 			]),
 		),
+		formatFamily(
+			'peer_messages_total',
+			'counter',
+			'Messages exchanged with peers.',
+			peerTraffic.map((item) => ({
+				labels: getTrafficLabels(item),
+				value: item.messages,
+			})),
+		),
+		formatFamily(
+			'peer_bytes_total',
+			'counter',
+			'Bytes of the messages exchanged with peers.',
+			peerTraffic.map((item) => ({
+				labels: getTrafficLabels(item),
+				value: item.bytes,
+			})),
+		),
 	];
 	return families.join('');
 }
@@ -103,6 +123,14 @@
 	return {member: item.member, rank: item.rank};
 }
 
+function getTrafficLabels({
+	direction,
+	distance,
+	type,
+}: traffic.TrafficSnapshot): Labels {
+	return {direction, distance, type};
+}
+
 function formatDurationSummary(
 	name: string,
 	help: string,
--- a/src/common/metrics/types.ts
+++ b/src/common/metrics/types.ts
@@ -2,6 +2,7 @@
  * Metrics of one process as plain data, for `GET /metrics.json`.
  */
 import type * as types from '../types.js';
+import type * as traffic from './traffic.js';
 
 /** Durations in ms. */
 export type HistogramSummary = {
@@ -37,6 +38,8 @@
 	readonly gauges: Readonly<Record<string, number>>;
 	/** Share of reads that a replica served, 0 to 1; null before the first read. */
 	readonly replicaShare: number | null;
+	/** Messages and bytes exchanged with peers since the start of the process. */
+	readonly traffic: readonly traffic.TrafficSnapshot[];
 };
 
 /** Limits on the number of series, whatever names callers send. */
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -71,6 +71,7 @@
 	dataFolder: string,
 ): Promise<controlTypes.ControlAdapters> {
 	const daemonLogger = logger.createLogger(settings.log);
+	const collected = new metrics.Metrics();
 	return {
 		clock: clock.systemClock,
 		logger: daemonLogger,
@@ -89,23 +90,30 @@
 					role: 'control',
 					incarnation: clock.systemClock.readWallClock(),
 					protocol: peerLinks.protocolVersion,
+					dataCentre: settings.process.dataCentre,
+					region: settings.process.region,
 				},
+				traffic: collected.traffic,
 				listener,
 				clock: clock.systemClock,
 				logger: daemonLogger,
 				random: Math.random,
 			}),
 		createHttp: (handler) =>
-			new httpServer.HttpServer(createEndpoints(handler), daemonLogger),
+			new httpServer.HttpServer(
+				createEndpoints(handler, collected),
+				daemonLogger,
+			),
 		random: Math.random,
 	};
 }
 
 function createEndpoints(
 	handler: controlTypes.ControlHandler,
+	collected: metrics.Metrics,
 ): http.DaemonEndpoints {
 	return {
-		metrics: new metrics.Metrics(),
+		metrics: collected,
 		readHealth: () => handler.readHealth(),
 		readStatus: () => handler.readStatus(),
 		startDrain() {
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -223,7 +223,10 @@
 				role: 'proxy',
 				incarnation,
 				protocol: peerLinks.protocolVersion,
+				dataCentre: this.settings.process.dataCentre,
+				region: this.settings.process.region,
 			},
+			traffic: this.metrics.traffic,
 			listener: {
 				handleMessage: this.driver.handlePeerMessage,
 				handleLinkChange: (peer, up) => {
--- a/src/node/peer/link-socket.ts
+++ b/src/node/peer/link-socket.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import type * as net from 'node:net';
 import type * as messages from '../../common/messages.js';
+import type * as traffic from '../../common/metrics/traffic.js';
 import * as frameReader from '../wire/frame-reader.js';
 import * as frameCodec from './frame-codec.js';
 import type * as linkTicker from './link-ticker.js';
@@ -20,6 +21,12 @@
 	handleDrain(): void;
 	/** A message was dropped because its frame exceeds `frameBytes`. */
 	handleOversizeMessage(type: string, size: number): void;
+	/** Counts the frame of a message that is sent or was received. */
+	recordFrame(
+		direction: traffic.TrafficDirection,
+		type: messages.PeerMessage['type'],
+		bytes: number,
+	): void;
 };
 
 /** Sends and receives frames on a connected socket. */
@@ -71,6 +78,7 @@
 			return false;
 		}
 
+		this.handler.recordFrame('sent', message.type, frame.length);
 		this.#queuedFrames.push(frame);
 		this.#queuedBytes += frame.length;
 		const buffered = this.#queuedBytes + this.socket.writableLength;
@@ -190,6 +198,11 @@
 			return;
 		}
 
+		this.handler.recordFrame(
+			'received',
+			decoded.value.type,
+			frameCodec.prefixBytes + payload.length,
+		);
 		this.handler.handleMessage(decoded.value);
 	}
 }
--- a/src/node/peer/message-shapes.ts
+++ b/src/node/peer/message-shapes.ts
@@ -141,6 +141,8 @@
 		role: text,
 		incarnation: count,
 		protocol: count,
+		dataCentre: shape.createOptional(text),
+		region: shape.createOptional(text),
 	}),
 	ping: probe,
 	pingRequest: targetedProbe,
--- a/src/node/peer/peer-connection.ts
+++ b/src/node/peer/peer-connection.ts
@@ -5,6 +5,7 @@
 import type * as net from 'node:net';
 import {assertNever} from '../../common/assert-never.js';
 import type * as messages from '../../common/messages.js';
+import * as traffic from '../../common/metrics/traffic.js';
 import type * as node from '../types.js';
 import * as linkProbe from './link-probe.js';
 import * as linkSocket from './link-socket.js';
@@ -17,6 +18,8 @@
 	readonly limits: types.LinkLimits;
 	readonly clock: node.Clock;
 	readonly ticker: linkTicker.LinkTicker;
+	readonly location: traffic.Location;
+	readonly traffic: traffic.TrafficCounters | undefined;
 	/** Interval of the probes of a connection on which no answer is outstanding, in ms. */
 	readIdleProbeInterval(): number;
 	/** Is told that a peer did not answer a probe. */
@@ -40,6 +43,7 @@
 	readonly #openedAt: number;
 	#isGreeted = false;
 	#isUsedByPeer = false;
+	#distance: traffic.Distance = 'unknown';
 
 	constructor(
 		socket: net.Socket,
@@ -63,6 +67,9 @@
 			handleOversizeMessage(type, size) {
 				handler.handleOversizeMessage(type, size);
 			},
+			recordFrame: (direction, type, bytes) => {
+				environment.traffic?.record(direction, this.#distance, type, bytes);
+			},
 		});
 		this.#ticks = ticker.add(() => {
 			this.#handleTick();
@@ -126,6 +133,10 @@
 				this.close('duplicate hello');
 			} else {
 				this.#isGreeted = true;
+				this.#distance = traffic.classifyDistance(
+					this.environment.location,
+					message,
+				);
 				this.handler.handleHello(message);
 			}
 
--- a/src/node/peer/peer-links.ts
+++ b/src/node/peer/peer-links.ts
@@ -49,6 +49,8 @@
 			),
 			readIdleProbeInterval: () =>
 				this.#probeSchedule.readInterval(this.#links.size, options.clock.now()),
+			location: options.hello,
+			traffic: options.traffic,
 			handleSilentPeer: () => {
 				this.#probeSchedule.recordSilence(options.clock.now());
 			},
--- a/src/node/peer/types.ts
+++ b/src/node/peer/types.ts
@@ -3,6 +3,7 @@
  */
 import type * as ids from '../../common/ids.js';
 import type * as messages from '../../common/messages.js';
+import type * as traffic from '../../common/metrics/traffic.js';
 import type * as node from '../types.js';
 
 /** First message of each side on a connection; it identifies the sender. */
@@ -21,6 +22,8 @@
 	/** Returns a random number in [0, 1), used for the jitter of reconnect delays. */
 	readonly random: () => number;
 	readonly limits?: Partial<LinkLimits>;
+	/** Counts the messages and bytes of all links. */
+	readonly traffic?: traffic.TrafficCounters;
 };
 
 /** Times in ms and sizes in bytes. */
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -1141,6 +1141,17 @@
 	readonly gauges: Readonly<Record<string, number>>;
 	/** Share of reads that a replica served, 0 to 1; null before the first read. */
 	readonly replicaShare: number | null;
+	/** Messages and bytes exchanged with peers since the start of the process. */
+	readonly traffic: readonly TrafficSnapshot[];
+};
+/** Messages and bytes of one type that were exchanged with peers at one distance. */
+export type TrafficSnapshot = {
+	readonly direction: 'sent' | 'received';
+	readonly distance:
+		'dataCentre' | 'region' | 'otherRegion' | 'otherDataCentre' | 'unknown';
+	readonly type: string;
+	readonly messages: number;
+	readonly bytes: number;
 };
 /** Limits on the number of series, whatever names callers send. */
 export type MetricsLimits = {
@@ -1148,8 +1159,19 @@
 	readonly maxMembers: number;
 	readonly maxGauges: number;
 };
+/** Counts the messages and bytes exchanged with peers. */
+export type TrafficCounters = {
+	record(
+		direction: TrafficSnapshot['direction'],
+		distance: TrafficSnapshot['distance'],
+		type: string,
+		bytes: number,
+	): void;
+	getSnapshot(): TrafficSnapshot[];
+};
 /** Metrics of one process, with a bounded number of series. */
 export class Metrics {
+	readonly traffic: TrafficCounters;
 	constructor(limits?: Partial<MetricsLimits>);
 	recordRequest(record: RequestRecord): void;
 	countEvent(name: CounterName, amount?: number): void;
