Estimate the round trip to an owner by its data centre

Cause: until an owner was probed, which takes 37 s for a round of 74 peers, an entry took each owner in another data centre as 20 ms away. A server in the own region and one across the country then cost the same. An entry that owns a far server counted it as 0 ms away. Done: each probe also updates the round trip to the data centre of the peer, which follows its fastest peers. The path through an owner in another data centre than its server counts both parts. The test of the membership failed before (undefined).

--- a/src/common/membership/membership.test.ts
+++ b/src/common/membership/membership.test.ts
@@ -82,6 +82,10 @@
 		}
 	}
 
+	listMemberships(): membership.Membership[] {
+		return [...this.#peers.values()];
+	}
+
 	/** Counts the pairs in which one peer does not consider the other one alive. */
 	countDisagreements(): number {
 		let count = 0;
@@ -154,3 +158,13 @@
 		t.equal(network.countDisagreements(), 0, `${count} peers agree again`);
 	}
 });
+
+// Guards against reads that cross regions because most owners were not probed yet: with 74 peers, a
+// round of probes takes 37 s.
+tap.test('one probe tells how far its data centre is', async (t) => {
+	const network = new Network(3);
+	network.run(400);
+	const [peer] = network.listMemberships();
+	t.equal(peer.getRoundTrip('p1' as ids.PeerId), 2 * hopMs);
+	t.equal(peer.getRoundTrip('p2' as ids.PeerId), 2 * hopMs);
+});
--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -40,6 +40,11 @@
 
 /** Weight of a new sample in the smoothed round trip time. */
 const roundTripGain = 0.2;
+/**
+ * Weight of a longer sample in the round trip to a data centre. That one follows the fastest peers,
+ * because the others add their own delays to the path.
+ */
+const pathRiseGain = 0.05;
 
 /** Callbacks from a `Membership` to the code that uses it. */
 export type MembershipListener = {
@@ -87,6 +92,7 @@
 	private nextSyncAt: number | undefined;
 	private currentSyncIntervalMs = firstSyncIntervalMs;
 	private readonly lostLinks = new Set<ids.PeerId>();
+	private readonly roundTrips = new Map<ids.DataCentre, number>();
 	private regainedSyncs = regainedSyncBurst;
 	private regainedSyncsAt = 0;
 	private lastExpiryAt = Number.NEGATIVE_INFINITY;
@@ -127,9 +133,21 @@
 		return this.peers.get(peer)?.state;
 	}
 
-	/** Smoothed round trip to a peer in ms; undefined before the first ack of a direct probe. */
+	/**
+	 * Smoothed round trip to a peer in ms, or that to its data centre until the peer was probed;
+	 * undefined before both are known.
+	 */
 	getRoundTrip(peer: ids.PeerId): number | undefined {
-		return this.peers.get(peer)?.roundTripMs;
+		const known = this.peers.get(peer);
+		return (
+			known &&
+			(known.roundTripMs ?? this.getDataCentreRoundTrip(known.state.dataCentre))
+		);
+	}
+
+	/** Round trip to the peers of a data centre in ms; undefined before the first ack from there. */
+	getDataCentreRoundTrip(dataCentre: ids.DataCentre): number | undefined {
+		return this.roundTrips.get(dataCentre);
 	}
 
 	/** Queues a delta for the next probes. */
@@ -316,12 +334,21 @@
 
 	private recordRoundTrip(peer: ids.PeerId, sampleMs: number): void {
 		const known = this.peers.get(peer);
-		if (known) {
-			known.roundTripMs =
-				known.roundTripMs === undefined
-					? sampleMs
-					: known.roundTripMs + roundTripGain * (sampleMs - known.roundTripMs);
+		if (!known) {
+			return;
 		}
+
+		const {dataCentre} = known.state;
+		const nearestMs = this.roundTrips.get(dataCentre) ?? sampleMs;
+		this.roundTrips.set(
+			dataCentre,
+			sampleMs < nearestMs
+				? sampleMs
+				: nearestMs + pathRiseGain * (sampleMs - nearestMs),
+		);
+		// The first probe of a peer may include the setup of the connection.
+		const previousMs = known.roundTripMs ?? nearestMs;
+		known.roundTripMs = previousMs + roundTripGain * (sampleMs - previousMs);
 	}
 
 	private suspect(peer: ids.PeerId, now: number): void {
--- a/src/common/proxy/candidates.ts
+++ b/src/common/proxy/candidates.ts
@@ -3,6 +3,7 @@
  * others through the reports of their owners.
  */
 import type * as ids from '../ids.js';
+import type * as membershipService from '../membership/membership.js';
 import type * as policy from '../policy/types.js';
 import type * as types from '../types.js';
 import type * as context from './context.js';
@@ -27,7 +28,10 @@
 		private readonly context: context.ProxyContext,
 		private readonly directory: directory.Directory,
 		private readonly owner: owner.Owner,
-		private readonly readRoundTrip: (peer: ids.PeerId) => number | undefined,
+		private readonly membership: Pick<
+			membershipService.Membership,
+			'getPeer' | 'getRoundTrip' | 'getDataCentreRoundTrip'
+		>,
 	) {}
 
 	getOwner(server: ids.UpstreamId): ids.PeerId | undefined {
@@ -120,7 +124,10 @@
 			applied: server.getAppliedPosition() ?? {term: 0, offset: 0},
 			stalenessMs: this.owner.rules.computeStaleness(server),
 			expectedWaitMs: server.scheduler.estimateWait(rank, now),
-			roundTripMs: 0,
+			roundTripMs:
+				announcement.dataCentre === this.context.config.dataCentre
+					? 0
+					: this.estimateDataCentreRoundTrip(announcement.dataCentre),
 			departing: announcement.departing,
 			writable: this.owner.rules.isWritable(server),
 			reportAgeMs: answerAgeMs,
@@ -180,14 +187,31 @@
 		};
 	}
 
+	/**
+	 * Round trip to a server through its owner. For an owner in another data centre than the server, the
+	 * part between them is at least the difference of the round trips to both.
+	 */
 	private estimateRoundTrip(
 		peer: ids.PeerId,
 		dataCentre: ids.DataCentre,
 	): number {
+		const ownerDataCentre = this.membership.getPeer(peer)?.dataCentre;
+		const ownerMs =
+			this.membership.getRoundTrip(peer) ??
+			this.estimateDataCentreRoundTrip(ownerDataCentre ?? dataCentre);
+		return ownerDataCentre === undefined || ownerDataCentre === dataCentre
+			? ownerMs
+			: ownerMs +
+					Math.abs(this.estimateDataCentreRoundTrip(dataCentre) - ownerMs);
+	}
+
+	private estimateDataCentreRoundTrip(dataCentre: ids.DataCentre): number {
 		const assumedRoundTripMs =
 			dataCentre === this.context.config.dataCentre
 				? 1
 				: defaultRemoteRoundTripMs;
-		return this.readRoundTrip(peer) ?? assumedRoundTripMs;
+		return (
+			this.membership.getDataCentreRoundTrip(dataCentre) ?? assumedRoundTripMs
+		);
 	}
 }
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -110,7 +110,7 @@
 			this.context,
 			this.directory,
 			this.owner,
-			(peer) => this.membership.getRoundTrip(peer),
+			this.membership,
 		);
 		this.reports = new reportPublisher.ReportPublisher(
 			this.context,
--- a/src/scenario/fleet/small-fleet.ts
+++ b/src/scenario/fleet/small-fleet.ts
@@ -31,6 +31,7 @@
 	readonly parameters: types.TemplateParameters;
 	readonly seed: number;
 	readonly timing?: Partial<context.ProxyTiming>;
+	readonly routing?: routing.RoutingOptions;
 }): reducer.ProxyReducer {
 	const {parameters} = options;
 	return new reducer.ProxyReducer(
@@ -49,7 +50,7 @@
 			...(options.timing ? {timing: options.timing} : {}),
 		},
 		{
-			routing: new routing.LeastWaitRoutingPolicy(),
+			routing: new routing.LeastWaitRoutingPolicy(options.routing),
 			retryBudget: new retryBudget.SuccessRetryBudget(),
 			hedging: new hedgeDelay.HedgeDelayEstimator(),
 			createScheduler: (slots) =>
