Send a report when the last one said it would come

Cause: a report names the time to the next one, computed from the number of subscribers. While 74 entries subscribe at the same time, the first ones are told a few hundred ms and the next report comes after 7.4 s. In between they count the growing delay as staleness of the replica, wait for it, or read in another region. Done: the publisher keeps the earliest time it has named and reports to all subscribers at that time. The test of the publisher failed before (0 reports).

--- a/src/common/proxy/report-publisher.test.ts
+++ b/src/common/proxy/report-publisher.test.ts
@@ -57,6 +57,11 @@
 		this.#servers.set(id, server);
 	}
 
+	subscribe(peer: ids.PeerId): void {
+		this.#context.setLink(peer, true);
+		this.publisher.handleSubscribe(peer, group);
+	}
+
 	removeServer(): void {
 		this.#servers.clear();
 	}
@@ -116,3 +121,20 @@
 	t.equal(harness.countReports(2 * renewalMs), 1);
 	t.equal(harness.countReports(2 * renewalMs), 0);
 });
+
+// Guards against entries that count the reports as overdue, and read in other regions, because more
+// entries have subscribed since they were told when the next report comes.
+tap.test('a report comes when the last one said so', async (t) => {
+	const harness = new PublisherHarness();
+	harness.addServer();
+	harness.countReports(1000, () => {
+		harness.subscribe(entry);
+	});
+	harness.countReports(0, () => {
+		for (let index = 0; index < 60; index++) {
+			harness.subscribe(`p${index + 10}` as ids.PeerId);
+		}
+	});
+	t.equal(harness.countReports(200), 61);
+	t.equal(harness.countReports(200), 0, 'then with the longer interval');
+});
--- a/src/common/proxy/report-publisher.ts
+++ b/src/common/proxy/report-publisher.ts
@@ -29,6 +29,8 @@
 	>();
 
 	private readonly sentReports = new WeakMap<owned.OwnedServer, SentReport>();
+	/** The earliest time that a report since the last one to all subscribers has named for the next. */
+	private readonly promisedAt = new WeakMap<owned.OwnedServer, number>();
 	private readonly stalenessPeaks = new WeakMap<
 		owned.OwnedServer,
 		stalenessPeak.StalenessPeak
@@ -57,7 +59,17 @@
 
 		const reports = [...this.owner.servers.values()]
 			.filter((server) => server.group === group)
-			.map((server) => this.createReport(server));
+			.map((server) => {
+				const report = this.createReport(server);
+				this.promisedAt.set(
+					server,
+					Math.min(
+						this.promisedAt.get(server) ?? Infinity,
+						this.context.now + report.nextReportMs,
+					),
+				);
+				return report;
+			});
 		if (reports.length > 0) {
 			this.context.send(from, {type: 'serverReports', reports});
 		}
@@ -83,7 +95,7 @@
 		for (const server of this.owner.servers.values()) {
 			const report = this.createReport(server);
 			if (this.isReportDue(server, report)) {
-				this.sentReports.set(server, {report, sentAt: now});
+				this.recordSentReport(server, report);
 				for (const peer of this.listSubscribers(server)) {
 					const reports = reportsBySubscriber.get(peer);
 					if (reports) {
@@ -103,12 +115,21 @@
 	/** Sends a report to all subscribers at once, for example when writes become possible. */
 	sendReport(server: owned.OwnedServer): void {
 		const report = this.createReport(server);
-		this.sentReports.set(server, {report, sentAt: this.context.now});
+		this.recordSentReport(server, report);
 		for (const peer of this.listSubscribers(server)) {
 			this.context.send(peer, {type: 'serverReports', reports: [report]});
 		}
 	}
 
+	private recordSentReport(
+		server: owned.OwnedServer,
+		report: messages.ServerReport,
+	): void {
+		const {now} = this.context;
+		this.sentReports.set(server, {report, sentAt: now});
+		this.promisedAt.set(server, now + report.nextReportMs);
+	}
+
 	private listSubscribers(server: owned.OwnedServer): Iterable<ids.PeerId> {
 		return this.subscriptions.get(server.group)?.keys() ?? [];
 	}
@@ -144,6 +165,12 @@
 			return true;
 		}
 
+		// Entries count an overdue report as growing staleness. While subscribers are added, the interval
+		// grows beyond what the first ones were told.
+		if (this.context.now >= (this.promisedAt.get(server) ?? Infinity)) {
+			return true;
+		}
+
 		const intervalMs = reportSchedule.computeReportInterval(
 			this.countSubscribers(server),
 			reportSchedule.classifyChange(sent.report, report),
