Accept keys only while control confirms the configuration

Cause: a proxy that was cut off, stopped or frozen went on accepting a key that a newer configuration had withdrawn. Done: a grant confirms the configuration from the time at which its renewal was sent, if what it carries is in force. A restarted process starts without a confirmation. The checks of new sessions move to session-admission.ts.

--- a/src/common/proxy/caller-access.ts
+++ b/src/common/proxy/caller-access.ts
@@ -2,13 +2,22 @@
  * Decides as which customer the requests of a session run. Each request is checked against the
  * configuration in force, because a key may have been added, withdrawn or moved to another customer, and
  * a route may have become open or closed, since the session was opened.
+ *
+ * A proxy that is out of touch with control cannot know whether a key was withdrawn. It accepts keys only
+ * for `keyConfirmationLimitMs` after the control leader has confirmed that no newer configuration is
+ * committed. The confirmation dates from the time at which the renewal that it answers was sent, so
+ * whatever was acknowledged to an operator before is in force. The clock includes the time in which the
+ * process or its VM did not run.
  */
 import type * as ids from '../ids.js';
+import type * as messages from '../messages.js';
 import type * as types from '../types.js';
 import type * as context from './context.js';
 import type * as entryState from './entry-state.js';
 import type * as templateStore from './template-store.js';
 
+const part = 'access';
+
 /** Why a caller is refused. */
 export type AccessProblem = {
 	readonly reason: types.RefusalReason;
@@ -24,17 +33,59 @@
 	| ({readonly type: 'refused'} & AccessProblem);
 
 export class CallerAccess {
+	/** Monotonic time from which the configuration in force is known to be the newest. */
+	private confirmedAt = Number.NEGATIVE_INFINITY;
+	private isRefusingKeys = false;
+
 	constructor(
 		private readonly context: context.ProxyContext,
 		private readonly templates: templateStore.TemplateStore,
 	) {}
 
+	/** True while a withdrawal of a key would be known here, or is too recent to matter. */
+	get canConfirmKeys(): boolean {
+		return (
+			this.context.now - this.confirmedAt <
+			this.context.timing.keyConfirmationLimitMs
+		);
+	}
+
+	/**
+	 * Records a grant of a leader whose lease is valid. It carries the configuration and the templates
+	 * that are newer than those that its renewal named; when one of them is not in force, the grant
+	 * confirms nothing.
+	 *
+	 * @param renewalSentAt - Time at which the latest answered renewal was sent.
+	 */
+	recordGrant(
+		grant: Extract<messages.ControlMessage, {type: 'leaseGranted'}>,
+		renewalSentAt: number,
+	): void {
+		const {templates} = this;
+		const isConfigurationInForce =
+			(grant.configuration?.version ?? 0) <=
+			(templates.configuration?.version ?? 0);
+		const areTemplatesInForce = grant.templates.every(
+			({member, version}) => version <= templates.getVersion(member),
+		);
+		if (isConfigurationInForce && areTemplatesInForce) {
+			this.confirmedAt = Math.max(this.confirmedAt, renewalSentAt);
+		}
+	}
+
 	/** Identifies the customer that holds a key, on the route of a member. */
 	identifyCustomer(
 		member: ids.MemberId,
 		key: ids.KeyDigest | undefined,
 	): Identification {
 		const {isOpen, customerByKey} = this.templates.getAccess(member);
+		if (!this.canConfirmKeys) {
+			return isOpen
+				? {type: 'accepted', customer: undefined}
+				: {type: 'refused', ...this.buildUnconfirmedProblem()};
+		}
+
+		this.isRefusingKeys = false;
 		const customer = key === undefined ? undefined : customerByKey.get(key);
 		if (customer === undefined && !isOpen) {
 			this.context.count('unknownKeys');
@@ -66,13 +117,35 @@
 
 		const {customer} = identification;
 		if (session.binding && customer !== session.customer) {
-			return {
-				reason: 'unknownKey',
-				message: 'the key no longer belongs to the customer of the transaction',
-			};
+			return this.canConfirmKeys
+				? {
+						reason: 'unknownKey',
+						message:
+							'the key no longer belongs to the customer of the transaction',
+					}
+				: this.buildUnconfirmedProblem();
 		}
 
 		session.customer = customer;
 		return undefined;
 	}
+
+	/** The caller may be served elsewhere, so its key does not count as unknown. */
+	private buildUnconfirmedProblem(): AccessProblem {
+		this.context.count('unconfirmedKeys');
+		if (!this.isRefusingKeys) {
+			this.isRefusingKeys = true;
+			this.context.log('warn', part, 'Keys of customers are refused', {
+				confirmationAgeMs: Number.isFinite(this.confirmedAt)
+					? Math.round(this.context.now - this.confirmedAt)
+					: undefined,
+				limitMs: this.context.timing.keyConfirmationLimitMs,
+			});
+		}
+
+		return {
+			reason: 'noServer',
+			message: 'control has not confirmed the keys of customers for too long',
+		};
+	}
 }
--- a/src/common/proxy/context.ts
+++ b/src/common/proxy/context.ts
@@ -57,6 +57,11 @@
 	readonly startGraceMs: number;
 	/** A transaction that holds a connection without any request for this long is rolled back. */
 	readonly boundIdleLimitMs: number;
+	/**
+	 * Keys of customers are accepted for this long after the last confirmation that the configuration is
+	 * the newest. A withdrawn key works no longer than this anywhere.
+	 */
+	readonly keyConfirmationLimitMs: number;
 };
 
 const defaultTiming: ProxyTiming = {
@@ -71,6 +76,7 @@
 	minorityGrantLimitMs: Infinity,
 	startGraceMs: 0,
 	boundIdleLimitMs: Infinity,
+	keyConfirmationLimitMs: 4000,
 };
 
 export class ProxyContext {
--- a/src/common/proxy/entry-replies.ts
+++ b/src/common/proxy/entry-replies.ts
@@ -70,17 +70,30 @@
 			return;
 		}
 
-		this.context.emit({
-			type: 'closeSession',
-			session: session.id,
-			sqlState: refusals.connectionLostSqlState,
-			message: 'the transaction was rolled back because its connection is gone',
-		});
 		this.context.log(
 			'info',
 			part,
 			'Closed a session whose transaction was lost',
 		);
+		this.closeSession(
+			session,
+			refusals.connectionLostSqlState,
+			'the transaction was rolled back because its connection is gone',
+		);
+	}
+
+	/** Ends a session and tells its caller why. */
+	closeSession(
+		session: entryState.Session,
+		sqlState: string,
+		message: string,
+	): void {
+		this.context.emit({
+			type: 'closeSession',
+			session: session.id,
+			sqlState,
+			message,
+		});
 		this.forgetSession(session.id);
 	}
 
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -19,6 +19,7 @@
 import * as refusals from './refusals.js';
 import * as requestRouter from './request-router.js';
 import * as requestTable from './request-table.js';
+import * as sessionAdmission from './session-admission.js';
 import type * as templateStore from './template-store.js';
 import type * as proxy from './types.js';
 
@@ -35,7 +36,7 @@
 export class Entry {
 	readonly sessions = new Map<ids.SessionId, entryState.Session>();
 	readonly pendingRequests: pendingRequests.PendingRequests;
-	private readonly sessionCounts = new Map<ids.MemberId, number>();
+	private readonly admission: sessionAdmission.SessionAdmission;
 	private readonly table: requestTable.RequestTable;
 	private readonly replies: entryReplies.EntryReplies;
 	private readonly router: requestRouter.RequestRouter;
@@ -50,6 +51,11 @@
 		private readonly access: callerAccess.CallerAccess,
 		private readonly services: EntryServices,
 	) {
+		this.admission = new sessionAdmission.SessionAdmission(
+			context,
+			templates,
+			access,
+		);
 		this.table = new requestTable.RequestTable(context);
 		this.replies = new entryReplies.EntryReplies(
 			context,
@@ -98,7 +104,8 @@
 		attributes: proxy.SessionAttributes,
 		refusal: {reason: types.RefusalReason; message: string} | undefined,
 	): void {
-		const problem = refusal ?? this.checkSession(attributes);
+		const problem =
+			refusal ?? this.admission.checkSession(attributes, this.sessions.size);
 		if (problem) {
 			this.context.emit({
 				type: 'closeSession',
@@ -109,7 +116,7 @@
 			return;
 		}
 
-		requestTable.addCount(this.sessionCounts, attributes.member, 1);
+		this.admission.countSession(attributes.member, 1);
 		this.sessions.set(id, {
 			id,
 			member: attributes.member,
@@ -133,7 +140,7 @@
 		}
 
 		this.sessions.delete(id);
-		requestTable.addCount(this.sessionCounts, session.member, -1);
+		this.admission.countSession(session.member, -1);
 		const {request} = session;
 		if (request) {
 			for (const attempt of request.attempts.values()) {
@@ -182,7 +189,7 @@
 			this.replies.refuse(
 				request,
 				'noTemplate',
-				describeMissingTemplate(session.member),
+				sessionAdmission.describeMissingTemplate(session.member),
 			);
 			return;
 		}
@@ -397,13 +404,11 @@
 	closeIdleSessions(includeBound: boolean): void {
 		for (const session of this.sessions.values()) {
 			if (!session.request && (includeBound || !session.binding)) {
-				this.context.emit({
-					type: 'closeSession',
-					session: session.id,
-					sqlState: refusals.adminShutdownSqlState,
-					message: 'the proxy is shutting down; connect again',
-				});
-				this.closeSession(session.id);
+				this.replies.closeSession(
+					session,
+					refusals.adminShutdownSqlState,
+					'the proxy is shutting down; connect again',
+				);
 			}
 		}
 	}
@@ -420,52 +425,31 @@
 		return session.parameters;
 	}
 
-	private checkSession(
-		attributes: proxy.SessionAttributes,
-	): callerAccess.AccessProblem | undefined {
-		const {member, key} = attributes;
-		const parameters = this.templates.getParameters(member);
-		if (!parameters) {
-			return {
-				reason: 'noTemplate',
-				message: describeMissingTemplate(member),
-			};
-		}
-
-		const identification = this.access.identifyCustomer(member, key);
-		if (identification.type === 'refused') {
-			return identification;
-		}
-
-		const count = this.sessionCounts.get(member) ?? 0;
-		if (
-			count >= parameters.maxSessions ||
-			this.sessions.size >= this.context.config.maxSessions
-		) {
-			return {
-				reason: 'memberLimit',
-				message: 'too many sessions at this proxy',
-			};
-		}
-
-		return undefined;
-	}
-
-	/** Refuses a request whose caller may not send it, rolls back its transaction and ends the session. */
+	/**
+	 * Refuses a request whose caller may not send it and rolls back its transaction. An unknown key also
+	 * ends the session.
+	 */
 	private refuseCaller(
 		request: entryState.EntryRequest,
 		{reason, message}: callerAccess.AccessProblem,
 	): void {
 		const {session} = request;
+		const wasBound = session.binding !== undefined;
 		this.releaseBinding(session);
 		this.replies.refuse(request, reason, message);
-		this.context.emit({
-			type: 'closeSession',
-			session: session.id,
-			sqlState: refusals.getRefusalSqlState(reason),
+		if (reason !== 'unknownKey') {
+			if (wasBound) {
+				this.replies.endLostSession(session);
+			}
+
+			return;
+		}
+
+		this.replies.closeSession(
+			session,
+			refusals.getRefusalSqlState(reason),
 			message,
-		});
-		this.closeSession(session.id);
+		);
 	}
 
 	private createRequest(
@@ -513,7 +497,3 @@
 		}
 	}
 }
-
-function describeMissingTemplate(member: ids.MemberId): string {
-	return `member "${member.slice(0, 64)}" has no template`;
-}
--- a/src/common/proxy/lease-client.ts
+++ b/src/common/proxy/lease-client.ts
@@ -35,6 +35,8 @@
 	/** Highest index of the control log that this proxy has applied. */
 	knownIndex = 0;
 	lastGrantAt = 0;
+	/** Monotonic time at which the latest renewal that a grant has answered was sent. */
+	answeredRenewalAt = Number.NEGATIVE_INFINITY;
 	/** Version of the owners list that this proxy has applied. */
 	private ownersVersion: types.Epoch | undefined;
 	private leader: ids.PeerId | undefined;
@@ -134,6 +136,7 @@
 		this.leader = from;
 		this.lastAnswerAt = this.context.now;
 		this.lastGrantAt = this.context.now;
+		this.answeredRenewalAt = Math.max(this.answeredRenewalAt, sentAt);
 		this.expiresAt = Math.max(
 			this.expiresAt,
 			sentAt + grant.durationMs * (1 - maxClockDrift),
--- a/src/common/proxy/peer-messages.ts
+++ b/src/common/proxy/peer-messages.ts
@@ -7,6 +7,7 @@
 import type * as membershipService from '../membership/membership.js';
 import type * as messages from '../messages.js';
 import type * as types from '../types.js';
+import type * as callerAccess from './caller-access.js';
 import type * as context from './context.js';
 import type * as directory from './directory.js';
 import type * as entry from './entry.js';
@@ -23,6 +24,7 @@
 
 /** The parts of the reducer that messages concern. */
 export type MessageRecipients = {
+	readonly access: callerAccess.CallerAccess;
 	readonly directory: directory.Directory;
 	readonly entry: entry.Entry;
 	readonly lease: leaseClient.LeaseClient;
@@ -222,6 +224,7 @@
 			this.mergeConfiguration(grant.configuration);
 		}
 
+		this.parts.access.recordGrant(grant, this.parts.lease.answeredRenewalAt);
 		this.parts.ownership.applyGrants(from, grant.owned);
 		for (const server of this.parts.owner.servers.values()) {
 			this.parts.owner.dispatcher.dispatchRequests(server);
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -118,13 +118,14 @@
 			this.context,
 			this.owner,
 		);
+		const access = new callerAccess.CallerAccess(this.context, this.templates);
 		this.entry = new entry.Entry(
 			this.context,
 			this.directory,
 			this.templates,
 			this.candidates,
 			this.positionClient,
-			new callerAccess.CallerAccess(this.context, this.templates),
+			access,
 			services,
 		);
 		this.poller = new poller.Poller(
@@ -161,6 +162,7 @@
 			() => this.health.listSampledPeers(),
 		]);
 		this.peerMessages = new peerMessages.PeerMessageHandler(this.context, {
+			access,
 			directory: this.directory,
 			entry: this.entry,
 			lease: this.lease,
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -422,7 +422,8 @@
 	| 'hedges'
 	| 'internalErrors'
 	| 'templateUpdates'
-	| 'unknownKeys';
+	| 'unknownKeys'
+	| 'unconfirmedKeys';
 
 /** Measurements of one request at its entry. Durations in ms. */
 export type RequestRecord = {
--- a/src/scenario/fleet/customer-fleet.ts
+++ b/src/scenario/fleet/customer-fleet.ts
@@ -12,6 +12,8 @@
 export type CustomerKeys = Readonly<Record<string, readonly string[]>>;
 
 const settleMs = 1000;
+/** Reads are served without control for this long, unless the key of their caller prevents it. */
+const toleratedStalenessMs = 600_000;
 
 export class CustomerFleet extends smallFleet.SmallFleet {
 	private version = 0;
@@ -21,7 +23,10 @@
 		keys: CustomerKeys,
 		timing: Partial<context.ProxyTiming> = {},
 	) {
-		const parameters = policyTesting.buildParameters();
+		const parameters = {
+			...policyTesting.buildParameters(),
+			stalenessMs: toleratedStalenessMs,
+		};
 		super(proxyCount, parameters, timing, (text) =>
 			buildRouteSet(JSON.parse(text) as CustomerKeys, parameters),
 		);
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -527,7 +527,8 @@
 	| 'hedges'
 	| 'internalErrors'
 	| 'templateUpdates'
-	| 'unknownKeys';
+	| 'unknownKeys'
+	| 'unconfirmedKeys';
 /** Measurements of one request at its entry. Durations in ms. */
 export type RequestRecord = {
 	readonly member: MemberId;
@@ -589,6 +590,11 @@
 	readonly startGraceMs: number;
 	/** A transaction that holds a connection without any request for this long is rolled back. */
 	readonly boundIdleLimitMs: number;
+	/**
+	 * Keys of customers are accepted for this long after the last confirmation that the configuration is
+	 * the newest. A withdrawn key works no longer than this anywhere.
+	 */
+	readonly keyConfirmationLimitMs: number;
 };
 /** The decisions that a driver may replace. Source: "Mechanisms". */
 export type ProxyServices = {
