Share slots among customers and keep their order within the shares

Cause: the queue of a server shared slot time by member. On the new deployments all customers use a few members, so the flood of one customer cost its neighbours. Deficit round robin also let a new request of an idle flow wait for two rounds of all backlogged ones. Done: rank-queue.ts holds a flow for each customer, or member where requests have none, with virtual times; requests run in order of arrival while their flow keeps to its share, first when it is far behind it and last when it is ahead. Queue limits hold for each flow, costs and expected times come from the member, and the expected wait of a flow that is ahead counts those that will overtake it. The weight of a customer is its agreed rate. The owner passes the customer of a forwarded request on.

--- a/src/bench/reducer-system.ts
+++ b/src/bench/reducer-system.ts
@@ -242,6 +242,8 @@
 					new ServerAdmissionScheduler({
 						slots,
 						getParameters: (member) => reducer.templates.getParameters(member),
+						getCustomerWeight: (customer) =>
+							reducer.templates.getCustomerWeight(customer),
 					}),
 				parseTemplate: () => parameters,
 			},
--- a/src/common/policy/admission.test.ts
+++ b/src/common/policy/admission.test.ts
@@ -129,3 +129,21 @@
 
 	t.ok(taken);
 });
+
+// Guards against shares that are lost when a flow expires while its statement runs.
+tap.test('a statement may outlast its flow', async (t) => {
+	const scheduler = buildScheduler();
+	scheduler.offer(buildRequest('normal', 60_000), 0);
+	const long = scheduler.take(0)!;
+	scheduler.take(20_000);
+	scheduler.complete(long, 21_000, 21_000);
+	const later = ['a', 'b'].map((member) =>
+		buildRequest('normal', 900_000, member),
+	);
+	for (const request of later) {
+		t.equal(scheduler.offer(request, 22_000).type, 'queued');
+	}
+
+	t.same([scheduler.take(22_000), scheduler.take(22_000)], later);
+	t.ok(Number.isFinite(scheduler.estimateWait('normal', 22_000)));
+});
--- a/src/common/policy/admission.ts
+++ b/src/common/policy/admission.ts
@@ -1,6 +1,6 @@
 /**
  * Schedules the requests of one database server: more urgent ranks run first, every rank keeps a
- * floor of slot time, the members of a rank get fair shares, and a request that cannot finish by
+ * floor of slot time, the customers of a rank get fair shares, and a request that cannot finish by
  * its deadline is refused immediately. `offer` and `take` cost O(log n) in the number of queued
  * requests.
  */
@@ -12,14 +12,14 @@
 	AdmissionScheduler,
 	QueuedRequest,
 } from './types.js';
-import {DeadlineHeap} from './deadline-heap.js';
+import {IndexedHeap} from './indexed-heap.js';
 import {
 	RankCredits,
 	getRankIndex,
 	rankIndexes,
 	type RankIndex,
 } from './rank-credits.js';
-import {RankQueue, type MemberFlow, type QueueNode} from './rank-queue.js';
+import {RankQueue, type QueueFlow, type QueueNode} from './rank-queue.js';
 import {RankUsage} from './rank-usage.js';
 
 /** A member counts towards the floors of a server for this long after its last request. */
@@ -35,7 +35,7 @@
 const defaultPolicy = {floorPercent: 0, queueLimit: 100, weight: 1} as const;
 
 type RunningRequest<Item> = {
-	readonly flow: MemberFlow<Item>;
+	readonly node: QueueNode<Item>;
 	readonly chargedMs: number;
 	readonly borrowed: boolean;
 };
@@ -49,11 +49,14 @@
 		RankQueue<Item>,
 		RankQueue<Item>,
 		RankQueue<Item>,
-	] = [new RankQueue(), new RankQueue(), new RankQueue()];
+	];
 
 	readonly #credits: RankCredits;
 	readonly #usage: RankUsage;
-	readonly #deadlines = new DeadlineHeap<QueueNode<Item>>();
+	readonly #deadlines = new IndexedHeap<QueueNode<Item>>(
+		(left, right) => left.deadlineAt < right.deadlineAt,
+	);
+
 	readonly #nodesByItem = new Map<Item, QueueNode<Item>>();
 	readonly #running = new Map<QueuedRequest<Item>, RunningRequest<Item>>();
 	readonly #lastRequestAt = new Map<ids.MemberId, number>();
@@ -63,6 +66,12 @@
 
 	constructor(options: AdmissionOptions) {
 		this.#options = options;
+		const {slots} = options;
+		this.#queues = [
+			new RankQueue(slots),
+			new RankQueue(slots),
+			new RankQueue(slots),
+		];
 		this.#credits = new RankCredits(options.slots);
 		this.#usage = new RankUsage(options.slots);
 	}
@@ -78,7 +87,11 @@
 			this.#options.getParameters(request.member)?.ranks[request.rank] ??
 			defaultPolicy;
 		const queue = this.#queues[rank];
-		const flow = queue.getOrCreateFlow(request.member, policy.weight, now);
+		const flow = queue.getOrCreateFlow(
+			request,
+			policy.weight * this.#getCustomerWeight(request.customer),
+			now,
+		);
 		if (flow.length >= policy.queueLimit) {
 			this.#expireQueued(now);
 			if (flow.length >= policy.queueLimit) {
@@ -86,7 +99,7 @@
 			}
 		}
 
-		if (!this.#canFinish(rank, flow, request.deadlineAt, now)) {
+		if (!this.#canFinish(rank, flow, request, now)) {
 			return {type: 'refused', reason: 'deadline'};
 		}
 
@@ -107,14 +120,14 @@
 
 		const queue = this.#queues[rank];
 		const node = queue.findNext()!;
-		const {flow, request} = node;
-		const chargedMs = flow.service.meanMs;
+		const {request} = node;
+		const chargedMs = node.service.meanMs;
 		const borrowed = !this.#credits.isBelowFloor(rank);
-		this.#removeNode(node, rank);
-		queue.charge(flow, chargedMs);
+		queue.take(node, chargedMs, now);
+		this.#removeFromIndexes(node);
 		this.#credits.charge(rank, chargedMs, borrowed);
 		this.#usage.add(rank, chargedMs, now);
-		this.#running.set(request, {flow, chargedMs, borrowed});
+		this.#running.set(request, {node, chargedMs, borrowed});
 		return request;
 	}
 
@@ -128,10 +141,12 @@
 		const rank = getRankIndex(request.rank);
 		const queue = this.#queues[rank];
 		const correctionMs = serviceMs - running.chargedMs;
-		queue.charge(running.flow, correctionMs);
+		const {flow, service} = running.node;
+		queue.charge(flow, correctionMs, now);
 		this.#credits.charge(rank, correctionMs, running.borrowed);
 		this.#usage.add(rank, correctionMs, now);
-		running.flow.service.observe(serviceMs);
+		flow.service.observe(serviceMs);
+		service.observe(serviceMs);
 		queue.service.observe(serviceMs);
 	}
 
@@ -183,10 +198,16 @@
 		return first;
 	}
 
+	#getCustomerWeight(customer: ids.CustomerId | undefined): number {
+		return customer === undefined
+			? 1
+			: (this.#options.getCustomerWeight?.(customer) ?? 1);
+	}
+
 	#canFinish(
 		rank: RankIndex,
-		flow: MemberFlow<Item>,
-		deadlineAt: number,
+		flow: QueueFlow<Item>,
+		{member, deadlineAt}: QueuedRequest<Item>,
 		now: number,
 	): boolean {
 		if (deadlineAt <= now) {
@@ -200,42 +221,81 @@
 		}
 
 		const queue = this.#queues[rank];
-		const weight = Math.max(queue.activeWeight, flow.weight);
-		const workMs = Math.min(
-			queue.size * queue.service.meanMs,
-			(flow.length * flow.service.meanMs * weight) / flow.weight,
-		);
+		const workMs = this.#estimateWorkAhead(rank, flow, now);
 		const waitMs = this.#estimateWaitForWork(rank, workMs, now);
 		return (
-			waitMs + flow.service.upperEstimateMs <=
+			waitMs + queue.getOrCreateService(member).upperEstimateMs <=
 			(deadlineAt - now) *
 				(this.#options.usableDeadlineShare ?? defaultUsableDeadlineShare)
 		);
 	}
 
-	/** Estimates the wait behind `workMs` of slot time of the same rank. */
-	#estimateWaitForWork(rank: RankIndex, workMs: number, now: number): number {
-		if (this.#running.size < this.#options.slots && this.size === 0) {
-			return 0;
+	/**
+	 * Estimates the slot time in ms that the rank works through before a new request of the flow starts.
+	 * Requests of flows that keep to their share overtake it also when they arrive later, so a flow that is
+	 * ahead of its share only advances at the rate that the others leave.
+	 */
+	#estimateWorkAhead(
+		rank: RankIndex,
+		flow: QueueFlow<Item>,
+		now: number,
+	): number {
+		const queue = this.#queues[rank];
+		if (flow.standing !== 'ahead') {
+			return queue.countRequestsBefore(flow) * queue.service.meanMs;
 		}
 
-		const {slots} = this.#options;
-		let workAheadMs = workMs;
+		const fairShare = flow.weight / Math.max(queue.activeWeight, flow.weight);
+		const availableShare = this.#computeAvailableShare(rank, now);
+		const usedShare = this.#usage.toShare(queue.readUsage(flow, now));
+		const othersShare = this.#usage.getUsedShare(rank, now) - usedShare;
+		const flowShare = Math.max(
+			usedShare,
+			fairShare * availableShare,
+			availableShare - othersShare,
+		);
+		const flowWorkMs = flow.length * flow.service.meanMs;
+		return Math.max(
+			Math.min(queue.size * queue.service.meanMs, flowWorkMs / fairShare),
+			(flowWorkMs * availableShare) / flowShare,
+		);
+	}
+
+	/** Share of the slot time that the ranks before it and the floors of the others leave to a rank. */
+	#computeAvailableShare(rank: RankIndex, now: number): number {
 		let availableShare = 1;
 		for (const other of rankIndexes) {
 			if (other === rank) {
 				continue;
 			}
 
-			const queue = this.#queues[other];
 			const usedShare = this.#usage.getUsedShare(other, now);
 			if (other < rank) {
-				workAheadMs += queue.size * queue.service.meanMs;
 				availableShare -= usedShare;
 			} else {
 				const floorShare = this.#credits.getFloorShare(other);
 				availableShare -=
-					queue.size > 0 ? floorShare : Math.min(floorShare, usedShare);
+					this.#queues[other].size > 0
+						? floorShare
+						: Math.min(floorShare, usedShare);
+			}
+		}
+
+		return Math.max(availableShare, Number.MIN_VALUE);
+	}
+
+	/** Estimates the wait behind `workMs` of slot time of the same rank. */
+	#estimateWaitForWork(rank: RankIndex, workMs: number, now: number): number {
+		if (this.#running.size < this.#options.slots && this.size === 0) {
+			return 0;
+		}
+
+		const {slots} = this.#options;
+		let workAheadMs = workMs;
+		for (const other of rankIndexes) {
+			if (other < rank) {
+				const queue = this.#queues[other];
+				workAheadMs += queue.size * queue.service.meanMs;
 			}
 		}
 
@@ -243,7 +303,7 @@
 		const residualMs = queue.service.meanMs / slots;
 		const floorRate = this.#credits.getFloorShare(rank) * slots;
 		const rankOrderWaitMs =
-			workAheadMs / Math.max(availableShare * slots, Number.MIN_VALUE);
+			workAheadMs / (this.#computeAvailableShare(rank, now) * slots);
 		const floorWaitMs = workMs / Math.max(floorRate, Number.MIN_VALUE);
 		return residualMs + Math.min(rankOrderWaitMs, floorWaitMs);
 	}
@@ -251,7 +311,7 @@
 	#expireQueued(now: number): void {
 		for (;;) {
 			const node = this.#deadlines.first;
-			if (!node || node.deadlineAt > now + node.flow.service.meanMs) {
+			if (!node || node.deadlineAt > now + node.service.meanMs) {
 				return;
 			}
 
@@ -262,6 +322,10 @@
 
 	#removeNode(node: QueueNode<Item>, rank: RankIndex): void {
 		this.#queues[rank].remove(node);
+		this.#removeFromIndexes(node);
+	}
+
+	#removeFromIndexes(node: QueueNode<Item>): void {
 		this.#deadlines.remove(node);
 		this.#nodesByItem.delete(node.request.item);
 	}
@@ -297,6 +361,10 @@
 		for (const [member, lastRequestAt] of this.#lastRequestAt) {
 			if (lastRequestAt < now - memberIdleTimeoutMs) {
 				this.#lastRequestAt.delete(member);
+				for (const queue of this.#queues) {
+					queue.removeService(member);
+				}
+
 				continue;
 			}
 
--- a/src/common/policy/deadline-heap.ts
+++ b/src/common/policy/indexed-heap.ts
@@ -1,24 +1,28 @@
 /**
- * Binary heap of queued requests by deadline. Each entry stores its index, so that a request that
- * was taken or cancelled is removed immediately instead of using memory until its deadline.
+ * Binary heap whose entries store their index, so that a queued request that was taken or cancelled is
+ * removed immediately instead of using memory until its deadline, and a flow moves when its tag changes.
  */
 
 /** Fields that the heap requires of its entries. */
 export type HeapEntry = {
-	readonly deadlineAt: number;
 	/** Index in the heap; -1 when not in the heap. Written by the heap only. */
 	heapIndex: number;
 };
 
-/** Min-heap by `deadlineAt`; add and remove cost O(log n). */
-export class DeadlineHeap<Entry extends HeapEntry> {
+/** Heap with the first entry of an order at its top; add, remove and update cost O(log n). */
+export class IndexedHeap<Entry extends HeapEntry> {
 	readonly #entries: Entry[] = [];
+	readonly #isBefore: (left: Entry, right: Entry) => boolean;
+
+	constructor(isBefore: (left: Entry, right: Entry) => boolean) {
+		this.#isBefore = isBefore;
+	}
 
 	get size(): number {
 		return this.#entries.length;
 	}
 
-	/** The entry with the earliest deadline. */
+	/** The entry before all others. */
 	get first(): Entry | undefined {
 		return this.#entries[0];
 	}
@@ -43,14 +47,23 @@
 
 		last.heapIndex = index;
 		this.#entries[index] = last;
-		this.#siftUp(last);
-		this.#siftDown(last);
+		this.update(last);
+	}
+
+	/** Moves an entry whose place has changed; an entry outside the heap is ignored. */
+	update(entry: Entry): void {
+		if (entry.heapIndex < 0) {
+			return;
+		}
+
+		this.#siftUp(entry);
+		this.#siftDown(entry);
 	}
 
 	#siftUp(entry: Entry): void {
 		while (entry.heapIndex > 0) {
 			const parent = this.#entries[(entry.heapIndex - 1) >> 1];
-			if (parent.deadlineAt <= entry.deadlineAt) {
+			if (!this.#isBefore(entry, parent)) {
 				return;
 			}
 
@@ -62,9 +75,8 @@
 		for (;;) {
 			const left = this.#entries[2 * entry.heapIndex + 1];
 			const right = this.#entries[2 * entry.heapIndex + 2];
-			const child =
-				right && left && right.deadlineAt < left.deadlineAt ? right : left;
-			if (!child || child.deadlineAt >= entry.deadlineAt) {
+			const child = right && left && this.#isBefore(right, left) ? right : left;
+			if (!child || !this.#isBefore(child, entry)) {
 				return;
 			}
 
--- a/src/common/policy/rank-usage.ts
+++ b/src/common/policy/rank-usage.ts
@@ -24,10 +24,12 @@
 	/** Share of the recent slot time of all slots, 0 to 1. */
 	getUsedShare(rank: RankIndex, now: number): number {
 		this.#update(now);
-		return Math.min(
-			1,
-			this.#usedMs[rank] / (usageTimeConstantMs * this.#slots),
-		);
+		return this.toShare(this.#usedMs[rank]);
+	}
+
+	/** Converts recent slot time in ms to a share of that of all slots, 0 to 1. */
+	toShare(usedMs: number): number {
+		return Math.min(1, usedMs / (usageTimeConstantMs * this.#slots));
 	}
 
 	#update(now: number): void {
@@ -37,9 +39,14 @@
 		}
 
 		this.#updatedAt = now;
-		const factor = Math.exp(-elapsed / usageTimeConstantMs);
+		const factor = computeUsageDecay(elapsed);
 		this.#usedMs[0] *= factor;
 		this.#usedMs[1] *= factor;
 		this.#usedMs[2] *= factor;
 	}
 }
+
+/** Share of earlier usage that still counts after a time in ms. */
+export function computeUsageDecay(elapsedMs: number): number {
+	return Math.exp(-elapsedMs / usageTimeConstantMs);
+}
--- a/src/common/policy/types.ts
+++ b/src/common/policy/types.ts
@@ -49,6 +49,8 @@
 	readonly getParameters: (
 		member: ids.MemberId,
 	) => types.TemplateParameters | undefined;
+	/** Weight of a customer's share beside that of the member; 1 by default. */
+	readonly getCustomerWeight?: (customer: ids.CustomerId) => number;
 	/**
 	 * Share of the remaining time, 0 to 1, that queueing and service may take; 0.6 by default. The
 	 * rest covers the transit of the answer, the acknowledgement of commits and the error of the
--- a/src/common/proxy/owner.ts
+++ b/src/common/proxy/owner.ts
@@ -155,6 +155,7 @@
 		const result = server.scheduler.offer(
 			{
 				member: request.member,
+				...(request.customer === undefined ? {} : {customer: request.customer}),
 				rank: request.rank,
 				enqueuedAt: now,
 				deadlineAt: ownerRequest.deadlineAt,
--- a/src/common/proxy/template-store.ts
+++ b/src/common/proxy/template-store.ts
@@ -3,6 +3,7 @@
  * is never undone, in whatever order versions arrive.
  */
 import type * as ids from '../ids.js';
+import * as customerWeights from '../policy/customer-weights.js';
 import type * as types from '../types.js';
 
 /** Parses the text of a template; undefined when the text is not valid. */
@@ -22,6 +23,7 @@
 	/** Routes of the configuration in force; they take precedence over templates. */
 	routes: types.RouteSet | undefined;
 	configuration: types.Configuration | undefined;
+	private weights: ReadonlyMap<ids.CustomerId, number> = new Map();
 	private readonly templates = new Map<ids.MemberId, StoredTemplate>();
 
 	constructor(
@@ -41,6 +43,11 @@
 		return this.routes?.members.get(member)?.group;
 	}
 
+	/** The weight of a customer in the queues of servers. */
+	getCustomerWeight(customer: ids.CustomerId): number {
+		return this.weights.get(customer) ?? 1;
+	}
+
 	/** Returns true when the configuration was newer than the one in force and replaced it. */
 	mergeConfiguration(configuration: types.Configuration): boolean {
 		if ((this.configuration?.version ?? 0) >= configuration.version) {
@@ -54,6 +61,9 @@
 
 		this.configuration = configuration;
 		this.routes = routes;
+		this.weights = customerWeights.computeCustomerWeights(
+			routes.customers.values(),
+		);
 		return true;
 	}
 
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -203,6 +203,8 @@
 					new admission.ServerAdmissionScheduler({
 						slots,
 						getParameters,
+						getCustomerWeight: (customer) =>
+							this.reducer.templates.getCustomerWeight(customer),
 						...this.options.admission,
 					}),
 				parseTemplate: (text) =>
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -661,6 +661,8 @@
 	readonly slots: number;
 	/** Current parameters of a member; undefined for a member without template. */
 	readonly getParameters: (member: MemberId) => TemplateParameters | undefined;
+	/** Weight of a customer's share beside that of the member; 1 by default. */
+	readonly getCustomerWeight?: (customer: CustomerId) => number;
 	/**
 	 * Share of the remaining time, 0 to 1, that wait and service may take; 0.6 by default. The rest
 	 * covers the transfer of the answer, the acknowledgement of commits and the estimation error.
