Exchange digests of the membership before its deltas

Cause: each exchange of two peers sent all peer states and announcements in both directions, six of them at the start of a process and several more in its first seconds, and each process passed on with its probes what it had learned so. Done: an exchange sends 4 bytes for each delta; the answer holds the missing deltas and asks for those the other side lacks. What a starting process learns from an answer is not disseminated by it again.

--- a/src/common/membership/membership.test.ts
+++ b/src/common/membership/membership.test.ts
@@ -10,6 +10,8 @@
 /** Peers whose messages arrive after `hopMs`, unless the network is cut. */
 class Network {
 	sent = 0;
+	/** Deltas in full exchanges. */
+	exchangedDeltas = 0;
 	isCut = false;
 	now = 0;
 	readonly #inFlight: Array<{
@@ -104,6 +106,8 @@
 			random: random.createRandom(Number(name.slice(1)) + 1),
 			send: (to, message) => {
 				this.sent++;
+				this.exchangedDeltas +=
+					message.type === 'sync' ? message.deltas.length : 0;
 				if (!this.isCut) {
 					this.#inFlight.push({at: this.now + hopMs, from: name, to, message});
 				}
@@ -168,3 +172,16 @@
 	t.equal(peer.getRoundTrip('p1' as ids.PeerId), 2 * hopMs);
 	t.equal(peer.getRoundTrip('p2' as ids.PeerId), 2 * hopMs);
 });
+
+// Guards against exchanges that send the whole view to peers that have it: most of the bytes of a
+// fleet's start, and twice as many for each process with every doubling of the fleet.
+tap.test('peers with equal views exchange only themselves', async (t) => {
+	const count = 32;
+	const network = new Network(count);
+	network.run(10_000);
+	const rounds = 4;
+	t.ok(
+		network.exchangedDeltas <= count * rounds,
+		`${network.exchangedDeltas} deltas`,
+	);
+});
--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -9,6 +9,7 @@
 import * as random from '../random.js';
 import type * as types from '../types.js';
 import * as dissemination from './dissemination.js';
+import * as exchanges from './exchanges.js';
 import * as prober from './prober.js';
 import type * as membership from './types.js';
 
@@ -21,20 +22,6 @@
 const expiryIntervalMs = 250;
 /** Dead peers are kept for this long, so that an outdated delta does not add them again. */
 const tombstoneRetentionMs = 60_000;
-/** A full exchange with a random peer repairs differences that lost deltas caused. */
-const syncIntervalMs = 30_000;
-/**
- * Interval of the first exchanges, doubled after each one. Peers that start at the same time learn of
- * each other through control peers, which hear of all of them.
- */
-const firstSyncIntervalMs = 500;
-/**
- * Exchanges for regained links: an interruption affects many links at once, and a few exchanges
- * repair what it caused. The others follow with the probes.
- */
-const regainedSyncBurst = 4;
-const regainedSyncRefillMs = 1000;
-
 /** A peer that is considered dead is told so at most once in this time. */
 const deathNoticeIntervalMs = 1000;
 
@@ -89,12 +76,8 @@
 	private readonly peers = new Map<ids.PeerId, KnownPeer>();
 	private readonly queue: dissemination.DisseminationQueue;
 	private readonly prober: prober.Prober;
-	private nextSyncAt: number | undefined;
-	private currentSyncIntervalMs = firstSyncIntervalMs;
-	private readonly lostLinks = new Set<ids.PeerId>();
+	private readonly exchanges: exchanges.Exchanges;
 	private readonly roundTrips = new Map<ids.DataCentre, number>();
-	private regainedSyncs = regainedSyncBurst;
-	private regainedSyncsAt = 0;
 	private lastExpiryAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: MembershipOptions) {
@@ -115,6 +98,13 @@
 				this.suspect(peer, now);
 			},
 		});
+		this.exchanges = new exchanges.Exchanges({
+			random: options.random,
+			send: options.send,
+			getSelf: () => this.self,
+			listAllDeltas: () => this.listAllDeltas(),
+			listLivePeers: () => this.listLivePeers(),
+		});
 		this.disseminate({type: 'peer', state: this.self});
 	}
 
@@ -172,10 +162,7 @@
 	 * others, or with which the link was lost.
 	 */
 	handleLinkUp(peer: ids.PeerId, now: number, isConfigured: boolean): void {
-		const isRegained = this.lostLinks.delete(peer);
-		if (isConfigured || (isRegained && this.takeRegainedSync(now))) {
-			this.startSync(peer);
-		}
+		this.exchanges.handleLinkUp(peer, now, isConfigured);
 	}
 
 	/**
@@ -200,18 +187,7 @@
 			this.expireSuspects(now);
 		}
 
-		this.nextSyncAt ??= now + firstSyncIntervalMs;
-		if (now >= this.nextSyncAt) {
-			this.currentSyncIntervalMs = Math.min(
-				syncIntervalMs,
-				this.currentSyncIntervalMs * 2,
-			);
-			this.nextSyncAt = now + this.currentSyncIntervalMs;
-			const peer = this.chooseSyncPeer();
-			if (peer !== undefined) {
-				this.startSync(peer);
-			}
-		}
+		this.exchanges.handleTick(now);
 	}
 
 	handleMessage(
@@ -220,8 +196,14 @@
 		now: number,
 	): void {
 		const {incarnation} = this.self;
+		// A process that joins learns what the peer has disseminated already.
+		const isNews = !(
+			message.type === 'sync' &&
+			message.wanted !== undefined &&
+			this.exchanges.isStarting
+		);
 		for (const delta of message.deltas) {
-			this.applyDelta(delta, from, now);
+			this.applyDelta(delta, from, now, isNews);
 		}
 
 		this.replyWithCorrections(from, this.self.incarnation !== incarnation, now);
@@ -248,14 +230,7 @@
 			}
 
 			case 'sync': {
-				if (message.reply) {
-					this.options.send(from, {
-						type: 'sync',
-						reply: false,
-						deltas: this.listAllDeltas(),
-					});
-				}
-
+				this.exchanges.answerSync(from, message);
 				return;
 			}
 
@@ -267,7 +242,7 @@
 
 	/** A lost link indicates a failure: the peer is suspected at once and refutes if it is alive. */
 	handleLinkDown(peer: ids.PeerId, now: number): void {
-		this.lostLinks.add(peer);
+		this.exchanges.handleLinkDown(peer);
 		this.suspect(peer, now);
 	}
 
@@ -298,28 +273,6 @@
 		}
 	}
 
-	private takeRegainedSync(now: number): boolean {
-		this.regainedSyncs = Math.min(
-			regainedSyncBurst,
-			this.regainedSyncs + (now - this.regainedSyncsAt) / regainedSyncRefillMs,
-		);
-		this.regainedSyncsAt = now;
-		if (this.regainedSyncs < 1) {
-			return false;
-		}
-
-		this.regainedSyncs--;
-		return true;
-	}
-
-	private startSync(peer: ids.PeerId): void {
-		this.options.send(peer, {
-			type: 'sync',
-			reply: true,
-			deltas: this.listAllDeltas(),
-		});
-	}
-
 	private expireSuspects(now: number): void {
 		for (const [peer, known] of this.peers) {
 			const age = now - known.changedAt;
@@ -327,7 +280,7 @@
 				this.setState({...known.state, condition: 'dead'}, now);
 			} else if (!isLive(known.state) && age > tombstoneRetentionMs) {
 				this.peers.delete(peer);
-				this.lostLinks.delete(peer);
+				this.exchanges.removePeer(peer);
 			}
 		}
 	}
@@ -362,15 +315,19 @@
 		delta: membership.Delta,
 		from: ids.PeerId,
 		now: number,
+		isNews: boolean,
 	): void {
 		switch (delta.type) {
 			case 'peer': {
-				this.applyPeerState(delta.state, now);
+				this.applyPeerState(delta.state, now, isNews);
 				return;
 			}
 
 			case 'announcement': {
-				if (this.options.listener.handleAnnouncement(delta.announcement)) {
+				const isChanged = this.options.listener.handleAnnouncement(
+					delta.announcement,
+				);
+				if (isChanged && isNews) {
 					this.disseminate(delta);
 				}
 
@@ -392,7 +349,11 @@
 		}
 	}
 
-	private applyPeerState(state: membership.PeerState, now: number): void {
+	private applyPeerState(
+		state: membership.PeerState,
+		now: number,
+		isNews: boolean,
+	): void {
 		if (state.peer === this.self.peer) {
 			this.refute(state);
 			return;
@@ -400,7 +361,7 @@
 
 		const known = this.peers.get(state.peer);
 		if (!known || overrides(state, known.state)) {
-			this.setState(state, now);
+			this.setState(state, now, isNews);
 		}
 	}
 
@@ -420,7 +381,11 @@
 		}
 	}
 
-	private setState(state: membership.PeerState, now: number): void {
+	private setState(
+		state: membership.PeerState,
+		now: number,
+		isNews = true,
+	): void {
 		const known = this.peers.get(state.peer);
 		if (known) {
 			known.state = state;
@@ -434,7 +399,10 @@
 			});
 		}
 
-		this.disseminate({type: 'peer', state});
+		if (isNews) {
+			this.disseminate({type: 'peer', state});
+		}
+
 		this.options.listener.handlePeerChange(state);
 	}
 
@@ -458,19 +426,6 @@
 			.filter((peer) => peer !== except);
 		return random.drawSample(this.options.random, live, count);
 	}
-
-	/** Chooses a control peer while this process has just started, because those hear of all others. */
-	private chooseSyncPeer(): ids.PeerId | undefined {
-		const isStarting = this.currentSyncIntervalMs < syncIntervalMs;
-		const live = this.listLivePeers();
-		const control = live.filter(({role}) => role === 'control');
-		const [chosen] = random.drawSample(
-			this.options.random,
-			isStarting && control.length > 0 ? control : live,
-			1,
-		);
-		return chosen?.peer;
-	}
 }
 
 function isLive(state: membership.PeerState): boolean {
--- a/src/common/membership/types.ts
+++ b/src/common/membership/types.ts
@@ -54,9 +54,16 @@
 	| {
 			/**
 			 * Deltas without a probe: a full exchange, such as after a start or a healed partition, an
-			 * urgent delta, or a departure. `reply` asks the receiver for all its deltas.
+			 * urgent delta, or a departure. `reply` asks the receiver for its deltas that are not in
+			 * `known`.
 			 */
 			readonly type: 'sync';
 			readonly reply: boolean;
 			readonly deltas: readonly Delta[];
+			/** Enters the digests of this exchange. */
+			readonly salt?: number;
+			/** Digests of all deltas that the sender has, 4 bytes each. */
+			readonly known?: Uint8Array;
+			/** Those digests in `known` whose deltas the sender of the answer lacks. */
+			readonly wanted?: Uint8Array;
 	  };
--- a/src/node/peer/frame-codec.test.ts
+++ b/src/node/peer/frame-codec.test.ts
@@ -3,6 +3,7 @@
 import type * as ids from '../../common/ids.js';
 import type * as messages from '../../common/messages.js';
 import * as frameCodec from './frame-codec.js';
+import * as messageShapes from './message-shapes.js';
 
 const runs = {numRuns: 3000, seed: 7};
 const message: messages.PeerMessage = {
@@ -44,3 +45,12 @@
 		runs,
 	);
 });
+
+// Guards against a malformed list of digests that reaches the reducer.
+tap.test('digests of a wrong length are refused', async (t) => {
+	const isValid = (known: unknown) =>
+		messageShapes.hasValidShape('sync', {reply: true, deltas: [], known});
+	t.ok(isValid(new Uint8Array(8)));
+	t.notOk(isValid(new Uint8Array(7)));
+	t.notOk(isValid([1, 2, 3, 4]));
+});
--- a/src/node/peer/frame-keys.ts
+++ b/src/node/peer/frame-keys.ts
@@ -113,4 +113,7 @@
 	'promoting',
 	'nextReportMs',
 	'binding',
+	'salt',
+	'known',
+	'wanted',
 ] as const;
--- a/src/node/peer/message-shapes.ts
+++ b/src/node/peer/message-shapes.ts
@@ -4,6 +4,7 @@
  * error in the middle of a step would leave inconsistent. Messages of requests are left out: they are
  * frequent, and an error in one of them ends only its request or link.
  */
+import * as digest from '../../common/membership/digest.js';
 import type * as messages from '../../common/messages.js';
 import * as shape from './shape.js';
 
@@ -77,6 +78,8 @@
 ]);
 const deltas = shape.createArray(delta);
 
+const digests = shape.createOptional(shape.createBytes(digest.digestBytes));
+
 const change = shape.createUnion([
 	shape.createObject({
 		type: shape.createLiteral(['configuration']),
@@ -147,7 +150,13 @@
 	ping: probe,
 	pingRequest: targetedProbe,
 	ack: targetedProbe,
-	sync: shape.createObject({reply: flag, deltas}),
+	sync: shape.createObject({
+		reply: flag,
+		deltas,
+		salt: shape.createOptional(count),
+		known: digests,
+		wanted: digests,
+	}),
 	preVote: vote,
 	vote,
 	preVoteReply: voteReply,
--- a/src/node/peer/shape.ts
+++ b/src/node/peer/shape.ts
@@ -13,6 +13,12 @@
 /** A duration or position, which may be infinite. */
 export const isQuantity: Shape = (value) =>
 	typeof value === 'number' && !Number.isNaN(value);
+/** Bytes that consist of elements of a fixed size. */
+export function createBytes(elementSize: number): Shape {
+	return (value) =>
+		value instanceof Uint8Array && value.length % elementSize === 0;
+}
+
 export const isAbsent: Shape = (value) => value === undefined;
 
 export function createLiteral(values: readonly string[]): Shape {
