Limit the rate of customers over all proxies

Done: the control leader keeps a token bucket for each customer and lends tokens to proxies ahead of use; reports and answers travel with lease renewals as totals, so lost, late and repeated messages change nothing. Tokens in the bucket and at proxies together never exceed the capacity; a proxy's tokens expire 1 s after the last report that was answered, and count as outstanding until then. A new leader starts with an empty bucket. A request without a token asks at once and waits briefly; what is over the limit is refused with HK009 and the time at which a place is expected. Statements of an open transaction are not counted; hedges, and retries after an unknown outcome, are.

--- a/src/bench/reducer-system.ts
+++ b/src/bench/reducer-system.ts
@@ -419,6 +419,7 @@
 				case 'setHealth':
 				case 'recordRequest':
 				case 'countEvent':
+				case 'countCustomer':
 				case 'log':
 				case 'drained': {
 					// Callers of a closed session time out by themselves; the other effects change no outcome.
--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -6,6 +6,8 @@
 import * as announcementRules from '../announcement.js';
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
+import * as rateBound from '../policy/rate-bound.js';
+import * as allowances from './allowances.js';
 import type * as control from './types.js';
 import type * as leases from './leases.js';
 import type * as machines from './machine.js';
@@ -26,6 +28,8 @@
 	readonly term: number;
 	readonly callServer: calls.CallServer;
 	readonly faults: control.FaultInjection;
+	/** Undefined when no customer has a limit. */
+	readonly rateLimits: control.RateLimitOptions | undefined;
 	send(to: ids.PeerId, message: messages.PeerMessage): void;
 	/** Proposes a command; `hasProposal` of its group is true until the outcome is known. */
 	propose(command: control.GroupCommand): void;
@@ -47,6 +51,8 @@
 	readonly table: ownership.OwnershipTable;
 	readonly #serverSets: serverSets.ServerSets;
 	readonly #failover: failovers.Failover;
+	/** Created when this leader first acts, because its predecessor may have granted until then. */
+	#allowances: allowances.AllowanceTable | undefined;
 	/** Set by changes that are not urgent: the grants wait for the next tick and carry all of them. */
 	#isGrantDue = false;
 	#lastMoveCheckAt = Number.NEGATIVE_INFINITY;
@@ -91,7 +97,33 @@
 	handleRenewal(now: number, from: ids.PeerId, renewal: leases.Renewal): void {
 		if (this.table.handleRenewal(now, from, renewal)) {
 			this.#updateRecords(now);
-			this.#sendGrant(now, from);
+			const {incarnation, allowances: report} = renewal;
+			const grant =
+				report &&
+				this.#getAllowances(now).handleReport(now, from, incarnation, report);
+			if (!this.#sendGrant(now, from, grant) && grant) {
+				this.environment.send(from, {type: 'allowanceGranted', grant});
+			}
+		}
+	}
+
+	/** Answers a proxy at which requests wait for tokens. */
+	handleAllowance(
+		now: number,
+		from: ids.PeerId,
+		{
+			incarnation,
+			report,
+		}: Extract<messages.ControlMessage, {type: 'allowanceRequest'}>,
+	): void {
+		const grant = this.#getAllowances(now).handleReport(
+			now,
+			from,
+			incarnation,
+			report,
+		);
+		if (grant) {
+			this.environment.send(from, {type: 'allowanceGranted', grant});
 		}
 	}
 
@@ -107,6 +139,7 @@
 	/** Runs the periodic work that is due. Called every tick. */
 	step(now: number): void {
 		this.table.expire(now);
+		this.#allowances?.expire(now);
 		for (const command of this.#serverSets.step(now)) {
 			this.environment.propose(command);
 		}
@@ -136,6 +169,7 @@
 
 		if (command.type === 'setConfiguration') {
 			this.#pushConfiguration();
+			this.#updateCustomers(now);
 			return;
 		}
 
@@ -249,7 +283,35 @@
 		}
 	}
 
-	#sendGrant(now: number, peer: ids.PeerId): void {
+	#getAllowances(now: number): allowances.AllowanceTable {
+		if (!this.#allowances) {
+			this.#allowances = new allowances.AllowanceTable(
+				this.environment.term,
+				now,
+				this.environment.rateLimits?.bound ?? rateBound.strictBound,
+			);
+			this.#updateCustomers(now);
+		}
+
+		return this.#allowances;
+	}
+
+	#updateCustomers(now: number): void {
+		const {machine, rateLimits} = this.environment;
+		const customers =
+			machine.configuration &&
+			rateLimits?.parseCustomers(machine.configuration.text);
+		if (customers) {
+			this.#allowances?.setCustomers(now, customers);
+		}
+	}
+
+	/** Returns false when the proxy gets no grant at present. */
+	#sendGrant(
+		now: number,
+		peer: ids.PeerId,
+		allowanceGrant?: messages.AllowanceGrant,
+	): boolean {
 		const proxy = this.table.proxies.get(peer);
 		if (proxy && !this.table.isReleasingWriteLease(now, peer)) {
 			const message = grants.buildGrant(
@@ -259,8 +321,14 @@
 				proxy,
 				(group) => this.#serverSets.canGrantWriteLease(now, group),
 			);
-			this.environment.send(peer, message);
+			this.environment.send(
+				peer,
+				allowanceGrant ? {...message, allowances: allowanceGrant} : message,
+			);
+			return true;
 		}
+
+		return false;
 	}
 }
 
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -37,6 +37,7 @@
 	/** Intended number of voters; the current number when it is not set. */
 	readonly wantedVoters?: number;
 	readonly recordsLeaseHolders?: boolean;
+	readonly rateLimits?: control.RateLimitOptions;
 	readonly random: random.RandomSource;
 };
 
@@ -103,6 +104,7 @@
 			peer: options.peer,
 			log: options.log,
 			recordsLeaseHolders: options.recordsLeaseHolders ?? false,
+			...(options.rateLimits ? {rateLimits: options.rateLimits} : {}),
 			messageNumberStart: random.drawSequenceStart(options.random),
 		});
 		this.membership = this.createMembership();
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -25,6 +25,7 @@
 	 * all peers at the cost of one log entry for each new proxy or server.
 	 */
 	readonly recordsLeaseHolders?: boolean;
+	readonly rateLimits?: control.RateLimitOptions;
 	/** Requests to the leader have higher numbers; differs between instances of the peer. */
 	readonly messageNumberStart?: number;
 };
@@ -36,6 +37,7 @@
 	readonly #logDriver: logDriver.LogDriver;
 	readonly #faults: control.FaultInjection;
 	readonly #recordsLeaseHolders: boolean;
+	readonly #rateLimits: control.RateLimitOptions | undefined;
 	readonly #machine = new machines.ControlMachine();
 	readonly #operatorChanges: operatorChanges.OperatorChanges;
 	readonly #configurationReads: configurationReads.ConfigurationReads;
@@ -70,6 +72,7 @@
 		);
 		this.#faults = options.faults ?? {};
 		this.#recordsLeaseHolders = options.recordsLeaseHolders ?? false;
+		this.#rateLimits = options.rateLimits;
 		const {messageNumberStart = 0} = options;
 		this.#configurationReads = new configurationReads.ConfigurationReads({
 			peer: options.peer,
@@ -248,6 +251,10 @@
 			this.#handleRenewal(from, message);
 		}
 
+		if (message.type === 'allowanceRequest') {
+			this.#findActiveLeader()?.handleAllowance(this.#now, from, message);
+		}
+
 		if (message.type === 'leaseReleased') {
 			this.#leader?.handleRelease(from, message);
 			this.#findActiveLeader()?.stepFailover(this.#now);
@@ -367,6 +374,7 @@
 			},
 			hasProposal: (group) =>
 				[...this.#groupProposals.values()].includes(group),
+			rateLimits: this.#rateLimits,
 		};
 	}
 
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -5,6 +5,14 @@
 import type * as types from '../types.js';
 import type * as messages from '../messages.js';
 import type * as consensus from '../consensus/types.js';
+import type * as rateBound from '../policy/rate-bound.js';
+
+/** How the leader learns the rate limits of customers, and what it tolerates above them. */
+export type RateLimitOptions = {
+	readonly bound: rateBound.RateBound;
+	/** Reads the customers of a configuration; undefined when its text is not valid. */
+	parseCustomers(text: string): Iterable<types.Customer> | undefined;
+};
 
 /**
  * An entry of the replicated log. Applying one never fails; a command that conflicts with an earlier
--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -103,6 +103,48 @@
 	readonly writeTerm?: number;
 };
 
+/**
+ * Identifies the tokens that one leader has granted to one instance of a proxy. Compared by the
+ * consensus term first, then by the counter.
+ */
+export type AllowanceStream = readonly [consensusTerm: number, counter: number];
+
+/** What a proxy has done with the tokens of its customers' rate limits. */
+export type AllowanceReport = {
+	/** Echoed in the answer; the proxy keeps the send time by sequence. */
+	readonly sequence: number;
+	/** Sequence of the last answer that the proxy received; 0 before the first one. */
+	readonly received: number;
+	/** The stream of that answer. */
+	readonly stream?: AllowanceStream;
+	/**
+	 * The customers with changes. `spent` and `returned` are totals of the stream; `waiting` is the
+	 * number of requests without a token, `stock` the number of tokens to hold beyond them.
+	 */
+	readonly customers: ReadonlyArray<
+		readonly [
+			customer: ids.CustomerId,
+			spent: number,
+			returned: number,
+			waiting: number,
+			stock: number,
+		]
+	>;
+};
+
+/** The leader's answer to an `AllowanceReport`. It confirms all tokens of the stream. */
+export type AllowanceGrant = {
+	readonly sequence: number;
+	readonly stream: AllowanceStream;
+	/**
+	 * Customers with changes. `granted` is the total of the stream; `waitMs` is above 0 while a
+	 * request waits for a token that the customer's limit does not allow yet.
+	 */
+	readonly customers: ReadonlyArray<
+		readonly [customer: ids.CustomerId, granted: number, waitMs: number]
+	>;
+};
+
 export type ControlMessage =
 	| {
 			/** Proxy to control leader, every 250 ms. */
@@ -122,6 +164,8 @@
 			readonly knownIndex: number;
 			/** `ownersVersion` of the last grant that the proxy applied. */
 			readonly knownOwners?: types.Epoch;
+			/** Absent while the proxy holds no tokens and needs none. */
+			readonly allowances?: AllowanceReport;
 	  }
 	| {
 			readonly type: 'leaseGranted';
@@ -145,6 +189,18 @@
 			/** Announcement versions that the leader has stored. */
 			readonly confirmed: ReadonlyArray<readonly [ids.UpstreamId, number]>;
 			readonly appliedIndex: number;
+			/** The answer to the report in the renewal. */
+			readonly allowances?: AllowanceGrant;
+	  }
+	| {
+			/** Proxy to control leader, when requests wait for tokens. */
+			readonly type: 'allowanceRequest';
+			readonly incarnation: number;
+			readonly report: AllowanceReport;
+	  }
+	| {
+			readonly type: 'allowanceGranted';
+			readonly grant: AllowanceGrant;
 	  }
 	| {
 			readonly type: 'revokeLease';
--- a/src/common/metrics/metrics.ts
+++ b/src/common/metrics/metrics.ts
@@ -9,6 +9,7 @@
 
 const defaultLimits: metricsTypes.MetricsLimits = {
 	maxMembers: 200,
+	maxCustomers: 200,
 	maxGauges: 1000,
 };
 
@@ -19,6 +20,7 @@
 	private readonly members = new Set<string>();
 	private readonly seriesByKey = new Map<string, series.RequestSeries>();
 	private readonly counters = new Map<proxy.CounterName, number>();
+	private readonly customers = new Map<string, metricsTypes.CustomerCounts>();
 	private readonly gauges = new Map<string, number>();
 	private readonly limits: metricsTypes.MetricsLimits;
 
@@ -44,6 +46,27 @@
 		this.counters.set(name, (this.counters.get(name) ?? 0) + amount);
 	}
 
+	/** Adds to the counters of a customer's rate limit. */
+	countCustomer({
+		customer,
+		granted,
+		used,
+		refused,
+	}: metricsTypes.CustomerCounts): void {
+		const label =
+			this.customers.has(customer) ||
+			this.customers.size < this.limits.maxCustomers
+				? customer
+				: otherMember;
+		const known = this.customers.get(label);
+		this.customers.set(label, {
+			customer: label,
+			granted: granted + (known?.granted ?? 0),
+			used: used + (known?.used ?? 0),
+			refused: refused + (known?.refused ?? 0),
+		});
+	}
+
 	/**
 	 * Sets a gauge.
 	 *
@@ -73,6 +96,7 @@
 
 		const reads = byReplica + byPrimary;
 		return {
+			customers: [...this.customers.values()],
 			series: [...this.seriesByKey.values()].map((item) => item.getSnapshot()),
 			counters: Object.fromEntries(this.counters),
 			gauges: Object.fromEntries(this.gauges),
@@ -84,6 +108,7 @@
 	formatText(): string {
 		return format.formatMetrics(
 			[...this.seriesByKey.values()],
+			[...this.customers.values()],
 			this.counters,
 			this.gauges,
 		);
--- a/src/common/metrics/prometheus.ts
+++ b/src/common/metrics/prometheus.ts
@@ -2,6 +2,7 @@
  * The text format of Prometheus (exposition format 0.0.4).
  */
 import type * as series from './series.js';
+import type * as metricsTypes from './types.js';
 
 const metricPrefix = 'hemlockarch';
 const quantiles = [0.5, 0.9, 0.99, 0.999] as const;
@@ -17,6 +18,7 @@
 /** Formats request series, counters and gauges. */
 export function formatMetrics(
 	requestSeries: readonly series.RequestSeries[],
+	customers: readonly metricsTypes.CustomerCounts[],
 	counters: ReadonlyMap<string, number>,
 	gauges: ReadonlyMap<string, number>,
 ): string {
@@ -85,6 +87,17 @@
 			requestSeries,
 			(item) => item.staleness,
 		),
+		formatFamily(
+			'rate_limit_operations_total',
+			'counter',
+			'Tokens granted, operations counted and requests refused by customer.',
+			customers.flatMap(({customer, ...counts}) =>
+				Object.entries(counts).map(([kind, value]) => ({
+					labels: {customer, kind},
+					value,
+				})),
+			),
+		),
 		...[...counters].map(([name, value]) =>
 			formatFamily(`${formatMetricName(name)}_total`, 'counter', 'Events.', [
 				{labels: {}, value},
--- a/src/common/metrics/types.ts
+++ b/src/common/metrics/types.ts
@@ -31,7 +31,20 @@
 	readonly staleness: HistogramSummary;
 };
 
+/** Counters of one customer's rate limit at this process. */
+export type CustomerCounts = {
+	/** `other` combines all customers beyond the limit. */
+	readonly customer: string;
+	/** Tokens that the leader granted to this process. */
+	readonly granted: number;
+	/** Operations that were counted here. */
+	readonly used: number;
+	readonly refused: number;
+};
+
 export type MetricsSnapshot = {
+	/** Customers with a rate limit that have sent requests here. */
+	readonly customers: readonly CustomerCounts[];
 	readonly series: readonly SeriesSnapshot[];
 	readonly counters: Readonly<Record<string, number>>;
 	readonly gauges: Readonly<Record<string, number>>;
@@ -43,5 +56,7 @@
 export type MetricsLimits = {
 	/** Maximum number of members with series of their own. */
 	readonly maxMembers: number;
+	/** Maximum number of customers with counters of their own. */
+	readonly maxCustomers: number;
 	readonly maxGauges: number;
 };
--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -47,6 +47,7 @@
 		this.services.retryBudget.recordSuccess(this.context.now);
 		this.table.cancelOtherAttempts(request, done.attempt);
 		this.updateBinding(session, attempt, done.bound);
+		session.isInTransaction = done.transactionStatus !== 'idle';
 		const isCommit = request.kind !== 'read' && done.position !== undefined;
 		if (done.position && (isCommit || session.hasMonotonicReads)) {
 			session.floor = session.floor
@@ -152,6 +153,8 @@
 		if (mayRetry) {
 			this.context.count('retries');
 			request.excludedServers.add(attempt.server);
+			// The first attempt may have run, so the next one counts as another operation.
+			request.isCounted = false;
 			request.waitState = {
 				type: 'until',
 				retryAt:
--- a/src/common/proxy/entry-state.ts
+++ b/src/common/proxy/entry-state.ts
@@ -20,6 +20,8 @@
 export type Session = {
 	readonly id: ids.SessionId;
 	readonly member: ids.MemberId;
+	/** The customer that holds the key of the session; undefined without a key. */
+	readonly customer: ids.CustomerId | undefined;
 	/** Updated from the route of the member while no transaction is open. */
 	group: ids.GroupId;
 	/** False when only writes of the session raise its floor. */
@@ -29,6 +31,8 @@
 	/** Undefined in a session without a token until the current position was read. */
 	floor: types.Position | undefined;
 	binding: SessionBinding | undefined;
+	/** False for a binding that only keeps session state. */
+	isInTransaction: boolean;
 	request: EntryRequest | undefined;
 	/** Monotonic time at which the last request ended. */
 	idleSince: number;
@@ -43,11 +47,12 @@
 
 /**
  * What a request waits for: the position that becomes the floor of its session, the time at which it
- * is routed again, or the end of an attempt.
+ * is routed again, a token of its customer's rate limit, or the end of an attempt.
  */
 export type WaitState =
 	| {readonly type: 'floor'}
 	| {readonly type: 'until'; readonly retryAt: number}
+	| {readonly type: 'token'; readonly since: number}
 	| {readonly type: 'attempt'};
 
 export type EntryRequest = {
@@ -70,6 +75,8 @@
 	readonly attempts: Map<ids.AttemptId, Attempt>;
 	readonly excludedServers: Set<ids.UpstreamId>;
 	waitState: WaitState;
+	/** The request has used a token of its customer's rate limit. */
+	isCounted: boolean;
 	/** Waits because no server could run the request. */
 	waits: number;
 	retries: number;
@@ -89,3 +96,40 @@
 export function needsPrimary(kind: proxy.RequestKind): boolean {
 	return kind !== 'read' && kind !== 'beginReadOnly';
 }
+
+/** Creates a request that has not been routed yet. */
+export function createRequest(
+	session: Session,
+	event: Extract<proxy.ProxyEvent, {type: 'requestArrived'}>,
+	parameters: types.TemplateParameters | undefined,
+): EntryRequest {
+	const {attributes, kind} = event;
+	const rank = attributes.rank ?? parameters?.defaultRank ?? 'normal';
+	const deadlineMs =
+		attributes.deadlineMs ?? parameters?.ranks[rank].deadlineMs ?? 0;
+	return {
+		id: event.request,
+		session,
+		kind,
+		rank,
+		arrivedAt: event.now,
+		deadlineAt: event.now + deadlineMs,
+		stalenessMs: attributes.stalenessMs ?? parameters?.stalenessMs ?? 0,
+		repeatable: attributes.repeatable ?? kind === 'read',
+		key: attributes.key,
+		payload: event.payload,
+		isBound: session.binding !== undefined,
+		attempts: new Map(),
+		excludedServers: new Set(),
+		waitState: {type: 'attempt'},
+		isCounted: false,
+		waits: 0,
+		retries: 0,
+		attemptCount: 0,
+		lastTarget: undefined,
+		isHedged: false,
+		relayedAttempt: undefined,
+		lastReason: undefined,
+		spansFreeze: false,
+	};
+}
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -7,14 +7,16 @@
 import * as positions from '../position.js';
 import type * as policy from '../policy/types.js';
 import type * as types from '../types.js';
+import type * as allowanceClient from './allowance-client.js';
 import * as attemptOutcomes from './attempt-outcomes.js';
 import type * as candidates from './candidates.js';
 import type * as context from './context.js';
 import type * as directory from './directory.js';
 import * as entryReplies from './entry-replies.js';
-import type * as entryState from './entry-state.js';
+import * as entryState from './entry-state.js';
 import * as pendingRequests from './pending-requests.js';
 import type * as positionClient from './position-client.js';
+import * as rateLimiter from './rate-limiter.js';
 import * as refusals from './refusals.js';
 import * as requestRouter from './request-router.js';
 import * as requestTable from './request-table.js';
@@ -34,6 +36,7 @@
 export class Entry {
 	readonly sessions = new Map<ids.SessionId, entryState.Session>();
 	readonly pendingRequests: pendingRequests.PendingRequests;
+	readonly rateLimiter: rateLimiter.RateLimiter;
 	private readonly sessionCounts = new Map<ids.MemberId, number>();
 	private readonly table: requestTable.RequestTable;
 	private readonly replies: entryReplies.EntryReplies;
@@ -46,6 +49,7 @@
 		private readonly templates: templateStore.TemplateStore,
 		private readonly candidates: candidates.CandidateList,
 		positionClient: positionClient.PositionClient,
+		allowances: allowanceClient.AllowanceClient,
 		private readonly services: EntryServices,
 	) {
 		this.table = new requestTable.RequestTable(context);
@@ -56,6 +60,14 @@
 				this.closeSession(session);
 			},
 		);
+		this.rateLimiter = new rateLimiter.RateLimiter(
+			context,
+			allowances,
+			this.replies,
+			(request) => {
+				this.router.routeRequest(request);
+			},
+		);
 		this.router = new requestRouter.RequestRouter(
 			context,
 			directory,
@@ -64,7 +76,11 @@
 			positionClient,
 			this.table,
 			this.replies,
-			services,
+			{
+				routing: services.routing,
+				retryBudget: services.retryBudget,
+				rateLimiter: this.rateLimiter,
+			},
 		);
 		this.outcomes = new attemptOutcomes.AttemptOutcomeHandler(
 			context,
@@ -111,11 +127,13 @@
 		this.sessions.set(id, {
 			id,
 			member: attributes.member,
+			customer: this.templates.findCustomer(attributes.key),
 			group: this.templates.getGroup(attributes.member) ?? attributes.group,
 			hasMonotonicReads: attributes.isFloorFromWrites !== true,
 			parameters: undefined,
 			floor: attributes.token,
 			binding: undefined,
+			isInTransaction: false,
 			request: undefined,
 			idleSince: this.context.now,
 		});
@@ -172,7 +190,7 @@
 		}
 
 		const parameters = this.updateRoute(session);
-		const request = this.createRequest(session, event, parameters);
+		const request = entryState.createRequest(session, event, parameters);
 		this.table.addRequest(request);
 		if (!parameters) {
 			this.replies.refuse(
@@ -435,41 +453,6 @@
 		return undefined;
 	}
 
-	private createRequest(
-		session: entryState.Session,
-		event: Extract<proxy.ProxyEvent, {type: 'requestArrived'}>,
-		parameters: types.TemplateParameters | undefined,
-	): entryState.EntryRequest {
-		const {attributes, kind} = event;
-		const rank = attributes.rank ?? parameters?.defaultRank ?? 'normal';
-		const deadlineMs =
-			attributes.deadlineMs ?? parameters?.ranks[rank].deadlineMs ?? 0;
-		return {
-			id: event.request,
-			session,
-			kind,
-			rank,
-			arrivedAt: event.now,
-			deadlineAt: event.now + deadlineMs,
-			stalenessMs: attributes.stalenessMs ?? parameters?.stalenessMs ?? 0,
-			repeatable: attributes.repeatable ?? kind === 'read',
-			key: attributes.key,
-			payload: event.payload,
-			isBound: session.binding !== undefined,
-			attempts: new Map(),
-			excludedServers: new Set(),
-			waitState: {type: 'attempt'},
-			waits: 0,
-			retries: 0,
-			attemptCount: 0,
-			lastTarget: undefined,
-			isHedged: false,
-			relayedAttempt: undefined,
-			lastReason: undefined,
-			spansFreeze: false,
-		};
-	}
-
 	private releaseBinding(session: entryState.Session): void {
 		if (session.binding) {
 			this.context.send(session.binding.owner, {
--- a/src/common/proxy/lease-client.test.ts
+++ b/src/common/proxy/lease-client.test.ts
@@ -27,6 +27,7 @@
 		getConfigurationVersion: () => 0,
 		listControlPeers: () => [k1, k2],
 		isDraining: () => false,
+		buildAllowanceReport: () => undefined,
 	});
 	for (const peer of [k1, k2]) {
 		shared.setLink(peer, true);
--- a/src/common/proxy/lease-client.ts
+++ b/src/common/proxy/lease-client.ts
@@ -27,6 +27,8 @@
 	/** The known control peers, any of which may be the leader. */
 	listControlPeers(): readonly ids.PeerId[];
 	isDraining(): boolean;
+	/** Undefined when the renewal carries no report about rate limits. */
+	buildAllowanceReport(): messages.AllowanceReport | undefined;
 };
 
 export class LeaseClient {
@@ -93,6 +95,7 @@
 
 		this.lastRenewalAt = context.now;
 		this.sequence++;
+		const allowances = this.source.buildAllowanceReport();
 		const sent = context.send(target, {
 			type: 'renewLease',
 			sequence: this.sequence,
@@ -107,6 +110,7 @@
 			configurationVersion: this.source.getConfigurationVersion(),
 			knownIndex: this.knownIndex,
 			...(this.ownersVersion ? {knownOwners: this.ownersVersion} : {}),
+			...(allowances ? {allowances} : {}),
 		});
 		if (sent) {
 			this.sentAtBySequence.set(this.sequence, context.now);
--- a/src/common/proxy/peer-messages.ts
+++ b/src/common/proxy/peer-messages.ts
@@ -103,6 +103,11 @@
 				return;
 			}
 
+			case 'allowanceGranted': {
+				this.parts.entry.rateLimiter.handleGrant(message.grant);
+				return;
+			}
+
 			case 'revokeLease': {
 				this.parts.ownership.handleRevocation(from, message);
 				return;
@@ -151,6 +156,7 @@
 			}
 
 			case 'renewLease':
+			case 'allowanceRequest':
 			case 'leaseReleased':
 			case 'proposeChange':
 			case 'readConfiguration':
@@ -200,6 +206,11 @@
 		from: ids.PeerId,
 		grant: Extract<messages.ControlMessage, {type: 'leaseGranted'}>,
 	): void {
+		if (grant.allowances) {
+			// The report and its answer have an order of their own.
+			this.parts.entry.rateLimiter.handleGrant(grant.allowances);
+		}
+
 		if (
 			grant.appliedIndex < this.parts.lease.knownIndex ||
 			this.parts.lease.isOutdated(grant)
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -8,6 +8,7 @@
 import type * as membershipService from '../membership/membership.js';
 import type * as random from '../random.js';
 import type * as types from '../types.js';
+import * as allowanceClient from './allowance-client.js';
 import * as candidates from './candidates.js';
 import * as context from './context.js';
 import * as directory from './directory.js';
@@ -54,6 +55,7 @@
 	private readonly context: context.ProxyContext;
 	private readonly peerView: peerView.PeerView;
 	private readonly ownership: ownership.OwnershipManager;
+	private readonly allowances: allowanceClient.AllowanceClient;
 	private readonly positionClient: positionClient.PositionClient;
 	private readonly candidates: candidates.CandidateList;
 	private readonly reports: reportPublisher.ReportPublisher;
@@ -90,6 +92,12 @@
 			getConfigurationVersion: () => this.templates.configuration?.version ?? 0,
 			listControlPeers: () => this.listControlPeers(),
 			isDraining: () => this.drain.isDraining,
+			buildAllowanceReport: () => this.allowances.buildReport(),
+		});
+		this.allowances = new allowanceClient.AllowanceClient(this.context, {
+			getCustomers: () => this.templates.routes?.customers,
+			countWaiting: (customer) => this.entry.rateLimiter.countWaiting(customer),
+			getLeader: () => this.lease.getLeader(),
 		});
 		this.owner = new owner.Owner(
 			this.context,
@@ -122,6 +130,7 @@
 			this.templates,
 			this.candidates,
 			this.positionClient,
+			this.allowances,
 			services,
 		);
 		this.poller = new poller.Poller(
@@ -353,6 +362,7 @@
 		this.poller.handleTick();
 		this.owner.handleTick();
 		this.entry.pendingRequests.handleTick();
+		this.entry.rateLimiter.handleTick();
 		this.candidates.handleTick(this.listUsedGroups());
 		this.reports.handleTick();
 		this.operators.handleTick();
--- a/src/common/proxy/request-router.ts
+++ b/src/common/proxy/request-router.ts
@@ -13,6 +13,7 @@
 import type * as entryReplies from './entry-replies.js';
 import * as entryState from './entry-state.js';
 import type * as positionClient from './position-client.js';
+import type * as rateLimiter from './rate-limiter.js';
 import type * as requestTable from './request-table.js';
 import type * as templateStore from './template-store.js';
 
@@ -31,6 +32,7 @@
 		private readonly services: {
 			readonly routing: policy.RoutingPolicy;
 			readonly retryBudget: policy.RetryBudget;
+			readonly rateLimiter: rateLimiter.RateLimiter;
 		},
 	) {}
 
@@ -161,6 +163,10 @@
 			return;
 		}
 
+		if (!this.services.rateLimiter.admit(request)) {
+			return;
+		}
+
 		const {id} = this.table.addAttempt(request, server, owner);
 		request.waitState = {type: 'attempt'};
 		this.context.emit({
@@ -203,7 +209,8 @@
 		if (
 			decision.type === 'server' &&
 			owner !== undefined &&
-			this.services.retryBudget.trySpend(this.context.now)
+			this.services.retryBudget.trySpend(this.context.now) &&
+			this.services.rateLimiter.tryCountCopy(request)
 		) {
 			this.context.count('hedges');
 			this.sendAttempt(request, decision.server, owner);
--- a/src/common/proxy/template-store.ts
+++ b/src/common/proxy/template-store.ts
@@ -41,6 +41,11 @@
 		return this.routes?.members.get(member)?.group;
 	}
 
+	/** The customer that holds a key. */
+	findCustomer(key: ids.KeyDigest | undefined): ids.CustomerId | undefined {
+		return key === undefined ? undefined : this.routes?.customerByKey.get(key);
+	}
+
 	/** Returns true when the configuration was newer than the one in force and replaced it. */
 	mergeConfiguration(configuration: types.Configuration): boolean {
 		if ((this.configuration?.version ?? 0) >= configuration.version) {
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -390,6 +390,16 @@
 			readonly name: CounterName;
 			readonly amount: number;
 	  }
+	| {
+			/** Adds to the counters of a customer's rate limit. */
+			readonly type: 'countCustomer';
+			readonly customer: ids.CustomerId;
+			/** Tokens that the leader granted to this proxy. */
+			readonly granted: number;
+			/** Operations that were counted here. */
+			readonly used: number;
+			readonly refused: number;
+	  }
 	| {readonly type: 'log'; readonly record: types.LogRecord}
 	| {
 			/** Draining is complete; the process may exit with 0. */
--- a/src/daemon/proxy-driver.ts
+++ b/src/daemon/proxy-driver.ts
@@ -5,6 +5,7 @@
 import {assertNever} from '../common/assert-never.js';
 import type * as ids from '../common/ids.js';
 import type * as messages from '../common/messages.js';
+import type * as metrics from '../common/metrics/types.js';
 import type * as reducer from '../common/proxy/reducer.js';
 import type * as proxy from '../common/proxy/types.js';
 import type * as types from '../common/types.js';
@@ -19,6 +20,7 @@
 export type MetricsSink = {
 	recordRequest(record: proxy.RequestRecord): void;
 	countEvent(name: proxy.CounterName, amount: number): void;
+	countCustomer(counts: metrics.CustomerCounts): void;
 };
 
 export type ProxyAdapters = {
@@ -337,6 +339,11 @@
 				return;
 			}
 
+			case 'countCustomer': {
+				adapters.metrics.countCustomer(effect);
+				return;
+			}
+
 			case 'log': {
 				adapters.logger.write(effect.record);
 				return;
--- a/src/node/peer/frame-keys.ts
+++ b/src/node/peer/frame-keys.ts
@@ -113,4 +113,11 @@
 	'promoting',
 	'nextReportMs',
 	'binding',
+	'allowances',
+	'customers',
+	'received',
+	'stream',
+	'report',
+	'grant',
+	'customer',
 ] as const;
--- a/src/node/peer/message-shapes.ts
+++ b/src/node/peer/message-shapes.ts
@@ -12,6 +12,7 @@
 	isFlag: flag,
 	isCount: count,
 	isQuantity: quantity,
+	isAmount: amount,
 } = shape;
 const epoch = shape.createObject({consensusTerm: count, counter: count});
 const writeTerm = shape.createOptional(count);
@@ -135,6 +136,21 @@
 	target: text,
 });
 
+const stream = shape.createTuple([count, count]);
+const allowanceReport = shape.createObject({
+	sequence: count,
+	received: count,
+	stream: shape.createOptional(stream),
+	customers: shape.createArray(
+		shape.createTuple([text, amount, amount, amount, amount]),
+	),
+});
+const allowanceGrant = shape.createObject({
+	sequence: count,
+	stream,
+	customers: shape.createArray(shape.createTuple([text, amount, amount])),
+});
+
 const shapes: Partial<Record<messages.PeerMessage['type'], shape.Shape>> = {
 	hello: shape.createObject({
 		peer: text,
@@ -193,7 +209,13 @@
 		configurationVersion: shape.createOptional(count),
 		knownIndex: count,
 		knownOwners: shape.createOptional(epoch),
+		allowances: shape.createOptional(allowanceReport),
+	}),
+	allowanceRequest: shape.createObject({
+		incarnation: count,
+		report: allowanceReport,
 	}),
+	allowanceGranted: shape.createObject({grant: allowanceGrant}),
 	leaseGranted: shape.createObject({
 		sequence: count,
 		durationMs: count,
@@ -209,6 +231,7 @@
 		configuration: shape.createOptional(configuration),
 		confirmed: shape.createArray(shape.createTuple([text, count])),
 		appliedIndex: count,
+		allowances: shape.createOptional(allowanceGrant),
 	}),
 	revokeLease: shape.createObject({server: text, epoch, scope, writeTerm}),
 	leaseReleased: shape.createObject({server: text, epoch, scope, writeTerm}),
--- a/src/node/peer/shape.ts
+++ b/src/node/peer/shape.ts
@@ -10,6 +10,8 @@
 export const isFlag: Shape = (value) => typeof value === 'boolean';
 /** A counter, term, index or version. */
 export const isCount: Shape = (value) => Number.isFinite(value);
+/** A number of things, which is never negative. */
+export const isAmount: Shape = (value) => isCount(value) && Number(value) >= 0;
 /** A duration or position, which may be infinite. */
 export const isQuantity: Shape = (value) =>
 	typeof value === 'number' && !Number.isNaN(value);
--- a/src/scenario/fleet/proxy-process.ts
+++ b/src/scenario/fleet/proxy-process.ts
@@ -315,6 +315,7 @@
 			case 'transactionLost':
 			case 'watchPeer':
 			case 'countEvent':
+			case 'countCustomer':
 			case 'answerTemplateChange': {
 				return;
 			}
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -498,6 +498,16 @@
 	| {type: 'recordRequest'; record: RequestRecord}
 	/** Adds to a counter that is not bound to a member. */
 	| {type: 'countEvent'; name: CounterName; amount: number}
+	| {
+			/** Adds to the counters of a customer's rate limit. */
+			type: 'countCustomer';
+			customer: CustomerId;
+			/** Tokens that the leader granted to this proxy. */
+			granted: number;
+			/** Operations that were counted here. */
+			used: number;
+			refused: number;
+	  }
 	| {type: 'log'; record: LogRecord}
 	/** Draining is complete; the process may exit with 0. */
 	| {type: 'drained'}
@@ -1006,6 +1016,20 @@
 	| {type: 'drained'}
 >;
 /** Start options of a control peer. `incarnation` is higher for each start of the process. */
+/** What may run in any window: (rate * window + burst) * (1 + overage) + slack. */
+export type RateBound = {
+	readonly windowMs: number;
+	/** Tolerated share above the limit. */
+	readonly overage: number;
+	/** Operations that are tolerated in addition. */
+	readonly slack: number;
+};
+/** How the leader learns the rate limits of customers, and what it tolerates above them. */
+export type RateLimitOptions = {
+	/** Reads the customers of a configuration; undefined when its text is not valid. */
+	parseCustomers(text: string): Iterable<Customer> | undefined;
+	readonly bound: RateBound;
+};
 export type ControlPeerOptions = {
 	readonly peer: PeerId;
 	/** `ip:port` of the peer listener. */
@@ -1021,6 +1045,7 @@
 	 * all control peers.
 	 */
 	readonly recordsLeaseHolders?: boolean;
+	readonly rateLimits?: RateLimitOptions;
 	readonly random: RandomSource;
 };
 export type ControlPeerEvent =
@@ -1135,7 +1160,19 @@
 	/** Staleness of reads. */
 	readonly staleness: HistogramSummary;
 };
+/** Counters of one customer's rate limit at this process. */
+export type CustomerCounts = {
+	/** `other` combines all customers beyond the limit. */
+	readonly customer: string;
+	/** Tokens that the leader granted to this process. */
+	readonly granted: number;
+	/** Operations that were counted here. */
+	readonly used: number;
+	readonly refused: number;
+};
 export type MetricsSnapshot = {
+	/** Customers with a rate limit that have sent requests here. */
+	readonly customers: readonly CustomerCounts[];
 	readonly series: readonly SeriesSnapshot[];
 	readonly counters: Readonly<Record<string, number>>;
 	readonly gauges: Readonly<Record<string, number>>;
@@ -1146,6 +1183,8 @@
 export type MetricsLimits = {
 	/** Maximum number of members with series of their own. */
 	readonly maxMembers: number;
+	/** Maximum number of customers with counters of their own. */
+	readonly maxCustomers: number;
 	readonly maxGauges: number;
 };
 /** Metrics of one process, with a bounded number of series. */
@@ -1153,6 +1192,7 @@
 	constructor(limits?: Partial<MetricsLimits>);
 	recordRequest(record: RequestRecord): void;
 	countEvent(name: CounterName, amount?: number): void;
+	countCustomer(counts: CustomerCounts): void;
 	/** False when the gauge is new and the limit is reached; the value is then discarded. */
 	setGauge(name: string, value: number): boolean;
 	removeGauge(name: string): void;
