Test rate limits through the proxy reducer

Cause: the property tests cover the tokens, but not the entry that waits for them, refuses and counts. Done: three tests over a small fleet whose scripted control answers reports.

--- a/src/scenario/fleet/scripted-control.ts
+++ b/src/scenario/fleet/scripted-control.ts
@@ -7,6 +7,7 @@
 import type * as messages from '../../common/messages.js';
 import * as random from '../../common/random.js';
 import type * as types from '../../common/types.js';
+import type * as allowances from '../../common/control/allowances.js';
 import type * as links from './links.js';
 import type * as timeline from './timeline.js';
 
@@ -19,6 +20,8 @@
 	readonly claimedServers: string[][] = [];
 	groups: types.GroupView[] = [];
 	templates: types.Template[] = [];
+	/** The rate limits of customers; without it, reports about them are not answered. */
+	allowances: allowances.AllowanceTable | undefined;
 	private appliedIndex = 1;
 	private readonly owners = new Map<ids.UpstreamId, ids.PeerId>();
 	private readonly epochs = new Map<ids.UpstreamId, types.Epoch>();
@@ -82,6 +85,18 @@
 		// eslint-disable-next-line unicorn/prefer-switch -- other messages are ignored on purpose
 		if (message.type === 'renewLease') {
 			this.answerRenewal(from, message);
+		} else if (message.type === 'allowanceRequest') {
+			const {incarnation, report} = message;
+			const {now} = this.timeline;
+			const grant = this.allowances?.handleReport(
+				now,
+				from,
+				incarnation,
+				report,
+			);
+			if (grant) {
+				this.links.send(this.peer, from, {type: 'allowanceGranted', grant});
+			}
 		} else if (message.type === 'leaseReleased') {
 			this.releasedLeases.push(`${message.server}/${message.scope}`);
 		} else if (
@@ -153,7 +168,16 @@
 					? {writeTerm: this.writeTerms.get(server)!}
 					: {}),
 			}));
+		const grant =
+			renewal.allowances &&
+			this.allowances?.handleReport(
+				this.timeline.now,
+				from,
+				renewal.incarnation,
+				renewal.allowances,
+			);
 		this.links.send(this.peer, from, {
+			...(grant ? {allowances: grant} : {}),
 			type: 'leaseGranted',
 			sequence: renewal.sequence,
 			durationMs: leaseDurationMs,
