--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -8,6 +8,7 @@
 import type * as membershipService from '../membership/membership.js';
 import type * as random from '../random.js';
 import type * as types from '../types.js';
+import * as allowanceClient from './allowance-client.js';
 import * as callerAccess from './caller-access.js';
 import * as candidates from './candidates.js';
 import * as context from './context.js';
@@ -55,6 +56,7 @@
 	private readonly context: context.ProxyContext;
 	private readonly peerView: peerView.PeerView;
 	private readonly ownership: ownership.OwnershipManager;
+	private readonly allowances: allowanceClient.AllowanceClient;
 	private readonly positionClient: positionClient.PositionClient;
 	private readonly candidates: candidates.CandidateList;
 	private readonly reports: reportPublisher.ReportPublisher;
@@ -91,6 +93,12 @@
 			getConfigurationVersion: () => this.templates.configuration?.version ?? 0,
 			listControlPeers: () => this.listControlPeers(),
 			isDraining: () => this.drain.isDraining,
+			buildAllowanceReport: () => this.allowances.buildReport(),
+		});
+		this.allowances = new allowanceClient.AllowanceClient(this.context, {
+			getCustomers: () => this.templates.routes?.customers,
+			countWaiting: (customer) => this.entry.rateLimiter.countWaiting(customer),
+			getLeader: () => this.lease.getLeader(),
 		});
 		this.owner = new owner.Owner(
 			this.context,
@@ -126,6 +134,7 @@
 			this.candidates,
 			this.positionClient,
 			access,
+			this.allowances,
 			services,
 		);
 		this.poller = new poller.Poller(
@@ -358,6 +367,7 @@
 		this.poller.handleTick();
 		this.owner.handleTick();
 		this.entry.pendingRequests.handleTick();
+		this.entry.rateLimiter.handleTick();
 		this.candidates.handleTick(this.listUsedGroups());
 		this.reports.handleTick();
 		this.operators.handleTick();
--- a/src/node/peer/frame-keys.ts
+++ b/src/node/peer/frame-keys.ts
@@ -116,4 +116,11 @@
 	'salt',
 	'known',
 	'wanted',
+	'allowances',
+	'customers',
+	'received',
+	'stream',
+	'report',
+	'grant',
+	'customer',
 ] as const;
