--- a/src/soak/fleet.ts
+++ b/src/soak/fleet.ts
@@ -103,7 +103,7 @@
 			case 'server': {
 				await this.#setServerFault(target, fault.name, fault.value);
 				await timers.setTimeout(forMs);
-				await this.#setServerFault(target, fault.name, 'false');
+				await this.#setServerFault(target, fault.name, fault.endValue);
 				return;
 			}
 
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -13,6 +13,8 @@
 /** Time after a fault in which its target still counts as affected, in ms. */
 const recoveryMs = 3000;
 const maxDelayMs = 120;
+/** Largest replication lag of a server, in ms. */
+const maxLagMs = 1500;
 
 type Role = 'proxy' | 'control' | 'ledger';
 
@@ -80,8 +82,7 @@
 	}
 
 	if (role === 'ledger') {
-		const name = drawItem(source, ['freeze', 'cut', 'crash']);
-		return {type: 'server', target, name, value: 'true', forMs};
+		return drawServerFault(source, target, forMs);
 	}
 
 	return {
@@ -91,6 +92,22 @@
 	};
 }
 
+function drawServerFault(
+	source: random.RandomSource,
+	target: string,
+	forMs: number,
+): types.Fault {
+	const type = 'server';
+	if (source.readFloat() < 0.4) {
+		const value = String(source.readInteger(1, maxLagMs));
+		const name = 'apply_lag_ms';
+		return {type, target, name, value, endValue: '0', forMs};
+	}
+
+	const name = drawItem(source, ['freeze', 'cut', 'crash']);
+	return {type, target, name, value: 'true', endValue: 'false', forMs};
+}
+
 function drawRelayMode(source: random.RandomSource): types.RelayMode {
 	const type = drawItem(source, ['delay', 'cut', 'silence', 'reset'] as const);
 	switch (type) {
--- a/src/soak/types.ts
+++ b/src/soak/types.ts
@@ -31,6 +31,8 @@
 			readonly target: string;
 			readonly name: string;
 			readonly value: string;
+			/** The value that ends the fault. */
+			readonly endValue: string;
 			readonly forMs: number;
 	  };
 
