Give templates customers and note how keys work

Cause: customers and keys existed only for configurations of the platform. Done: sections [customer NAME] with key_digests, rate_per_s and burst in a template; a key belongs to one customer; a template without customers is open. Edits of keys keep the rest of the text.

--- a/src/common/proxy/template-store.ts
+++ b/src/common/proxy/template-store.ts
@@ -13,6 +13,7 @@
 type StoredTemplate = {
 	readonly template: types.Template;
 	readonly parameters: types.TemplateParameters;
+	readonly access: MemberAccess;
 };
 
 /** Parses the text of a configuration; undefined when the text is not valid. */
@@ -22,10 +23,15 @@
 export type MemberAccess = {
 	/** True when requests need no key of a customer. */
 	readonly isOpen: boolean;
+	readonly customers: ReadonlyMap<ids.CustomerId, types.Customer>;
 	readonly customerByKey: ReadonlyMap<ids.KeyDigest, ids.CustomerId>;
 };
 
-const openAccess: MemberAccess = {isOpen: true, customerByKey: new Map()};
+const openAccess: MemberAccess = {
+	isOpen: true,
+	customers: new Map(),
+	customerByKey: new Map(),
+};
 
 export class TemplateStore {
 	/** Routes of the configuration in force; they take precedence over templates. */
@@ -57,15 +63,16 @@
 		return this.routes && route
 			? {
 					isOpen: route.isOpen,
+					customers: this.routes.customers,
 					customerByKey: this.routes.customerByKey,
 				}
-			: openAccess;
+			: (this.templates.get(member)?.access ?? openAccess);
 	}
 
 	/** True when requests without a customer may reach the servers of a group. */
 	isOpenGroup(group: ids.GroupId): boolean {
 		if (!this.routes) {
-			return this.parseConfiguration === undefined;
+			return this.parseConfiguration === undefined && this.hasOpenTemplate();
 		}
 
 		if (this.routes.customers.size === 0) {
@@ -116,7 +123,11 @@
 			return false;
 		}
 
-		this.templates.set(template.member, {template, parameters});
+		this.templates.set(template.member, {
+			template,
+			parameters,
+			access: buildAccess(parameters),
+		});
 		return true;
 	}
 
@@ -129,4 +140,35 @@
 	listTemplates(): types.Template[] {
 		return [...this.templates.values()].map(({template}) => template);
 	}
+
+	/** Templates name no group, so an open one may belong to any. */
+	private hasOpenTemplate(): boolean {
+		if (this.templates.size === 0) {
+			return true;
+		}
+
+		for (const {access} of this.templates.values()) {
+			if (access.isOpen) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+}
+
+function buildAccess({customers}: types.TemplateParameters): MemberAccess {
+	if (!customers || customers.size === 0) {
+		return openAccess;
+	}
+
+	return {
+		isOpen: false,
+		customers,
+		customerByKey: new Map(
+			[...customers.values()].flatMap(({customer, keys}) =>
+				[...keys].map((key) => [key, customer] as const),
+			),
+		),
+	};
 }
--- a/src/common/template/defaults.ts
+++ b/src/common/template/defaults.ts
@@ -20,6 +20,8 @@
 	floorPercent: {min: 0, max: 100},
 	queueLimit: {min: 0, max: 1_000_000},
 	weight: {min: 1, max: 1000},
+	ratePerS: {min: 1, max: 10_000_000},
+	burst: {min: 0, max: 10_000_000},
 } as const satisfies Record<string, templateTypes.NumberLimits>;
 
 /** Parameters of an empty template. */
--- a/src/common/template/parse.ts
+++ b/src/common/template/parse.ts
@@ -5,7 +5,9 @@
 import * as ini from 'ini';
 import * as neverthrow from 'neverthrow';
 import * as zod from 'zod';
+import type * as ids from '../ids.js';
 import * as types from '../types.js';
+import * as customers from './customers.js';
 import * as defaults from './defaults.js';
 import type * as templateTypes from './types.js';
 
@@ -14,6 +16,8 @@
 	readonly allowed: string;
 };
 
+type KeyRules = Readonly<Record<string, KeyRule>>;
+
 function buildNumberRule(limits: templateTypes.NumberLimits): KeyRule {
 	return {
 		schema: zod
@@ -27,7 +31,7 @@
 
 const stalenessRule = buildNumberRule(defaults.limits.stalenessMs);
 
-const memberRules: Readonly<Record<string, KeyRule>> = {
+const memberRules: KeyRules = {
 	default_rank: {
 		schema: zod.enum(types.ranks),
 		allowed: `one of ${types.ranks.join(', ')}`,
@@ -40,23 +44,38 @@
 	max_in_flight: buildNumberRule(defaults.limits.maxInFlight),
 };
 
-const rankRules: Readonly<Record<string, KeyRule>> = {
+const rankRules: KeyRules = {
 	deadline_ms: buildNumberRule(defaults.limits.deadlineMs),
 	floor_percent: buildNumberRule(defaults.limits.floorPercent),
 	queue_limit: buildNumberRule(defaults.limits.queueLimit),
 	weight: buildNumberRule(defaults.limits.weight),
 };
 
-const sectionRules: ReadonlyMap<
-	string,
-	Readonly<Record<string, KeyRule>>
-> = new Map([
+const customerRules: KeyRules = {
+	key_digests: {
+		schema: zod.string().refine((text) => customers.isDigestList(text)),
+		allowed: 'SHA-256 digests in base64, separated by commas',
+	},
+	rate_per_s: buildNumberRule(defaults.limits.ratePerS),
+	burst: buildNumberRule(defaults.limits.burst),
+};
+
+const sectionRules: ReadonlyMap<string, KeyRules> = new Map([
 	['member', memberRules],
 	...types.ranks.map((rank) => [`rank ${rank}`, rankRules] as const),
 ]);
 
 type SectionValues = Map<string, number | string>;
 
+function findRules(section: string): KeyRules | undefined {
+	return (
+		sectionRules.get(section) ??
+		(customers.parseSectionName(section) === undefined
+			? undefined
+			: customerRules)
+	);
+}
+
 /** Formats a value as written in the text; truncates long values. */
 function formatFoundValue(value: unknown): string {
 	const text = typeof value === 'string' ? value : JSON.stringify(value);
@@ -70,10 +89,10 @@
 function checkSection(
 	section: string,
 	content: Readonly<Record<string, unknown>>,
+	rules: KeyRules,
 	problems: templateTypes.TemplateProblem[],
 ): SectionValues {
 	const values: SectionValues = new Map();
-	const rules = sectionRules.get(section)!;
 	for (const [key, value] of Object.entries(content)) {
 		const rule = Object.hasOwn(rules, key) ? rules[key] : undefined;
 		if (!rule) {
@@ -107,8 +126,9 @@
 	problems: templateTypes.TemplateProblem[],
 ): Map<string, SectionValues> {
 	const sections = new Map<string, SectionValues>();
-	const allowed = `the sections ${listNames(sectionRules.keys(), (name) => `[${name}]`)}`;
+	const allowed = `the sections ${listNames([...sectionRules.keys(), 'customer NAME'], (name) => `[${name}]`)}`;
 	for (const [name, content] of Object.entries(parsed)) {
+		const rules = findRules(name);
 		if (typeof content !== 'object' || Array.isArray(content)) {
 			problems.push({
 				section: '',
@@ -116,10 +136,10 @@
 				found: 'a key outside of a section',
 				allowed,
 			});
-		} else if (sectionRules.has(name)) {
+		} else if (rules) {
 			sections.set(
 				name,
-				checkSection(name, content as Record<string, unknown>, problems),
+				checkSection(name, content as Record<string, unknown>, rules, problems),
 			);
 		} else {
 			problems.push({section: name, found: 'an unknown section', allowed});
@@ -176,9 +196,53 @@
 			normal: buildRank('normal'),
 			background: buildRank('background'),
 		},
+		...buildCustomers(sections),
 	};
 }
 
+function buildCustomers(
+	sections: ReadonlyMap<string, SectionValues>,
+): Pick<types.TemplateParameters, 'customers'> {
+	const found = new Map<ids.CustomerId, types.Customer>();
+	for (const [name, values] of sections) {
+		const customer = customers.parseSectionName(name);
+		if (customer !== undefined) {
+			const ratePerS = getNumber(values, 'rate_per_s', Infinity);
+			found.set(customer, {
+				customer,
+				keys: customers.parseDigests(String(values.get('key_digests') ?? '')),
+				ratePerS,
+				burst: getNumber(values, 'burst', ratePerS),
+			});
+		}
+	}
+
+	return found.size === 0 ? {} : {customers: found};
+}
+
+/** A key identifies one customer, so no two customers may share one. */
+function checkSharedKeys(
+	parameters: types.TemplateParameters,
+	problems: templateTypes.TemplateProblem[],
+): void {
+	const holders = new Map<ids.KeyDigest, ids.CustomerId>();
+	for (const {customer, keys} of parameters.customers?.values() ?? []) {
+		for (const key of keys) {
+			const holder = holders.get(key);
+			if (holder !== undefined) {
+				problems.push({
+					section: `customer ${customer}`,
+					key: 'key_digests',
+					found: `a key of customer ${holder}`,
+					allowed: 'keys that no other customer has',
+				});
+			}
+
+			holders.set(key, customer);
+		}
+	}
+}
+
 /** Rank floors are shares of one server, so their sum cannot exceed 100%. */
 function checkFloorSum(
 	parameters: types.TemplateParameters,
@@ -224,6 +288,7 @@
 	const sections = checkSections(ini.parse(text), problems);
 	const parameters = buildParameters(sections);
 	checkFloorSum(parameters, problems);
+	checkSharedKeys(parameters, problems);
 	return problems.length > 0
 		? neverthrow.err(problems)
 		: neverthrow.ok(parameters);
--- a/src/common/template/render.ts
+++ b/src/common/template/render.ts
@@ -3,6 +3,7 @@
  */
 import * as ini from 'ini';
 import * as types from '../types.js';
+import * as customers from './customers.js';
 
 function renderRankPolicy(policy: types.RankPolicy): Record<string, string> {
 	return {
@@ -13,6 +14,16 @@
 	};
 }
 
+function renderCustomer(customer: types.Customer): Record<string, string> {
+	const limits = {
+		...(Number.isFinite(customer.ratePerS)
+			? {rate_per_s: String(customer.ratePerS)}
+			: {}),
+		...(Number.isFinite(customer.burst) ? {burst: String(customer.burst)} : {}),
+	};
+	return {key_digests: customers.formatDigests(customer.keys), ...limits};
+}
+
 /** Renders all parameters as template text, including defaults. */
 export function renderTemplate(parameters: types.TemplateParameters): string {
 	const sections: Record<string, Record<string, string>> = {
@@ -29,5 +40,10 @@
 		sections[`rank ${rank}`] = renderRankPolicy(parameters.ranks[rank]);
 	}
 
+	for (const customer of parameters.customers?.values() ?? []) {
+		sections[customers.formatSectionName(customer.customer)] =
+			renderCustomer(customer);
+	}
+
 	return ini.stringify(sections, {whitespace: true, platform: 'linux'});
 }
--- a/src/common/template/template.test.ts
+++ b/src/common/template/template.test.ts
@@ -1,6 +1,8 @@
 import tap from 'tap';
 import * as fastCheck from 'fast-check';
+import type * as ids from '../ids.js';
 import * as types from '../types.js';
+import * as customers from './customers.js';
 import * as defaults from './defaults.js';
 import * as parse from './parse.js';
 import * as render from './render.js';
@@ -117,3 +119,54 @@
 			.isErr(),
 	);
 });
+
+const digests = ['A', 'B', 'C'].map(
+	(letter) => `${letter.repeat(43)}=`,
+) as ids.KeyDigest[];
+
+// Guards against customers that get lost when a template is rendered, and against other limits.
+tap.test('customers are rendered and parsed', async (t) => {
+	const text = [
+		'[customer gaub]',
+		`key_digests = ${digests[0]}, ${digests[1]}`,
+		'rate_per_s = 50',
+		'[customer nossob]',
+		'key_digests =',
+	].join('\n');
+	const parsed = parse.parseTemplate(text)._unsafeUnwrap();
+	t.match(parsed.customers?.get('gaub' as ids.CustomerId), {
+		keys: new Set(digests.slice(0, 2)),
+		ratePerS: 50,
+		burst: 50,
+	});
+	t.equal(parsed.customers?.size, 2);
+	t.strictSame(
+		parse.parseTemplate(render.renderTemplate(parsed))._unsafeUnwrap(),
+		parsed,
+	);
+});
+
+// Guards against a key that identifies two customers, and against a clear key in a template.
+tap.test('shared keys and clear keys are rejected', async (t) => {
+	const shared = `[customer a]\nkey_digests=${digests[0]}\n[customer b]\nkey_digests=${digests[0]}`;
+	t.match(parse.parseTemplate(shared)._unsafeUnwrapErr(), [
+		{section: 'customer b', found: 'a key of customer a'},
+	]);
+	const clear = '[customer a]\nkey_digests = secret-1';
+	t.equal(parse.parseTemplate(clear)._unsafeUnwrapErr().length, 1);
+});
+
+// Guards against an edit of keys that changes other parts of a template.
+tap.test('an edit of keys keeps the rest of the text', async (t) => {
+	const text =
+		'; retail\n[customer a]\nrate_per_s = 5\nkey_digests = old\n\n[member]\nmax_sessions = 3\n';
+	const edited = customers.setDigests(text, 'a', digests.slice(0, 1));
+	t.equal(
+		edited,
+		`; retail\n[customer a]\nkey_digests = ${digests[0]}\nrate_per_s = 5\n\n[member]\nmax_sessions = 3\n`,
+	);
+	const added = customers.setDigests(edited, 'b', digests.slice(1, 2));
+	t.ok(added.startsWith(edited));
+	t.equal(parse.parseTemplate(added)._unsafeUnwrap().customers?.size, 2);
+	t.match(customers.setDigests('', 'b', []), /^\[customer b\]/v);
+});
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -130,6 +130,8 @@
 	/** Maximum number of requests of the member in flight at one entry proxy. */
 	readonly maxInFlight: number;
 	readonly ranks: Readonly<Record<Rank, RankPolicy>>;
+	/** The customers that share the member; without any, its requests need no key. */
+	readonly customers?: ReadonlyMap<ids.CustomerId, Customer>;
 };
 
 /** One version of a member's template. */
