Identify customers of PostgreSQL callers by password

Cause: only the platform's line protocol carried keys. Done: where a template has customers, the caller adapter asks for a cleartext password, which is the key; only its digest leaves the module. Pooled connections name the customer to the server as the startup option hemlockarch.customer, which DISCARD ALL keeps.

--- a/src/bench/direct-driver.ts
+++ b/src/bench/direct-driver.ts
@@ -33,6 +33,9 @@
 export type DirectDriverOptions = {
 	readonly address: string;
 	readonly connections: number;
+	/** The customer that the connections to the server name. */
+	readonly customer?: ids.CustomerId;
+	readonly needsKey?: callerTypes.CallerOptions['needsKey'];
 	readonly callerLimits?: Partial<callerTypes.CallerLimits>;
 	readonly upstreamLimits?: Partial<upstreamTypes.UpstreamLimits>;
 	/** Called with every event before it is handled. */
@@ -69,6 +72,7 @@
 		this.callers = callerAdapter.createCallerAdapter({
 			...common,
 			instanceId: 'test',
+			needsKey: options.needsKey,
 			limits: options.callerLimits,
 			dispatch: (event) => {
 				options.observe?.(event);
@@ -125,6 +129,7 @@
 			server: 's1' as ids.UpstreamId,
 			address: this.options.address,
 			epoch,
+			customer: this.options.customer,
 		});
 	}
 
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -27,12 +27,13 @@
 		daemonLogger,
 		clock.systemClock.readWallClock(),
 		{
-			createCallers: ({dispatch, logger, instanceId}, handleDrain) =>
+			createCallers: ({dispatch, reducer, logger, instanceId}, handleDrain) =>
 				callerAdapter.createCallerAdapter({
 					dispatch,
 					clock: clock.systemClock,
 					logger,
 					instanceId,
+					needsKey: (member) => !reducer.templates.getAccess(member).isOpen,
 					handleDrain,
 				}),
 			createUpstreams: ({dispatch, logger}, relay) =>
--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -10,6 +10,7 @@
 import type * as commonTypes from '../../common/types.js';
 import type * as node from '../types.js';
 import * as messages from '../wire/messages.js';
+import * as password from './password.js';
 import * as sessions from './session.js';
 import * as settings from './settings.js';
 import * as startup from './startup.js';
@@ -227,6 +228,28 @@
 			return;
 		}
 
+		const member = parsed.value.member as ids.MemberId;
+		if (!this.options.needsKey?.(member)) {
+			this.#startSession(socket, parsed.value, undefined, remainder);
+			return;
+		}
+
+		password.requestPassword(
+			socket,
+			remainder,
+			this.#limits.startupTimeoutMs,
+			(key, rest) => {
+				this.#startSession(socket, parsed.value, key, rest);
+			},
+		);
+	}
+
+	#startSession(
+		socket: net.Socket,
+		parameters: types.StartupParameters,
+		key: ids.KeyDigest | undefined,
+		remainder: Buffer,
+	): void {
 		this.#lastSessionId++;
 		const id = this.#lastSessionId as ids.SessionId;
 		const {
@@ -234,7 +257,7 @@
 			group,
 			settings: initialSettings,
 			parametersToSet,
-		} = parsed.value;
+		} = parameters;
 		const sessionSettings = new settings.SessionSettings(
 			member,
 			initialSettings.get('session') ?? `${this.options.instanceId}.${id}`,
@@ -260,6 +283,7 @@
 			attributes: {
 				member: member as ids.MemberId,
 				group: group as ids.GroupId,
+				...(key === undefined ? {} : {key}),
 				...(token.isOk() && {token: token.value}),
 			},
 		});
--- a/src/node/caller/types.ts
+++ b/src/node/caller/types.ts
@@ -65,6 +65,8 @@
 	readonly instanceId: string;
 	/** After `relay` returned false: the caller can receive data again, or its session is closed. */
 	readonly handleDrain?: (attempt: ids.AttemptId) => void;
+	/** Tells whether callers of a member identify themselves with the key of a customer. */
+	readonly needsKey?: (member: ids.MemberId) => boolean;
 	/** Parameters that are reported to each new session, including `server_version`. */
 	readonly serverParameters?: Readonly<Record<string, string>>;
 	readonly limits?: Partial<CallerLimits>;
--- a/src/node/upstream/connection.ts
+++ b/src/node/upstream/connection.ts
@@ -49,6 +49,7 @@
 			{
 				address: effect.address,
 				epoch: effect.epoch,
+				customer: effect.customer,
 				user: options.user,
 				database: options.database,
 				connectTimeoutMs: limits.connectTimeoutMs,
--- a/src/node/upstream/server-socket.ts
+++ b/src/node/upstream/server-socket.ts
@@ -5,6 +5,7 @@
 import type {Buffer} from 'node:buffer';
 import * as net from 'node:net';
 import * as pgProtocol from 'pg-protocol/dist/serializer';
+import type * as ids from '../../common/ids.js';
 import type * as commonTypes from '../../common/types.js';
 import * as addresses from '../peer/addresses.js';
 import * as messages from '../wire/messages.js';
@@ -26,6 +27,8 @@
 export type ServerSocketOptions = {
 	readonly address: string;
 	readonly epoch: commonTypes.Epoch;
+	/** The customer whose requests run on the connection. */
+	readonly customer?: ids.CustomerId | undefined;
 	readonly user: string;
 	readonly database: string;
 	readonly connectTimeoutMs: number;
@@ -36,6 +39,11 @@
 	return `${epoch.consensusTerm}.${epoch.counter}`;
 }
 
+/** As a startup option, the setting is the default of the session and survives DISCARD ALL. */
+function formatCustomerOption(customer: ids.CustomerId): string {
+	return `-c hemlockarch.customer=${customer.replaceAll(/[\\\s]/gv, String.raw`\$&`)}`;
+}
+
 export class ServerSocket {
 	readonly socket: net.Socket;
 	#processId = 0;
@@ -116,11 +124,15 @@
 	}
 
 	#sendStartup(): void {
+		const {customer} = this.options;
 		this.socket.write(
 			pgProtocol.serialize.startup({
 				user: this.options.user,
 				database: this.options.database,
 				application_name: `hemlockarch/${formatEpoch(this.options.epoch)}`,
+				...(customer === undefined
+					? {}
+					: {options: formatCustomerOption(customer)}),
 			}),
 		);
 	}
