--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -7,6 +7,7 @@
 import * as base from './base-command.js';
 import * as checkConfig from './check-config.js';
 import * as ctl from './ctl-commands.js';
+import * as customers from './customer-commands.js';
 import * as daemons from './daemon-commands.js';
 import * as exits from './exit-codes.js';
 import * as standIn from './stand-in-command.js';
@@ -22,6 +23,10 @@
 	templates.TemplateGetCommand,
 	templates.TemplateSetCommand,
 	templates.TemplateHistoryCommand,
+	customers.CustomerListCommand,
+	customers.CustomerAddCommand,
+	customers.CustomerRotateCommand,
+	customers.CustomerWithdrawCommand,
 	ctl.StatusCommand,
 	ctl.MetricsCommand,
 	ctl.DrainCommand,
