--- a/src/bench/traffic.ts
+++ b/src/bench/traffic.ts
@@ -1,6 +1,6 @@
 /**
  * Measures in virtual time what a fleet of production reducers sends between its processes: during
- * its start, while it is idle, and under load. Six data centres lie in three regions; each region has
+ * its start, under load from the moment at which the sessions open, and while it is idle. Six data centres lie in three regions; each region has
  * one server of each of six groups. Prints one JSON line per fleet size and message type.
  *
  * Usage: node dist/bench/traffic.js [proxies...]
@@ -41,8 +41,9 @@
 const primaryReadPriceMs = 15;
 
 const startMs = 16_000;
-const idleMs = 4000;
 const loadMs = 12_000;
+const settleMs = 30_000;
+const idleMs = 30_000;
 const statementsPerSecondPerProxy = 12;
 const writeShare = 0.2;
 const readStalenessMs = 2500;
@@ -99,6 +100,7 @@
 	readonly controls: controlProcess.ControlProcess[] = [];
 	completed = 0;
 	refused = 0;
+	isLoaded = true;
 	latenciesMs: number[] = [];
 	private readonly locations = new Map<ids.PeerId, traffic.Location>();
 	private readonly random = random.createRandom(7);
@@ -159,6 +161,10 @@
 		thinkMs: number,
 	): void {
 		this.timeline.schedule(2 * thinkMs * this.random.readFloat(), () => {
+			if (!this.isLoaded) {
+				return;
+			}
+
 			const sentAt = this.timeline.now;
 			const isWrite = this.random.readFloat() < writeShare;
 			const key = 'k'.repeat(isWrite ? 20 : requestBytes);
@@ -316,10 +322,12 @@
 	const early = sumTraffic(fleet.links.counters);
 	fleet.changeTemplate();
 	const late = runPhase(startMs - 3000);
-	const idle = runPhase(idleMs);
 	fleet.startLoad();
 	const load = runPhase(loadMs);
 	const statements = fleet.completed;
+	fleet.isLoaded = false;
+	fleet.timeline.runUntil(fleet.timeline.now + settleMs);
+	const idle = runPhase(idleMs);
 	const getBytes = (totals: Totals, key: string) => totals.get(key)?.bytes ?? 0;
 	const types = new Set(
 		[...early, ...late, ...idle, ...load].map(([key]) => key.split(' ')[0]),
