Grant tokens to waiting requests in turn, and bridge elections

Cause: proxies polled an empty bucket, so one that asked at the right moment got the token of another that had waited longer; and after an election, when all buckets are empty, requests below the limit were refused. Done: the leader serves the proxies at which requests wait in turn, each tick; grants are numbered, so that one that is lost is sent again. In the 3 s after the first grant of a leader an empty bucket is no reason to refuse. Requests wait up to 3 s for a silent leader and are refused at once when it has been silent for 2 s.

--- a/src/common/control/allowance-simulation.ts
+++ b/src/common/control/allowance-simulation.ts
@@ -80,15 +80,17 @@
 		}
 
 		const waiting = this.waiting.get(customer) ?? [];
+		this.waiting.set(customer, waiting);
 		const emptyMs = this.client.findEmptyWait(customer);
 		const mayWait = rateWait.mayWait({
 			isEmpty: emptyMs !== undefined,
+			silentMs: this.client.computeSilence(),
 			waiting: waiting.length,
 			usePerS: this.client.readUsePerS(customer),
 			nextTokenMs: emptyMs ?? 0,
 		});
 		if (mayWait) {
-			this.waiting.set(customer, [...waiting, now]);
+			waiting.push(now);
 		} else {
 			this.simulation.refused++;
 		}
@@ -325,7 +327,13 @@
 			this.table.setCustomers(this.now, this.customers.values());
 		}
 
-		this.table?.expire(this.now);
+		for (const {peer, grant} of this.table?.step(this.now) ?? []) {
+			const proxy = this.proxies.find((item) => item.peer === peer)!;
+			const {client} = proxy;
+			this.deliver(this.now, proxy, {message: grant, isRenewal: false}, () => {
+				this.handleGrant(proxy, client, grant);
+			});
+		}
 	}
 
 	private deliver(
--- a/src/common/control/allowances.test.ts
+++ b/src/common/control/allowances.test.ts
@@ -237,6 +237,24 @@
 	}
 });
 
+// Guards against refusals below the limit because the buckets of a new leader are empty.
+tap.test('an election delays requests but refuses none', async (t) => {
+	for (const ratePerS of [4, 179]) {
+		const simulation = createCalm(30, [createCustomer(ratePerS)]);
+		const submit = (): void => {
+			if (simulation.random.readFloat() < ratePerS / 160) {
+				simulation.submit(simulation.random.readInteger(0, 29), customer);
+			}
+		};
+
+		simulation.run(10_000, submit);
+		simulation.elect(1000);
+		simulation.run(20_000, submit);
+		t.equal(simulation.refused, 0, `rate ${ratePerS}`);
+		t.comment(`rate ${ratePerS}: waits up to ${simulation.maxWaitMs} ms`);
+	}
+});
+
 // Guards against a share that stays behind with proxies that no longer need it.
 tap.test('one entry gets the whole limit when demand moves', async (t) => {
 	for (const ratePerS of [4, 179]) {
--- a/src/common/control/allowances.ts
+++ b/src/common/control/allowances.ts
@@ -29,7 +29,11 @@
 	readonly holdings: Map<ids.CustomerId, Holding>;
 	/** Customers of which the proxy has fewer tokens than it asked for. */
 	readonly unmet: Set<ids.CustomerId>;
-	/** Answer that last changed what was granted, until the proxy has received it. */
+	/** Sequence of the last report. */
+	sequence: number;
+	/** Number of the last grant that was sent. */
+	grantNumber: number;
+	/** Grant that last changed what a customer has, until the proxy has received it. */
 	readonly undelivered: Map<ids.CustomerId, number>;
 };
 
@@ -46,6 +50,8 @@
 	readonly #holders = new Map<ids.PeerId, Holder>();
 	/** Earlier instances of proxies, whose tokens still count. */
 	#retired: Holder[] = [];
+	/** Proxies at which requests wait, in the order in which they are served. */
+	readonly #waitingPeers = new Set<ids.PeerId>();
 	#streamCounter = 0;
 
 	constructor(
@@ -92,13 +98,14 @@
 
 		const holder = this.#ensureHolder(peer, incarnation);
 		holder.expiresAt = now + rateBound.grantorValidityMs;
-		for (const [customer, sequence] of holder.undelivered) {
-			if (sequence <= report.received) {
+		holder.sequence = Math.max(holder.sequence, report.sequence);
+		const isCurrent = isSameStream(holder.stream, report.stream);
+		for (const [customer, number] of holder.undelivered) {
+			if (isCurrent && number <= report.received) {
 				holder.undelivered.delete(customer);
 			}
 		}
 
-		const isCurrent = isSameStream(holder.stream, report.stream);
 		for (const [
 			customer,
 			spent,
@@ -116,17 +123,38 @@
 			holder.unmet.add(customer);
 		}
 
-		const waits = this.#grant(now, holder, report.sequence);
-		const changed = new Set([...waits.keys(), ...holder.undelivered.keys()]);
-		return {
-			sequence: report.sequence,
-			stream: holder.stream,
-			customers: [...changed].map((customer) => [
-				customer,
-				holder.holdings.get(customer)?.granted ?? 0,
-				waits.get(customer) ?? 0,
-			]),
-		};
+		return this.#buildGrant(now, peer, holder);
+	}
+
+	/**
+	 * Grants new tokens to the proxies at which requests wait, in turn, and releases the tokens of
+	 * proxies whose reports have stopped.
+	 */
+	step(now: number): Array<{peer: ids.PeerId; grant: messages.AllowanceGrant}> {
+		this.expire(now);
+		const grants: Array<{
+			peer: ids.PeerId;
+			grant: messages.AllowanceGrant;
+		}> = [];
+		const peers = [...this.#waitingPeers];
+		for (const peer of peers) {
+			const holder = this.#holders.get(peer);
+			if (!holder) {
+				this.#waitingPeers.delete(peer);
+				continue;
+			}
+
+			const grant = this.#buildGrant(now, peer, holder);
+			if ([...holder.undelivered.values()].includes(grant.number)) {
+				grants.push({peer, grant});
+				if (this.#waitingPeers.delete(peer)) {
+					// The others come first now.
+					this.#waitingPeers.add(peer);
+				}
+			}
+		}
+
+		return grants;
 	}
 
 	/** Releases the tokens of proxies whose reports have stopped. */
@@ -149,6 +177,33 @@
 		}
 	}
 
+	/** Grants what the proxy lacks. */
+	#buildGrant(
+		now: number,
+		peer: ids.PeerId,
+		holder: Holder,
+	): messages.AllowanceGrant {
+		holder.grantNumber++;
+		const waits = this.#grant(now, holder);
+		if (waits.size > 0) {
+			this.#waitingPeers.add(peer);
+		} else {
+			this.#waitingPeers.delete(peer);
+		}
+
+		const changed = new Set([...waits.keys(), ...holder.undelivered.keys()]);
+		return {
+			sequence: holder.sequence,
+			number: holder.grantNumber,
+			stream: holder.stream,
+			customers: [...changed].map((customer) => [
+				customer,
+				holder.holdings.get(customer)?.granted ?? 0,
+				waits.get(customer) ?? 0,
+			]),
+		};
+	}
+
 	#setLimit(
 		now: number,
 		customer: ids.CustomerId,
@@ -211,6 +266,8 @@
 			expiresAt: 0,
 			holdings: new Map(),
 			unmet: new Set(),
+			sequence: 0,
+			grantNumber: 0,
 			undelivered: new Map(),
 		};
 		this.#holders.set(peer, holder);
@@ -240,11 +297,7 @@
 	}
 
 	/** Grants what the holder lacks; returns the waits of the customers with too few tokens. */
-	#grant(
-		now: number,
-		holder: Holder,
-		sequence: number,
-	): Map<ids.CustomerId, number> {
+	#grant(now: number, holder: Holder): Map<ids.CustomerId, number> {
 		const waits = new Map<ids.CustomerId, number>();
 		for (const customer of holder.unmet) {
 			const record = this.#buckets.get(customer);
@@ -264,7 +317,7 @@
 			);
 			holding.granted += forStock;
 			if (forWaiting + forStock > 0) {
-				holder.undelivered.set(customer, sequence);
+				holder.undelivered.set(customer, holder.grantNumber);
 			}
 
 			if (forWaiting < lacking) {
--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -139,7 +139,10 @@
 	/** Runs the periodic work that is due. Called every tick. */
 	step(now: number): void {
 		this.table.expire(now);
-		this.#allowances?.expire(now);
+		for (const {peer, grant} of this.#allowances?.step(now) ?? []) {
+			this.environment.send(peer, {type: 'allowanceGranted', grant});
+		}
+
 		for (const command of this.#serverSets.step(now)) {
 			this.environment.propose(command);
 		}
--- a/src/common/control/reducer.test.ts
+++ b/src/common/control/reducer.test.ts
@@ -2,6 +2,7 @@
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
 import type * as types from '../types.js';
+import * as rateBound from '../policy/rate-bound.js';
 import * as consensus from '../consensus/consensus.js';
 import * as network from '../consensus/fake-network.js';
 import type * as consensusTypes from '../consensus/types.js';
@@ -15,9 +16,11 @@
 /** Starts a group of one voter whose storage writes complete at once. */
 function startSingleVoter(
 	start: consensusTypes.StoredLog<control.ControlCommand> = network.makeEmptyStoredLog(),
+	rateLimits?: control.RateLimitOptions,
 ) {
 	const reducer = new reducers.ControlReducer({
 		peer,
+		...(rateLimits ? {rateLimits} : {}),
 		log: new consensus.Consensus<control.ControlCommand>({
 			peer,
 			initialVoters: [peer],
@@ -317,3 +320,68 @@
 	simulation.run(1000);
 	t.match(simulation.answers[2]?.result, {type: 'accepted', version: 1});
 });
+
+// Guards against a leader that grants no tokens, keeps an earlier limit, or leaves waiting requests
+// without the tokens that come free later.
+tap.test('the leader grants tokens of the configured limit', async (t) => {
+	const single = startSingleVoter(undefined, {
+		bound: rateBound.strictBound,
+		parseCustomers: (text) => [
+			{
+				customer: 'c' as ids.CustomerId,
+				keys: new Set(),
+				ratePerS: Number(text),
+				burst: Number(text),
+			},
+		],
+	});
+	single.run(1000);
+	const setLimit = (version: number, ratePerS: number) => {
+		single.step({
+			type: 'templateChangeRequested',
+			now: single.now,
+			operation: version,
+			change: {
+				type: 'configuration',
+				configuration: {version, text: String(ratePerS)},
+			},
+		});
+	};
+
+	const request = (sequence: number, waiting: number) => {
+		single.step({
+			type: 'peerMessage',
+			now: single.now,
+			from: proxy,
+			message: {
+				type: 'allowanceRequest',
+				incarnation: 1,
+				report: {
+					sequence,
+					received: 0,
+					customers: [['c' as ids.CustomerId, 0, 0, waiting, 0]],
+				},
+			},
+		});
+	};
+
+	const takeGranted = () =>
+		single
+			.take()
+			.flatMap((effect) =>
+				effect.type === 'sendPeer' && effect.message.type === 'allowanceGranted'
+					? [effect.message.grant.customers[0][1]]
+					: [],
+			);
+
+	request(1, 5);
+	t.same(takeGranted(), [], 'no customer has a limit');
+	setLimit(1, 100);
+	request(2, 5);
+	single.run(200);
+	t.equal(takeGranted().at(-1), 5);
+	setLimit(2, 1);
+	request(3, 100);
+	single.run(900);
+	t.ok(takeGranted().at(-1)! < 10);
+});
--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -113,9 +113,9 @@
 export type AllowanceReport = {
 	/** Echoed in the answer; the proxy keeps the send time by sequence. */
 	readonly sequence: number;
-	/** Sequence of the last answer that the proxy received; 0 before the first one. */
+	/** Number of the last grant of the stream that the proxy received; 0 before the first one. */
 	readonly received: number;
-	/** The stream of that answer. */
+	/** Absent before the first grant. */
 	readonly stream?: AllowanceStream;
 	/**
 	 * The customers with changes. `spent` and `returned` are totals of the stream; `waiting` is the
@@ -132,9 +132,15 @@
 	>;
 };
 
-/** The leader's answer to an `AllowanceReport`. It confirms all tokens of the stream. */
+/**
+ * The leader's answer to an `AllowanceReport`, or tokens for requests that have waited since. It
+ * confirms all tokens of the stream.
+ */
 export type AllowanceGrant = {
+	/** Sequence of the last report. */
 	readonly sequence: number;
+	/** Counts the grants of the stream. */
+	readonly number: number;
 	readonly stream: AllowanceStream;
 	/**
 	 * Customers with changes. `granted` is the total of the stream; `waitMs` is above 0 while a
--- a/src/common/metrics/metrics.test.ts
+++ b/src/common/metrics/metrics.test.ts
@@ -96,3 +96,21 @@
 		t.match(line, /^[a-z_]+(?:\{.*\})? [\d.e\-]+$/v);
 	}
 });
+
+// Guards against memory that grows with the customers of a configuration, and against lost counts.
+tap.test('rate limits are counted by customer, within a bound', async (t) => {
+	const metrics = new Metrics({maxCustomers: 2});
+	for (const customer of ['a', 'b', 'c', 'd', 'a']) {
+		metrics.countCustomer({customer, granted: 3, used: 2, refused: 1});
+	}
+
+	t.same(metrics.getSnapshot().customers, [
+		{customer: 'a', granted: 6, used: 4, refused: 2},
+		{customer: 'b', granted: 3, used: 2, refused: 1},
+		{customer: 'other', granted: 6, used: 4, refused: 2},
+	]);
+	t.match(
+		metrics.formatText(),
+		/hemlockarch_rate_limit_operations_total\{customer="a",kind="used"\} 4/v,
+	);
+});
--- a/src/common/policy/rate-wait.ts
+++ b/src/common/policy/rate-wait.ts
@@ -1,13 +1,16 @@
 /**
  * Decides whether a request without a token waits or is refused. It answers a customer that sends
  * many times its limit for a while: what cannot get a place soon is refused at once, and the rest
- * waits, so that no token stays unused.
+ * waits, so that no token stays unused. It also answers the election of a leader, during which
+ * requests below the limit wait, and a lasting loss of control, during which they are refused at once.
  */
 
 /** A request waits at most this long for a token of an empty bucket. */
 const emptyWaitMs = 1500;
 /** The same limit while the leader does not answer; covers the election of another one. */
-const silentWaitMs = 2000;
+const silentWaitMs = 3000;
+/** A leader that has left requests unanswered for longer is not expected to answer the next ones. */
+const maxSilenceMs = 2000;
 /** The queue may hold what was recently served in this time. */
 const queueDurationMs = 500;
 /** Shortest queue, for proxies that serve few requests of the customer. */
@@ -19,6 +22,8 @@
 export type RateWaitInput = {
 	/** True while the leader says that the bucket of the customer is empty. */
 	readonly isEmpty: boolean;
+	/** Time for which the leader has left requests unanswered, in ms. */
+	readonly silentMs: number;
 	/** Requests of the customer that wait at this proxy. */
 	readonly waiting: number;
 	/** Tokens per second that this proxy used recently. */
@@ -38,7 +43,7 @@
 		minQueueLength,
 		(input.usePerS * queueDurationMs) / 1000,
 	);
-	return !input.isEmpty || input.waiting < limit;
+	return input.isEmpty ? input.waiting < limit : input.silentMs < maxSilenceMs;
 }
 
 /** Estimates the time after which a refused request may find a place, in ms. */
--- a/src/common/proxy/allowance-client.ts
+++ b/src/common/proxy/allowance-client.ts
@@ -13,10 +13,12 @@
 
 /** A request to the leader is sent again after this time without an answer. */
 const requestTimeoutMs = 250;
-/** Interval of the requests while the bucket of a customer is empty. */
-const emptyRetryMs = 100;
+/** Interval of the requests while a bucket is empty; the leader serves earlier ones by itself. */
+const emptyRetryMs = 200;
 /** The leader's word that a bucket is empty holds for this long. */
 const emptyMemoryMs = 500;
+/** The bucket of a new leader is empty although the customer may be below its limit. */
+const recoveryMs = 3000;
 const sequenceRetentionMs = 5000;
 
 type ReportEntry = messages.AllowanceReport['customers'][number];
@@ -45,11 +47,14 @@
 	private stream: messages.AllowanceStream | undefined;
 	/** Monotonic time at which the tokens of the stream expire. */
 	private expiresAt = 0;
+	private streamStartedAt = Number.NEGATIVE_INFINITY;
 	private received = 0;
 	private sequence: number;
 	private readonly sentAtBySequence = new Map<number, number>();
 	private requestSentAt = Number.NEGATIVE_INFINITY;
 	private requestSequence: number | undefined;
+	/** Time of the first request since the leader last answered. */
+	private unansweredSince: number | undefined;
 
 	constructor(
 		private readonly context: context.ProxyContext,
@@ -80,14 +85,22 @@
 		return this.states.get(customer)?.stock.readUsePerS(this.context.now) ?? 0;
 	}
 
-	/** Returns the time until the next token when the bucket is empty, in ms. */
+	/** Returns the time until the next token when the customer is at its limit, in ms. */
 	findEmptyWait(customer: ids.CustomerId): number | undefined {
+		const {now} = this.context;
 		const empty = this.states.get(customer)?.empty;
-		return empty && this.context.now < empty.until
-			? Math.max(0, empty.nextTokenAt - this.context.now)
+		return empty &&
+			now < empty.until &&
+			now - this.streamStartedAt >= recoveryMs
+			? Math.max(0, empty.nextTokenAt - now)
 			: undefined;
 	}
 
+	/** Returns the time for which the leader has left requests unanswered, in ms. */
+	computeSilence(): number {
+		return this.context.now - (this.unansweredSince ?? this.context.now);
+	}
+
 	/** Builds the report for a renewal; undefined when there is nothing to report or to extend. */
 	buildReport(): messages.AllowanceReport | undefined {
 		const {now} = this.context;
@@ -144,6 +157,10 @@
 				(!empty || now >= Math.min(empty.until, empty.nextTokenAt)) &&
 				this.source.countWaiting(customer) > 0,
 		);
+		if (mayGetTokens) {
+			this.unansweredSince ??= now;
+		}
+
 		const leader = mayGetTokens ? this.source.getLeader() : undefined;
 		const report = leader === undefined ? undefined : this.buildReport();
 		if (leader === undefined || !report) {
@@ -176,7 +193,9 @@
 			}
 
 			this.stream = grant.stream;
+			this.streamStartedAt = now;
 			this.expiresAt = 0;
+			this.received = 0;
 		}
 
 		if (this.requestSequence !== undefined) {
@@ -186,7 +205,8 @@
 					: this.requestSequence;
 		}
 
-		this.received = Math.max(this.received, grant.sequence);
+		this.unansweredSince = undefined;
+		this.received = Math.max(this.received, grant.number);
 		this.expiresAt = Math.max(
 			this.expiresAt,
 			sentAt + rateBound.holderValidityMs,
--- a/src/common/proxy/rate-limiter.test.ts
+++ b/src/common/proxy/rate-limiter.test.ts
@@ -112,13 +112,18 @@
 });
 
 // Guards against a proxy that serves without tokens, or lets requests wait for their whole deadline,
-// while no leader answers.
-tap.test('requests are refused while control is silent', async (t) => {
+// while no leader answers its reports.
+tap.test('requests are refused while reports are not answered', async (t) => {
 	const fleet = createFleet(10);
 	runFlood(fleet, limitedKey, 2000);
-	fleet.control.condition = 'dead';
+	const table = fleet.control.allowances;
+	fleet.control.allowances = undefined;
 	fleet.timeline.runUntil(fleet.timeline.now + 1000);
-	const counts = runFlood(fleet, limitedKey, 3000);
+	const counts = runFlood(fleet, limitedKey, 3500);
 	t.notOk(counts.answered);
-	t.ok(counts.HK009 >= 12);
+	// The first request of each session waits, the next ones are refused at once.
+	t.ok(counts.HK009 >= 12 * 5, `${counts.HK009} refused`);
+	fleet.control.allowances = table;
+	fleet.timeline.runUntil(fleet.timeline.now + 1000);
+	t.ok(runFlood(fleet, limitedKey, 2000).answered > 0);
 });
--- a/src/common/proxy/rate-limiter.ts
+++ b/src/common/proxy/rate-limiter.ts
@@ -161,6 +161,7 @@
 		const nextTokenMs = this.client.findEmptyWait(customer);
 		return {
 			isEmpty: nextTokenMs !== undefined,
+			silentMs: this.client.computeSilence(),
 			waiting: this.countWaiting(customer),
 			usePerS: this.client.readUsePerS(customer),
 			nextTokenMs: nextTokenMs ?? 0,
--- a/src/node/peer/frame-keys.ts
+++ b/src/node/peer/frame-keys.ts
@@ -116,6 +116,7 @@
 	'allowances',
 	'customers',
 	'received',
+	'number',
 	'stream',
 	'report',
 	'grant',
--- a/src/node/peer/message-shapes.ts
+++ b/src/node/peer/message-shapes.ts
@@ -147,6 +147,7 @@
 });
 const allowanceGrant = shape.createObject({
 	sequence: count,
+	number: count,
 	stream,
 	customers: shape.createArray(shape.createTuple([text, amount, amount])),
 });
