--- a/src/node/peer/frame-keys.ts
+++ b/src/node/peer/frame-keys.ts
@@ -119,6 +119,7 @@
 	'allowances',
 	'customers',
 	'received',
+	'number',
 	'stream',
 	'report',
 	'grant',
