Return reads whose wait another server would save

Cause: entries choose from reports of the same age, so many of them take the server that was shortest and overrun it while others idle; an entry does not count what it has placed itself since the last report. Done: the entry counts its placed requests and measures how long reads take, by server, and adds both to the cost. A read carries the wait from which another server costs less; the owner returns it, before queueing, when its wait is longer, and the entry chooses again, once. Counter 'returns'.

--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -32,6 +32,11 @@
 	readonly binding?: ids.AttemptId;
 	readonly key?: string;
 	readonly templateVersion: number;
+	/**
+	 * The owner returns the request when its expected wait is longer, because then another server costs
+	 * less as far as the entry knows. Undefined when no other server can run it.
+	 */
+	readonly maxWaitMs?: number;
 	readonly payload: proxy.RequestPayload;
 };
 
@@ -56,6 +61,8 @@
 	readonly servedBy?: types.UpstreamRole;
 	/** Expected wait of another request of this rank at the server, in ms. */
 	readonly expectedWaitMs?: number;
+	/** The owner did not queue the request, because its wait exceeds `maxWaitMs`. */
+	readonly isReturned?: boolean;
 };
 
 /** State of one server as known to its owner. */
--- a/src/common/policy/routing.test.ts
+++ b/src/common/policy/routing.test.ts
@@ -56,6 +56,20 @@
 	};
 }
 
+// Guards against a slow server that is used because it has no queue.
+tap.test('a read avoids a server whose reads take long', async (t) => {
+	const decision = new LeastWaitRoutingPolicy().chooseServer(
+		buildRequest(),
+		[
+			buildCandidate('slow', {serviceMs: 90}),
+			buildCandidate('fast', {serviceMs: 15, roundTripMs: 40}),
+		],
+		0,
+		0,
+	);
+	t.same(decision, {type: 'server', server: 'fast', maxWaitMs: 45});
+});
+
 // Guards against writes that are sent to a server that cannot run them.
 tap.test('writes go to the writable primary only', async (t) => {
 	const policy = new LeastWaitRoutingPolicy();
--- a/src/common/policy/routing.ts
+++ b/src/common/policy/routing.ts
@@ -13,6 +13,7 @@
 } from './types.js';
 import {FloorHistory} from './floor-history.js';
 import {OutlierDetector} from './outliers.js';
+import {computeWaitLimit} from './wait-limit.js';
 
 /** Advantage of a server in the caller's data centre; smaller wait differences are report noise. */
 const localAdvantageMs = 5;
@@ -51,8 +52,11 @@
 type RatedCandidate = {
 	readonly candidate: RoutingCandidate;
 	readonly costMs: number;
+	readonly waitMs: number;
 };
 
+type BestCandidate = RatedCandidate & {readonly maxWaitMs: number | undefined};
+
 /** Routing policy of one entry. */
 export class LeastWaitRoutingPolicy implements RoutingPolicy {
 	readonly #outliers = new OutlierDetector();
@@ -129,7 +133,7 @@
 		);
 		const best = this.#findBest(request, fresh, now, random);
 		if (best?.candidate.role === 'replica') {
-			return {type: 'server', server: best.candidate.server};
+			return decideServer(best);
 		}
 
 		const delayMs = this.#estimateFreshnessDelay(
@@ -152,9 +156,7 @@
 			};
 		}
 
-		return best
-			? {type: 'server', server: best.candidate.server}
-			: {type: 'refused', reason: 'tooStale'};
+		return best ? decideServer(best) : {type: 'refused', reason: 'tooStale'};
 	}
 
 	/** Finds the candidate of lowest cost; ejected ones are considered only when no other is left. */
@@ -163,29 +165,41 @@
 		candidates: readonly RoutingCandidate[],
 		now: number,
 		random: number,
-	): RatedCandidate | undefined {
+	): BestCandidate | undefined {
 		const selectable = candidates.filter(
 			(candidate) =>
 				random < this.#outliers.computeTrafficShare(candidate.server, now),
 		);
 		const pool = selectable.length > 0 ? selectable : candidates;
 		const startIndex = Math.floor(random * pool.length);
+		const rated: RatedCandidate[] = [];
 		let best: RatedCandidate | undefined;
 		for (let index = 0; index < pool.length; index++) {
 			const candidate = pool[(startIndex + index) % pool.length];
 			const costMs = this.#computeCost(request, candidate);
+			const entry = {candidate, costMs, waitMs: candidate.expectedWaitMs};
+			rated.push(entry);
 			if (!best || costMs < best.costMs) {
-				best = {candidate, costMs};
+				best = entry;
 			}
 		}
 
-		return best;
+		return (
+			best && {
+				...best,
+				maxWaitMs: computeWaitLimit(
+					best,
+					rated.filter((entry) => entry !== best),
+				),
+			}
+		);
 	}
 
 	#computeCost(request: RoutingRequest, candidate: RoutingCandidate): number {
 		const isLocal = candidate.dataCentre === request.dataCentre;
 		return (
 			candidate.expectedWaitMs +
+			(candidate.serviceMs ?? 0) +
 			candidate.roundTripMs +
 			(isLocal ? 0 : this.#options.localAdvantageMs) +
 			(candidate.role === 'primary' ? this.#options.primaryReadPriceMs : 0) +
@@ -225,6 +239,14 @@
 	}
 }
 
+function decideServer({candidate, maxWaitMs}: BestCandidate): RoutingDecision {
+	return {
+		type: 'server',
+		server: candidate.server,
+		...(maxWaitMs === undefined ? {} : {maxWaitMs}),
+	};
+}
+
 /**
  * True when a replica has probably applied the floor since its last report: it has applied everything
  * that is older than its staleness, and the floor was younger at the time of the report. Its owner
--- a/src/common/policy/types.ts
+++ b/src/common/policy/types.ts
@@ -70,6 +70,8 @@
 	readonly stalenessMs: number;
 	/** Estimated queueing time for the rank of the request. */
 	readonly expectedWaitMs: number;
+	/** Estimated time that a read takes there once it runs; 0 when unknown. */
+	readonly serviceMs?: number;
 	/** Measured network round trip from the entry to the owner. */
 	readonly roundTripMs: number;
 	readonly departing: boolean;
@@ -94,7 +96,12 @@
 };
 
 export type RoutingDecision =
-	| {readonly type: 'server'; readonly server: ids.UpstreamId}
+	| {
+			readonly type: 'server';
+			readonly server: ids.UpstreamId;
+			/** Expected wait from which another server costs less; undefined when there is none. */
+			readonly maxWaitMs?: number;
+	  }
 	| {
 			/** A replica will be fresh enough soon; choose again after `delayMs`. */
 			readonly type: 'wait';
--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -42,6 +42,7 @@
 
 		if (request.kind === 'read') {
 			this.services.hedging.observe(latencyMs, this.context.now);
+			this.router.recordRead(attempt, latencyMs - done.queueMs);
 		}
 
 		this.services.retryBudget.recordSuccess(this.context.now);
@@ -83,6 +84,11 @@
 			return;
 		}
 
+		if (done.isReturned) {
+			this.router.routeReturnedRequest(request);
+			return;
+		}
+
 		switch (reason) {
 			case 'keyUsed':
 			case 'cancelled':
--- a/src/common/proxy/candidates.ts
+++ b/src/common/proxy/candidates.ts
@@ -3,10 +3,12 @@
  * others through the reports of their owners.
  */
 import type * as ids from '../ids.js';
+import * as placedWork from '../policy/placed-work.js';
 import type * as policy from '../policy/types.js';
 import type * as types from '../types.js';
 import type * as context from './context.js';
 import type * as directory from './directory.js';
+import type * as entryState from './entry-state.js';
 import type * as owner from './owner.js';
 import type * as owned from './owned-server.js';
 
@@ -15,6 +17,8 @@
 const defaultRemoteRoundTripMs = 20;
 
 export class CandidateList {
+	/** Requests of this entry at servers of other owners. */
+	readonly placedWork = new placedWork.PlacedWork();
 	/** When this entry last subscribed to the reports of an owner on a group. */
 	private readonly subscribedAt = new Map<
 		ids.PeerId,
@@ -78,11 +82,23 @@
 		}
 
 		this.lastCheckedAt = now;
+		this.placedWork.decay(now);
+		this.placedWork.removeExcept(
+			(server) => this.directory.getServer(server) !== undefined,
+		);
 		for (const group of groups) {
 			this.subscribeToReports(group);
 		}
 	}
 
+	/** Records how long a read took without its time in the queue, in ms. */
+	recordRead({server, owner}: entryState.Attempt, durationMs: number): void {
+		const roundTripMs = this.owner.servers.has(server)
+			? 0
+			: (this.readRoundTrip(owner) ?? 0);
+		this.placedWork.recordService(server, durationMs - roundTripMs);
+	}
+
 	/** A peer whose link was lost may have restarted without its subscriptions. */
 	handleLinkDown(peer: ids.PeerId): void {
 		this.subscribedAt.delete(peer);
@@ -120,6 +136,7 @@
 			applied: server.getAppliedPosition() ?? {term: 0, offset: 0},
 			stalenessMs: this.owner.rules.computeStaleness(server),
 			expectedWaitMs: server.scheduler.estimateWait(rank, now),
+			serviceMs: this.placedWork.getServiceTime(server.server),
 			roundTripMs: 0,
 			departing: announcement.departing,
 			writable: this.owner.rules.isWritable(server),
@@ -142,6 +159,7 @@
 			dataCentre: announcement.dataCentre,
 			owner: ownerPeer,
 			roundTripMs: this.estimateRoundTrip(ownerPeer, announcement.dataCentre),
+			serviceMs: this.placedWork.getServiceTime(server),
 			departing: announcement.departing,
 		};
 		if (known?.from !== ownerPeer) {
@@ -173,7 +191,9 @@
 			stalenessMs: report.writable
 				? report.stalenessMs
 				: report.stalenessMs + overdueMs,
-			expectedWaitMs: report.expectedWaitMs[rank],
+			expectedWaitMs:
+				report.expectedWaitMs[rank] +
+				this.placedWork.estimateAddedWait(server, announcement.slots),
 			writable: report.writable,
 			reportAgeMs: ageMs,
 			reportOverdueMs: overdueMs,
--- a/src/common/proxy/entry-state.ts
+++ b/src/common/proxy/entry-state.ts
@@ -77,6 +77,8 @@
 	attemptCount: number;
 	lastTarget: AttemptTarget | undefined;
 	isHedged: boolean;
+	/** Set once an owner has returned the request because of its wait. */
+	isReturned: boolean;
 	/** The attempt whose first bytes went to the caller. */
 	relayedAttempt: ids.AttemptId | undefined;
 	/** The last reason for which a server refused the request. */
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -253,6 +253,7 @@
 		}
 
 		if (done.expectedWaitMs !== undefined) {
+			this.candidates.placedWork.recordNews(attempt.server);
 			this.directory.updateExpectedWait(
 				from,
 				attempt.server,
@@ -464,6 +465,7 @@
 			attemptCount: 0,
 			lastTarget: undefined,
 			isHedged: false,
+			isReturned: false,
 			relayedAttempt: undefined,
 			lastReason: undefined,
 			spansFreeze: false,
--- a/src/common/proxy/owner-replies.ts
+++ b/src/common/proxy/owner-replies.ts
@@ -65,6 +65,25 @@
 		});
 	}
 
+	/** Gives a request back to its entry, to which another server seems better than a wait here. */
+	sendBack(
+		{origin, request, arrivedAt}: owned.OwnerRequest,
+		expectedWaitMs: number,
+	): void {
+		this.context.send(origin, {
+			type: 'forwardDone',
+			attempt: request.attempt,
+			verdict: 'notRun',
+			reason: 'queueFull',
+			isReturned: true,
+			expectedWaitMs: Math.round(expectedWaitMs),
+			relayed: false,
+			transactionStatus: 'idle',
+			bound: false,
+			queueMs: this.context.now - arrivedAt,
+		});
+	}
+
 	finishUnknown(
 		ownerRequest: owned.OwnerRequest,
 		message: string,
--- a/src/common/proxy/owner.ts
+++ b/src/common/proxy/owner.ts
@@ -4,6 +4,7 @@
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
 import type * as policy from '../policy/types.js';
+import * as waitLimit from '../policy/wait-limit.js';
 import type * as types from '../types.js';
 import * as acknowledgements from './acknowledgements.js';
 import * as bindingTable from './binding-table.js';
@@ -152,6 +153,12 @@
 			return;
 		}
 
+		const expectedWaitMs = server.scheduler.estimateWait(request.rank, now);
+		if (waitLimit.exceedsWaitLimit(expectedWaitMs, request.maxWaitMs)) {
+			this.replies.sendBack(ownerRequest, expectedWaitMs);
+			return;
+		}
+
 		const result = server.scheduler.offer(
 			{
 				member: request.member,
--- a/src/common/proxy/peer-messages.ts
+++ b/src/common/proxy/peer-messages.ts
@@ -8,6 +8,7 @@
 import type * as messages from '../messages.js';
 import type * as types from '../types.js';
 import type * as context from './context.js';
+import type * as candidates from './candidates.js';
 import type * as directory from './directory.js';
 import type * as entry from './entry.js';
 import type * as leaseClient from './lease-client.js';
@@ -23,6 +24,7 @@
 
 /** The parts of the reducer that messages concern. */
 export type MessageRecipients = {
+	readonly candidates: candidates.CandidateList;
 	readonly directory: directory.Directory;
 	readonly entry: entry.Entry;
 	readonly lease: leaseClient.LeaseClient;
@@ -192,6 +194,7 @@
 	): void {
 		for (const report of reports) {
 			this.parts.directory.addReports(from, [report]);
+			this.parts.candidates.placedWork.recordNews(report.server);
 			this.parts.entry.pendingRequests.handleGroupChanged(report.group);
 		}
 	}
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -158,6 +158,7 @@
 			() => this.health.listSampledPeers(),
 		]);
 		this.peerMessages = new peerMessages.PeerMessageHandler(this.context, {
+			candidates: this.candidates,
 			directory: this.directory,
 			entry: this.entry,
 			lease: this.lease,
--- a/src/common/proxy/request-router.ts
+++ b/src/common/proxy/request-router.ts
@@ -68,7 +68,7 @@
 				if (owner === undefined) {
 					this.waitForServer(request);
 				} else {
-					this.sendAttempt(request, decision.server, owner);
+					this.sendAttempt(request, decision.server, owner, decision.maxWaitMs);
 				}
 
 				return;
@@ -141,6 +141,7 @@
 		request: entryState.EntryRequest,
 		server: ids.UpstreamId,
 		owner: ids.PeerId,
+		maxWaitMs?: number,
 	): void {
 		const {session} = request;
 		const {now} = this.context;
@@ -163,6 +164,7 @@
 
 		const {id} = this.table.addAttempt(request, server, owner);
 		request.waitState = {type: 'attempt'};
+		this.candidates.placedWork.recordPlacement(server);
 		this.context.emit({
 			type: 'startAttempt',
 			session: session.id,
@@ -185,9 +187,24 @@
 			...(session.binding ? {binding: session.binding.id} : {}),
 			...(session.floor ? {floor: session.floor} : {}),
 			...(request.key === undefined ? {} : {key: request.key}),
+			...(maxWaitMs === undefined || request.isReturned
+				? {}
+				: {maxWaitMs: Math.round(maxWaitMs)}),
 		});
 	}
 
+	/** Routes a request again that an owner returned; no owner returns it once more. */
+	routeReturnedRequest(request: entryState.EntryRequest): void {
+		request.isReturned = true;
+		this.context.count('returns');
+		this.routeRequest(request);
+	}
+
+	/** Records how long a read ran, from the answer to its attempt. */
+	recordRead(attempt: entryState.Attempt, durationMs: number): void {
+		this.candidates.recordRead(attempt, durationMs);
+	}
+
 	/** Sends a second copy of a slow read to another server. */
 	startHedge(
 		request: entryState.EntryRequest,
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -419,6 +419,7 @@
 	| 'ownershipLost'
 	| 'retries'
 	| 'hedges'
+	| 'returns'
 	| 'internalErrors'
 	| 'templateUpdates';
 
--- a/src/node/peer/frame-keys.ts
+++ b/src/node/peer/frame-keys.ts
@@ -113,4 +113,6 @@
 	'promoting',
 	'nextReportMs',
 	'binding',
+	'maxWaitMs',
+	'isReturned',
 ] as const;
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -524,6 +524,7 @@
 	| 'ownershipLost'
 	| 'retries'
 	| 'hedges'
+	| 'returns'
 	| 'internalErrors'
 	| 'templateUpdates';
 /** Measurements of one request at its entry. Durations in ms. */
@@ -680,6 +681,8 @@
 	readonly stalenessMs: number;
 	/** Estimated queueing time for the rank of the request, in ms. */
 	readonly expectedWaitMs: number;
+	/** Estimated time that a read takes there once it runs, in ms; 0 when unknown. */
+	readonly serviceMs?: number;
 	/** Measured network round trip from the entry to the owner, in ms. */
 	readonly roundTripMs: number;
 	readonly departing: boolean;
@@ -702,7 +705,8 @@
 	readonly excluded: ReadonlySet<UpstreamId>;
 };
 export type RoutingDecision = Variants<
-	| {type: 'server'; server: UpstreamId}
+	/** With `maxWaitMs`, another server costs less from that expected wait, in ms. */
+	| {type: 'server'; server: UpstreamId; maxWaitMs?: number}
 	/** A replica will be fresh enough soon; choose again after `delayMs`. */
 	| {type: 'wait'; delayMs: number}
 	| {
