--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -172,6 +172,7 @@
 		]);
 		this.peerMessages = new peerMessages.PeerMessageHandler(this.context, {
 			access,
+			candidates: this.candidates,
 			directory: this.directory,
 			entry: this.entry,
 			lease: this.lease,
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -430,6 +430,7 @@
 	| 'ownershipLost'
 	| 'retries'
 	| 'hedges'
+	| 'returns'
 	| 'internalErrors'
 	| 'templateUpdates'
 	| 'unknownKeys'
--- a/src/node/peer/frame-keys.ts
+++ b/src/node/peer/frame-keys.ts
@@ -124,4 +124,6 @@
 	'report',
 	'grant',
 	'customer',
+	'maxWaitMs',
+	'isReturned',
 ] as const;
