--- a/scripts/quickstart/cluster.mjs
+++ b/scripts/quickstart/cluster.mjs
@@ -48,7 +48,8 @@
 
 	/**
 	 * @param options - `controls`, `proxies`: number of processes; `log`: log level of the daemons;
-	 * `standIn`: further arguments of the stand-ins.
+	 * `standIn`: further arguments of the stand-ins; `nodeOptions`: options of Node.js for the daemons;
+	 * `maxConnections`: limit on the callers of one proxy.
 	 */
 	constructor(options) {
 		this.options = options;
@@ -83,7 +84,11 @@
 		const [role, index] = name.split('-');
 		const file = path.join(this.folder, `${name}.ini`);
 		fs.writeFileSync(file, this.formatSettings(name, role, Number(index) - 1));
-		this.startProcess(name, [role, '--settings', file]);
+		this.startProcess(
+			name,
+			[role, '--settings', file],
+			this.options.nodeOptions,
+		);
 	}
 
 	/** Starts a stand-in; with `primaryPort` it is a replica of the server on that port. */
@@ -174,11 +179,13 @@
 		return codes;
 	}
 
-	startProcess(name, args) {
+	startProcess(name, args, nodeOptions = []) {
 		const logFile = fs.openSync(path.join(this.folder, `${name}.log`), 'a');
-		const child = childProcess.spawn(process.execPath, [programFile, ...args], {
-			stdio: ['ignore', 'pipe', logFile],
-		});
+		const child = childProcess.spawn(
+			process.execPath,
+			[...nodeOptions, programFile, ...args],
+			{stdio: ['ignore', 'pipe', logFile]},
+		);
 		fs.closeSync(logFile);
 		this.children.set(name, child);
 		return child;
@@ -209,6 +216,9 @@
 			`peers = ${peers}`,
 			'[limits]',
 			'drain_deadline_s = 30',
+			...(this.options.maxConnections === undefined
+				? []
+				: [`max_connections = ${this.options.maxConnections}`]),
 			'[log]',
 			`level = ${this.options.log ?? 'info'}`,
 			'format = text',
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,6 +1,6 @@
 /**
  * Runs the compiled tests with tap and prints `N passed, N failed` as the last line. Arguments select
- * files by a part of their path. Failures of tests that KNOWN-RED.txt lists are printed as known, but
+ * files by a part of their path. Files named `*.serial.test.js` run one at a time, after all others. Failures of tests that KNOWN-RED.txt lists are printed as known, but
  * do not fail the run.
  */
 import * as childProcess from 'node:child_process';
@@ -51,21 +51,6 @@
 	process.exit(1);
 }
 
-const child = childProcess.spawn(
-	'npx',
-	[
-		'tap',
-		'run',
-		'--reporter=tap',
-		'--disable-coverage',
-		'--allow-incomplete-coverage',
-		'--timeout=120',
-		'--jobs=4',
-		...files,
-	],
-	{stdio: ['ignore', 'pipe', 'inherit']},
-);
-
 const knownRed = readKnownRed();
 let passed = 0;
 const failures = [];
@@ -96,19 +81,45 @@
 }
 
 const lines = [];
-child.stdout.setEncoding('utf8');
-child.stdout.on('data', (text) => {
-	incompleteLine += text;
-	const parts = incompleteLine.split('\n');
-	incompleteLine = parts.pop();
-	for (const line of parts) {
-		lines.push(line);
-		countLine(line);
-		printLine(line);
+
+/** Runs test files with a number of jobs; resolves with the exit code. */
+async function runFiles(names, jobs) {
+	if (names.length === 0) {
+		return 0;
 	}
-});
 
-child.on('close', (code) => {
+	const child = childProcess.spawn(
+		'npx',
+		[
+			'tap',
+			'run',
+			'--reporter=tap',
+			'--disable-coverage',
+			'--allow-incomplete-coverage',
+			'--timeout=120',
+			`--jobs=${jobs}`,
+			...names,
+		],
+		{stdio: ['ignore', 'pipe', 'inherit']},
+	);
+	child.stdout.setEncoding('utf8');
+	child.stdout.on('data', (text) => {
+		incompleteLine += text;
+		const parts = incompleteLine.split('\n');
+		incompleteLine = parts.pop();
+		for (const line of parts) {
+			lines.push(line);
+			countLine(line);
+			printLine(line);
+		}
+	});
+	return new Promise((resolve) => {
+		child.on('close', resolve);
+	});
+}
+
+/** Reports the results and exits. */
+function finish(code) {
 	if (failures.length > 0 || (code !== 0 && knownFailures.length === 0)) {
 		console.log(lines.filter((line) => !/^\s*ok/v.test(line)).join('\n'));
 	}
@@ -122,4 +133,17 @@
 		(code !== 0 && failures.length + knownFailures.length === 0 ? 1 : 0);
 	console.log(`${passed} passed, ${failed} failed`);
 	process.exit(failed === 0 && passed > 0 ? 0 : 1);
-});
+}
+
+const isSerial = (name) => name.endsWith('.serial.test.js');
+const codes = [
+	await runFiles(
+		files.filter((name) => !isSerial(name)),
+		4,
+	),
+	await runFiles(
+		files.filter((name) => isSerial(name)),
+		1,
+	),
+];
+finish(codes.find((code) => code !== 0) ?? 0);
