Bound the memory and the connections that clients can use

Cause: each connection buffered what its client sent or did not read, so a small crowd ended a process or took several times its memory. Connections without a first message had no limit. The line reader copied the whole incomplete message for each piece.

Done: one budget of bytes a process with an account a connection (src/common/policy/memory-budget.ts); sessions of both codecs charge input, queued and running requests, unread answers and session state, stop reading and begin no request while answers are unread. The budget sheds the largest accounts, those in a transaction last. Half-open connections give way to new ones. HTTP bodies are charged; HTTP listeners have limits on connections and time. The peer port takes 16 KiB before hello.

--- a/src/cli/check-config.ts
+++ b/src/cli/check-config.ts
@@ -2,11 +2,21 @@
  * `check-config`: checks settings files, or templates, and lists all problems.
  */
 import * as template from '../common/template/parse.js';
+import * as memoryBudget from '../common/policy/memory-budget.js';
 import * as settings from '../node/settings/settings.js';
+import type * as settingsTypes from '../node/settings/types.js';
 import * as base from './base-command.js';
 import * as exits from './exit-codes.js';
 import * as options from './options.js';
 
+const mebibyte = 1024 * 1024;
+/** Resident memory of a process without connections. */
+const programBytes = 80 * mebibyte;
+/** Memory of an idle session with its socket. */
+const connectionBytes = 16 * 1024;
+/** Memory that each byte of the budget may take with its copies. */
+const budgetCopies = 3;
+
 type FileReport = {
 	readonly file: string;
 	readonly problems: ReadonlyArray<{
@@ -16,6 +26,7 @@
 		readonly allowed: string;
 	}>;
 	readonly lines: readonly string[];
+	readonly warnings: readonly string[];
 };
 
 export class CheckConfigCommand extends base.BaseCommand {
@@ -47,13 +58,20 @@
 		if (this.json) {
 			this.printJson({
 				ok: !hasProblems,
-				files: reports.map(({file, problems}) => ({file, problems})),
+				files: reports.map(({file, problems, warnings}) => ({
+					file,
+					problems,
+					...(warnings.length > 0 ? {warnings} : {}),
+				})),
 			});
 		} else {
-			for (const {file, problems, lines} of reports) {
+			for (const {file, problems, lines, warnings} of reports) {
 				this.print(
 					problems.length === 0 ? `${file}: no problem` : lines.join('\n'),
 				);
+				for (const warning of warnings) {
+					this.print(warning);
+				}
 			}
 		}
 
@@ -72,10 +90,36 @@
 			lines: problems.map(
 				(problem) => `${file} ${template.formatProblem(problem)}`,
 			),
+			warnings: [],
 		};
 	}
 }
 
+/** Warns when the connections and the budget together exceed the memory of the process. */
+function listWarnings(
+	file: string,
+	{limits}: settingsTypes.Settings,
+): string[] {
+	const {memoryBytes, maxConnections} = limits;
+	if (memoryBytes === undefined) {
+		return [];
+	}
+
+	const neededBytes =
+		programBytes +
+		maxConnections * connectionBytes +
+		memoryBudget.buildMemoryLimits(memoryBytes).totalBytes * budgetCopies;
+	return neededBytes > memoryBytes
+		? [
+				`${file} [limits] warning: ${maxConnections} connections and the budget may take ${toMebibytes(neededBytes)} MB; memory_mb is ${toMebibytes(memoryBytes)}`,
+			]
+		: [];
+}
+
+function toMebibytes(bytes: number): number {
+	return Math.round(bytes / mebibyte);
+}
+
 function checkSettings(file: string): FileReport {
 	const result = settings.loadSettings(file);
 	const problems = result.isErr() ? result.error : [];
@@ -83,5 +127,6 @@
 		file,
 		problems,
 		lines: problems.map((problem) => settings.formatProblem(problem)),
+		warnings: result.isOk() ? listWarnings(file, result.value) : [],
 	};
 }
--- a/src/cli/cli.test.ts
+++ b/src/cli/cli.test.ts
@@ -305,3 +305,16 @@
 	t.equal(missing.code, 1);
 	t.match(missing.errors, 'none of 1 log lines names the request q2');
 });
+
+// Guards against limits that together exceed the memory of the process without anybody noticing.
+tap.test('check-config warns of limits above the memory', async (t) => {
+	const text = fs.readFileSync('samples/birbhum/proxy-1.ini', 'utf8');
+	const set = (megabytes: number) =>
+		text.replace('[limits]', `[limits]\nmemory_mb = ${megabytes}`);
+	const folder = t.testdir({'small.ini': set(128), 'large.ini': set(1024)});
+	const small = await runCli(['check-config', path.join(folder, 'small.ini')]);
+	t.equal(small.code, 0);
+	t.match(small.output, /\[limits\] warning: 10000 connections .* 128\n/v);
+	const large = await runCli(['check-config', path.join(folder, 'large.ini')]);
+	t.notMatch(large.output, /warning/v);
+});
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -420,7 +420,16 @@
 	| 'retries'
 	| 'hedges'
 	| 'internalErrors'
-	| 'templateUpdates';
+	| 'templateUpdates'
+	| `limit${LimitName}`;
+
+/** A limit on what clients use. */
+export type LimitName =
+	| 'Connections'
+	| 'HalfOpenConnections'
+	| 'MemoryBudget'
+	| 'MessageTime'
+	| 'AnswerTime';
 
 /** Measurements of one request at its entry. Durations in ms. */
 export type RequestRecord = {
--- a/src/common/session/session.ts
+++ b/src/common/session/session.ts
@@ -12,6 +12,8 @@
  * caller can use at an entry.
  */
 const maxSessionItems = 256;
+/** Limit of the characters of all values and prepared statements of one session. */
+const maxSessionCharacters = 4 * 1024 * 1024;
 
 export class Session {
 	transaction: session.TransactionState = 'none';
@@ -25,6 +27,12 @@
 
 	private isReadOnly = false;
 	private hasWritten = false;
+	private characters = 0;
+
+	/** Characters of the values and prepared statements. */
+	get stateSize(): number {
+		return this.characters;
+	}
 
 	/** Transaction status that is sent to the caller with an answer. */
 	get status(): proxy.TransactionStatus {
@@ -85,17 +93,21 @@
 			}
 
 			case 'prepare': {
-				return this.store(this.prepared, statement.name, statement.definition);
+				return this.store(this.prepared, statement.name, statement.definition, {
+					before: this.prepared.get(statement.name)?.shape,
+					after: statement.definition.shape,
+				});
 			}
 
 			case 'deallocate': {
-				return this.prepared.delete(statement.name)
-					? {type: 'answer'}
-					: this.refuse('notPrepared');
+				return this.removePrepared(statement.name);
 			}
 
 			case 'set': {
-				return this.store(this.values, statement.name, statement.value);
+				return this.store(this.values, statement.name, statement.value, {
+					before: this.values.get(statement.name),
+					after: statement.value,
+				});
 			}
 
 			case 'unknown': {
@@ -234,15 +246,36 @@
 		return {type: 'refuse', problem: 'malformed'};
 	}
 
+	private removePrepared(name: string): session.StatementPlan {
+		const definition = this.prepared.get(name);
+		if (!definition) {
+			return this.refuse('notPrepared');
+		}
+
+		this.prepared.delete(name);
+		this.characters -= name.length + definition.shape.length;
+		return {type: 'answer'};
+	}
+
 	private store<Value>(
 		items: Map<string, Value>,
 		name: string,
 		value: Value,
+		texts: {readonly before: string | undefined; readonly after: string},
 	): session.StatementPlan {
-		if (!items.has(name) && items.size >= maxSessionItems) {
+		const {before, after} = texts;
+		const characters =
+			this.characters +
+			after.length +
+			(before === undefined ? name.length : -before.length);
+		if (
+			(!items.has(name) && items.size >= maxSessionItems) ||
+			characters > maxSessionCharacters
+		) {
 			return this.refuse('malformed');
 		}
 
+		this.characters = characters;
 		items.set(name, value);
 		return {type: 'answer'};
 	}
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -5,6 +5,7 @@
 import * as metrics from '../common/metrics/metrics.js';
 import * as httpServer from '../node/http/server.js';
 import type * as http from '../node/http/types.js';
+import * as resourceGuard from '../node/limits/resource-guard.js';
 import * as logger from '../node/logging/logger.js';
 import * as peerLinks from '../node/peer/peer-links.js';
 import type * as settings from '../node/settings/types.js';
@@ -71,6 +72,15 @@
 	dataFolder: string,
 ): Promise<controlTypes.ControlAdapters> {
 	const daemonLogger = logger.createLogger(settings.log);
+	const daemonMetrics = new metrics.Metrics();
+	const guard = new resourceGuard.ResourceGuard({
+		memoryBytes: settings.limits.memoryBytes ?? resourceGuard.readHeapLimit(),
+		clock: clock.systemClock,
+		logger: daemonLogger,
+		countLimit(limit) {
+			daemonMetrics.countEvent(`limit${limit}`);
+		},
+	});
 	return {
 		clock: clock.systemClock,
 		logger: daemonLogger,
@@ -96,18 +106,27 @@
 				random: Math.random,
 			}),
 		createHttp: (handler) =>
-			new httpServer.HttpServer(createEndpoints(handler), daemonLogger),
+			new httpServer.HttpServer(
+				createEndpoints(handler, guard, daemonMetrics),
+				daemonLogger,
+				{guard},
+			),
 		random: Math.random,
 	};
 }
 
 function createEndpoints(
 	handler: controlTypes.ControlHandler,
+	guard: resourceGuard.ResourceGuard,
+	daemonMetrics: metrics.Metrics,
 ): http.DaemonEndpoints {
 	return {
-		metrics: new metrics.Metrics(),
+		metrics: daemonMetrics,
 		readHealth: () => handler.readHealth(),
-		readStatus: () => handler.readStatus(),
+		readStatus: () => ({
+			...(handler.readStatus() as object),
+			memory: guard.readStatus(),
+		}),
 		startDrain() {
 			void handler.drain();
 		},
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -18,6 +18,7 @@
 import type * as callerAdapter from '../node/caller/caller-adapter.js';
 import * as bodies from '../node/http/bodies.js';
 import type * as http from '../node/http/types.js';
+import * as resourceGuard from '../node/limits/resource-guard.js';
 import * as peerLinks from '../node/peer/peer-links.js';
 import type * as peerTypes from '../node/peer/types.js';
 import type * as settings from '../node/settings/types.js';
@@ -36,6 +37,7 @@
 	readonly logger: node.Logger;
 	/** Unique to this run of the process. */
 	readonly instanceId: string;
+	readonly guard: resourceGuard.ResourceGuard;
 };
 
 /** The upstream adapter with its flow control. */
@@ -66,7 +68,10 @@
 			): boolean;
 		},
 	): FlowControlledUpstreamAdapter;
-	createHttp(endpoints: http.DaemonEndpoints): {
+	createHttp(
+		endpoints: http.DaemonEndpoints,
+		guard: resourceGuard.ResourceGuard,
+	): {
 		listen(address: string, port: number): Promise<number>;
 		dispose(): Promise<void>;
 	};
@@ -76,6 +81,7 @@
 export class ProxyDaemon {
 	readonly metrics = new metrics.Metrics();
 	readonly reducer: proxyReducer.ProxyReducer;
+	readonly guard: resourceGuard.ResourceGuard;
 	/** Resolves when draining is complete. */
 	readonly drained: Promise<undefined>;
 	private readonly driver: proxyDriver.ProxyDriver;
@@ -99,6 +105,14 @@
 			drained.resolve(undefined);
 		};
 
+		this.guard = new resourceGuard.ResourceGuard({
+			memoryBytes: settings.limits.memoryBytes ?? resourceGuard.readHeapLimit(),
+			clock: clock.systemClock,
+			logger,
+			countLimit: (limit) => {
+				this.metrics.countEvent(`limit${limit}`);
+			},
+		});
 		this.reducer = this.createReducer(incarnation);
 		this.driver = new proxyDriver.ProxyDriver(this.reducer, () => {
 			this.finishDrain();
@@ -109,6 +123,7 @@
 			reducer: this.reducer,
 			logger,
 			instanceId: `${settings.process.id}_${incarnation}`,
+			guard: this.guard,
 		};
 		this.callers = options.createCallers(adapterContext, (attempt) => {
 			this.upstreams.resumeAttempt(attempt);
@@ -120,7 +135,7 @@
 				return !this.peers.isCongested(peer);
 			},
 		});
-		this.http = options.createHttp(this.createEndpoints());
+		this.http = options.createHttp(this.createEndpoints(), this.guard);
 	}
 
 	/** Opens all listeners; rejects with the system's error when one cannot be opened. */
@@ -297,6 +312,7 @@
 			return total;
 		};
 
+		metrics.setGauge('buffered_bytes', this.guard.usedBytes);
 		metrics.setGauge('sessions', reducer.entry.sessions.size);
 		metrics.setGauge('requests_in_flight', reducer.entry.inFlight);
 		metrics.setGauge('owned_servers', servers.length);
@@ -348,6 +364,7 @@
 				status: server.status,
 			})),
 			peers: reducer.membership.listPeers(),
+			memory: this.guard.readStatus(),
 		};
 	}
 }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -13,6 +13,19 @@
 /** User and database of pooled connections to servers, which trust the proxy VMs. */
 const upstreamUser = 'hemlockarch';
 
+/** Limits on the connections of the HTTP listener, whose clients are servers and operators. */
+const minHttpConnections = 32;
+const maxHttpConnections = 1024;
+/** Share of the callers' connections that the HTTP listener may have. */
+const httpShare = 0.25;
+
+function chooseHttpConnections(maxCallerConnections: number): number {
+	return Math.max(
+		minHttpConnections,
+		Math.min(maxHttpConnections, Math.floor(maxCallerConnections * httpShare)),
+	);
+}
+
 /**
  * Starts a proxy.
  *
@@ -27,13 +40,15 @@
 		daemonLogger,
 		clock.systemClock.readWallClock(),
 		{
-			createCallers: ({dispatch, logger, instanceId}, handleDrain) =>
+			createCallers: ({dispatch, logger, instanceId, guard}, handleDrain) =>
 				callerAdapter.createCallerAdapter({
 					dispatch,
 					clock: clock.systemClock,
 					logger,
 					instanceId,
 					handleDrain,
+					guard,
+					maxConnections: settings.limits.maxConnections,
 				}),
 			createUpstreams: ({dispatch, logger}, relay) =>
 				upstreamAdapter.createUpstreamAdapter({
@@ -45,8 +60,11 @@
 					user: upstreamUser,
 					database: upstreamUser,
 				}),
-			createHttp: (endpoints) =>
-				new httpServer.HttpServer(endpoints, daemonLogger),
+			createHttp: (endpoints, guard) =>
+				new httpServer.HttpServer(endpoints, daemonLogger, {
+					guard,
+					maxConnections: chooseHttpConnections(settings.limits.maxConnections),
+				}),
 		},
 	);
 	return proxyDaemon.runProxy(proxy);
--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -8,6 +8,8 @@
 import type * as ids from '../../common/ids.js';
 import * as position from '../../common/position.js';
 import type * as commonTypes from '../../common/types.js';
+import * as connectionLimiter from '../limits/connection-limiter.js';
+import * as resourceGuard from '../limits/resource-guard.js';
 import type * as node from '../types.js';
 import * as messages from '../wire/messages.js';
 import * as sessions from './session.js';
@@ -26,6 +28,9 @@
  */
 const instanceTagLength = 16;
 
+/** Interval of the check for messages and answers that take too long. */
+const timeCheckIntervalMs = 1000;
+
 /** Reported when the daemon specifies no parameters. */
 const defaultServerParameters: Readonly<Record<string, string>> = {
 	server_version: '16.0',
@@ -68,6 +73,9 @@
 	readonly #cancelKeys = new Map<ids.SessionId, number>();
 	readonly #attempts = new Map<ids.AttemptId, sessions.Session>();
 	readonly #attemptsBySession = new Map<sessions.Session, ids.AttemptId[]>();
+	readonly #guard: resourceGuard.ResourceGuard;
+	readonly #limiter: connectionLimiter.ConnectionLimiter;
+	#timeCheck: NodeJS.Timeout | undefined;
 	#lastSessionId = 0;
 	#lastRequestId = 0;
 
@@ -79,12 +87,26 @@
 			.digest('hex')
 			.slice(0, instanceTagLength);
 		this.#parameters = options.serverParameters ?? defaultServerParameters;
+		this.#guard =
+			options.guard ??
+			resourceGuard.createDefaultGuard(options.clock, options.logger);
+		this.#limiter = new connectionLimiter.ConnectionLimiter(
+			'callers',
+			options.maxConnections ?? Number.POSITIVE_INFINITY,
+			this.#guard.report,
+		);
 		this.#server = net.createServer((socket) => {
 			this.#accept(socket);
 		});
 	}
 
 	async listen(address: string, port: number): Promise<number> {
+		this.#timeCheck = setInterval(() => {
+			for (const session of this.#sessions.values()) {
+				session.checkTimes();
+			}
+		}, timeCheckIntervalMs);
+		this.#timeCheck.unref();
 		return new Promise((resolve, reject) => {
 			this.#server.once('error', reject);
 			this.#server.listen(port, address, () => {
@@ -168,6 +190,7 @@
 	}
 
 	async dispose(): Promise<void> {
+		clearInterval(this.#timeCheck);
 		for (const session of this.#sessions.values()) {
 			session.dispose();
 		}
@@ -184,6 +207,10 @@
 	}
 
 	#accept(socket: net.Socket): void {
+		if (!this.#limiter.add(socket)) {
+			return;
+		}
+
 		this.#sockets.add(socket);
 		socket.setNoDelay(true);
 		socket.setKeepAlive(true, this.#limits.keepAliveDelayMs);
@@ -199,6 +226,7 @@
 					this.#handleCancel(processId as ids.SessionId, key);
 				},
 				handleStartup: (parameters, remainder) => {
+					this.#limiter.markOpen(socket);
 					this.#openSession(socket, parameters, remainder);
 				},
 			},
@@ -317,6 +345,8 @@
 				},
 			},
 			`h${this.#instanceTag}_${id}`,
+			this.#guard,
+			clock,
 		);
 		this.#sessions.set(id, session);
 		this.#cancelKeys.set(id, crypto.randomInt(2 ** 32));
--- a/src/node/caller/item-runner.ts
+++ b/src/node/caller/item-runner.ts
@@ -67,6 +67,11 @@
 		return this.#running === undefined;
 	}
 
+	/** True while a transaction of the caller is open. */
+	get isInTransaction(): boolean {
+		return this.#status !== 'idle';
+	}
+
 	/** The attempt whose response is being relayed, for flow control. */
 	get relayedAttempt(): ids.AttemptId | undefined {
 		return this.#running?.relayedAttempt;
--- a/src/node/caller/request-splitter.ts
+++ b/src/node/caller/request-splitter.ts
@@ -39,6 +39,11 @@
 		this.#maxRequestBytes = maxRequestBytes;
 	}
 
+	/** Bytes of the request that is not complete yet. */
+	get size(): number {
+		return this.#size;
+	}
+
 	add(frame: Buffer): types.WorkItem | items.ProtocolProblem | undefined {
 		this.#size += frame.length;
 		if (this.#size > this.#maxRequestBytes) {
--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -7,6 +7,9 @@
 import type * as ids from '../../common/ids.js';
 import type * as proxy from '../../common/proxy/types.js';
 import type * as commonTypes from '../../common/types.js';
+import type * as resourceGuard from '../limits/resource-guard.js';
+import * as sessionBuffers from '../limits/session-buffers.js';
+import type * as node from '../types.js';
 import * as frameReader from '../wire/frame-reader.js';
 import * as messages from '../wire/messages.js';
 import * as itemRunner from './item-runner.js';
@@ -18,6 +21,13 @@
 
 /** Time for sending a final error before the socket is destroyed. */
 const closeTimeoutMs = 1000;
+const outOfMemorySqlState = '53200';
+const noMemoryMessage = 'not run: the proxy is short of memory';
+/**
+ * Response bytes buffered for a slow caller above which the server's connection pauses. A smaller
+ * response frees its slot while the caller still reads it.
+ */
+const maxRelayedBytes = 2 * 1024 * 1024;
 
 export type SessionHandler = {
 	handleRequest(
@@ -39,6 +49,8 @@
 	readonly #runner: itemRunner.ItemRunner;
 	#isRunningQueue = false;
 	#isClosed = false;
+	readonly #maxMessageBytes: number;
+	readonly #buffers: sessionBuffers.SessionBuffers;
 
 	constructor(
 		readonly socket: net.Socket,
@@ -47,6 +59,8 @@
 		private readonly limits: types.CallerLimits,
 		private readonly handler: SessionHandler,
 		statementPrefix: string,
+		guard: resourceGuard.ResourceGuard,
+		clock: Pick<node.Clock, 'now'>,
 	) {
 		this.#runner = new itemRunner.ItemRunner(socket, sessionSettings, {
 			handleRequest: handler.handleRequest,
@@ -61,15 +75,26 @@
 				this.dispose();
 			},
 		});
-		this.#reader = new frameReader.FrameReader(limits.frameBytes);
+		this.#buffers = new sessionBuffers.SessionBuffers(socket, {
+			listener: 'callers',
+			guard,
+			clock,
+			shed: () => {
+				this.dispose();
+			},
+		});
+		this.#buffers.recordStartup();
+		const {shareBytes} = guard.limits;
+		this.#maxMessageBytes = Math.min(limits.frameBytes, shareBytes);
+		this.#reader = new frameReader.FrameReader(this.#maxMessageBytes);
 		this.#table = new statements.StatementTable(
 			statementPrefix,
 			limits.preparedStatements,
-			limits.preparedBytes,
+			Math.min(limits.preparedBytes, shareBytes),
 		);
 		this.#splitter = new requestSplitter.RequestSplitter(
 			this.#table,
-			limits.frameBytes,
+			this.#maxMessageBytes,
 		);
 	}
 
@@ -92,6 +117,8 @@
 		});
 		this.socket.on('drain', () => {
 			this.handler.handleDrain();
+			this.#runQueue();
+			this.#updateFlowControl();
 		});
 		this.socket.on('end', () => {
 			this.#finishClose();
@@ -117,7 +144,7 @@
 			this.close('57014', 'the caller does not read its results');
 		}
 
-		return isWritable;
+		return isWritable || this.socket.writableLength <= maxRelayedBytes;
 	}
 
 	/** Writes a FATAL error and closes the connection. */
@@ -133,6 +160,11 @@
 		this.#finishClose();
 	}
 
+	/** Closes the connection when a message or an answer takes too long. */
+	checkTimes(): void {
+		this.#buffers.checkTimes();
+	}
+
 	/** Closes the connection at once. */
 	dispose(): void {
 		this.socket.destroy();
@@ -149,6 +181,7 @@
 		// Further input is read and discarded instead of buffered.
 		this.socket.removeAllListeners('data');
 		this.socket.resume();
+		this.#buffers.dispose();
 		this.handler.handleClosed();
 		this.#runner.clear();
 	}
@@ -165,7 +198,7 @@
 				this.close(
 					frame === 'tooLarge' ? '54000' : '08P01',
 					frame === 'tooLarge'
-						? `a message exceeds the limit of ${this.limits.frameBytes} bytes`
+						? `a message exceeds the limit of ${this.#maxMessageBytes} bytes`
 						: 'invalid message length',
 				);
 				return;
@@ -184,6 +217,17 @@
 	}
 
 	#handleFrame(frame: Buffer): void {
+		if (!this.#buffers.hasRoom(frame.length)) {
+			if (this.#runner.isIdle && this.#queue.length === 0) {
+				this.close(outOfMemorySqlState, noMemoryMessage);
+			} else {
+				// The caller would take an error for the answer to an earlier request.
+				this.dispose();
+			}
+
+			return;
+		}
+
 		const item = this.#splitter.add(frame);
 		if (!item) {
 			return;
@@ -198,35 +242,51 @@
 		this.#queuedBytes += items.measureItem(item);
 	}
 
-	/** Pauses reading while the queue is full. */
+	/** Charges the buffers, and pauses reading while they are full. */
 	#updateFlowControl(): void {
-		const isFull =
-			this.#queue.length > this.limits.queuedRequests ||
-			this.#queuedBytes > this.limits.queuedBytes;
-		if (isFull !== this.socket.isPaused() && !this.#isClosed) {
-			if (isFull) {
-				this.socket.pause();
-			} else {
-				this.socket.resume();
-			}
+		if (!this.#isClosed) {
+			this.#buffers.update({
+				input: this.#reader.size + this.#splitter.size,
+				queued: this.#queuedBytes,
+				state: this.#table.size,
+				isInTransaction: this.#runner.isInTransaction,
+				isQueueFull:
+					this.#queue.length > this.limits.queuedRequests ||
+					this.#queuedBytes > this.limits.queuedBytes,
+			});
 		}
 	}
 
-	/** Processes queued items until a request is running. */
+	/** Processes queued items until a request is running or the caller has to take its answers. */
 	#runQueue(): void {
 		if (this.#isRunningQueue) {
 			return;
 		}
 
 		this.#isRunningQueue = true;
-		while (this.#runner.isIdle && !this.#isClosed) {
+		while (
+			this.#runner.isIdle &&
+			!this.#isClosed &&
+			!this.#buffers.isOutputFull
+		) {
+			this.#buffers.finish();
 			const item = this.#queue.shift();
 			if (!item) {
 				break;
 			}
 
-			this.#queuedBytes -= items.measureItem(item);
-			this.#runner.run(item);
+			const size = items.measureItem(item);
+			this.#queuedBytes -= size;
+			this.#runner.run(
+				item.type === 'request' && !this.#buffers.tryBegin(size)
+					? {
+							type: 'refusal',
+							sqlState: outOfMemorySqlState,
+							message: noMemoryMessage,
+							isFlush: item.isFlush,
+						}
+					: item,
+			);
 		}
 
 		this.#isRunningQueue = false;
--- a/src/node/caller/statements.ts
+++ b/src/node/caller/statements.ts
@@ -7,6 +7,9 @@
 import * as messages from '../wire/messages.js';
 import type * as types from './types.js';
 
+/** Characters of the portal names of one session. */
+const maxPortalCharacters = 64 * 1024;
+
 /** A statement that the caller prepared. */
 export class Statement {
 	#parse: Buffer | undefined;
@@ -60,6 +63,7 @@
 	readonly #maxBytes: number;
 	/** Bytes of all Parse frames. */
 	#totalBytes = 0;
+	#portalCharacters = 0;
 	#lastNumber = 0;
 
 	constructor(prefix: string, maxStatements: number, maxBytes: number) {
@@ -68,6 +72,11 @@
 		this.#maxBytes = maxBytes;
 	}
 
+	/** Bytes of the statements and names, with the copies that have another name. */
+	get size(): number {
+		return 2 * (this.#totalBytes + this.#portalCharacters);
+	}
+
 	/** Stores a Parse frame; undefined when the session has too many statements or too many bytes. */
 	add(
 		name: string,
@@ -115,10 +124,15 @@
 	}
 
 	setPortal(name: string, statementClass: types.StatementClass): void {
-		if (this.#portals.size >= this.#maxStatements) {
+		if (
+			this.#portals.size >= this.#maxStatements ||
+			this.#portalCharacters > maxPortalCharacters
+		) {
 			this.#portals.clear();
+			this.#portalCharacters = 0;
 		}
 
+		this.#portalCharacters += this.#portals.has(name) ? 0 : name.length;
 		this.#portals.set(name, statementClass);
 	}
 
--- a/src/node/caller/types.ts
+++ b/src/node/caller/types.ts
@@ -3,6 +3,7 @@
  */
 import type * as ids from '../../common/ids.js';
 import type * as proxy from '../../common/proxy/types.js';
+import type * as resourceGuard from '../limits/resource-guard.js';
 import type * as node from '../types.js';
 
 /** A statement on a `hemlockarch.*` setting, answered by the adapter. */
@@ -68,6 +69,9 @@
 	/** Parameters that are reported to each new session, including `server_version`. */
 	readonly serverParameters?: Readonly<Record<string, string>>;
 	readonly limits?: Partial<CallerLimits>;
+	/** The memory budget of the process; by default one of its own. */
+	readonly guard?: resourceGuard.ResourceGuard;
+	readonly maxConnections?: number;
 };
 
 /** Times in ms and sizes in bytes. */
--- a/src/node/http/bodies.ts
+++ b/src/node/http/bodies.ts
@@ -1,11 +1,13 @@
 /**
  * Reads and validates JSON request bodies.
  */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type * as http from 'node:http';
 import * as net from 'node:net';
 import * as zod from 'zod';
 import * as announcements from '../../common/announcement.js';
+import * as httpGuard from '../limits/http-guard.js';
+import type * as resourceGuard from '../limits/resource-guard.js';
 import type * as types from './types.js';
 
 /** Largest accepted request body; a template has at most 8 KiB. */
@@ -62,32 +64,46 @@
 	changeId: idSchema,
 });
 
-/** Reads a JSON request body and validates it; throws `HttpError` with status 400 or 413. */
-export async function readBody<Value>(
+/** Reads a request body; throws `HttpError` with status 413 or 503. */
+export async function readBytes(
 	request: http.IncomingMessage,
-	schema: zod.ZodType<Value>,
-): Promise<Value> {
-	const chunks: Buffer[] = [];
-	let size = 0;
-	// Leaving the loop early must not destroy the request: its socket still carries the error response.
-	const parts = request.iterator({destroyOnReturn: false});
-	for await (const chunk of parts as AsyncIterable<Buffer>) {
-		size += chunk.length;
-		if (size > maxBodyBytes) {
+	maxBytes: number,
+	guard: resourceGuard.ResourceGuard,
+): Promise<Buffer> {
+	const body = await httpGuard.collectBody(request, maxBytes, guard);
+	switch (body) {
+		case 'tooLarge': {
 			throw new HttpError(
 				413,
 				'bodyTooLarge',
-				`The body is larger than ${maxBodyBytes} bytes.`,
+				`The body is larger than ${maxBytes} bytes.`,
 				{connection: 'close'},
 			);
 		}
 
-		chunks.push(chunk);
+		case 'noMemory': {
+			throw new HttpError(503, 'noMemory', 'Not run: memory is short.', {
+				connection: 'close',
+			});
+		}
+
+		default: {
+			return body;
+		}
 	}
+}
+
+/** Reads a JSON request body and validates it; throws `HttpError` with status 400 or 413. */
+export async function readBody<Value>(
+	request: http.IncomingMessage,
+	schema: zod.ZodType<Value>,
+	guard: resourceGuard.ResourceGuard,
+): Promise<Value> {
+	const bytes = await readBytes(request, maxBodyBytes, guard);
 
 	let data: unknown;
 	try {
-		data = JSON.parse(Buffer.concat(chunks).toString('utf8'));
+		data = JSON.parse(bytes.toString('utf8'));
 	} catch {
 		throw new HttpError(400, 'invalidJson', 'The body is not JSON.');
 	}
--- a/src/node/http/routes.ts
+++ b/src/node/http/routes.ts
@@ -5,6 +5,7 @@
 import {assertNever} from '../../common/assert-never.js';
 import type * as ids from '../../common/ids.js';
 import type * as commonTypes from '../../common/types.js';
+import type * as resourceGuard from '../limits/resource-guard.js';
 import * as bodies from './bodies.js';
 import type * as types from './types.js';
 
@@ -13,6 +14,7 @@
 
 type Handler = (
 	request: http.IncomingMessage,
+	guard: resourceGuard.ResourceGuard,
 ) => types.EndpointResponse | Promise<types.EndpointResponse>;
 
 /** The handlers of one path by HTTP method. */
@@ -52,10 +54,11 @@
 			const {handleAnnouncement} = endpoints;
 			return (
 				handleAnnouncement && {
-					async POST(request) {
+					async POST(request, guard) {
 						const announcement = await bodies.readBody(
 							request,
 							bodies.announcementSchema,
+							guard,
 						);
 						handleAnnouncement(announcement as commonTypes.Announcement);
 						return {status: 200, body: {}};
@@ -151,8 +154,8 @@
 
 			return {status: 200, body: template};
 		},
-		async PUT(request) {
-			const body = await bodies.readBody(request, bodies.changeSchema);
+		async PUT(request, guard) {
+			const body = await bodies.readBody(request, bodies.changeSchema, guard);
 			const result = await endpoints.requestTemplateChange({
 				member,
 				text: body.text,
--- a/src/node/http/server.ts
+++ b/src/node/http/server.ts
@@ -4,13 +4,14 @@
  */
 import {Buffer} from 'node:buffer';
 import * as http from 'node:http';
+import {performance} from 'node:perf_hooks';
+import * as httpGuard from '../limits/http-guard.js';
+import * as resourceGuard from '../limits/resource-guard.js';
 import type * as nodeTypes from '../types.js';
 import * as bodies from './bodies.js';
 import * as routes from './routes.js';
 import type * as types from './types.js';
 
-const headersTimeoutMs = 5000;
-const requestTimeoutMs = 10_000;
 /** Longer than the interval of announcements and health checks, so that they reuse connections. */
 const keepAliveTimeoutMs = 30_000;
 /**
@@ -19,12 +20,14 @@
  */
 const closeTimeoutMs = 500;
 const defaultOperationTimeoutMs = 10_000;
-/** Connections above this limit are closed at once; the endpoints serve few clients. */
+/** Default of the limit on connections; the endpoints serve few clients. */
 const maxConnections = 1024;
+const clock = {now: () => performance.now()};
 
 export class HttpServer {
 	private readonly server: http.Server;
 	private readonly operationTimeoutMs: number;
+	private readonly guard: resourceGuard.ResourceGuard;
 
 	constructor(
 		private readonly endpoints: types.DaemonEndpoints,
@@ -35,15 +38,21 @@
 			options.operationTimeoutMs ?? defaultOperationTimeoutMs;
 		this.server = http.createServer(
 			{
-				headersTimeout: headersTimeoutMs,
-				requestTimeout: requestTimeoutMs,
+				...httpGuard.serverOptions,
 				keepAliveTimeout: keepAliveTimeoutMs,
 			},
 			(request, response) => {
 				void this.handleRequest(request, response);
 			},
 		);
-		this.server.maxConnections = maxConnections;
+		this.guard =
+			options.guard ?? resourceGuard.createDefaultGuard(clock, logger);
+		httpGuard.limitConnections(
+			this.server,
+			'http',
+			options.maxConnections ?? maxConnections,
+			this.guard,
+		);
 	}
 
 	/** Opens the listener; resolves with its port. */
@@ -112,7 +121,7 @@
 			}, this.operationTimeoutMs);
 		});
 		try {
-			return await Promise.race([handler(request), timeout]);
+			return await Promise.race([handler(request, this.guard), timeout]);
 		} finally {
 			clearTimeout(timer);
 		}
--- a/src/node/http/single-path-server.ts
+++ b/src/node/http/single-path-server.ts
@@ -2,6 +2,8 @@
  * An HTTP server for a single path, such as the readiness probe or the metrics.
  */
 import * as http from 'node:http';
+import * as httpGuard from '../limits/http-guard.js';
+import type * as resourceGuard from '../limits/resource-guard.js';
 
 const notFoundStatus = 404;
 
@@ -12,17 +14,28 @@
 	constructor(
 		path: string,
 		handleRequest: () => {readonly status: number; readonly body?: string},
+		limits?: {
+			readonly guard: resourceGuard.ResourceGuard;
+			readonly maxConnections: number;
+		},
 	) {
-		this.#server = http.createServer((request, response) => {
-			request.resume();
-			const {status, body = ''} =
-				request.url === path ? handleRequest() : {status: notFoundStatus};
-			response.writeHead(status, {
-				'content-type': 'text/plain',
-				'content-length': body.length,
-			});
-			response.end(body);
-		});
+		this.#server = http.createServer(
+			httpGuard.serverOptions,
+			(request, response) => {
+				request.resume();
+				const {status, body = ''} =
+					request.url === path ? handleRequest() : {status: notFoundStatus};
+				response.writeHead(status, {
+					'content-type': 'text/plain',
+					'content-length': body.length,
+				});
+				response.end(body);
+			},
+		);
+		if (limits) {
+			const {maxConnections, guard} = limits;
+			httpGuard.limitConnections(this.#server, path, maxConnections, guard);
+		}
 	}
 
 	async listen(address: string, port: number): Promise<number> {
--- a/src/node/http/types.ts
+++ b/src/node/http/types.ts
@@ -4,6 +4,7 @@
 import type * as ids from '../../common/ids.js';
 import type * as metrics from '../../common/metrics/types.js';
 import type * as types from '../../common/types.js';
+import type * as resourceGuard from '../limits/resource-guard.js';
 
 /** The operations of a daemon that the HTTP endpoints call. */
 export type DaemonEndpoints = {
@@ -32,6 +33,9 @@
 export type HttpServerOptions = {
 	/** Timeout of a daemon operation, in ms. */
 	readonly operationTimeoutMs?: number;
+	/** The memory budget of the process; by default one of its own. */
+	readonly guard?: resourceGuard.ResourceGuard;
+	readonly maxConnections?: number;
 };
 
 /** The response of an endpoint, before it is serialized. */
--- a/src/node/peer/link-socket.ts
+++ b/src/node/peer/link-socket.ts
@@ -30,6 +30,7 @@
 	#isFlushScheduled = false;
 	#isCongested = false;
 	#isClosed = false;
+	#maxFrameBytes: number;
 
 	constructor(
 		readonly socket: net.Socket,
@@ -37,6 +38,7 @@
 		private readonly ticker: linkTicker.LinkTicker,
 		private readonly handler: LinkSocketHandler,
 	) {
+		this.#maxFrameBytes = limits.helloBytes;
 		this.#reader = new frameReader.FrameReader(limits.frameBytes);
 		socket.setNoDelay(true);
 		socket.on('data', (chunk: Buffer) => {
@@ -90,6 +92,11 @@
 		return true;
 	}
 
+	/** Accepts large frames, once the peer is known. */
+	acceptLargeFrames(): void {
+		this.#maxFrameBytes = this.limits.frameBytes;
+	}
+
 	/** Closes the connection; only the first call reports its reason. */
 	close(reason: string): void {
 		if (this.#isClosed) {
@@ -169,7 +176,7 @@
 			}
 
 			const length = prefix.readUInt32BE(0);
-			if (length > this.limits.frameBytes) {
+			if (length > this.#maxFrameBytes) {
 				this.close(`a frame of ${length} bytes exceeds the limit`);
 				return;
 			}
--- a/src/node/peer/peer-connection.ts
+++ b/src/node/peer/peer-connection.ts
@@ -126,6 +126,7 @@
 				this.close('duplicate hello');
 			} else {
 				this.#isGreeted = true;
+				this.#socket.acceptLargeFrames();
 				this.handler.handleHello(message);
 			}
 
--- a/src/node/peer/peer-links.ts
+++ b/src/node/peer/peer-links.ts
@@ -135,6 +135,14 @@
 	}
 
 	#accept(socket: net.Socket): void {
+		if (
+			this.#acceptedConnections.size >=
+			this.#environment.limits.acceptedConnections
+		) {
+			socket.destroy();
+			return;
+		}
+
 		let link: peerLink.PeerLink | undefined;
 		const connection = new peerConnection.PeerConnection(
 			socket,
--- a/src/node/peer/types.ts
+++ b/src/node/peer/types.ts
@@ -26,6 +26,10 @@
 /** Times in ms and sizes in bytes. */
 export type LinkLimits = {
 	readonly frameBytes: number;
+	/** Largest frame before the `hello` of a connection that was accepted. */
+	readonly helloBytes: number;
+	/** Accepted connections, also of strangers. */
+	readonly acceptedConnections: number;
 	/** Unsent bytes of one link above which it is closed. */
 	readonly sendBufferBytes: number;
 	/** Unsent bytes of one link above which `isCongested` asks producers to pause. */
@@ -49,6 +53,8 @@
  */
 export const defaultLimits: LinkLimits = {
 	frameBytes: 64 * mebibyte,
+	helloBytes: 16 * 1024,
+	acceptedConnections: 4096,
 	sendBufferBytes: 96 * mebibyte,
 	congestionBytes: 4 * mebibyte,
 	pingIntervalMs: 300,
--- a/src/node/settings/rules.ts
+++ b/src/node/settings/rules.ts
@@ -18,6 +18,9 @@
 const minDrainDeadlineSeconds = 21;
 const maxDrainDeadlineSeconds = 600;
 const maxCallerConnections = 200_000;
+/** Below this, a message of 1 MiB would not fit together with the program. */
+const minMemoryMegabytes = 128;
+const maxMemoryMegabytes = 1_000_000;
 /** Each control peer above this limit costs a VM and does not make writes safer. */
 const maxControlPeers = 9;
 
@@ -141,6 +144,9 @@
 			max_connections: buildNumberRule(1, maxCallerConnections, {
 				defaultValue: '10000',
 			}),
+			memory_mb: buildNumberRule(minMemoryMegabytes, maxMemoryMegabytes, {
+				optional: true,
+			}),
 		},
 	],
 	[
--- a/src/node/settings/settings.ts
+++ b/src/node/settings/settings.ts
@@ -13,6 +13,8 @@
 /** Longer values are truncated to this number of characters in a problem. */
 const maxQuotedLength = 80;
 
+const mebibyte = 1024 * 1024;
+
 type Values = ReadonlyMap<string, unknown>;
 
 type Result = neverthrow.Result<
@@ -271,6 +273,9 @@
 		limits: {
 			drainDeadlineMs: (limits.get('drain_deadline_s') as number) * 1000,
 			maxConnections: limits.get('max_connections') as number,
+			...(limits.has('memory_mb')
+				? {memoryBytes: (limits.get('memory_mb') as number) * mebibyte}
+				: {}),
 		},
 		log: {
 			level: log.get('level') as commonTypes.LogLevel,
--- a/src/node/settings/types.ts
+++ b/src/node/settings/types.ts
@@ -44,6 +44,8 @@
 		readonly drainDeadlineMs: number;
 		/** Limit on the caller connections of one proxy. */
 		readonly maxConnections: number;
+		/** Memory of the process; its buffers take a share of it. */
+		readonly memoryBytes?: number;
 	};
 	readonly log: {
 		readonly level: types.LogLevel;
--- a/src/node/wire/frame-reader.ts
+++ b/src/node/wire/frame-reader.ts
@@ -8,6 +8,9 @@
 /** Bytes before the body of a message: the type byte and the length. */
 export const headerBytes = 5;
 
+/** Chunks below this size are merged with the next one. */
+const mergedBytes = 64 * 1024;
+
 /** Why no further message can be read from a stream. */
 export type FrameProblem = 'tooLarge' | 'badLength';
 
@@ -29,12 +32,18 @@
 		return this.#size;
 	}
 
+	/** Chunks that hold these bytes. */
+	get chunkCount(): number {
+		return this.#laterChunks.length + 1;
+	}
+
 	push(chunk: Buffer): void {
 		this.#size += chunk.length;
 		if (this.#buffer.length === 0 && this.#laterChunks.length === 0) {
 			this.#buffer = chunk;
 		} else {
 			this.#laterChunks.push(chunk);
+			this.#mergeSmallChunks();
 		}
 	}
 
@@ -90,4 +99,18 @@
 
 		return this.take(length + 1);
 	}
+
+	/** Keeps the number of chunks small when a message arrives in many pieces. */
+	#mergeSmallChunks(): void {
+		const chunks = this.#laterChunks;
+		for (
+			let last = chunks.at(-1)!, previous = chunks.at(-2);
+			previous !== undefined &&
+			previous.length < mergedBytes &&
+			previous.length <= 2 * last.length;
+			last = chunks.at(-1)!, previous = chunks.at(-2)
+		) {
+			chunks.splice(-2, 2, Buffer.concat([previous, last]));
+		}
+	}
 }
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -525,7 +525,15 @@
 	| 'retries'
 	| 'hedges'
 	| 'internalErrors'
-	| 'templateUpdates';
+	| 'templateUpdates'
+	| `limit${LimitName}`;
+/** A limit on what clients use. */
+export type LimitName =
+	| 'Connections'
+	| 'HalfOpenConnections'
+	| 'MemoryBudget'
+	| 'MessageTime'
+	| 'AnswerTime';
 /** Measurements of one request at its entry. Durations in ms. */
 export type RequestRecord = {
 	readonly member: MemberId;
@@ -1191,6 +1199,8 @@
 		readonly drainDeadlineMs: number;
 		/** Maximum number of caller connections at one proxy. */
 		readonly maxConnections: number;
+		/** Memory of the process; its buffers take a share of it. */
+		readonly memoryBytes?: number;
 	};
 	readonly log: {
 		readonly level: LogLevel;
