--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -434,7 +434,16 @@
 	| 'internalErrors'
 	| 'templateUpdates'
 	| 'unknownKeys'
-	| 'unconfirmedKeys';
+	| 'unconfirmedKeys'
+	| `limit${LimitName}`;
+
+/** A limit on what clients use. */
+export type LimitName =
+	| 'Connections'
+	| 'HalfOpenConnections'
+	| 'MemoryBudget'
+	| 'MessageTime'
+	| 'AnswerTime';
 
 /** Measurements of one request at its entry. Durations in ms. */
 export type RequestRecord = {
