Disseminate what answers contain once a process has joined

Cause: for 30 s after its start a process did not pass on what it learned in an exchange. After a partition in this time, differences would have reached only the peers that exchange themselves. Done: only the first exchanges, about 7 s, count as joining.

--- a/src/common/membership/exchanges.ts
+++ b/src/common/membership/exchanges.ts
@@ -17,6 +17,11 @@
  * each other through control peers, which hear of all of them.
  */
 const firstSyncIntervalMs = 500;
+/**
+ * Until the interval has grown beyond this, about 7 s after the start, what answers contain is known to
+ * the others. Later differences come from lost deltas or partitions.
+ */
+const maxJoiningSyncIntervalMs = 4000;
 /** A peer's answer arrives within this time, so that the next one is asked for the rest only. */
 const syncSpacingMs = 100;
 /**
@@ -49,8 +54,8 @@
 	constructor(private readonly host: ExchangeHost) {}
 
 	/** True while this process learns of the others, who know of each other already. */
-	get isStarting(): boolean {
-		return this.currentSyncIntervalMs < syncIntervalMs;
+	get isJoining(): boolean {
+		return this.currentSyncIntervalMs <= maxJoiningSyncIntervalMs;
 	}
 
 	handleLinkUp(peer: ids.PeerId, now: number, isConfigured: boolean): void {
@@ -161,11 +166,12 @@
 
 	/** Chooses a control peer while this process has just started, because those hear of all others. */
 	private chooseSyncPeer(): ids.PeerId | undefined {
+		const isStarting = this.currentSyncIntervalMs < syncIntervalMs;
 		const live = this.host.listLivePeers();
 		const control = live.filter(({role}) => role === 'control');
 		const [chosen] = random.drawSample(
 			this.host.random,
-			this.isStarting && control.length > 0 ? control : live,
+			isStarting && control.length > 0 ? control : live,
 			1,
 		);
 		return chosen?.peer;
--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -200,7 +200,7 @@
 		const isNews = !(
 			message.type === 'sync' &&
 			message.wanted !== undefined &&
-			this.exchanges.isStarting
+			this.exchanges.isJoining
 		);
 		for (const delta of message.deltas) {
 			this.applyDelta(delta, from, now, isNews);
