--- a/src/common/membership/membership.test.ts
+++ b/src/common/membership/membership.test.ts
@@ -10,6 +10,8 @@
 /** Peers whose messages arrive after `hopMs`, unless the network is cut. */
 class Network {
 	sent = 0;
+	/** Deltas in full exchanges. */
+	exchangedDeltas = 0;
 	isCut = false;
 	now = 0;
 	readonly #inFlight: Array<{
@@ -82,6 +84,10 @@
 		}
 	}
 
+	listMemberships(): membership.Membership[] {
+		return [...this.#peers.values()];
+	}
+
 	/** Counts the pairs in which one peer does not consider the other one alive. */
 	countDisagreements(): number {
 		let count = 0;
@@ -100,6 +106,8 @@
 			random: random.createRandom(Number(name.slice(1)) + 1),
 			send: (to, message) => {
 				this.sent++;
+				this.exchangedDeltas +=
+					message.type === 'sync' ? message.deltas.length : 0;
 				if (!this.isCut) {
 					this.#inFlight.push({at: this.now + hopMs, from: name, to, message});
 				}
@@ -154,3 +162,26 @@
 		t.equal(network.countDisagreements(), 0, `${count} peers agree again`);
 	}
 });
+
+// Guards against reads that cross regions because most owners were not probed yet: with 74 peers, a
+// round of probes takes 37 s.
+tap.test('one probe tells how far its data centre is', async (t) => {
+	const network = new Network(3);
+	network.run(400);
+	const [peer] = network.listMemberships();
+	t.equal(peer.getRoundTrip('p1' as ids.PeerId), 2 * hopMs);
+	t.equal(peer.getRoundTrip('p2' as ids.PeerId), 2 * hopMs);
+});
+
+// Guards against exchanges that send the whole view to peers that have it: most of the bytes of a
+// fleet's start, and twice as many for each process with every doubling of the fleet.
+tap.test('peers with equal views exchange only themselves', async (t) => {
+	const count = 32;
+	const network = new Network(count);
+	network.run(10_000);
+	const rounds = 4;
+	t.ok(
+		network.exchangedDeltas <= count * rounds,
+		`${network.exchangedDeltas} deltas`,
+	);
+});
--- a/src/common/metrics/metrics.ts
+++ b/src/common/metrics/metrics.ts
@@ -1,14 +1,16 @@
 /**
- * Collects the metrics of one process: requests per member and rank, counters and gauges. The
- * number of series is bounded, whatever names callers send.
+ * Collects the metrics of one process: requests per member and rank, counters, gauges, and the
+ * traffic with peers. The number of series is bounded, whatever names callers send.
  */
 import type * as proxy from '../proxy/types.js';
 import * as format from './prometheus.js';
 import * as series from './series.js';
+import * as trafficCounters from './traffic.js';
 import type * as metricsTypes from './types.js';
 
 const defaultLimits: metricsTypes.MetricsLimits = {
 	maxMembers: 200,
+	maxCustomers: 200,
 	maxGauges: 1000,
 };
 
@@ -16,9 +18,11 @@
 const otherMember = 'other';
 
 export class Metrics {
+	readonly traffic = new trafficCounters.TrafficCounters();
 	private readonly members = new Set<string>();
 	private readonly seriesByKey = new Map<string, series.RequestSeries>();
 	private readonly counters = new Map<proxy.CounterName, number>();
+	private readonly customers = new Map<string, metricsTypes.CustomerCounts>();
 	private readonly gauges = new Map<string, number>();
 	private readonly limits: metricsTypes.MetricsLimits;
 
@@ -44,6 +48,27 @@
 		this.counters.set(name, (this.counters.get(name) ?? 0) + amount);
 	}
 
+	/** Adds to the counters of a customer's rate limit. */
+	countCustomer({
+		customer,
+		granted,
+		used,
+		refused,
+	}: metricsTypes.CustomerCounts): void {
+		const label =
+			this.customers.has(customer) ||
+			this.customers.size < this.limits.maxCustomers
+				? customer
+				: otherMember;
+		const known = this.customers.get(label);
+		this.customers.set(label, {
+			customer: label,
+			granted: granted + (known?.granted ?? 0),
+			used: used + (known?.used ?? 0),
+			refused: refused + (known?.refused ?? 0),
+		});
+	}
+
 	/**
 	 * Sets a gauge.
 	 *
@@ -73,10 +98,12 @@
 
 		const reads = byReplica + byPrimary;
 		return {
+			customers: [...this.customers.values()],
 			series: [...this.seriesByKey.values()].map((item) => item.getSnapshot()),
 			counters: Object.fromEntries(this.counters),
 			gauges: Object.fromEntries(this.gauges),
 			replicaShare: reads === 0 ? null : byReplica / reads,
+			traffic: this.traffic.getSnapshot(),
 		};
 	}
 
@@ -84,8 +111,10 @@
 	formatText(): string {
 		return format.formatMetrics(
 			[...this.seriesByKey.values()],
+			[...this.customers.values()],
 			this.counters,
 			this.gauges,
+			this.traffic.getSnapshot(),
 		);
 	}
 
--- a/src/common/metrics/prometheus.ts
+++ b/src/common/metrics/prometheus.ts
@@ -2,6 +2,8 @@
  * The text format of Prometheus (exposition format 0.0.4).
  */
 import type * as series from './series.js';
+import type * as traffic from './traffic.js';
+import type * as metricsTypes from './types.js';
 
 const metricPrefix = 'hemlockarch';
 const quantiles = [0.5, 0.9, 0.99, 0.999] as const;
@@ -14,11 +16,13 @@
 	readonly value: number;
 };
 
-/** Formats request series, counters and gauges. */
+/** Formats request series, counters, gauges and the traffic with peers. */
 export function formatMetrics(
 	requestSeries: readonly series.RequestSeries[],
+	customers: readonly metricsTypes.CustomerCounts[],
 	counters: ReadonlyMap<string, number>,
 	gauges: ReadonlyMap<string, number>,
+	peerTraffic: readonly traffic.TrafficSnapshot[],
 ): string {
 	const families = [
 		formatFamily(
@@ -85,6 +89,17 @@
 			requestSeries,
 			(item) => item.staleness,
 		),
+		formatFamily(
+			'rate_limit_operations_total',
+			'counter',
+			'Tokens granted, operations counted and requests refused by customer.',
+			customers.flatMap(({customer, ...counts}) =>
+				Object.entries(counts).map(([kind, value]) => ({
+					labels: {customer, kind},
+					value,
+				})),
+			),
+		),
 		...[...counters].map(([name, value]) =>
 			formatFamily(`${formatMetricName(name)}_total`, 'counter', 'Events.', [
 				{labels: {}, value},
@@ -95,6 +110,24 @@
 				{labels: {}, value},
 			]),
 		),
+		formatFamily(
+			'peer_messages_total',
+			'counter',
+			'Messages exchanged with peers.',
+			peerTraffic.map((item) => ({
+				labels: getTrafficLabels(item),
+				value: item.messages,
+			})),
+		),
+		formatFamily(
+			'peer_bytes_total',
+			'counter',
+			'Bytes of the messages exchanged with peers.',
+			peerTraffic.map((item) => ({
+				labels: getTrafficLabels(item),
+				value: item.bytes,
+			})),
+		),
 	];
 	return families.join('');
 }
@@ -103,6 +136,14 @@
 	return {member: item.member, rank: item.rank};
 }
 
+function getTrafficLabels({
+	direction,
+	distance,
+	type,
+}: traffic.TrafficSnapshot): Labels {
+	return {direction, distance, type};
+}
+
 function formatDurationSummary(
 	name: string,
 	help: string,
--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -152,6 +152,8 @@
 		if (mayRetry) {
 			this.context.count('retries');
 			request.excludedServers.add(attempt.server);
+			// The first attempt may have run, so the next one counts as another operation.
+			request.isCounted = false;
 			request.waitState = {
 				type: 'until',
 				retryAt:
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -203,6 +203,8 @@
 					new admission.ServerAdmissionScheduler({
 						slots,
 						getParameters,
+						getCustomerWeight: (customer) =>
+							this.reducer.templates.getCustomerWeight(customer),
 						...this.options.admission,
 					}),
 				parseTemplate: (text) =>
@@ -223,7 +225,10 @@
 				role: 'proxy',
 				incarnation,
 				protocol: peerLinks.protocolVersion,
+				dataCentre: this.settings.process.dataCentre,
+				region: this.settings.process.region,
 			},
+			traffic: this.metrics.traffic,
 			listener: {
 				handleMessage: this.driver.handlePeerMessage,
 				handleLinkChange: (peer, up) => {
--- a/src/node/peer/message-shapes.ts
+++ b/src/node/peer/message-shapes.ts
@@ -4,6 +4,7 @@
  * error in the middle of a step would leave inconsistent. Messages of requests are left out: they are
  * frequent, and an error in one of them ends only its request or link.
  */
+import * as digest from '../../common/membership/digest.js';
 import type * as messages from '../../common/messages.js';
 import * as shape from './shape.js';
 
@@ -12,6 +13,7 @@
 	isFlag: flag,
 	isCount: count,
 	isQuantity: quantity,
+	isAmount: amount,
 } = shape;
 const epoch = shape.createObject({consensusTerm: count, counter: count});
 const writeTerm = shape.createOptional(count);
@@ -77,6 +79,8 @@
 ]);
 const deltas = shape.createArray(delta);
 
+const digests = shape.createOptional(shape.createBytes(digest.digestBytes));
+
 const change = shape.createUnion([
 	shape.createObject({
 		type: shape.createLiteral(['configuration']),
@@ -135,17 +139,40 @@
 	target: text,
 });
 
+const stream = shape.createTuple([count, count]);
+const allowanceReport = shape.createObject({
+	sequence: count,
+	received: count,
+	stream: shape.createOptional(stream),
+	customers: shape.createArray(
+		shape.createTuple([text, amount, amount, amount, amount]),
+	),
+});
+const allowanceGrant = shape.createObject({
+	sequence: count,
+	stream,
+	customers: shape.createArray(shape.createTuple([text, amount, amount])),
+});
+
 const shapes: Partial<Record<messages.PeerMessage['type'], shape.Shape>> = {
 	hello: shape.createObject({
 		peer: text,
 		role: text,
 		incarnation: count,
 		protocol: count,
+		dataCentre: shape.createOptional(text),
+		region: shape.createOptional(text),
 	}),
 	ping: probe,
 	pingRequest: targetedProbe,
 	ack: targetedProbe,
-	sync: shape.createObject({reply: flag, deltas}),
+	sync: shape.createObject({
+		reply: flag,
+		deltas,
+		salt: shape.createOptional(count),
+		known: digests,
+		wanted: digests,
+	}),
 	preVote: vote,
 	vote,
 	preVoteReply: voteReply,
@@ -193,7 +220,13 @@
 		configurationVersion: shape.createOptional(count),
 		knownIndex: count,
 		knownOwners: shape.createOptional(epoch),
+		allowances: shape.createOptional(allowanceReport),
+	}),
+	allowanceRequest: shape.createObject({
+		incarnation: count,
+		report: allowanceReport,
 	}),
+	allowanceGranted: shape.createObject({grant: allowanceGrant}),
 	leaseGranted: shape.createObject({
 		sequence: count,
 		durationMs: count,
@@ -209,6 +242,7 @@
 		configuration: shape.createOptional(configuration),
 		confirmed: shape.createArray(shape.createTuple([text, count])),
 		appliedIndex: count,
+		allowances: shape.createOptional(allowanceGrant),
 	}),
 	revokeLease: shape.createObject({server: text, epoch, scope, writeTerm}),
 	leaseReleased: shape.createObject({server: text, epoch, scope, writeTerm}),
--- a/src/node/peer/peer-links.ts
+++ b/src/node/peer/peer-links.ts
@@ -12,7 +12,7 @@
 import * as types from './types.js';
 
 /** Version of the peer protocol. Peers close connections with peers of another version. */
-export const protocolVersion = 3;
+export const protocolVersion = 4;
 
 /** The links of this process, with flow control for producers of large data. */
 export type FlowControlledPeerLinks = node.PeerLinks & {
@@ -49,6 +49,8 @@
 			),
 			readIdleProbeInterval: () =>
 				this.#probeSchedule.readInterval(this.#links.size, options.clock.now()),
+			location: options.hello,
+			traffic: options.traffic,
 			handleSilentPeer: () => {
 				this.#probeSchedule.recordSilence(options.clock.now());
 			},
--- a/src/node/peer/shape.ts
+++ b/src/node/peer/shape.ts
@@ -10,9 +10,17 @@
 export const isFlag: Shape = (value) => typeof value === 'boolean';
 /** A counter, term, index or version. */
 export const isCount: Shape = (value) => Number.isFinite(value);
+/** A number of things, which is never negative. */
+export const isAmount: Shape = (value) => isCount(value) && Number(value) >= 0;
 /** A duration or position, which may be infinite. */
 export const isQuantity: Shape = (value) =>
 	typeof value === 'number' && !Number.isNaN(value);
+/** Bytes that consist of elements of a fixed size. */
+export function createBytes(elementSize: number): Shape {
+	return (value) =>
+		value instanceof Uint8Array && value.length % elementSize === 0;
+}
+
 export const isAbsent: Shape = (value) => value === undefined;
 
 export function createLiteral(values: readonly string[]): Shape {
--- a/src/scenario/fleet/small-fleet.ts
+++ b/src/scenario/fleet/small-fleet.ts
@@ -33,6 +33,7 @@
 	readonly seed: number;
 	readonly timing?: Partial<context.ProxyTiming>;
 	readonly parseConfiguration?: templateStore.ConfigurationParser;
+	readonly routing?: routing.RoutingOptions;
 }): reducer.ProxyReducer {
 	const {parameters} = options;
 	return new reducer.ProxyReducer(
@@ -51,7 +52,7 @@
 			...(options.timing ? {timing: options.timing} : {}),
 		},
 		{
-			routing: new routing.LeastWaitRoutingPolicy(),
+			routing: new routing.LeastWaitRoutingPolicy(options.routing),
 			retryBudget: new retryBudget.SuccessRetryBudget(),
 			hedging: new hedgeDelay.HedgeDelayEstimator(),
 			createScheduler: (slots) =>
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -500,6 +500,16 @@
 	| {type: 'recordRequest'; record: RequestRecord}
 	/** Adds to a counter that is not bound to a member. */
 	| {type: 'countEvent'; name: CounterName; amount: number}
+	| {
+			/** Adds to the counters of a customer's rate limit. */
+			type: 'countCustomer';
+			customer: CustomerId;
+			/** Tokens that the leader granted to this proxy. */
+			granted: number;
+			/** Operations that were counted here. */
+			used: number;
+			refused: number;
+	  }
 	| {type: 'log'; record: LogRecord}
 	/** Draining is complete; the process may exit with 0. */
 	| {type: 'drained'}
@@ -671,6 +681,8 @@
 	readonly slots: number;
 	/** Current parameters of a member; undefined for a member without template. */
 	readonly getParameters: (member: MemberId) => TemplateParameters | undefined;
+	/** Weight of a customer's share beside that of the member; 1 by default. */
+	readonly getCustomerWeight?: (customer: CustomerId) => number;
 	/**
 	 * Share of the remaining time, 0 to 1, that wait and service may take; 0.6 by default. The rest
 	 * covers the transfer of the answer, the acknowledgement of commits and the estimation error.
@@ -1016,6 +1028,20 @@
 	| {type: 'drained'}
 >;
 /** Start options of a control peer. `incarnation` is higher for each start of the process. */
+/** What may run in any window: (rate * window + burst) * (1 + overage) + slack. */
+export type RateBound = {
+	readonly windowMs: number;
+	/** Tolerated share above the limit. */
+	readonly overage: number;
+	/** Operations that are tolerated in addition. */
+	readonly slack: number;
+};
+/** How the leader learns the rate limits of customers, and what it tolerates above them. */
+export type RateLimitOptions = {
+	/** Reads the customers of a configuration; undefined when its text is not valid. */
+	parseCustomers(text: string): Iterable<Customer> | undefined;
+	readonly bound: RateBound;
+};
 export type ControlPeerOptions = {
 	readonly peer: PeerId;
 	/** `ip:port` of the peer listener. */
@@ -1031,6 +1057,7 @@
 	 * all control peers.
 	 */
 	readonly recordsLeaseHolders?: boolean;
+	readonly rateLimits?: RateLimitOptions;
 	readonly random: RandomSource;
 };
 export type ControlPeerEvent =
@@ -1145,24 +1172,61 @@
 	/** Staleness of reads. */
 	readonly staleness: HistogramSummary;
 };
+/** Counters of one customer's rate limit at this process. */
+export type CustomerCounts = {
+	/** `other` combines all customers beyond the limit. */
+	readonly customer: string;
+	/** Tokens that the leader granted to this process. */
+	readonly granted: number;
+	/** Operations that were counted here. */
+	readonly used: number;
+	readonly refused: number;
+};
 export type MetricsSnapshot = {
+	/** Customers with a rate limit that have sent requests here. */
+	readonly customers: readonly CustomerCounts[];
 	readonly series: readonly SeriesSnapshot[];
 	readonly counters: Readonly<Record<string, number>>;
 	readonly gauges: Readonly<Record<string, number>>;
 	/** Share of reads that a replica served, 0 to 1; null before the first read. */
 	readonly replicaShare: number | null;
+	/** Messages and bytes exchanged with peers since the start of the process. */
+	readonly traffic: readonly TrafficSnapshot[];
+};
+/** Messages and bytes of one type that were exchanged with peers at one distance. */
+export type TrafficSnapshot = {
+	readonly direction: 'sent' | 'received';
+	readonly distance:
+		'dataCentre' | 'region' | 'otherRegion' | 'otherDataCentre' | 'unknown';
+	readonly type: string;
+	readonly messages: number;
+	readonly bytes: number;
 };
 /** Limits on the number of series, whatever names callers send. */
 export type MetricsLimits = {
 	/** Maximum number of members with series of their own. */
 	readonly maxMembers: number;
+	/** Maximum number of customers with counters of their own. */
+	readonly maxCustomers: number;
 	readonly maxGauges: number;
 };
+/** Counts the messages and bytes exchanged with peers. */
+export type TrafficCounters = {
+	record(
+		direction: TrafficSnapshot['direction'],
+		distance: TrafficSnapshot['distance'],
+		type: string,
+		bytes: number,
+	): void;
+	getSnapshot(): TrafficSnapshot[];
+};
 /** Metrics of one process, with a bounded number of series. */
 export class Metrics {
+	readonly traffic: TrafficCounters;
 	constructor(limits?: Partial<MetricsLimits>);
 	recordRequest(record: RequestRecord): void;
 	countEvent(name: CounterName, amount?: number): void;
+	countCustomer(counts: CustomerCounts): void;
 	/** False when the gauge is new and the limit is reached; the value is then discarded. */
 	setGauge(name: string, value: number): boolean;
 	removeGauge(name: string): void;
