--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -32,6 +32,11 @@
 	readonly binding?: ids.AttemptId;
 	readonly key?: string;
 	readonly templateVersion: number;
+	/**
+	 * The owner returns the request when its expected wait is longer, because then another server costs
+	 * less as far as the entry knows. Undefined when no other server can run it.
+	 */
+	readonly maxWaitMs?: number;
 	readonly payload: proxy.RequestPayload;
 };
 
@@ -56,6 +61,8 @@
 	readonly servedBy?: types.UpstreamRole;
 	/** Expected wait of another request of this rank at the server, in ms. */
 	readonly expectedWaitMs?: number;
+	/** The owner did not queue the request, because its wait exceeds `maxWaitMs`. */
+	readonly isReturned?: boolean;
 };
 
 /** State of one server as known to its owner. */
@@ -113,9 +120,9 @@
 export type AllowanceReport = {
 	/** Echoed in the answer; the proxy keeps the send time by sequence. */
 	readonly sequence: number;
-	/** Sequence of the last answer that the proxy received; 0 before the first one. */
+	/** Number of the last grant of the stream that the proxy received; 0 before the first one. */
 	readonly received: number;
-	/** The stream of that answer. */
+	/** Absent before the first grant. */
 	readonly stream?: AllowanceStream;
 	/**
 	 * The customers with changes. `spent` and `returned` are totals of the stream; `waiting` is the
@@ -132,9 +139,15 @@
 	>;
 };
 
-/** The leader's answer to an `AllowanceReport`. It confirms all tokens of the stream. */
+/**
+ * The leader's answer to an `AllowanceReport`, or tokens for requests that have waited since. It
+ * confirms all tokens of the stream.
+ */
 export type AllowanceGrant = {
+	/** Sequence of the last report. */
 	readonly sequence: number;
+	/** Counts the grants of the stream. */
+	readonly number: number;
 	readonly stream: AllowanceStream;
 	/**
 	 * Customers with changes. `granted` is the total of the stream; `waitMs` is above 0 while a
--- a/src/common/policy/routing.test.ts
+++ b/src/common/policy/routing.test.ts
@@ -56,6 +56,20 @@
 	};
 }
 
+// Guards against a slow server that is used because it has no queue.
+tap.test('a read avoids a server whose reads take long', async (t) => {
+	const decision = new LeastWaitRoutingPolicy().chooseServer(
+		buildRequest(),
+		[
+			buildCandidate('slow', {serviceMs: 90}),
+			buildCandidate('fast', {serviceMs: 15, roundTripMs: 40}),
+		],
+		0,
+		0,
+	);
+	t.same(decision, {type: 'server', server: 'fast', maxWaitMs: 45});
+});
+
 // Guards against writes that are sent to a server that cannot run them.
 tap.test('writes go to the writable primary only', async (t) => {
 	const policy = new LeastWaitRoutingPolicy();
@@ -293,3 +307,22 @@
 		'a primary of an earlier term may lack the floor',
 	);
 });
+
+// Guards against reads that wait for a replica to hold a write which their session made long ago.
+tap.test('the age of a write counts from its acknowledgement', async (t) => {
+	const choose = (policy: LeastWaitRoutingPolicy) =>
+		policy.chooseServer(
+			buildRequest({floor: {term: 1, offset: 120}}),
+			[
+				buildCandidate('a', {stalenessMs: 100, reportAgeMs: 2000}),
+				buildPrimary(),
+			],
+			1000,
+			0,
+		);
+	const policy = new LeastWaitRoutingPolicy();
+	t.match(choose(policy), {type: 'wait'});
+	const informed = new LeastWaitRoutingPolicy();
+	informed.observeFloor('g' as ids.GroupId, {term: 1, offset: 120}, 0);
+	t.match(choose(informed), {type: 'server', server: 'a'});
+});
--- a/src/common/policy/types.ts
+++ b/src/common/policy/types.ts
@@ -70,6 +70,8 @@
 	readonly stalenessMs: number;
 	/** Estimated queueing time for the rank of the request. */
 	readonly expectedWaitMs: number;
+	/** Estimated time that a read takes there once it runs; 0 when unknown. */
+	readonly serviceMs?: number;
 	/** Measured network round trip from the entry to the owner. */
 	readonly roundTripMs: number;
 	readonly departing: boolean;
@@ -94,7 +96,12 @@
 };
 
 export type RoutingDecision =
-	| {readonly type: 'server'; readonly server: ids.UpstreamId}
+	| {
+			readonly type: 'server';
+			readonly server: ids.UpstreamId;
+			/** Expected wait from which another server costs less; undefined when there is none. */
+			readonly maxWaitMs?: number;
+	  }
 	| {
 			/** A replica will be fresh enough soon; choose again after `delayMs`. */
 			readonly type: 'wait';
@@ -113,6 +120,8 @@
 		now: number,
 		random: number,
 	): RoutingDecision;
+	/** Notes that a write at this position has just been acknowledged to a caller. */
+	observeFloor(group: ids.GroupId, floor: types.Position, now: number): void;
 	/** Reports an outcome to outlier detection. A refusal by admission is not a failure. */
 	recordOutcome(
 		server: ids.UpstreamId,
--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -42,6 +42,7 @@
 
 		if (request.kind === 'read') {
 			this.services.hedging.observe(latencyMs, this.context.now);
+			this.router.recordRead(attempt, latencyMs - done.queueMs);
 		}
 
 		this.services.retryBudget.recordSuccess(this.context.now);
@@ -54,6 +55,14 @@
 				: done.position;
 		}
 
+		if (done.position && isCommit) {
+			this.services.routing.observeFloor(
+				session.group,
+				done.position,
+				this.context.now,
+			);
+		}
+
 		this.context.emit({
 			type: 'finishRequest',
 			session: session.id,
@@ -83,6 +92,11 @@
 			return;
 		}
 
+		if (done.isReturned) {
+			this.router.routeReturnedRequest(request);
+			return;
+		}
+
 		switch (reason) {
 			case 'keyUsed':
 			case 'cancelled':
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -286,6 +286,7 @@
 		}
 
 		if (done.expectedWaitMs !== undefined) {
+			this.candidates.placedWork.recordNews(attempt.server);
 			this.directory.updateExpectedWait(
 				from,
 				attempt.server,
--- a/src/node/peer/frame-keys.ts
+++ b/src/node/peer/frame-keys.ts
@@ -119,8 +119,11 @@
 	'allowances',
 	'customers',
 	'received',
+	'number',
 	'stream',
 	'report',
 	'grant',
 	'customer',
+	'maxWaitMs',
+	'isReturned',
 ] as const;
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -537,6 +537,7 @@
 	| 'ownershipLost'
 	| 'retries'
 	| 'hedges'
+	| 'returns'
 	| 'internalErrors'
 	| 'templateUpdates'
 	| 'unknownKeys'
@@ -700,6 +701,8 @@
 	readonly stalenessMs: number;
 	/** Estimated queueing time for the rank of the request, in ms. */
 	readonly expectedWaitMs: number;
+	/** Estimated time that a read takes there once it runs, in ms; 0 when unknown. */
+	readonly serviceMs?: number;
 	/** Measured network round trip from the entry to the owner, in ms. */
 	readonly roundTripMs: number;
 	readonly departing: boolean;
@@ -722,7 +725,8 @@
 	readonly excluded: ReadonlySet<UpstreamId>;
 };
 export type RoutingDecision = Variants<
-	| {type: 'server'; server: UpstreamId}
+	/** With `maxWaitMs`, another server costs less from that expected wait, in ms. */
+	| {type: 'server'; server: UpstreamId; maxWaitMs?: number}
 	/** A replica will be fresh enough soon; choose again after `delayMs`. */
 	| {type: 'wait'; delayMs: number}
 	| {
@@ -738,6 +742,8 @@
 		now: number,
 		random: number,
 	): RoutingDecision;
+	/** Notes that a write at this position has just been acknowledged to a caller. */
+	observeFloor(group: GroupId, floor: Position, now: number): void;
 	/** Records the outcome for outlier detection. A refusal by admission is not a failure. */
 	recordOutcome(
 		server: UpstreamId,
