Report a proxy that refuses all keys as not ready

Cause: a proxy of the product that had lost control, but not its peers, stayed ready and refused every request that needs a key. Done: while all routes need keys and none can be confirmed, health is 503 with the reason. The whole suite was not run on the merged code.

--- a/src/common/proxy/caller-access.ts
+++ b/src/common/proxy/caller-access.ts
@@ -50,6 +50,11 @@
 		);
 	}
 
+	/** True while every request needs a key and none is accepted. */
+	get refusesAllCallers(): boolean {
+		return !this.canConfirmKeys && !this.templates.hasOpenRoutes();
+	}
+
 	/**
 	 * Records a grant of a leader whose lease is valid. It carries the configuration and the templates
 	 * that are newer than those that its renewal named; when one of them is not in force, the grant
--- a/src/common/proxy/health.test.ts
+++ b/src/common/proxy/health.test.ts
@@ -38,7 +38,12 @@
 		},
 		random.createRandom(1),
 	);
-	const state = {lastGrantAt: 0, isDraining: false, lacksRoutes: false};
+	const state = {
+		lastGrantAt: 0,
+		isDraining: false,
+		lacksRoutes: false,
+		refusesAllCallers: false,
+	};
 	const health = new proxyHealth.ProxyHealth(shared, {
 		lease: state,
 		membership: {
@@ -46,6 +51,7 @@
 		},
 		isDraining: () => state.isDraining,
 		lacksRoutes: () => state.lacksRoutes,
+		refusesAllCallers: () => state.refusesAllCallers,
 	});
 	const update = (now: number) => {
 		shared.now = now;
@@ -113,3 +119,13 @@
 	t.equal(update(4950), true);
 	t.notOk(health.isInMinorityPartition);
 });
+
+// Guards against a load balancer that sends callers to a proxy which refuses all of them.
+tap.test('a proxy that refuses all keys is not ready', async (t) => {
+	const {state, health, update} = createHealth();
+	state.lastGrantAt = 2900;
+	health.recordContact(2900);
+	t.equal(update(3000), true);
+	state.refusesAllCallers = true;
+	t.equal(update(3100), false);
+});
--- a/src/common/proxy/health.ts
+++ b/src/common/proxy/health.ts
@@ -20,6 +20,8 @@
 	isDraining(): boolean;
 	/** True when sessions need a configuration and none is in force. */
 	lacksRoutes(): boolean;
+	/** True while every request is refused because the keys of customers cannot be confirmed. */
+	refusesAllCallers(): boolean;
 };
 
 export class ProxyHealth {
@@ -138,6 +140,12 @@
 			return 'cut off with a minority of the peers';
 		}
 
-		return this.source.lacksRoutes() ? 'no configuration yet' : undefined;
+		if (this.source.lacksRoutes()) {
+			return 'no configuration yet';
+		}
+
+		return this.source.refusesAllCallers()
+			? 'keys of customers cannot be confirmed'
+			: undefined;
 	}
 }
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -160,6 +160,7 @@
 			lacksRoutes: () =>
 				services.parseConfiguration !== undefined &&
 				this.templates.routes === undefined,
+			refusesAllCallers: () => access.refusesAllCallers,
 		});
 		this.operators = new operatorClient.OperatorClient(
 			this.context,
--- a/src/common/proxy/template-store.ts
+++ b/src/common/proxy/template-store.ts
@@ -89,6 +89,18 @@
 		return this.openGroups.has(group);
 	}
 
+	/** True when some requests need no key. */
+	hasOpenRoutes(): boolean {
+		if (!this.routes) {
+			return this.hasOpenTemplate();
+		}
+
+		return (
+			this.routes.customers.size === 0 ||
+			[...this.routes.members.values()].some(({isOpen}) => isOpen)
+		);
+	}
+
 	/** The weight of a customer in the queues of servers. */
 	getCustomerWeight(customer: ids.CustomerId): number {
 		return this.weights.get(customer) ?? 1;
