--- a/scripts/quickstart/cluster.mjs
+++ b/scripts/quickstart/cluster.mjs
@@ -48,7 +48,10 @@
 
 	/**
 	 * @param options - `controls`, `proxies`: number of processes; `log`: log level of the daemons;
-	 * `standIn`: further arguments of the stand-ins.
+	 * `standIn`: further arguments of the stand-ins; `openRelay(name, port)`: opens a relay to a
+	 * control peer or stand-in and resolves with the port that the other processes use instead;
+	 * `nodeOptions`: options of Node.js for the daemons; `maxConnections`: limit on the callers of one
+	 * proxy.
 	 */
 	constructor(options) {
 		this.options = options;
@@ -61,7 +64,8 @@
 		this.portBlock = await portBlock.reservePortBlock(process.pid);
 		for (let index = 1; index <= controls; index++) {
 			const [peers, http] = this.portBlock.takePorts(2);
-			this.ports.set(`control-${index}`, {peers, http});
+			const relay = await this.openRelay(`control-${index}`, peers);
+			this.ports.set(`control-${index}`, {peers, http, relay});
 		}
 
 		for (let index = 1; index <= proxies; index++) {
@@ -83,7 +87,11 @@
 		const [role, index] = name.split('-');
 		const file = path.join(this.folder, `${name}.ini`);
 		fs.writeFileSync(file, this.formatSettings(name, role, Number(index) - 1));
-		this.startProcess(name, [role, '--settings', file]);
+		this.startProcess(
+			name,
+			[role, '--settings', file],
+			this.options.nodeOptions,
+		);
 	}
 
 	/** Starts a stand-in; with `primaryPort` it is a replica of the server on that port. */
@@ -92,6 +100,8 @@
 		const announce = [...this.ports]
 			.filter(([other]) => other.startsWith('proxy'))
 			.flatMap(([, {http}]) => ['--announce', `127.0.0.1:${http}`]);
+		const [port] = this.portBlock.takePorts(1);
+		const relay = await this.openRelay(name, port);
 		const child = this.startProcess(name, [
 			'stand-in',
 			'--json',
@@ -101,6 +111,9 @@
 			name,
 			'--data-centre',
 			dataCentres[index - 1],
+			'--port',
+			String(port),
+			...(relay === port ? [] : ['--announced-address', `127.0.0.1:${relay}`]),
 			...(primaryPort === undefined
 				? []
 				: ['--primary', `${primary}@127.0.0.1:${primaryPort}`]),
@@ -113,6 +126,10 @@
 		return ports;
 	}
 
+	async openRelay(name, port) {
+		return this.options.openRelay?.(name, port) ?? port;
+	}
+
 	/** Kills a process with SIGKILL. */
 	async kill(name) {
 		const child = this.children.get(name);
@@ -174,11 +191,13 @@
 		return codes;
 	}
 
-	startProcess(name, args) {
+	startProcess(name, args, nodeOptions = []) {
 		const logFile = fs.openSync(path.join(this.folder, `${name}.log`), 'a');
-		const child = childProcess.spawn(process.execPath, [programFile, ...args], {
-			stdio: ['ignore', 'pipe', logFile],
-		});
+		const child = childProcess.spawn(
+			process.execPath,
+			[...nodeOptions, programFile, ...args],
+			{stdio: ['ignore', 'pipe', logFile]},
+		);
 		fs.closeSync(logFile);
 		this.children.set(name, child);
 		return child;
@@ -188,7 +207,10 @@
 		const ports = this.ports.get(name);
 		const peers = [...this.ports]
 			.filter(([other]) => other.startsWith('control'))
-			.map(([other, {peers: port}]) => `${other}@127.0.0.1:${port}`)
+			.map(([other, {peers: port, relay}]) => {
+				const usedPort = other === name ? port : relay;
+				return `${other}@127.0.0.1:${usedPort}`;
+			})
 			.join(', ');
 		const lines = [
 			'[process]',
@@ -209,6 +231,9 @@
 			`peers = ${peers}`,
 			'[limits]',
 			'drain_deadline_s = 30',
+			...(this.options.maxConnections === undefined
+				? []
+				: [`max_connections = ${this.options.maxConnections}`]),
 			'[log]',
 			`level = ${this.options.log ?? 'info'}`,
 			'format = text',
--- a/src/bench/reducer-system.ts
+++ b/src/bench/reducer-system.ts
@@ -242,6 +242,8 @@
 					new ServerAdmissionScheduler({
 						slots,
 						getParameters: (member) => reducer.templates.getParameters(member),
+						getCustomerWeight: (customer) =>
+							reducer.templates.getCustomerWeight(customer),
 					}),
 				parseTemplate: () => parameters,
 			},
@@ -419,6 +421,7 @@
 				case 'setHealth':
 				case 'recordRequest':
 				case 'countEvent':
+				case 'countCustomer':
 				case 'log':
 				case 'drained': {
 					// Callers of a closed session time out by themselves; the other effects change no outcome.
--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -32,6 +32,11 @@
 	readonly binding?: ids.AttemptId;
 	readonly key?: string;
 	readonly templateVersion: number;
+	/**
+	 * The owner returns the request when its expected wait is longer, because then another server costs
+	 * less as far as the entry knows. Undefined when no other server can run it.
+	 */
+	readonly maxWaitMs?: number;
 	readonly payload: proxy.RequestPayload;
 };
 
@@ -56,6 +61,8 @@
 	readonly servedBy?: types.UpstreamRole;
 	/** Expected wait of another request of this rank at the server, in ms. */
 	readonly expectedWaitMs?: number;
+	/** The owner did not queue the request, because its wait exceeds `maxWaitMs`. */
+	readonly isReturned?: boolean;
 };
 
 /** State of one server as known to its owner. */
@@ -103,6 +110,54 @@
 	readonly writeTerm?: number;
 };
 
+/**
+ * Identifies the tokens that one leader has granted to one instance of a proxy. Compared by the
+ * consensus term first, then by the counter.
+ */
+export type AllowanceStream = readonly [consensusTerm: number, counter: number];
+
+/** What a proxy has done with the tokens of its customers' rate limits. */
+export type AllowanceReport = {
+	/** Echoed in the answer; the proxy keeps the send time by sequence. */
+	readonly sequence: number;
+	/** Number of the last grant of the stream that the proxy received; 0 before the first one. */
+	readonly received: number;
+	/** Absent before the first grant. */
+	readonly stream?: AllowanceStream;
+	/**
+	 * The customers with changes. `spent` and `returned` are totals of the stream; `waiting` is the
+	 * number of requests without a token, `stock` the number of tokens to hold beyond them.
+	 */
+	readonly customers: ReadonlyArray<
+		readonly [
+			customer: ids.CustomerId,
+			spent: number,
+			returned: number,
+			waiting: number,
+			stock: number,
+		]
+	>;
+};
+
+/**
+ * The leader's answer to an `AllowanceReport`, or tokens for requests that have waited since. It
+ * confirms all tokens of the stream.
+ */
+export type AllowanceGrant = {
+	/** Sequence of the last report. */
+	readonly sequence: number;
+	/** Counts the grants of the stream. */
+	readonly number: number;
+	readonly stream: AllowanceStream;
+	/**
+	 * Customers with changes. `granted` is the total of the stream; `waitMs` is above 0 while a
+	 * request waits for a token that the customer's limit does not allow yet.
+	 */
+	readonly customers: ReadonlyArray<
+		readonly [customer: ids.CustomerId, granted: number, waitMs: number]
+	>;
+};
+
 export type ControlMessage =
 	| {
 			/** Proxy to control leader, every 250 ms. */
@@ -122,6 +177,8 @@
 			readonly knownIndex: number;
 			/** `ownersVersion` of the last grant that the proxy applied. */
 			readonly knownOwners?: types.Epoch;
+			/** Absent while the proxy holds no tokens and needs none. */
+			readonly allowances?: AllowanceReport;
 	  }
 	| {
 			readonly type: 'leaseGranted';
@@ -145,6 +202,18 @@
 			/** Announcement versions that the leader has stored. */
 			readonly confirmed: ReadonlyArray<readonly [ids.UpstreamId, number]>;
 			readonly appliedIndex: number;
+			/** The answer to the report in the renewal. */
+			readonly allowances?: AllowanceGrant;
+	  }
+	| {
+			/** Proxy to control leader, when requests wait for tokens. */
+			readonly type: 'allowanceRequest';
+			readonly incarnation: number;
+			readonly report: AllowanceReport;
+	  }
+	| {
+			readonly type: 'allowanceGranted';
+			readonly grant: AllowanceGrant;
 	  }
 	| {
 			readonly type: 'revokeLease';
--- a/src/common/policy/types.ts
+++ b/src/common/policy/types.ts
@@ -49,6 +49,8 @@
 	readonly getParameters: (
 		member: ids.MemberId,
 	) => types.TemplateParameters | undefined;
+	/** Weight of a customer's share beside that of the member; 1 by default. */
+	readonly getCustomerWeight?: (customer: ids.CustomerId) => number;
 	/**
 	 * Share of the remaining time, 0 to 1, that queueing and service may take; 0.6 by default. The
 	 * rest covers the transit of the answer, the acknowledgement of commits and the error of the
@@ -68,6 +70,8 @@
 	readonly stalenessMs: number;
 	/** Estimated queueing time for the rank of the request. */
 	readonly expectedWaitMs: number;
+	/** Estimated time that a read takes there once it runs; 0 when unknown. */
+	readonly serviceMs?: number;
 	/** Measured network round trip from the entry to the owner. */
 	readonly roundTripMs: number;
 	readonly departing: boolean;
@@ -92,7 +96,12 @@
 };
 
 export type RoutingDecision =
-	| {readonly type: 'server'; readonly server: ids.UpstreamId}
+	| {
+			readonly type: 'server';
+			readonly server: ids.UpstreamId;
+			/** Expected wait from which another server costs less; undefined when there is none. */
+			readonly maxWaitMs?: number;
+	  }
 	| {
 			/** A replica will be fresh enough soon; choose again after `delayMs`. */
 			readonly type: 'wait';
--- a/src/common/proxy/attempt-outcomes.ts
+++ b/src/common/proxy/attempt-outcomes.ts
@@ -42,11 +42,12 @@
 
 		if (request.kind === 'read') {
 			this.services.hedging.observe(latencyMs, this.context.now);
+			this.router.recordRead(attempt, latencyMs - done.queueMs);
 		}
 
 		this.services.retryBudget.recordSuccess(this.context.now);
 		this.table.cancelOtherAttempts(request, done.attempt);
-		this.updateBinding(session, attempt, done.bound);
+		this.updateBinding(session, attempt, done);
 		const isCommit = request.kind !== 'read' && done.position !== undefined;
 		if (done.position && (isCommit || session.hasMonotonicReads)) {
 			session.floor = session.floor
@@ -91,6 +92,11 @@
 			return;
 		}
 
+		if (done.isReturned) {
+			this.router.routeReturnedRequest(request);
+			return;
+		}
+
 		switch (reason) {
 			case 'keyUsed':
 			case 'cancelled':
@@ -160,6 +166,8 @@
 		if (mayRetry) {
 			this.context.count('retries');
 			request.excludedServers.add(attempt.server);
+			// The first attempt may have run, so the next one counts as another operation.
+			request.isCounted = false;
 			request.waitState = {
 				type: 'until',
 				retryAt:
@@ -210,11 +218,16 @@
 	private updateBinding(
 		session: entryState.Session,
 		attempt: entryState.Attempt,
-		isBound: boolean,
+		done: messages.ForwardDone,
 	): void {
-		const {id, server, owner} = attempt;
-		session.binding = isBound
-			? (session.binding ?? {id, server, owner})
+		const {server, owner} = attempt;
+		session.binding = done.bound
+			? {
+					id: session.binding?.id ?? attempt.id,
+					server,
+					owner,
+					inTransaction: done.transactionStatus !== 'idle',
+				}
 			: undefined;
 	}
 
--- a/src/common/proxy/entry-state.ts
+++ b/src/common/proxy/entry-state.ts
@@ -15,11 +15,17 @@
 export type SessionBinding = AttemptTarget & {
 	/** The attempt that bound the session; it identifies the binding at the owner. */
 	readonly id: ids.AttemptId;
+	/** False when only session state keeps the connection. */
+	readonly inTransaction: boolean;
 };
 
 export type Session = {
 	readonly id: ids.SessionId;
 	readonly member: ids.MemberId;
+	/** Digest of the key that the caller presented. */
+	readonly key: ids.KeyDigest | undefined;
+	/** The customer as which the last request ran; undefined on an open route. */
+	customer: ids.CustomerId | undefined;
 	/** Updated from the route of the member while no transaction is open. */
 	group: ids.GroupId;
 	/** False when only writes of the session raise its floor. */
@@ -43,11 +49,12 @@
 
 /**
  * What a request waits for: the position that becomes the floor of its session, the time at which it
- * is routed again, or the end of an attempt.
+ * is routed again, a token of its customer's rate limit, or the end of an attempt.
  */
 export type WaitState =
 	| {readonly type: 'floor'}
 	| {readonly type: 'until'; readonly retryAt: number}
+	| {readonly type: 'token'; readonly since: number}
 	| {readonly type: 'attempt'};
 
 export type EntryRequest = {
@@ -70,6 +77,8 @@
 	readonly attempts: Map<ids.AttemptId, Attempt>;
 	readonly excludedServers: Set<ids.UpstreamId>;
 	waitState: WaitState;
+	/** The request has used a token of its customer's rate limit. */
+	isCounted: boolean;
 	/** Waits because no server could run the request. */
 	waits: number;
 	retries: number;
@@ -77,6 +86,8 @@
 	attemptCount: number;
 	lastTarget: AttemptTarget | undefined;
 	isHedged: boolean;
+	/** Set once an owner has returned the request because of its wait. */
+	isReturned: boolean;
 	/** The attempt whose first bytes went to the caller. */
 	relayedAttempt: ids.AttemptId | undefined;
 	/** The last reason for which a server refused the request. */
@@ -89,3 +100,41 @@
 export function needsPrimary(kind: proxy.RequestKind): boolean {
 	return kind !== 'read' && kind !== 'beginReadOnly';
 }
+
+/** Creates a request that has not been routed yet. */
+export function createRequest(
+	session: Session,
+	event: Extract<proxy.ProxyEvent, {type: 'requestArrived'}>,
+	parameters: types.TemplateParameters | undefined,
+): EntryRequest {
+	const {attributes, kind} = event;
+	const rank = attributes.rank ?? parameters?.defaultRank ?? 'normal';
+	const deadlineMs =
+		attributes.deadlineMs ?? parameters?.ranks[rank].deadlineMs ?? 0;
+	return {
+		id: event.request,
+		session,
+		kind,
+		rank,
+		arrivedAt: event.now,
+		deadlineAt: event.now + deadlineMs,
+		stalenessMs: attributes.stalenessMs ?? parameters?.stalenessMs ?? 0,
+		repeatable: attributes.repeatable ?? kind === 'read',
+		key: attributes.key,
+		payload: event.payload,
+		isBound: session.binding !== undefined,
+		attempts: new Map(),
+		excludedServers: new Set(),
+		waitState: {type: 'attempt'},
+		isCounted: false,
+		waits: 0,
+		retries: 0,
+		attemptCount: 0,
+		lastTarget: undefined,
+		isHedged: false,
+		isReturned: false,
+		relayedAttempt: undefined,
+		lastReason: undefined,
+		spansFreeze: false,
+	};
+}
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -7,17 +7,21 @@
 import * as positions from '../position.js';
 import type * as policy from '../policy/types.js';
 import type * as types from '../types.js';
+import type * as allowanceClient from './allowance-client.js';
 import * as attemptOutcomes from './attempt-outcomes.js';
+import type * as callerAccess from './caller-access.js';
 import type * as candidates from './candidates.js';
 import type * as context from './context.js';
 import type * as directory from './directory.js';
 import * as entryReplies from './entry-replies.js';
-import type * as entryState from './entry-state.js';
+import * as entryState from './entry-state.js';
 import * as pendingRequests from './pending-requests.js';
 import type * as positionClient from './position-client.js';
+import * as rateLimiter from './rate-limiter.js';
 import * as refusals from './refusals.js';
 import * as requestRouter from './request-router.js';
 import * as requestTable from './request-table.js';
+import * as sessionAdmission from './session-admission.js';
 import type * as templateStore from './template-store.js';
 import type * as proxy from './types.js';
 
@@ -34,7 +38,8 @@
 export class Entry {
 	readonly sessions = new Map<ids.SessionId, entryState.Session>();
 	readonly pendingRequests: pendingRequests.PendingRequests;
-	private readonly sessionCounts = new Map<ids.MemberId, number>();
+	readonly rateLimiter: rateLimiter.RateLimiter;
+	private readonly admission: sessionAdmission.SessionAdmission;
 	private readonly table: requestTable.RequestTable;
 	private readonly replies: entryReplies.EntryReplies;
 	private readonly router: requestRouter.RequestRouter;
@@ -46,8 +51,15 @@
 		private readonly templates: templateStore.TemplateStore,
 		private readonly candidates: candidates.CandidateList,
 		positionClient: positionClient.PositionClient,
+		private readonly access: callerAccess.CallerAccess,
+		allowances: allowanceClient.AllowanceClient,
 		private readonly services: EntryServices,
 	) {
+		this.admission = new sessionAdmission.SessionAdmission(
+			context,
+			templates,
+			access,
+		);
 		this.table = new requestTable.RequestTable(context);
 		this.replies = new entryReplies.EntryReplies(
 			context,
@@ -56,6 +68,14 @@
 				this.closeSession(session);
 			},
 		);
+		this.rateLimiter = new rateLimiter.RateLimiter(
+			context,
+			allowances,
+			this.replies,
+			(request) => {
+				this.router.routeRequest(request);
+			},
+		);
 		this.router = new requestRouter.RequestRouter(
 			context,
 			directory,
@@ -64,7 +84,11 @@
 			positionClient,
 			this.table,
 			this.replies,
-			services,
+			{
+				routing: services.routing,
+				retryBudget: services.retryBudget,
+				rateLimiter: this.rateLimiter,
+			},
 		);
 		this.outcomes = new attemptOutcomes.AttemptOutcomeHandler(
 			context,
@@ -96,7 +120,8 @@
 		attributes: proxy.SessionAttributes,
 		refusal: {reason: types.RefusalReason; message: string} | undefined,
 	): void {
-		const problem = refusal ?? this.checkSession(attributes);
+		const problem =
+			refusal ?? this.admission.checkSession(attributes, this.sessions.size);
 		if (problem) {
 			this.context.emit({
 				type: 'closeSession',
@@ -107,10 +132,12 @@
 			return;
 		}
 
-		requestTable.addCount(this.sessionCounts, attributes.member, 1);
+		this.admission.countSession(attributes.member, 1);
 		this.sessions.set(id, {
 			id,
 			member: attributes.member,
+			key: attributes.key,
+			customer: undefined,
 			group: this.templates.getGroup(attributes.member) ?? attributes.group,
 			hasMonotonicReads: attributes.isFloorFromWrites !== true,
 			parameters: undefined,
@@ -129,7 +156,7 @@
 		}
 
 		this.sessions.delete(id);
-		requestTable.addCount(this.sessionCounts, session.member, -1);
+		this.admission.countSession(session.member, -1);
 		const {request} = session;
 		if (request) {
 			for (const attempt of request.attempts.values()) {
@@ -172,17 +199,23 @@
 		}
 
 		const parameters = this.updateRoute(session);
-		const request = this.createRequest(session, event, parameters);
+		const request = entryState.createRequest(session, event, parameters);
 		this.table.addRequest(request);
 		if (!parameters) {
 			this.replies.refuse(
 				request,
 				'noTemplate',
-				describeMissingTemplate(session.member),
+				sessionAdmission.describeMissingTemplate(session.member),
 			);
 			return;
 		}
 
+		const problem = this.access.updateCustomer(session);
+		if (problem) {
+			this.refuseCaller(request, problem);
+			return;
+		}
+
 		const inFlight = this.table.countInFlight(session.member);
 		if (inFlight > parameters.maxInFlight && !session.binding) {
 			this.replies.refuse(
@@ -253,6 +286,7 @@
 		}
 
 		if (done.expectedWaitMs !== undefined) {
+			this.candidates.placedWork.recordNews(attempt.server);
 			this.directory.updateExpectedWait(
 				from,
 				attempt.server,
@@ -387,13 +421,11 @@
 	closeIdleSessions(includeBound: boolean): void {
 		for (const session of this.sessions.values()) {
 			if (!session.request && (includeBound || !session.binding)) {
-				this.context.emit({
-					type: 'closeSession',
-					session: session.id,
-					sqlState: refusals.adminShutdownSqlState,
-					message: 'the proxy is shutting down; connect again',
-				});
-				this.closeSession(session.id);
+				this.replies.closeSession(
+					session,
+					refusals.adminShutdownSqlState,
+					'the proxy is shutting down; connect again',
+				);
 			}
 		}
 	}
@@ -410,64 +442,31 @@
 		return session.parameters;
 	}
 
-	private checkSession(
-		attributes: proxy.SessionAttributes,
-	): {reason: types.RefusalReason; message: string} | undefined {
-		const parameters = this.templates.getParameters(attributes.member);
-		if (!parameters) {
-			return {
-				reason: 'noTemplate',
-				message: describeMissingTemplate(attributes.member),
-			};
-		}
+	/**
+	 * Refuses a request whose caller may not send it and rolls back its transaction. An unknown key also
+	 * ends the session.
+	 */
+	private refuseCaller(
+		request: entryState.EntryRequest,
+		{reason, message}: callerAccess.AccessProblem,
+	): void {
+		const {session} = request;
+		const wasBound = session.binding !== undefined;
+		this.releaseBinding(session);
+		this.replies.refuse(request, reason, message);
+		if (reason !== 'unknownKey') {
+			if (wasBound) {
+				this.replies.endLostSession(session);
+			}
 
-		const count = this.sessionCounts.get(attributes.member) ?? 0;
-		if (
-			count >= parameters.maxSessions ||
-			this.sessions.size >= this.context.config.maxSessions
-		) {
-			return {
-				reason: 'memberLimit',
-				message: 'too many sessions at this proxy',
-			};
+			return;
 		}
 
-		return undefined;
-	}
-
-	private createRequest(
-		session: entryState.Session,
-		event: Extract<proxy.ProxyEvent, {type: 'requestArrived'}>,
-		parameters: types.TemplateParameters | undefined,
-	): entryState.EntryRequest {
-		const {attributes, kind} = event;
-		const rank = attributes.rank ?? parameters?.defaultRank ?? 'normal';
-		const deadlineMs =
-			attributes.deadlineMs ?? parameters?.ranks[rank].deadlineMs ?? 0;
-		return {
-			id: event.request,
+		this.replies.closeSession(
 			session,
-			kind,
-			rank,
-			arrivedAt: event.now,
-			deadlineAt: event.now + deadlineMs,
-			stalenessMs: attributes.stalenessMs ?? parameters?.stalenessMs ?? 0,
-			repeatable: attributes.repeatable ?? kind === 'read',
-			key: attributes.key,
-			payload: event.payload,
-			isBound: session.binding !== undefined,
-			attempts: new Map(),
-			excludedServers: new Set(),
-			waitState: {type: 'attempt'},
-			waits: 0,
-			retries: 0,
-			attemptCount: 0,
-			lastTarget: undefined,
-			isHedged: false,
-			relayedAttempt: undefined,
-			lastReason: undefined,
-			spansFreeze: false,
-		};
+			refusals.getRefusalSqlState(reason),
+			message,
+		);
 	}
 
 	private releaseBinding(session: entryState.Session): void {
@@ -480,7 +479,3 @@
 		}
 	}
 }
-
-function describeMissingTemplate(member: ids.MemberId): string {
-	return `member "${member.slice(0, 64)}" has no template`;
-}
--- a/src/common/proxy/lease-client.ts
+++ b/src/common/proxy/lease-client.ts
@@ -27,6 +27,8 @@
 	/** The known control peers, any of which may be the leader. */
 	listControlPeers(): readonly ids.PeerId[];
 	isDraining(): boolean;
+	/** Undefined when the renewal carries no report about rate limits. */
+	buildAllowanceReport(): messages.AllowanceReport | undefined;
 };
 
 export class LeaseClient {
@@ -35,6 +37,8 @@
 	/** Highest index of the control log that this proxy has applied. */
 	knownIndex = 0;
 	lastGrantAt = 0;
+	/** Monotonic time at which the latest renewal that a grant has answered was sent. */
+	answeredRenewalAt = Number.NEGATIVE_INFINITY;
 	/** Version of the owners list that this proxy has applied. */
 	private ownersVersion: types.Epoch | undefined;
 	private leader: ids.PeerId | undefined;
@@ -93,6 +97,7 @@
 
 		this.lastRenewalAt = context.now;
 		this.sequence++;
+		const allowances = this.source.buildAllowanceReport();
 		const sent = context.send(target, {
 			type: 'renewLease',
 			sequence: this.sequence,
@@ -107,6 +112,7 @@
 			configurationVersion: this.source.getConfigurationVersion(),
 			knownIndex: this.knownIndex,
 			...(this.ownersVersion ? {knownOwners: this.ownersVersion} : {}),
+			...(allowances ? {allowances} : {}),
 		});
 		if (sent) {
 			this.sentAtBySequence.set(this.sequence, context.now);
@@ -134,6 +140,7 @@
 		this.leader = from;
 		this.lastAnswerAt = this.context.now;
 		this.lastGrantAt = this.context.now;
+		this.answeredRenewalAt = Math.max(this.answeredRenewalAt, sentAt);
 		this.expiresAt = Math.max(
 			this.expiresAt,
 			sentAt + grant.durationMs * (1 - maxClockDrift),
--- a/src/common/proxy/owner.ts
+++ b/src/common/proxy/owner.ts
@@ -4,6 +4,7 @@
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
 import type * as policy from '../policy/types.js';
+import * as waitLimit from '../policy/wait-limit.js';
 import type * as types from '../types.js';
 import * as acknowledgements from './acknowledgements.js';
 import * as bindingTable from './binding-table.js';
@@ -16,6 +17,7 @@
 import * as ownerPool from './owner-pool.js';
 import * as ownerReplies from './owner-replies.js';
 import * as servingRules from './serving-rules.js';
+import type * as templateStore from './template-store.js';
 import type * as proxy from './types.js';
 
 const part = 'owner';
@@ -38,10 +40,13 @@
 	constructor(
 		private readonly context: context.ProxyContext,
 		directory: directory.Directory,
+		templates: templateStore.TemplateStore,
 		private readonly lease: leaseClient.LeaseClient,
 		private readonly services: OwnerServices,
 	) {
-		this.pool = new ownerPool.ConnectionPool(context);
+		this.pool = new ownerPool.ConnectionPool(context, (group) =>
+			templates.isOpenGroup(group),
+		);
 		this.bindings = new bindingTable.BindingTable(context);
 		this.replies = new ownerReplies.OwnerReplies(context, this.bindings);
 		this.rules = new servingRules.ServingRules(context, directory, lease);
@@ -152,9 +157,16 @@
 			return;
 		}
 
+		const expectedWaitMs = server.scheduler.estimateWait(request.rank, now);
+		if (waitLimit.exceedsWaitLimit(expectedWaitMs, request.maxWaitMs)) {
+			this.replies.sendBack(ownerRequest, expectedWaitMs);
+			return;
+		}
+
 		const result = server.scheduler.offer(
 			{
 				member: request.member,
+				...(request.customer === undefined ? {} : {customer: request.customer}),
 				rank: request.rank,
 				enqueuedAt: now,
 				deadlineAt: ownerRequest.deadlineAt,
@@ -292,13 +304,16 @@
 		}
 
 		if (wasOpening) {
-			this.pool.recordOpenFailure(server);
+			this.pool.recordOpenFailure(server, connection);
 			this.context.log(
 				'warn',
 				part,
 				`Cannot connect to ${server.server}: ${message}`,
 			);
-			this.dispatcher.refuseConnectionQueue(server);
+			this.dispatcher.refuseConnectionQueue(
+				server,
+				({item}) => item.request.customer === connection.customer,
+			);
 		} else if (connection.state !== 'closing') {
 			this.context.count('connectionsLost');
 		}
--- a/src/common/proxy/peer-messages.ts
+++ b/src/common/proxy/peer-messages.ts
@@ -7,7 +7,9 @@
 import type * as membershipService from '../membership/membership.js';
 import type * as messages from '../messages.js';
 import type * as types from '../types.js';
+import type * as callerAccess from './caller-access.js';
 import type * as context from './context.js';
+import type * as candidates from './candidates.js';
 import type * as directory from './directory.js';
 import type * as entry from './entry.js';
 import type * as leaseClient from './lease-client.js';
@@ -23,6 +25,8 @@
 
 /** The parts of the reducer that messages concern. */
 export type MessageRecipients = {
+	readonly access: callerAccess.CallerAccess;
+	readonly candidates: candidates.CandidateList;
 	readonly directory: directory.Directory;
 	readonly entry: entry.Entry;
 	readonly lease: leaseClient.LeaseClient;
@@ -103,6 +107,11 @@
 				return;
 			}
 
+			case 'allowanceGranted': {
+				this.parts.entry.rateLimiter.handleGrant(message.grant);
+				return;
+			}
+
 			case 'revokeLease': {
 				this.parts.ownership.handleRevocation(from, message);
 				return;
@@ -151,6 +160,7 @@
 			}
 
 			case 'renewLease':
+			case 'allowanceRequest':
 			case 'leaseReleased':
 			case 'proposeChange':
 			case 'readConfiguration':
@@ -192,6 +202,7 @@
 	): void {
 		for (const report of reports) {
 			this.parts.directory.addReports(from, [report]);
+			this.parts.candidates.placedWork.recordNews(report.server);
 			this.parts.entry.pendingRequests.handleGroupChanged(report.group);
 		}
 	}
@@ -200,6 +211,11 @@
 		from: ids.PeerId,
 		grant: Extract<messages.ControlMessage, {type: 'leaseGranted'}>,
 	): void {
+		if (grant.allowances) {
+			// The report and its answer have an order of their own.
+			this.parts.entry.rateLimiter.handleGrant(grant.allowances);
+		}
+
 		if (
 			grant.appliedIndex < this.parts.lease.knownIndex ||
 			this.parts.lease.isOutdated(grant)
@@ -222,6 +238,7 @@
 			this.mergeConfiguration(grant.configuration);
 		}
 
+		this.parts.access.recordGrant(grant, this.parts.lease.answeredRenewalAt);
 		this.parts.ownership.applyGrants(from, grant.owned);
 		for (const server of this.parts.owner.servers.values()) {
 			this.parts.owner.dispatcher.dispatchRequests(server);
--- a/src/common/proxy/request-router.ts
+++ b/src/common/proxy/request-router.ts
@@ -13,6 +13,7 @@
 import type * as entryReplies from './entry-replies.js';
 import * as entryState from './entry-state.js';
 import type * as positionClient from './position-client.js';
+import type * as rateLimiter from './rate-limiter.js';
 import type * as requestTable from './request-table.js';
 import type * as templateStore from './template-store.js';
 
@@ -31,6 +32,7 @@
 		private readonly services: {
 			readonly routing: policy.RoutingPolicy;
 			readonly retryBudget: policy.RetryBudget;
+			readonly rateLimiter: rateLimiter.RateLimiter;
 		},
 	) {}
 
@@ -68,7 +70,7 @@
 				if (owner === undefined) {
 					this.waitForServer(request);
 				} else {
-					this.sendAttempt(request, decision.server, owner);
+					this.sendAttempt(request, decision.server, owner, decision.maxWaitMs);
 				}
 
 				return;
@@ -141,6 +143,7 @@
 		request: entryState.EntryRequest,
 		server: ids.UpstreamId,
 		owner: ids.PeerId,
+		maxWaitMs?: number,
 	): void {
 		const {session} = request;
 		const {now} = this.context;
@@ -161,8 +164,13 @@
 			return;
 		}
 
+		if (!this.services.rateLimiter.admit(request)) {
+			return;
+		}
+
 		const {id} = this.table.addAttempt(request, server, owner);
 		request.waitState = {type: 'attempt'};
+		this.candidates.placedWork.recordPlacement(server);
 		this.context.emit({
 			type: 'startAttempt',
 			session: session.id,
@@ -182,12 +190,28 @@
 			stalenessMs: request.stalenessMs,
 			templateVersion: this.templates.getVersion(session.member),
 			payload: request.payload,
+			...(session.customer === undefined ? {} : {customer: session.customer}),
 			...(session.binding ? {binding: session.binding.id} : {}),
 			...(session.floor ? {floor: session.floor} : {}),
 			...(request.key === undefined ? {} : {key: request.key}),
+			...(maxWaitMs === undefined || request.isReturned
+				? {}
+				: {maxWaitMs: Math.round(maxWaitMs)}),
 		});
 	}
 
+	/** Routes a request again that an owner returned; no owner returns it once more. */
+	routeReturnedRequest(request: entryState.EntryRequest): void {
+		request.isReturned = true;
+		this.context.count('returns');
+		this.routeRequest(request);
+	}
+
+	/** Records how long a read ran, from the answer to its attempt. */
+	recordRead(attempt: entryState.Attempt, durationMs: number): void {
+		this.candidates.recordRead(attempt, durationMs);
+	}
+
 	/** Sends a second copy of a slow read to another server. */
 	startHedge(
 		request: entryState.EntryRequest,
@@ -203,7 +227,8 @@
 		if (
 			decision.type === 'server' &&
 			owner !== undefined &&
-			this.services.retryBudget.trySpend(this.context.now)
+			this.services.retryBudget.trySpend(this.context.now) &&
+			this.services.rateLimiter.tryCountCopy(request)
 		) {
 			this.context.count('hedges');
 			this.sendAttempt(request, decision.server, owner);
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -5,6 +5,7 @@
 import * as metrics from '../common/metrics/metrics.js';
 import * as httpServer from '../node/http/server.js';
 import type * as http from '../node/http/types.js';
+import * as resourceGuard from '../node/limits/resource-guard.js';
 import * as logger from '../node/logging/logger.js';
 import * as peerLinks from '../node/peer/peer-links.js';
 import type * as settings from '../node/settings/types.js';
@@ -71,7 +72,15 @@
 	dataFolder: string,
 ): Promise<controlTypes.ControlAdapters> {
 	const daemonLogger = logger.createLogger(settings.log);
-	const collected = new metrics.Metrics();
+	const daemonMetrics = new metrics.Metrics();
+	const guard = new resourceGuard.ResourceGuard({
+		memoryBytes: settings.limits.memoryBytes ?? resourceGuard.readHeapLimit(),
+		clock: clock.systemClock,
+		logger: daemonLogger,
+		countLimit(limit) {
+			daemonMetrics.countEvent(`limit${limit}`);
+		},
+	});
 	return {
 		clock: clock.systemClock,
 		logger: daemonLogger,
@@ -93,7 +102,7 @@
 					dataCentre: settings.process.dataCentre,
 					region: settings.process.region,
 				},
-				traffic: collected.traffic,
+				traffic: daemonMetrics.traffic,
 				listener,
 				clock: clock.systemClock,
 				logger: daemonLogger,
@@ -101,8 +110,9 @@
 			}),
 		createHttp: (handler) =>
 			new httpServer.HttpServer(
-				createEndpoints(handler, collected),
+				createEndpoints(handler, guard, daemonMetrics),
 				daemonLogger,
+				{guard},
 			),
 		random: Math.random,
 	};
@@ -110,12 +120,16 @@
 
 function createEndpoints(
 	handler: controlTypes.ControlHandler,
-	collected: metrics.Metrics,
+	guard: resourceGuard.ResourceGuard,
+	daemonMetrics: metrics.Metrics,
 ): http.DaemonEndpoints {
 	return {
-		metrics: collected,
+		metrics: daemonMetrics,
 		readHealth: () => handler.readHealth(),
-		readStatus: () => handler.readStatus(),
+		readStatus: () => ({
+			...(handler.readStatus() as object),
+			memory: guard.readStatus(),
+		}),
 		startDrain() {
 			void handler.drain();
 		},
--- a/src/node/peer/peer-connection.ts
+++ b/src/node/peer/peer-connection.ts
@@ -137,6 +137,7 @@
 					this.environment.location,
 					message,
 				);
+				this.#socket.acceptLargeFrames();
 				this.handler.handleHello(message);
 			}
 
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -156,6 +156,8 @@
 	/** Maximum number of requests of the member in flight at one entry proxy. */
 	readonly maxInFlight: number;
 	readonly ranks: Readonly<Record<Rank, RankPolicy>>;
+	/** The customers that share the member; without any, its requests need no key. */
+	readonly customers?: ReadonlyMap<CustomerId, Customer>;
 };
 /** One version of a member's template. */
 export type Template = {
@@ -498,6 +500,16 @@
 	| {type: 'recordRequest'; record: RequestRecord}
 	/** Adds to a counter that is not bound to a member. */
 	| {type: 'countEvent'; name: CounterName; amount: number}
+	| {
+			/** Adds to the counters of a customer's rate limit. */
+			type: 'countCustomer';
+			customer: CustomerId;
+			/** Tokens that the leader granted to this proxy. */
+			granted: number;
+			/** Operations that were counted here. */
+			used: number;
+			refused: number;
+	  }
 	| {type: 'log'; record: LogRecord}
 	/** Draining is complete; the process may exit with 0. */
 	| {type: 'drained'}
@@ -520,12 +532,24 @@
 export type CounterName =
 	| 'connectionsOpened'
 	| 'connectionsLost'
+	| 'connectionsEvicted'
 	| 'ownershipGained'
 	| 'ownershipLost'
 	| 'retries'
 	| 'hedges'
+	| 'returns'
 	| 'internalErrors'
-	| 'templateUpdates';
+	| 'templateUpdates'
+	| 'unknownKeys'
+	| 'unconfirmedKeys'
+	| `limit${LimitName}`;
+/** A limit on what clients use. */
+export type LimitName =
+	| 'Connections'
+	| 'HalfOpenConnections'
+	| 'MemoryBudget'
+	| 'MessageTime'
+	| 'AnswerTime';
 /** Measurements of one request at its entry. Durations in ms. */
 export type RequestRecord = {
 	readonly member: MemberId;
@@ -587,6 +611,11 @@
 	readonly startGraceMs: number;
 	/** A transaction that holds a connection without any request for this long is rolled back. */
 	readonly boundIdleLimitMs: number;
+	/**
+	 * Keys of customers are accepted for this long after the last confirmation that the configuration is
+	 * the newest. A withdrawn key works no longer than this anywhere.
+	 */
+	readonly keyConfirmationLimitMs: number;
 };
 /** The decisions that a driver may replace. Source: "Mechanisms". */
 export type ProxyServices = {
@@ -661,6 +690,8 @@
 	readonly slots: number;
 	/** Current parameters of a member; undefined for a member without template. */
 	readonly getParameters: (member: MemberId) => TemplateParameters | undefined;
+	/** Weight of a customer's share beside that of the member; 1 by default. */
+	readonly getCustomerWeight?: (customer: CustomerId) => number;
 	/**
 	 * Share of the remaining time, 0 to 1, that wait and service may take; 0.6 by default. The rest
 	 * covers the transfer of the answer, the acknowledgement of commits and the estimation error.
@@ -678,6 +709,8 @@
 	readonly stalenessMs: number;
 	/** Estimated queueing time for the rank of the request, in ms. */
 	readonly expectedWaitMs: number;
+	/** Estimated time that a read takes there once it runs, in ms; 0 when unknown. */
+	readonly serviceMs?: number;
 	/** Measured network round trip from the entry to the owner, in ms. */
 	readonly roundTripMs: number;
 	readonly departing: boolean;
@@ -700,7 +733,8 @@
 	readonly excluded: ReadonlySet<UpstreamId>;
 };
 export type RoutingDecision = Variants<
-	| {type: 'server'; server: UpstreamId}
+	/** With `maxWaitMs`, another server costs less from that expected wait, in ms. */
+	| {type: 'server'; server: UpstreamId; maxWaitMs?: number}
 	/** A replica will be fresh enough soon; choose again after `delayMs`. */
 	| {type: 'wait'; delayMs: number}
 	| {
@@ -1008,6 +1042,20 @@
 	| {type: 'drained'}
 >;
 /** Start options of a control peer. `incarnation` is higher for each start of the process. */
+/** What may run in any window: (rate * window + burst) * (1 + overage) + slack. */
+export type RateBound = {
+	readonly windowMs: number;
+	/** Tolerated share above the limit. */
+	readonly overage: number;
+	/** Operations that are tolerated in addition. */
+	readonly slack: number;
+};
+/** How the leader learns the rate limits of customers, and what it tolerates above them. */
+export type RateLimitOptions = {
+	/** Reads the customers of a configuration; undefined when its text is not valid. */
+	parseCustomers(text: string): Iterable<Customer> | undefined;
+	readonly bound: RateBound;
+};
 export type ControlPeerOptions = {
 	readonly peer: PeerId;
 	/** `ip:port` of the peer listener. */
@@ -1023,6 +1071,7 @@
 	 * all control peers.
 	 */
 	readonly recordsLeaseHolders?: boolean;
+	readonly rateLimits?: RateLimitOptions;
 	readonly random: RandomSource;
 };
 export type ControlPeerEvent =
@@ -1137,7 +1186,19 @@
 	/** Staleness of reads. */
 	readonly staleness: HistogramSummary;
 };
+/** Counters of one customer's rate limit at this process. */
+export type CustomerCounts = {
+	/** `other` combines all customers beyond the limit. */
+	readonly customer: string;
+	/** Tokens that the leader granted to this process. */
+	readonly granted: number;
+	/** Operations that were counted here. */
+	readonly used: number;
+	readonly refused: number;
+};
 export type MetricsSnapshot = {
+	/** Customers with a rate limit that have sent requests here. */
+	readonly customers: readonly CustomerCounts[];
 	readonly series: readonly SeriesSnapshot[];
 	readonly counters: Readonly<Record<string, number>>;
 	readonly gauges: Readonly<Record<string, number>>;
@@ -1159,6 +1220,8 @@
 export type MetricsLimits = {
 	/** Maximum number of members with series of their own. */
 	readonly maxMembers: number;
+	/** Maximum number of customers with counters of their own. */
+	readonly maxCustomers: number;
 	readonly maxGauges: number;
 };
 /** Counts the messages and bytes exchanged with peers. */
@@ -1177,6 +1240,7 @@
 	constructor(limits?: Partial<MetricsLimits>);
 	recordRequest(record: RequestRecord): void;
 	countEvent(name: CounterName, amount?: number): void;
+	countCustomer(counts: CustomerCounts): void;
 	/** False when the gauge is new and the limit is reached; the value is then discarded. */
 	setGauge(name: string, value: number): boolean;
 	removeGauge(name: string): void;
@@ -1215,6 +1279,8 @@
 		readonly drainDeadlineMs: number;
 		/** Maximum number of caller connections at one proxy. */
 		readonly maxConnections: number;
+		/** Memory of the process; its buffers take a share of it. */
+		readonly memoryBytes?: number;
 	};
 	readonly log: {
 		readonly level: LogLevel;
