Pause a server before a caller's answers fill its send buffer

Cause: an answer was relayed up to 2 MiB without a pause, also when sendBufferBytes is smaller, so a slow caller was closed in place of pausing the server.

Done: the pause begins at half of sendBufferBytes, at most at 2 MiB.

Result: caller-adapter and session tests failed before (4 assertions) and pass; 135 passed, 0 failed with those of the stand-in and the limiter.

--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -144,7 +144,11 @@
 			this.close('57014', 'the caller does not read its results');
 		}
 
-		return isWritable || this.socket.writableLength <= maxRelayedBytes;
+		return (
+			isWritable ||
+			this.socket.writableLength <=
+				Math.min(maxRelayedBytes, this.limits.sendBufferBytes / 2)
+		);
 	}
 
 	/** Writes a FATAL error and closes the connection. */
