Use an ejected server when the others are overrun

Cause: when several servers of a database fail a part of their requests, an entry ejects all of them and sends every read to the last one, up to its deadline. Done: ejected servers count again while every other one would let a read wait for more than half of its remaining time.

--- a/src/common/policy/routing.test.ts
+++ b/src/common/policy/routing.test.ts
@@ -265,6 +265,25 @@
 	t.ok(detector.computeTrafficShare(server, now + 2000) > 0);
 });
 
+// Guards against overrunning the last server of a database while the ejected ones still serve most reads.
+tap.test('an ejected server is used when the others are overrun', async (t) => {
+	const policy = new LeastWaitRoutingPolicy();
+	const grey = buildCandidate('grey');
+	for (let count = 0; count < 5; count++) {
+		policy.recordOutcome(grey.server, 'failure', 1, 0);
+	}
+
+	const choose = (expectedWaitMs: number) =>
+		policy.chooseServer(
+			buildRequest({remainingMs: 1000}),
+			[grey, buildCandidate('good', {expectedWaitMs})],
+			10,
+			0.5,
+		);
+	t.match(choose(400), {server: 'good'});
+	t.match(choose(600), {server: 'grey'});
+});
+
 // Guards against excluding an ejected server that is the last one, which would turn slow answers
 // into no answers.
 tap.test('an ejected server is used when no other is left', async (t) => {
--- a/src/common/policy/routing.ts
+++ b/src/common/policy/routing.ts
@@ -40,6 +40,13 @@
  */
 const maxFreshnessWaitMs = 275;
 
+/**
+ * Share of the remaining time that a read may wait at the servers that are left before one that is ejected
+ * is used. Load pattern: several servers of a database fail a part of their requests, all of them are
+ * ejected, and the last one is overrun.
+ */
+const maxWaitBesideEjected = 0.5;
+
 /** Without a report for this long after one was expected, the wait is unknown. */
 const maxReportOverdueMs = 1000;
 
@@ -164,7 +171,7 @@
 		return best ? decideServer(best) : {type: 'refused', reason: 'tooStale'};
 	}
 
-	/** Finds the candidate of lowest cost; ejected ones are considered only when no other is left. */
+	/** Finds the candidate of lowest cost; ejected ones count only when no other can serve in time. */
 	#findBest(
 		request: RoutingRequest,
 		candidates: readonly RoutingCandidate[],
@@ -175,7 +182,11 @@
 			(candidate) =>
 				random < this.#outliers.computeTrafficShare(candidate.server, now),
 		);
-		const pool = selectable.length > 0 ? selectable : candidates;
+		const isOverrun = selectable.every(
+			({expectedWaitMs}) =>
+				expectedWaitMs > request.remainingMs * maxWaitBesideEjected,
+		);
+		const pool = isOverrun ? candidates : selectable;
 		const startIndex = Math.floor(random * pool.length);
 		const rated: RatedCandidate[] = [];
 		let best: RatedCandidate | undefined;
