Refuse requests over a limit at once when their token comes too late

Done: the leader tells when there is a token behind all requests that wait at any proxy; a request waits only when that is within 0.6 of its time, and no longer than that.

--- a/src/common/control/allowance-simulation.ts
+++ b/src/common/control/allowance-simulation.ts
@@ -12,6 +12,8 @@
 import type * as types from '../types.js';
 import * as allowances from './allowances.js';
 
+/** Time limit of the operations, in ms. */
+const deadlineMs = 2000;
 const stepMs = 10;
 const renewalIntervalMs = 250;
 const leader = 'k1' as ids.PeerId;
@@ -88,6 +90,7 @@
 			waiting: waiting.length,
 			usePerS: this.client.readUsePerS(customer),
 			nextTokenMs: emptyMs ?? 0,
+			remainingMs: deadlineMs,
 		});
 		if (mayWait) {
 			waiting.push(now);
@@ -109,7 +112,7 @@
 			const isEmpty = this.client.findEmptyWait(customer) !== undefined;
 			while (
 				waiting.length > 0 &&
-				now - waiting[0] >= rateWait.getWaitLimit(isEmpty)
+				now - waiting[0] >= rateWait.computeWaitLimit(isEmpty, deadlineMs)
 			) {
 				waiting.shift();
 				this.simulation.refused++;
--- a/src/common/control/allowances.ts
+++ b/src/common/control/allowances.ts
@@ -321,7 +321,10 @@
 			}
 
 			if (forWaiting < lacking) {
-				waits.set(customer, Math.max(1, bucket.computeWait(now)));
+				waits.set(
+					customer,
+					Math.max(1, bucket.computeWait(now, this.#countLacking(customer))),
+				);
 			}
 
 			if (countHeld(holding) >= holding.waiting + holding.stock) {
@@ -332,6 +335,17 @@
 		return waits;
 	}
 
+	/** Counts the requests that wait for a token at all proxies. */
+	#countLacking(customer: ids.CustomerId): number {
+		let count = 0;
+		for (const {holdings} of this.#holders.values()) {
+			const holding = holdings.get(customer);
+			count += holding ? Math.max(0, holding.waiting - countHeld(holding)) : 0;
+		}
+
+		return count;
+	}
+
 	#releaseHoldings(now: number, holder: Holder): void {
 		for (const [customer, holding] of holder.holdings) {
 			this.#buckets.get(customer)?.bucket.settle(now, countHeld(holding));
--- a/src/common/policy/rate-wait.ts
+++ b/src/common/policy/rate-wait.ts
@@ -5,6 +5,8 @@
  * requests below the limit wait, and a lasting loss of control, during which they are refused at once.
  */
 
+/** Share of the time until its deadline that a request may wait; the rest is left to run it. */
+const waitShare = 0.6;
 /** A request waits at most this long for a token of an empty bucket. */
 const emptyWaitMs = 1500;
 /** The same limit while the leader does not answer; covers the election of another one. */
@@ -28,13 +30,24 @@
 	readonly waiting: number;
 	/** Tokens per second that this proxy used recently. */
 	readonly usePerS: number;
-	/** Time until the leader expects the next token, in ms. */
+	/** Time until the leader expects a token for a further request, in ms. */
 	readonly nextTokenMs: number;
+	/** Time until the deadline of the request, in ms. */
+	readonly remainingMs: number;
 };
 
-/** Returns the time after which a waiting request is refused, in ms. */
-export function getWaitLimit(isEmpty: boolean): number {
-	return isEmpty ? emptyWaitMs : silentWaitMs;
+/**
+ * Returns the time after which a waiting request is refused, in ms.
+ *
+ * @param remainingMs - Time until its deadline when it began to wait.
+ */
+export function computeWaitLimit(
+	isEmpty: boolean,
+	remainingMs: number,
+): number {
+	return isEmpty
+		? Math.min(emptyWaitMs, remainingMs * waitShare)
+		: silentWaitMs;
 }
 
 /** Returns whether a request that finds no token may wait for one. */
@@ -43,7 +56,10 @@
 		minQueueLength,
 		(input.usePerS * queueDurationMs) / 1000,
 	);
-	return input.isEmpty ? input.waiting < limit : input.silentMs < maxSilenceMs;
+	return input.isEmpty
+		? input.waiting < limit &&
+				input.nextTokenMs <= computeWaitLimit(true, input.remainingMs)
+		: input.silentMs < maxSilenceMs;
 }
 
 /** Estimates the time after which a refused request may find a place, in ms. */
--- a/src/common/policy/token-bucket.ts
+++ b/src/common/policy/token-bucket.ts
@@ -67,12 +67,12 @@
 		this.#refill(now);
 	}
 
-	/** Returns the time until the next token, in ms. */
-	computeWait(now: number): number {
+	/** Returns the time until there is a token behind those that `ahead` requests get, in ms. */
+	computeWait(now: number, ahead: number): number {
 		this.#refill(now);
 		return this.#limit.rate === 0
 			? Infinity
-			: Math.ceil(Math.max(0, 1 - this.#level) / this.#limit.rate);
+			: Math.ceil(Math.max(0, ahead + 1 - this.#level) / this.#limit.rate);
 	}
 
 	#take(wanted: number, available: number, maxOutstanding: number): number {
--- a/src/common/proxy/rate-limiter.ts
+++ b/src/common/proxy/rate-limiter.ts
@@ -65,7 +65,7 @@
 			return false;
 		}
 
-		if (rateWait.mayWait(this.buildWaitInput(customer))) {
+		if (rateWait.mayWait(this.buildWaitInput(request, customer))) {
 			request.waitState = {type: 'token', since: this.context.now};
 			this.ensureQueue(customer).add(request);
 			this.client.requestIfNeeded();
@@ -100,13 +100,13 @@
 		const {now} = this.context;
 		for (const customer of this.queues.keys()) {
 			this.removeEnded(customer);
-			const limitMs = rateWait.getWaitLimit(
-				this.client.findEmptyWait(customer) !== undefined,
-			);
+			const isEmpty = this.client.findEmptyWait(customer) !== undefined;
 			for (const request of this.queues.get(customer) ?? []) {
+				const {waitState, deadlineAt} = request;
 				if (
-					request.waitState.type === 'token' &&
-					now - request.waitState.since >= limitMs
+					waitState.type === 'token' &&
+					now - waitState.since >=
+						rateWait.computeWaitLimit(isEmpty, deadlineAt - waitState.since)
 				) {
 					this.refuse(request, customer);
 				}
@@ -143,7 +143,7 @@
 		request: entryState.EntryRequest,
 		customer: ids.CustomerId,
 	): void {
-		const input = this.buildWaitInput(customer);
+		const input = this.buildWaitInput(request, customer);
 		const retryAfterMs = rateWait.estimateRetryAfter(input);
 		this.queues.get(customer)?.delete(request);
 		this.refused.set(customer, (this.refused.get(customer) ?? 0) + 1);
@@ -157,7 +157,10 @@
 		);
 	}
 
-	private buildWaitInput(customer: ids.CustomerId): rateWait.RateWaitInput {
+	private buildWaitInput(
+		request: entryState.EntryRequest,
+		customer: ids.CustomerId,
+	): rateWait.RateWaitInput {
 		const nextTokenMs = this.client.findEmptyWait(customer);
 		return {
 			isEmpty: nextTokenMs !== undefined,
@@ -165,6 +168,7 @@
 			waiting: this.countWaiting(customer),
 			usePerS: this.client.readUsePerS(customer),
 			nextTokenMs: nextTokenMs ?? 0,
+			remainingMs: request.deadlineAt - this.context.now,
 		};
 	}
 
