Name the groups of tests and tools apart from deployments

Cause: the crowds, the soak and the traffic tool used group names of deployments. Done: a cluster of the quickstart takes the name of its group; crowds and soak call theirs ledger, the traffic tool db-N.

--- a/scripts/quickstart/cluster.mjs
+++ b/scripts/quickstart/cluster.mjs
@@ -10,6 +10,7 @@
 import * as portBlock from './port-block.mjs';
 
 const programFile = path.join('dist', 'cli', 'main.js');
+const defaultGroup = 'bloom-ledger';
 const dataCentres = ['khomas-a', 'erongo-a', 'otjo-a'];
 const regions = ['khomas', 'erongo', 'otjozondjupa'];
 /** Longer than the drain deadline of the daemons. */
@@ -47,7 +48,7 @@
 	ports = new Map();
 
 	/**
-	 * @param options - `controls`, `proxies`: number of processes; `log`: log level of the daemons;
+	 * @param options - `controls`, `proxies`: number of processes; `group`: name of the group; `log`: log level of the daemons;
 	 * `standIn`: further arguments of the stand-ins; `openRelay(name, port)`: opens a relay to a
 	 * control peer or stand-in and resolves with the port that the other processes use instead;
 	 * `nodeOptions`: options of Node.js for the daemons; `maxConnections`: limit on the callers of one
@@ -106,7 +107,7 @@
 			'stand-in',
 			'--json',
 			'--group',
-			'bloom-ledger',
+			this.options.group ?? defaultGroup,
 			'--server',
 			name,
 			'--data-centre',
--- a/src/bench/traffic.ts
+++ b/src/bench/traffic.ts
@@ -146,7 +146,7 @@
 			for (let index = 0; index < sessionsPerProxy; index++) {
 				const session = proxy.openSession({
 					member,
-					group: `simlib-db-${index % groupCount}` as ids.GroupId,
+					group: `db-${index % groupCount}` as ids.GroupId,
 					token: {term: 0, offset: 0},
 					isFloorFromWrites: true,
 				});
@@ -195,8 +195,8 @@
 					region * dataCentresPerRegion + (group % dataCentresPerRegion),
 				);
 				const server = new fakeServer.FakeServer(
-					`simlib-db-${group}-${region}` as ids.UpstreamId,
-					`simlib-db-${group}` as ids.GroupId,
+					`db-${group}-${region}` as ids.UpstreamId,
+					`db-${group}` as ids.GroupId,
 					dataCentre as ids.DataCentre,
 					this.timeline,
 				);
--- a/src/crowds/caller-messages.ts
+++ b/src/crowds/caller-messages.ts
@@ -6,13 +6,15 @@
 import * as messages from '../node/wire/messages.js';
 import * as crowds from './crowd.js';
 
+/** The database group of the crowds. */
+export const group = 'ledger';
 const mebibyte = 1024 * 1024;
 
 export const startup = buildStartup();
 
 function buildStartup(): Buffer {
 	const body = Buffer.from(
-		`\0\u0003\0\0user\0sanna\0database\0bloom-ledger\0\0`,
+		`\0\u0003\0\0user\0sanna\0database\0${group}\0\0`,
 		'latin1',
 	);
 	const length = Buffer.alloc(4);
--- a/src/crowds/small-cluster.ts
+++ b/src/crowds/small-cluster.ts
@@ -7,6 +7,7 @@
 import * as pg from 'pg';
 import tap from 'tap';
 import * as testing from '../daemon/testing.js';
+import * as callerMessages from './caller-messages.js';
 import * as crowds from './crowd.js';
 
 const fileTimeoutMs = 120_000;
@@ -18,6 +19,7 @@
 const host = '127.0.0.1';
 const quickstart = await testing.loadQuickstart();
 const cluster = new quickstart.Cluster({
+	group: callerMessages.group,
 	controls: 1,
 	proxies: 1,
 	nodeOptions: ['--max-old-space-size=128'],
@@ -46,7 +48,7 @@
 	const client = new pg.Client({
 		...getEndpoint('proxy-1', 'callers'),
 		user: 'sanna',
-		database: 'bloom-ledger',
+		database: callerMessages.group,
 		connectionTimeoutMillis: 2000,
 		query_timeout: 5000,
 	});
--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -235,7 +235,7 @@
 			host: '127.0.0.1',
 			port: this.fleet.getCallerPort(this.#proxy),
 			user: fleets.member,
-			database: 'bloom-ledger',
+			database: fleets.group,
 			connectionTimeoutMillis: connectTimeoutMs,
 			query_timeout: answerTimeoutMs,
 		});
--- a/src/soak/fleet.ts
+++ b/src/soak/fleet.ts
@@ -13,6 +13,7 @@
 import type * as types from './types.js';
 
 export const member = 'sanna';
+export const group = 'ledger';
 const templateFile = 'samples/kalahari/templates/bloom-member.ini';
 const controls = 3;
 const servers = 3;
@@ -51,6 +52,7 @@
 	) {
 		this.proxies = buildNames('proxy', proxyCount);
 		this.#cluster = new quickstart.Cluster({
+			group,
 			controls,
 			proxies: proxyCount,
 			standIn: ['--service-time-ms', '2'],
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -117,7 +117,7 @@
 			host: '127.0.0.1',
 			port: fleet.getCallerPort(fleet.proxies[0]),
 			user: fleets.member,
-			database: 'bloom-ledger',
+			database: fleets.group,
 			connectionTimeoutMillis: recoveryTimeoutMs,
 			query_timeout: recoveryTimeoutMs,
 		});
