--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -435,6 +435,7 @@
 	| 'templateUpdates'
 	| 'unknownKeys'
 	| 'unconfirmedKeys'
+	| 'unansweredRequests'
 	| `limit${LimitName}`;
 
 /** A limit on what clients use. */
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -38,6 +38,8 @@
 	/** Unique to this run of the process. */
 	readonly instanceId: string;
 	readonly guard: resourceGuard.ResourceGuard;
+	/** Adds to a counter of the metrics. */
+	readonly countEvent: (name: proxy.CounterName, amount: number) => void;
 };
 
 /** The upstream adapter with its flow control. */
@@ -124,6 +126,9 @@
 			logger,
 			instanceId: `${settings.process.id}_${incarnation}`,
 			guard: this.guard,
+			countEvent: (name, amount) => {
+				this.metrics.countEvent(name, amount);
+			},
 		};
 		this.callers = options.createCallers(adapterContext, (attempt) => {
 			this.upstreams.resumeAttempt(attempt);
