--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -542,6 +542,7 @@
 	| 'templateUpdates'
 	| 'unknownKeys'
 	| 'unconfirmedKeys'
+	| 'unansweredRequests'
 	| `limit${LimitName}`;
 /** A limit on what clients use. */
 export type LimitName =
