--- a/src/common/proxy/key-withdrawal.test.ts
+++ b/src/common/proxy/key-withdrawal.test.ts
@@ -1,6 +1,8 @@
 import * as fc from 'fast-check';
 import tap from 'tap';
+import type * as ids from '../ids.js';
 import * as customerFleet from '../../scenario/fleet/customer-fleet.js';
+import type * as proxy from './types.js';
 
 const get = {type: 'get', key: 'a'} as const;
 const limitMs = 4000;
@@ -164,3 +166,32 @@
 	fleet.timeline.runUntil(fleet.timeline.now + recoveryMs);
 	t.equal(fleet.run(0, session, get).type, 'answered');
 });
+
+const endedSession = 'a request of a session that was ended';
+
+// Guards against a request that an adapter began before it was told of the end of its session, and that
+// gets neither an answer nor a refusal.
+tap.test(`${endedSession} is refused`, async (t) => {
+	const fleet = new customerFleet.CustomerFleet(1, {a: ['k1', 'k2']});
+	const session = fleet.openKeyedSession(0, 'k1');
+	fleet.setKeys({a: ['k2']});
+	fleet.timeline.runUntil(fleet.timeline.now + recoveryMs);
+	const [{reducer}] = fleet.proxies;
+	const buildRequest = (request: number): proxy.ProxyEvent => ({
+		type: 'requestArrived',
+		now: fleet.timeline.now,
+		session,
+		request: request as ids.RequestId,
+		kind: 'read',
+		attributes: {},
+		payload: {frames: new Uint8Array()},
+	});
+	// The first refusal ends the session; the second event was under way by then.
+	reducer.step(buildRequest(901));
+	const effects = reducer.step(buildRequest(902));
+	t.match(
+		effects.filter(({type}) => type === 'refuseRequest'),
+		[{type: 'refuseRequest', request: 902, message: /^not run: /v}],
+		`${endedSession}: it is refused as not run`,
+	);
+});
