Refuse a request whose session the proxy has ended

Callers saw: of two queries sent in one piece, the second got neither an answer nor a refusal after a withdrawal of their key. Cause: a refusal and the end of the session are two effects of one step. The adapter carries out the first, begins the next query, and the reducer met its event without a session and returned without a word. The class: an effect's side work dispatches an event for a state that a later effect of the same step removes. Change: the reducer answers every requestArrived; without a session it refuses it as not run.

--- a/src/common/proxy/entry-replies.ts
+++ b/src/common/proxy/entry-replies.ts
@@ -38,6 +38,24 @@
 		this.table.removeRequest(request);
 	}
 
+	/**
+	 * Refuses a request whose session this proxy has ended. An adapter may begin it while it carries out
+	 * the effects of the step that ends the session.
+	 */
+	refuseEndedSession({
+		session,
+		request,
+	}: Extract<proxy.ProxyEvent, {type: 'requestArrived'}>): void {
+		this.context.emit({
+			type: 'refuseRequest',
+			session,
+			request,
+			sqlState: refusals.adminShutdownSqlState,
+			message: 'not run: the session has ended',
+			transactionStatus: 'idle',
+		});
+	}
+
 	finishWithUnknownOutcome(
 		request: entryState.EntryRequest,
 		message: string,
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -195,6 +195,7 @@
 	): void {
 		const session = this.sessions.get(event.session);
 		if (!session) {
+			this.replies.refuseEndedSession(event);
 			return;
 		}
 
