--- a/src/common/session/session.ts
+++ b/src/common/session/session.ts
@@ -144,6 +144,13 @@
 		}
 	}
 
+	/** Records that the session ends; a transaction in which no statement runs is lost with it. */
+	endTransaction(): void {
+		if (this.transaction === 'open' || this.transaction === 'deferred') {
+			this.transaction = 'lost';
+		}
+	}
+
 	/**
 	 * Whether a forwarded statement whose outcome is unknown may have changed data. A transaction
 	 * without its COMMIT changes nothing, and neither does a statement or transaction that only reads.
--- a/src/node/limits/session-buffers.ts
+++ b/src/node/limits/session-buffers.ts
@@ -166,9 +166,14 @@
 
 	/** Destroys the socket unless what was written is taken soon. */
 	scheduleDestroy(): void {
-		setTimeout(() => {
+		const timer = setTimeout(() => {
 			this.socket.destroy();
-		}, destroyDelayMs).unref();
+		}, destroyDelayMs);
+		timer.unref();
+		// A pending timer would keep the state of the session in memory.
+		this.socket.once('close', () => {
+			clearTimeout(timer);
+		});
 	}
 
 	/** Ends the account; what arrives later is discarded. */
