Refuse the requests of ended sessions with a code that says not run

Cause: the refusal had SQLSTATE 57P01, which does not say that the request has not run, so 243 writes of the scenario counted as of unknown outcome. Change: HK005, as for other requests during a stop.

--- a/src/common/proxy/entry-replies.ts
+++ b/src/common/proxy/entry-replies.ts
@@ -50,7 +50,7 @@
 			type: 'refuseRequest',
 			session,
 			request,
-			sqlState: refusals.adminShutdownSqlState,
+			sqlState: refusals.getRefusalSqlState('draining'),
 			message: 'not run: the session has ended',
 			transactionStatus: 'idle',
 		});
