End the sessions of callers that never pause during a planned stop

Cause: a draining proxy closes sessions that are idle at a tick. A caller that sends its next request upon each answer has one in flight at every tick, so the process went on until it was killed, with a request in flight. Change: idle sessions are closed after each event.

--- a/src/common/proxy/drain.ts
+++ b/src/common/proxy/drain.ts
@@ -43,19 +43,23 @@
 		}
 	}
 
+	/**
+	 * Closes the sessions that are idle; after each event, because the callers that never pause have a
+	 * request in flight at every tick.
+	 */
+	closeIdleSessions(): void {
+		if (this.isRefusingSessions && !this.isDrained) {
+			this.entry.closeIdleSessions(this.isPastDeadline);
+		}
+	}
+
 	handleTick(): void {
-		if (
-			this.startedAt === undefined ||
-			this.isDrained ||
-			!this.isRefusingSessions
-		) {
+		if (!this.isRefusingSessions || this.isDrained) {
 			return;
 		}
 
 		this.removeUnleasedServers();
-		const elapsed = this.context.now - this.startedAt;
-		const isPastDeadline = elapsed >= this.context.config.drainDeadlineMs;
-		this.entry.closeIdleSessions(isPastDeadline);
+		this.closeIdleSessions();
 		const hasSessions = this.entry.sessions.size > 0;
 		// When all proxies drain together, no other proxy can take over the servers.
 		const canLeaveServers =
@@ -64,7 +68,7 @@
 		const hasRequestsInFlight = this.entry.inFlight > 0;
 		if (
 			(!hasSessions && canLeaveServers) ||
-			(isPastDeadline && !hasRequestsInFlight)
+			(this.isPastDeadline && !hasRequestsInFlight)
 		) {
 			this.isDrained = true;
 			this.leaveMembership();
@@ -73,6 +77,13 @@
 		}
 	}
 
+	private get isPastDeadline(): boolean {
+		return (
+			this.startedAt !== undefined &&
+			this.context.now - this.startedAt >= this.context.config.drainDeadlineMs
+		);
+	}
+
 	private computeIdleMs(): number {
 		for (const server of this.owner.servers.values()) {
 			if (server.countRequests() > 0 || server.countBoundConnections() > 0) {
--- a/src/common/proxy/proxy.test.ts
+++ b/src/common/proxy/proxy.test.ts
@@ -213,6 +213,34 @@
 		.length;
 }
 
+// Guards against a planned stop that lasts until the process is killed, with a request in flight, because
+// the next one always runs when the drain looks for idle sessions.
+tap.test('a drain ends for a caller that never pauses', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	const [, draining] = fleet.proxies;
+	const session = fleet.openSession(1);
+	const answers: string[] = [];
+	const sendNext = () => {
+		draining.send(session, get, {}, (answer) => {
+			answers.push(answer.type);
+			if (answer.type === 'answered') {
+				sendNext();
+			}
+		});
+	};
+
+	sendNext();
+	draining.drain();
+	fleet.timeline.runUntil(fleet.timeline.now + 8000);
+	t.equal(draining.condition, 'dead');
+	t.ok(answers.length > 100);
+	t.not(answers.at(-1), 'answered');
+	t.same(
+		answers.slice(0, -1).filter((type) => type !== 'answered'),
+		[],
+	);
+});
+
 // Guards against a drain that never ends because control stopped first.
 tap.test('a drain completes without control', async (t) => {
 	const fleet = new smallFleet.SmallFleet(2);
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -223,6 +223,7 @@
 			this.peerMessages.handleMessage(this.context.config.peer, message);
 		}
 
+		this.drain.closeIdleSessions();
 		return this.context.takeEffects();
 	}
 
