Go on shedding after a client that fails to close

Cause: an error while one client was shed left the guard in the state of shedding, and no later client was ever shed. Change: the state is reset in a finally. Result: it compiles; no test of its own.

--- a/src/node/limits/resource-guard.ts
+++ b/src/node/limits/resource-guard.ts
@@ -77,12 +77,14 @@
 		}
 
 		this.#isShedding = true;
-		for (const client of this.#budget.chooseVictims()) {
-			this.report({limit: 'MemoryBudget', listener: client.listener});
-			client.shed();
+		try {
+			for (const client of this.#budget.chooseVictims()) {
+				this.report({limit: 'MemoryBudget', listener: client.listener});
+				client.shed();
+			}
+		} finally {
+			this.#isShedding = false;
 		}
-
-		this.#isShedding = false;
 	}
 
 	/** Counts a limit that acted, and logs it at a bounded rate. */
