--- a/src/node/limits/session-buffers.ts
+++ b/src/node/limits/session-buffers.ts
@@ -14,7 +14,7 @@
 const answerTimeoutMs = 30_000;
 /** Time for a startup; ordinary callers send it at once. */
 const startupTimeoutMs = 10_000;
-/** Time for sending the last answer before the socket is destroyed. */
+/** Time in which a caller must take some of its last answers before the socket is destroyed. */
 const destroyDelayMs = 1000;
 /** Copies of a message while it is carried out: texts and frames at the entry, on the link and at the owner. */
 const runningCopies = 6;
@@ -37,6 +37,8 @@
 	readonly isInTransaction: boolean;
 	/** The caller has sent too many messages ahead. */
 	readonly isQueueFull: boolean;
+	/** The session ends; what arrives is refused at once, so unread answers do not stop the reading. */
+	readonly isEnding?: boolean;
 };
 
 export class SessionBuffers {
@@ -86,7 +88,9 @@
 
 		this.options.guard.enforce();
 		const isFull =
-			sizes.isQueueFull || this.isOutputFull || sizes.queued > this.#shareBytes;
+			sizes.isQueueFull ||
+			(this.isOutputFull && sizes.isEnding !== true) ||
+			sizes.queued > this.#shareBytes;
 		if (this.socket.destroyed || isFull === this.socket.isPaused()) {
 			return;
 		}
@@ -164,10 +168,15 @@
 		this.options.guard.enforce();
 	}
 
-	/** Destroys the socket unless what was written is taken soon. */
+	/** Destroys the socket unless its caller goes on taking what was written. */
 	scheduleDestroy(): void {
+		const unsent = this.socket.writableLength;
 		const timer = setTimeout(() => {
-			this.socket.destroy();
+			if (this.socket.writableLength < unsent) {
+				this.scheduleDestroy();
+			} else {
+				this.socket.destroy();
+			}
 		}, destroyDelayMs);
 		timer.unref();
 		// A pending timer would keep the state of the session in memory.
