Move the harness of the caller adapter's tests to a module of its own

Cause: the tests of the end of a session need the same adapter with one caller. The tests of caller-adapter.test.ts are unchanged.

--- a/src/node/caller/caller-adapter.test.ts
+++ b/src/node/caller/caller-adapter.test.ts
@@ -1,132 +1,30 @@
 import {Buffer} from 'node:buffer';
-import * as net from 'node:net';
 import * as serializer from 'pg-protocol/dist/serializer';
-import tap, {type Test} from 'tap';
-import * as directDriver from '../../bench/direct-driver.js';
+import tap from 'tap';
 import type * as ids from '../../common/ids.js';
 import type * as proxy from '../../common/proxy/types.js';
 import * as messages from '../wire/messages.js';
-import * as callerAdapter from './caller-adapter.js';
-import type * as types from './types.js';
+import * as testing from './testing.js';
 
 const {serialize} = serializer;
-const host = '127.0.0.1';
-
-type Event = Parameters<types.CallerOptions['dispatch']>[0];
-type Arrived = Extract<proxy.ProxyEvent, {type: 'requestArrived'}>;
-
-type Setup = {
-	readonly adapter: callerAdapter.CallerAdapter;
-	readonly events: Event[];
-	readonly drained: ids.AttemptId[];
-	readonly socket: net.Socket;
-	/** Everything that the caller received. */
-	readText(): string;
-	wait(check: () => boolean): Promise<void>;
-	waitRequest(count: number): Promise<Arrived>;
-};
-
-async function start(
-	t: Test,
-	limits: Partial<types.CallerLimits> = {},
-): Promise<Setup> {
-	const events: Event[] = [];
-	const drained: ids.AttemptId[] = [];
-	const adapter = callerAdapter.createCallerAdapter({
-		dispatch(event) {
-			events.push(event);
-		},
-		clock: directDriver.monotonicClock,
-		logger: {write: () => undefined},
-		instanceId: 'p1',
-		limits,
-		handleDrain(attempt) {
-			drained.push(attempt);
-		},
-	});
-	const port = await adapter.listen(host, 0);
-	const socket = net.connect(port, host);
-	const received: Buffer[] = [];
-	socket.on('error', () => undefined);
-	socket.on('data', (chunk: Buffer) => {
-		received.push(chunk);
-	});
-	socket.write(serialize.startup({user: 'sanna', database: 'ledger'}));
-	t.teardown(async () => {
-		socket.destroy();
-		await adapter.dispose();
-	});
-	const wait = async (check: () => boolean): Promise<void> => {
-		while (!check()) {
-			await new Promise((resolve) => {
-				setTimeout(resolve, 1);
-			});
-		}
-	};
-
-	const setup: Setup = {
-		adapter,
-		events,
-		drained,
-		socket,
-		readText: () => Buffer.concat(received).toString('latin1'),
-		wait,
-		async waitRequest(count) {
-			const list = () =>
-				events.filter((event) => event.type === 'requestArrived');
-			await wait(() => list().length >= count);
-			return list()[count - 1];
-		},
-	};
-	await wait(() => setup.readText().endsWith('Z\0\0\0\u0005I'));
-	received.length = 0;
-	return setup;
-}
-
-function startAttempt(setup: Setup, request: Arrived, attempt: number): void {
-	setup.adapter.handle({
-		type: 'startAttempt',
-		session: request.session,
-		request: request.request,
-		attempt: attempt as ids.AttemptId,
-	});
-}
-
-function finish(
-	setup: Setup,
-	request: Arrived,
-	attempt: number,
-	tail: string,
-): void {
-	setup.adapter.handle({
-		type: 'finishRequest',
-		session: request.session,
-		request: request.request,
-		attempt: attempt as ids.AttemptId,
-		tail: Buffer.concat([
-			messages.buildCommandComplete(tail),
-			messages.getReadyForQuery('idle'),
-		]),
-	});
-}
 
 // Guards against a response that mixes bytes of two attempts, and late bytes in a later response.
 tap.test('only one attempt answers a request', async (t) => {
-	const setup = await start(t);
+	const setup = await testing.start(t);
 	setup.socket.write(serialize.query('SELECT 1'));
 	const request = await setup.waitRequest(1);
-	startAttempt(setup, request, 1);
-	startAttempt(setup, request, 2);
+	testing.startAttempt(setup, request, 1);
+	testing.startAttempt(setup, request, 2);
 	setup.adapter.relay(2 as ids.AttemptId, messages.buildDataRow('second'));
 	setup.adapter.relay(1 as ids.AttemptId, messages.buildDataRow('first'));
-	finish(setup, request, 2, 'done');
+	testing.finish(setup, request, 2, 'done');
 	setup.adapter.relay(1 as ids.AttemptId, messages.buildDataRow('late'));
-	finish(setup, request, 1, 'again');
+	testing.finish(setup, request, 1, 'again');
 	setup.socket.write(serialize.query('SELECT 2'));
 	const next = await setup.waitRequest(2);
 	setup.adapter.relay(1 as ids.AttemptId, messages.buildDataRow('late'));
-	startAttempt(setup, next, 3);
-	finish(setup, next, 3, 'next');
+	testing.startAttempt(setup, next, 3);
+	testing.finish(setup, next, 3, 'next');
 	await setup.wait(() => setup.readText().includes('next'));
 	t.match(setup.readText(), /second.*done.*next/sv);
 	t.notMatch(setup.readText(), /first|late|again/v);
@@ -134,13 +32,13 @@
 
 // Guards against a response that begins with one attempt and ends with another.
 tap.test('a response that mixes attempts closes the session', async (t) => {
-	const setup = await start(t);
+	const setup = await testing.start(t);
 	setup.socket.write(serialize.query('SELECT 1'));
 	const request = await setup.waitRequest(1);
-	startAttempt(setup, request, 1);
-	startAttempt(setup, request, 2);
+	testing.startAttempt(setup, request, 1);
+	testing.startAttempt(setup, request, 2);
 	setup.adapter.relay(1 as ids.AttemptId, messages.buildDataRow('first'));
-	finish(setup, request, 2, 'other');
+	testing.finish(setup, request, 2, 'other');
 	await setup.wait(() => setup.socket.destroyed);
 	t.match(setup.readText(), /first.*FATAL.*08007/sv);
 	t.notMatch(setup.readText(), /other/v);
@@ -153,10 +51,10 @@
 		[0, false],
 		[100, true],
 	] as const) {
-		const setup = await start(t);
+		const setup = await testing.start(t);
 		setup.socket.write(serialize.query('SELECT 1'));
 		const request = await setup.waitRequest(1);
-		startAttempt(setup, request, 1);
+		testing.startAttempt(setup, request, 1);
 		const row = messages.buildDataRow('x'.repeat(1000));
 		const end = row.length - missing;
 		setup.adapter.relay(1 as ids.AttemptId, row.subarray(0, 500));
@@ -179,10 +77,13 @@
 
 // Guards against a refusal that sends too few or too many ReadyForQuery messages.
 tap.test('frames after a refusal are ignored up to Sync', async (t) => {
-	const setup = await start(t);
+	const setup = await testing.start(t);
 	const parse = serialize.parse({text: 'INSERT INTO t VALUES (1)'});
 	const run = Buffer.concat([serialize.bind({}), serialize.execute()]);
-	const refuse = (request: Arrived, status: proxy.TransactionStatus): void => {
+	const refuse = (
+		request: testing.Arrived,
+		status: proxy.TransactionStatus,
+	): void => {
 		setup.adapter.handle({
 			type: 'refuseRequest',
 			session: request.session,
@@ -215,7 +116,7 @@
 
 // Guards against unbounded memory when a caller keeps sending while its first request is running.
 tap.test('reading pauses while the request queue is full', async (t) => {
-	const setup = await start(t, {queuedRequests: 5});
+	const setup = await testing.start(t, {queuedRequests: 5});
 	const one = serialize.query(`SELECT '${'x'.repeat(60_000)}'`);
 	let sent = 0;
 	while (setup.socket.writableLength < 3_000_000) {
@@ -234,8 +135,8 @@
 	);
 	let request = first;
 	for (let index = 1; index <= sent; index++) {
-		startAttempt(setup, request, index);
-		finish(setup, request, index, `tag${index}`);
+		testing.startAttempt(setup, request, index);
+		testing.finish(setup, request, index, `tag${index}`);
 		if (index < sent) {
 			request = await setup.waitRequest(index + 1);
 		}
@@ -247,10 +148,10 @@
 
 // Guards against unbounded memory when a caller does not read its results.
 tap.test('the session of a caller that does not read is closed', async (t) => {
-	const setup = await start(t, {sendBufferBytes: 500_000});
+	const setup = await testing.start(t, {sendBufferBytes: 500_000});
 	setup.socket.write(serialize.query('SELECT 1'));
 	const request = await setup.waitRequest(1);
-	startAttempt(setup, request, 1);
+	testing.startAttempt(setup, request, 1);
 	setup.socket.pause();
 	const data = messages.buildDataRow('x'.repeat(100_000));
 	let refused = 0;
@@ -264,7 +165,7 @@
 
 // Guards against a request that is dispatched with the kind of another statement.
 tap.test('an extended request has the kind of its statements', async (t) => {
-	const setup = await start(t);
+	const setup = await testing.start(t);
 	const sequences: ReadonlyArray<readonly [proxy.RequestKind, Uint8Array[]]> = [
 		['read', [serialize.parse({name: 'w', text: 'DELETE FROM t'})]],
 		['write', [serialize.bind({statement: 'w'}), serialize.execute()]],
@@ -298,7 +199,7 @@
 			);
 		}
 
-		startAttempt(setup, request, index + 1);
-		finish(setup, request, index + 1, 'x');
+		testing.startAttempt(setup, request, index + 1);
+		testing.finish(setup, request, index + 1, 'x');
 	}
 });
