Close PostgreSQL sessions with an error that is true of their requests

Callers saw: FATAL 57P01, 57014 or another code that promises "not run" while their request ran at a server; nothing at all when memory ran short; and, when they read too slowly, an error inside a row, which they took for data. Cause: a close wrote the code of its reason without a look at the running request or at the bytes relayed so far, and a shed session was destroyed. Evidence: three tests of session-end.test.ts, run on the commit before, fail: 57P01 for an INSERT in an attempt, a FATAL in a row that is cut, no error after a shed. Change: FATAL 08007 for a request with an attempt, the code of the reason for others; inside a row no error, the connection ends after what was written, so earlier answers are not lost. A session is shed with FATAL 53200 (08P01 for a message that does not end), unless its caller leaves answers unread. A closed session is not kept in memory while its caller leaves, and flow control does not pause its socket.

--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -138,6 +138,7 @@
 
 			case 'startAttempt': {
 				if (session.runner.isRunning(effect.request)) {
+					session.runner.recordAttempt();
 					this.#attempts.set(effect.attempt, session);
 					this.#attemptsBySession.get(session)?.push(effect.attempt);
 				}
@@ -375,8 +376,9 @@
 		this.#sessions.set(id, session);
 		this.#cancelKeys.set(id, crypto.randomInt(2 ** 32));
 		this.#attemptsBySession.set(session, []);
+		// By id, so that a closed session is not kept in memory until its caller has left.
 		socket.once('close', () => {
-			session.dispose();
+			this.#sessions.get(id)?.dispose();
 		});
 		return session;
 	}
--- a/src/node/caller/item-runner.ts
+++ b/src/node/caller/item-runner.ts
@@ -27,8 +27,8 @@
 	handleIdle(): void;
 	/** The session must be closed with this error. */
 	handleFatal(sqlState: string, message: string): void;
-	/** The connection must be aborted, because no error can be written. */
-	handleAbort(): void;
+	/** The session must be closed without an error, because none can be written. */
+	handleAbort(message: string): void;
 };
 
 type Request = Extract<types.WorkItem, {type: 'request'}>;
@@ -39,6 +39,8 @@
 	readonly item: Request;
 	/** The attempt whose response bytes have been relayed to the caller. */
 	relayedAttempt: ids.AttemptId | undefined;
+	/** An attempt has been sent to an owner. */
+	isStarted: boolean;
 	/** Tells whether these bytes end with a whole message. */
 	readonly boundary: messageBoundary.MessageBoundaryTracker;
 };
@@ -67,6 +69,18 @@
 		return this.#running === undefined;
 	}
 
+	/** True while a request of the caller may run at a server. */
+	get mayHaveRun(): boolean {
+		return (
+			this.#running?.isStarted === true && !this.#running.item.isStartupSet
+		);
+	}
+
+	/** False while the caller has received a part of a message, in which it would not see an error. */
+	get isAtBoundary(): boolean {
+		return this.#running?.boundary.isAtBoundary ?? true;
+	}
+
 	/** True while a transaction of the caller is open. */
 	get isInTransaction(): boolean {
 		return this.#status !== 'idle';
@@ -89,6 +103,12 @@
 		}
 	}
 
+	recordAttempt(): void {
+		if (this.#running) {
+			this.#running.isStarted = true;
+		}
+	}
+
 	isRunning(request: ids.RequestId): boolean {
 		return this.#running?.request === request;
 	}
@@ -169,9 +189,8 @@
 			return;
 		}
 
-		if (!running.boundary.isAtBoundary) {
-			// The caller would read an error inside a data row as part of the row.
-			this.handler.handleAbort();
+		if (!this.isAtBoundary) {
+			this.handler.handleAbort(message);
 			return;
 		}
 
@@ -291,6 +310,7 @@
 			request: undefined,
 			item,
 			relayedAttempt: undefined,
+			isStarted: false,
 			boundary: new messageBoundary.MessageBoundaryTracker(),
 		};
 		this.handler.handleRequest(item.kind, attributes, item.payload);
--- /dev/null
+++ b/src/node/caller/session-end.test.ts
@@ -0,0 +1,89 @@
+import * as serializer from 'pg-protocol/dist/serializer';
+import tap from 'tap';
+import * as directDriver from '../../bench/direct-driver.js';
+import type * as ids from '../../common/ids.js';
+import * as resourceGuard from '../limits/resource-guard.js';
+import * as messages from '../wire/messages.js';
+import * as testing from './testing.js';
+
+const {serialize} = serializer;
+const insert = serialize.query('INSERT INTO t VALUES (1)');
+const session = 1 as ids.SessionId;
+const attempt = 1 as ids.AttemptId;
+
+/** Waits for the end of the connection; returns the severities and SQLSTATEs of the received errors. */
+async function readErrors(setup: testing.Setup): Promise<string[]> {
+	await setup.wait(() => setup.socket.destroyed);
+	return [
+		...setup
+			.readText()
+			.matchAll(/S(?<severity>ERROR|FATAL)\0V.*?\0C(?<state>.{5})\0/gsv),
+	].map(({groups}) => `${groups!.severity} ${groups!.state}`);
+}
+
+// Guards against the code of a request that was not run for one that may have run.
+tap.test('a closed session has a truthful code', async (t) => {
+	for (const [isStarted, expected] of [
+		[false, 'FATAL 57P01'],
+		[true, 'FATAL 08007'],
+	] as const) {
+		const setup = await testing.start(t);
+		setup.socket.write(insert);
+		const request = await setup.waitRequest(1);
+		if (isStarted) {
+			testing.startAttempt(setup, request, attempt);
+		}
+
+		setup.adapter.handle({
+			type: 'closeSession',
+			session,
+			sqlState: '57P01',
+			message: 'the proxy is shutting down',
+		});
+		t.strictSame(await readErrors(setup), [expected]);
+	}
+});
+
+// Guards against an error inside a row, where the caller takes it for data.
+tap.test('no error is written inside a row', async (t) => {
+	const setup = await testing.start(t, {sendBufferBytes: 500_000});
+	setup.socket.write(serialize.query('SELECT 1'));
+	testing.startAttempt(setup, await setup.waitRequest(1), attempt);
+	setup.socket.pause();
+	setup.adapter.relay(
+		attempt,
+		messages.buildDataRow('x'.repeat(9_000_000)).subarray(0, -1),
+	);
+	t.equal(setup.events.at(-1)?.type, 'sessionClosed');
+	setup.socket.resume();
+	t.strictSame(await readErrors(setup), []);
+});
+
+// Guards against a caller that is closed for memory without learning what became of its request.
+tap.test('a session that is shed has a truthful code', async (t) => {
+	for (const [isStarted, expected] of [
+		[false, 'FATAL 53200'],
+		[true, 'FATAL 08007'],
+	] as const) {
+		const guard = resourceGuard.createDefaultGuard(
+			directDriver.monotonicClock,
+			{write: () => undefined},
+		);
+		const clients: resourceGuard.Client[] = [];
+		const openAccount = guard.openAccount.bind(guard);
+		guard.openAccount = (client) => {
+			clients.push(client);
+			return openAccount(client);
+		};
+
+		const setup = await testing.start(t, {}, {guard});
+		setup.socket.write(insert);
+		const request = await setup.waitRequest(1);
+		if (isStarted) {
+			testing.startAttempt(setup, request, attempt);
+		}
+
+		clients[0].shed();
+		t.strictSame(await readErrors(setup), [expected]);
+	}
+});
--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -19,10 +19,9 @@
 import * as statements from './statements.js';
 import type * as types from './types.js';
 
-/** Time for sending a final error before the socket is destroyed. */
-const closeTimeoutMs = 1000;
+const unknownOutcomeSqlState = '08007';
 const outOfMemorySqlState = '53200';
-const noMemoryMessage = 'not run: the proxy is short of memory';
+const noMemoryMessage = 'the proxy is short of memory';
 /**
  * Response bytes buffered for a slow caller above which the server's connection pauses. A smaller
  * response frees its slot while the caller still reads it.
@@ -72,15 +71,15 @@
 				this.close(sqlState, message);
 			},
 			handleAbort: () => {
-				this.dispose();
+				this.#abort();
 			},
 		});
 		this.#buffers = new sessionBuffers.SessionBuffers(socket, {
 			listener: 'callers',
 			guard,
 			clock,
-			shed: () => {
-				this.dispose();
+			shed: (limit) => {
+				this.#shed(limit);
 			},
 		});
 		this.#buffers.recordStartup();
@@ -115,14 +114,8 @@
 		this.socket.on('data', (chunk: Buffer) => {
 			this.#receive(chunk);
 		});
-		this.socket.on('drain', () => {
-			this.handler.handleDrain();
-			this.#runQueue();
-			this.#updateFlowControl();
-		});
-		this.socket.on('end', () => {
-			this.#finishClose();
-		});
+		this.socket.on('drain', this.#handleDrain);
+		this.socket.on('end', this.#finishClose);
 		if (startupSetRequest) {
 			this.#queue.push(startupSetRequest);
 			this.#runQueue();
@@ -151,17 +144,28 @@
 		);
 	}
 
-	/** Writes a FATAL error and closes the connection. */
+	/**
+	 * Closes the connection after a FATAL error, which answers all requests that are outstanding. The
+	 * outcome of a request that may have run is unknown, whatever the reason of the close.
+	 */
 	close(sqlState: string, message: string): void {
 		if (this.#isClosed) {
 			return;
 		}
 
-		this.socket.end(messages.buildErrorResponse('FATAL', sqlState, message));
-		setTimeout(() => {
-			this.socket.destroy();
-		}, closeTimeoutMs).unref();
-		this.#finishClose();
+		if (!this.#runner.isAtBoundary) {
+			this.#abort();
+			return;
+		}
+
+		const error = this.#runner.mayHaveRun
+			? messages.buildErrorResponse(
+					'FATAL',
+					unknownOutcomeSqlState,
+					`the outcome is unknown: ${message}`,
+				)
+			: messages.buildErrorResponse('FATAL', sqlState, message);
+		this.#end(error);
 	}
 
 	/** Closes the connection when a message or an answer takes too long. */
@@ -175,20 +179,54 @@
 		this.#finishClose();
 	}
 
-	#finishClose(): void {
+	/** Closes the connection after what has been written; the caller sees a broken connection. */
+	#abort(): void {
+		this.#end();
+	}
+
+	/** Closes the connection for a limit; one with unread answers at once, because they hold memory. */
+	#shed(limit: proxy.LimitName): void {
+		if (this.socket.writableLength > 0) {
+			this.dispose();
+		} else if (limit === 'MemoryBudget') {
+			this.close(outOfMemorySqlState, noMemoryMessage);
+		} else {
+			this.close('08P01', 'the rest of a message did not arrive in time');
+		}
+	}
+
+	#end(data?: Uint8Array): void {
+		if (data) {
+			this.socket.write(data);
+		}
+
+		this.socket.end();
+		this.#buffers.scheduleDestroy();
+		this.#finishClose();
+	}
+
+	readonly #handleDrain = (): void => {
+		this.handler.handleDrain();
+		this.#runQueue();
+		this.#updateFlowControl();
+	};
+
+	readonly #finishClose = (): void => {
 		if (this.#isClosed) {
 			return;
 		}
 
 		this.#isClosed = true;
 		this.#queue = [];
+		this.socket.off('drain', this.#handleDrain);
+		this.socket.off('end', this.#finishClose);
 		// Further input is read and discarded instead of buffered.
 		this.socket.removeAllListeners('data');
 		this.socket.resume();
 		this.#buffers.dispose();
 		this.handler.handleClosed();
 		this.#runner.clear();
-	}
+	};
 
 	#receive(chunk: Buffer): void {
 		this.#reader.push(chunk);
@@ -223,7 +261,7 @@
 	#handleFrame(frame: Buffer): void {
 		if (!this.#buffers.hasRoom(frame.length)) {
 			if (this.#runner.isIdle && this.#queue.length === 0) {
-				this.close(outOfMemorySqlState, noMemoryMessage);
+				this.close(outOfMemorySqlState, `not run: ${noMemoryMessage}`);
 			} else {
 				// The caller would take an error for the answer to an earlier request.
 				this.dispose();
@@ -286,7 +324,7 @@
 					? {
 							type: 'refusal',
 							sqlState: outOfMemorySqlState,
-							message: noMemoryMessage,
+							message: `not run: ${noMemoryMessage}`,
 							isFlush: item.isFlush,
 						}
 					: item,
--- a/src/node/limits/session-buffers.ts
+++ b/src/node/limits/session-buffers.ts
@@ -5,6 +5,7 @@
 import type * as net from 'node:net';
 import type * as node from '../types.js';
 import type * as resourceGuard from './resource-guard.js';
+import type * as resourceLimits from './types.js';
 
 /** Unsent bytes above which no further request begins. */
 const fullOutputBytes = 64 * 1024;
@@ -26,7 +27,7 @@
 	readonly guard: resourceGuard.ResourceGuard;
 	readonly clock: Pick<node.Clock, 'now'>;
 	/** Ends the connection at once. */
-	readonly shed: () => void;
+	readonly shed: (limit: resourceLimits.LimitReport['limit']) => void;
 };
 
 export type BufferSizes = {
@@ -48,6 +49,7 @@
 	/** Since when no answer has been taken, with the bytes written by then. */
 	#unsentSince: number | undefined;
 	#unsentBytes = 0;
+	#isDisposed = false;
 
 	constructor(
 		private readonly socket: net.Socket,
@@ -56,7 +58,9 @@
 		this.#openedAt = options.clock.now();
 		this.#account = options.guard.openAccount({
 			listener: options.listener,
-			shed: options.shed,
+			shed() {
+				options.shed('MemoryBudget');
+			},
 		});
 	}
 
@@ -87,7 +91,11 @@
 		this.options.guard.enforce();
 		const isFull =
 			sizes.isQueueFull || this.isOutputFull || sizes.queued > this.#shareBytes;
-		if (this.socket.destroyed || isFull === this.socket.isPaused()) {
+		if (
+			this.#isDisposed ||
+			this.socket.destroyed ||
+			isFull === this.socket.isPaused()
+		) {
 			return;
 		}
 
@@ -166,18 +174,20 @@
 
 	/** Destroys the socket unless what was written is taken soon. */
 	scheduleDestroy(): void {
+		// The callbacks must not keep the state of the session in memory.
+		const {socket} = this;
 		const timer = setTimeout(() => {
-			this.socket.destroy();
+			socket.destroy();
 		}, destroyDelayMs);
 		timer.unref();
-		// A pending timer would keep the state of the session in memory.
-		this.socket.once('close', () => {
+		socket.once('close', () => {
 			clearTimeout(timer);
 		});
 	}
 
 	/** Ends the account; what arrives later is discarded. */
 	dispose(): void {
+		this.#isDisposed = true;
 		this.#account.close();
 		if (!this.socket.destroyed) {
 			this.socket.resume();
@@ -190,6 +200,6 @@
 
 	#end(limit: 'MessageTime' | 'AnswerTime'): void {
 		this.options.guard.report({limit, listener: this.options.listener});
-		this.options.shed();
+		this.options.shed(limit);
 	}
 }
