Answer the requests that came before a malformed message

Callers saw: FATAL 08P01 or 54000 as the answer to a request that was running and had nothing wrong, and none for those queued behind it; a reset without a word when a message behind a running one found no memory. Cause: an error of the input closed the session at once, although earlier requests had no answer yet. Change: the session stops reading, answers what came before in order, and closes with the error. The message without room in memory is dropped at once. The case of memory has no test of its own.

--- a/src/node/caller/session-end.test.ts
+++ b/src/node/caller/session-end.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import * as serializer from 'pg-protocol/dist/serializer';
 import tap from 'tap';
 import * as directDriver from '../../bench/direct-driver.js';
@@ -44,6 +45,25 @@
 	}
 });
 
+// Guards against an error for a malformed message that is taken for the answer to an earlier request.
+tap.test('requests before a malformed message are answered', async (t) => {
+	for (const [malformed, expected] of [
+		[[0x51, 0, 0, 0, 1], 'FATAL 08P01'],
+		[[0x51, 0x7f, 0, 0, 0], 'FATAL 54000'],
+	] as const) {
+		const setup = await testing.start(t);
+		setup.socket.write(Buffer.concat([insert, insert, Buffer.from(malformed)]));
+		for (const count of [1, 2]) {
+			const request = await setup.waitRequest(count);
+			testing.startAttempt(setup, request, count);
+			testing.finish(setup, request, count, `answer ${count}`);
+		}
+
+		t.strictSame(await readErrors(setup), [expected]);
+		t.match(setup.readText(), /answer 1.*answer 2.*FATAL/sv);
+	}
+});
+
 // Guards against an error inside a row, where the caller takes it for data.
 tap.test('no error is written inside a row', async (t) => {
 	const setup = await testing.start(t, {sendBufferBytes: 500_000});
--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -28,6 +28,8 @@
  */
 const maxRelayedBytes = 2 * 1024 * 1024;
 
+type InputError = {readonly sqlState: string; readonly message: string};
+
 export type SessionHandler = {
 	handleRequest(
 		kind: proxy.RequestKind,
@@ -47,6 +49,8 @@
 	#queuedBytes = 0;
 	readonly #runner: itemRunner.ItemRunner;
 	#isRunningQueue = false;
+	/** An error of the input, which closes the session after the answers to earlier requests. */
+	#inputError: InputError | undefined;
 	#isClosed = false;
 	readonly #maxMessageBytes: number;
 	readonly #buffers: sessionBuffers.SessionBuffers;
@@ -229,21 +233,25 @@
 	};
 
 	#receive(chunk: Buffer): void {
+		if (this.#inputError) {
+			return;
+		}
+
 		this.#reader.push(chunk);
-		while (!this.#isClosed) {
+		while (!this.#isClosed && !this.#inputError) {
 			const frame = this.#reader.read();
 			if (frame === undefined) {
 				break;
 			}
 
 			if (typeof frame === 'string') {
-				this.close(
+				this.#stopReading(
 					frame === 'tooLarge' ? '54000' : '08P01',
 					frame === 'tooLarge'
 						? `a message exceeds the limit of ${this.#maxMessageBytes} bytes`
 						: 'invalid message length',
 				);
-				return;
+				break;
 			}
 
 			if (frame[0] === messages.messageTypes.terminate) {
@@ -260,13 +268,7 @@
 
 	#handleFrame(frame: Buffer): void {
 		if (!this.#buffers.hasRoom(frame.length)) {
-			if (this.#runner.isIdle && this.#queue.length === 0) {
-				this.close(outOfMemorySqlState, `not run: ${noMemoryMessage}`);
-			} else {
-				// The caller would take an error for the answer to an earlier request.
-				this.dispose();
-			}
-
+			this.#stopReading(outOfMemorySqlState, `not run: ${noMemoryMessage}`);
 			return;
 		}
 
@@ -276,7 +278,7 @@
 		}
 
 		if (item.type === 'problem') {
-			this.close(item.sqlState, item.message);
+			this.#stopReading(item.sqlState, item.message);
 			return;
 		}
 
@@ -284,6 +286,15 @@
 		this.#queuedBytes += items.measureItem(item);
 	}
 
+	/**
+	 * Discards the rest of the input and closes the session after the answers to earlier requests, so
+	 * that the caller does not take the error for one of them.
+	 */
+	#stopReading(sqlState: string, message: string): void {
+		this.#inputError = {sqlState, message};
+		this.#reader.clear();
+	}
+
 	/** Charges the buffers, and pauses reading while they are full. */
 	#updateFlowControl(): void {
 		if (!this.#isClosed) {
@@ -332,6 +343,15 @@
 		}
 
 		this.#isRunningQueue = false;
+		if (
+			this.#inputError &&
+			this.#runner.isIdle &&
+			this.#queue.length === 0 &&
+			!this.#isClosed
+		) {
+			this.close(this.#inputError.sqlState, this.#inputError.message);
+		}
+
 		if (this.socket.isPaused()) {
 			this.#updateFlowControl();
 		}
--- a/src/node/wire/frame-reader.ts
+++ b/src/node/wire/frame-reader.ts
@@ -100,6 +100,13 @@
 		return this.take(length + 1);
 	}
 
+	/** Drops what was pushed and not taken. */
+	clear(): void {
+		this.#laterChunks = [];
+		this.#buffer = Buffer.alloc(0);
+		this.#size = 0;
+	}
+
 	/** Keeps the number of chunks small when a message arrives in many pieces. */
 	#mergeSmallChunks(): void {
 		const chunks = this.#laterChunks;
