Tell PostgreSQL callers of the end of the process and let them leave

Callers saw: a broken connection instead of an error when the process ended with their session open, and the loss of answers and errors that were written but not sent, among them the FATAL 57P01 of a drain. Cause: dispose destroyed all sockets at once. Change: dispose closes the open sessions with FATAL 57P01, or 08007 for a request that may have run, ends connections whose startup is incomplete likewise, and waits up to 0.7 s for the callers to leave. The wait does not use events.once, which rejects when a caller resets its connection; a test shows it. The incomplete startup has no test of its own.

--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -4,9 +4,11 @@
 import {Buffer} from 'node:buffer';
 import * as crypto from 'node:crypto';
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import {assertNever} from '../../common/assert-never.js';
 import type * as ids from '../../common/ids.js';
 import * as position from '../../common/position.js';
+import * as refusals from '../../common/proxy/refusals.js';
 import type * as commonTypes from '../../common/types.js';
 import * as connectionLimiter from '../limits/connection-limiter.js';
 import * as resourceGuard from '../limits/resource-guard.js';
@@ -32,6 +34,10 @@
 /** Interval of the check for messages and answers that take too long. */
 const timeCheckIntervalMs = 1000;
 
+/** Time in which callers are told of the end of the process and close their connections. */
+const disposeLimitMs = 700;
+const shutdownMessage = 'the proxy is shutting down; connect again';
+
 /** Reported when the daemon specifies no parameters. */
 const defaultServerParameters: Readonly<Record<string, string>> = {
 	server_version: '16.0',
@@ -79,6 +85,7 @@
 	#timeCheck: NodeJS.Timeout | undefined;
 	#lastSessionId = 0;
 	#lastRequestId = 0;
+	#isDisposed = false;
 
 	constructor(private readonly options: types.CallerOptions) {
 		this.#limits = {...types.defaultLimits, ...options.limits};
@@ -191,24 +198,53 @@
 		this.#server.close();
 	}
 
+	/** Resolves when the callers have left, or after a time in which they could have. */
 	async dispose(): Promise<void> {
 		clearInterval(this.#timeCheck);
+		this.#isDisposed = true;
+		this.#server.close();
 		for (const session of this.#sessions.values()) {
-			session.dispose();
+			session.close(refusals.adminShutdownSqlState, shutdownMessage);
 		}
 
 		for (const socket of this.#sockets) {
-			socket.destroy();
+			if (!socket.writableEnded) {
+				// A startup is incomplete.
+				refuseStartup(socket, {
+					sqlState: refusals.adminShutdownSqlState,
+					message: shutdownMessage,
+				});
+			}
 		}
 
-		if (this.#server.listening) {
-			await new Promise((resolve) => {
-				this.#server.close(resolve);
-			});
+		const abort = new AbortController();
+		const {signal} = abort;
+		const closed = Promise.all(
+			[...this.#sockets].map(
+				async (socket) =>
+					new Promise((resolve) => {
+						socket.once('close', resolve);
+					}),
+			),
+		);
+		await Promise.race([
+			timers.setTimeout(disposeLimitMs, undefined, {signal}),
+			closed,
+		]);
+		abort.abort();
+		for (const socket of this.#sockets) {
+			socket.destroy();
 		}
+
+		await closed;
 	}
 
 	#accept(socket: net.Socket): void {
+		if (this.#isDisposed) {
+			socket.destroy();
+			return;
+		}
+
 		if (!this.#limiter.add(socket)) {
 			return;
 		}
@@ -251,6 +287,10 @@
 		parameters: Readonly<Record<string, string>>,
 		remainder: Buffer,
 	): void {
+		if (this.#isDisposed) {
+			return;
+		}
+
 		const parsed = startupParameters.parseStartup(parameters, this.#parameters);
 		if (parsed.isErr()) {
 			refuseStartup(socket, parsed.error);
@@ -279,6 +319,10 @@
 		key: ids.KeyDigest | undefined,
 		remainder: Buffer,
 	): void {
+		if (this.#isDisposed) {
+			return;
+		}
+
 		this.#lastSessionId++;
 		const id = this.#lastSessionId as ids.SessionId;
 		const {
--- a/src/node/caller/session-end.test.ts
+++ b/src/node/caller/session-end.test.ts
@@ -22,6 +22,72 @@
 	].map(({groups}) => `${groups!.severity} ${groups!.state}`);
 }
 
+// Guards against a process that ends without a word to its callers, and against a claim that a request
+// has not run.
+tap.test('the end of the process is told to all callers', async (t) => {
+	for (const [isSent, isStarted, expected] of [
+		[false, false, 'FATAL 57P01'],
+		[true, false, 'FATAL 57P01'],
+		[true, true, 'FATAL 08007'],
+	] as const) {
+		const setup = await testing.start(t);
+		if (isSent) {
+			setup.socket.write(Buffer.concat([insert, insert]));
+			const request = await setup.waitRequest(1);
+			if (isStarted) {
+				testing.startAttempt(setup, request, attempt);
+			}
+		}
+
+		await setup.adapter.dispose();
+		t.strictSame(await readErrors(setup), [expected]);
+	}
+});
+
+// Guards against answers and errors that were written but not sent when the process ends.
+tap.test('the end of the process loses no answer', async (t) => {
+	const setup = await testing.start(t);
+	setup.socket.write(serialize.query('SELECT 1'));
+	const request = await setup.waitRequest(1);
+	testing.startAttempt(setup, request, attempt);
+	setup.socket.pause();
+	const row = messages.buildDataRow('x'.repeat(100_000));
+	for (let index = 0; index < 100; index++) {
+		setup.adapter.relay(attempt, row);
+	}
+
+	testing.finish(setup, request, attempt, 'all rows');
+	setup.adapter.handle({
+		type: 'closeSession',
+		session,
+		sqlState: '57P01',
+		message: 'the proxy is shutting down',
+	});
+	const disposed = setup.adapter.dispose();
+	setup.socket.resume();
+	await disposed;
+	t.strictSame(await readErrors(setup), ['FATAL 57P01']);
+	t.ok(setup.readText().includes('all rows'));
+});
+
+// Guards against a process that waits forever for a caller that does not close its connection.
+tap.test('the end of the process is bounded', async (t) => {
+	const setup = await testing.start(t);
+	setup.socket.pause();
+	const startedAt = directDriver.monotonicClock.now();
+	await setup.adapter.dispose();
+	t.ok(directDriver.monotonicClock.now() - startedAt < 1000);
+});
+
+// Guards against a process whose end fails because a caller resets its connection.
+tap.test('a reset does not disturb the end of the process', async (t) => {
+	const setup = await testing.start(t);
+	setup.socket.pause();
+	const disposed = setup.adapter.dispose();
+	setup.socket.resetAndDestroy();
+	await t.resolves(disposed);
+});
+
 // Guards against the code of a request that was not run for one that may have run.
 tap.test('a closed session has a truthful code', async (t) => {
 	for (const [isStarted, expected] of [
