Log and count requests that a PostgreSQL session leaves without an answer

Callers saw: a connection that broke inside a row or with unread answers; no log line and no metric named the requests that were lost with it. Cause: only the adapter of the line protocol reported them. Change: the warning 'Left without an answer' with the stage (running, queued) and the cause, and the counter unanswered_requests, when a session is closed without a FATAL error; proxy.ts passes the counter on. Requests that arrive after such a close are not counted.

--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -41,7 +41,7 @@
 		clock.systemClock.readWallClock(),
 		{
 			createCallers: (
-				{dispatch, reducer, logger, instanceId, guard},
+				{dispatch, reducer, logger, instanceId, guard, countEvent},
 				handleDrain,
 			) =>
 				callerAdapter.createCallerAdapter({
@@ -53,6 +53,7 @@
 					handleDrain,
 					guard,
 					maxConnections: settings.limits.maxConnections,
+					countEvent,
 				}),
 			createUpstreams: ({dispatch, logger}, relay) =>
 				upstreamAdapter.createUpstreamAdapter({
--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -14,7 +14,9 @@
 import * as resourceGuard from '../limits/resource-guard.js';
 import type * as node from '../types.js';
 import * as messages from '../wire/messages.js';
+import * as items from './items.js';
 import * as password from './password.js';
+import * as requestLog from './request-log.js';
 import * as sessions from './session.js';
 import * as settings from './settings.js';
 import * as startup from './startup.js';
@@ -82,6 +84,7 @@
 	readonly #attemptsBySession = new Map<sessions.Session, ids.AttemptId[]>();
 	readonly #guard: resourceGuard.ResourceGuard;
 	readonly #limiter: connectionLimiter.ConnectionLimiter;
+	readonly #log: requestLog.RequestLog;
 	#timeCheck: NodeJS.Timeout | undefined;
 	#lastSessionId = 0;
 	#lastRequestId = 0;
@@ -103,6 +106,10 @@
 			options.maxConnections ?? Number.POSITIVE_INFINITY,
 			this.#guard.report,
 		);
+		this.#log = new requestLog.RequestLog({
+			logger: options.logger,
+			countEvent: options.countEvent ?? (() => undefined),
+		});
 		this.#server = net.createServer((socket) => {
 			this.#accept(socket);
 		});
@@ -365,7 +372,7 @@
 		}
 
 		this.#writeStartupResponse(socket, id);
-		session.start(remainder, createStartupSetRequest(parametersToSet));
+		session.start(remainder, items.createStartupSetRequest(parametersToSet));
 	}
 
 	#createSession(
@@ -408,6 +415,14 @@
 						this.options.handleDrain?.(attempt);
 					}
 				},
+				handleUnanswered: (requests, reason) => {
+					this.#log.reportUnanswered(
+						id,
+						sessionSettings.member,
+						requests,
+						reason,
+					);
+				},
 				handleClosed: () => {
 					this.#removeSession(session);
 					dispatch({type: 'sessionClosed', now: clock.now(), session: id});
@@ -464,28 +479,6 @@
 	}
 }
 
-function createStartupSetRequest(
-	parametersToSet: ReadonlyMap<string, string>,
-): types.WorkItem | undefined {
-	if (parametersToSet.size === 0) {
-		return undefined;
-	}
-
-	return {
-		type: 'request',
-		kind: 'sessionState',
-		payload: {
-			frames: messages.buildMessage(messages.messageTypes.query, [
-				`${startupParameters.formatSetStatements(parametersToSet)}\0`,
-			]),
-		},
-		attributes: [],
-		preventsKeyClaim: false,
-		isFlush: false,
-		isStartupSet: true,
-	};
-}
-
 function refuseStartup(
 	socket: net.Socket,
 	problem: settings.SettingProblem,
--- a/src/node/caller/item-runner.ts
+++ b/src/node/caller/item-runner.ts
@@ -69,11 +69,14 @@
 		return this.#running === undefined;
 	}
 
+	/** True while a request of the caller, not of the startup, is processed. */
+	get hasRequest(): boolean {
+		return this.#running !== undefined && !this.#running.item.isStartupSet;
+	}
+
 	/** True while a request of the caller may run at a server. */
 	get mayHaveRun(): boolean {
-		return (
-			this.#running?.isStarted === true && !this.#running.item.isStartupSet
-		);
+		return this.hasRequest && this.#running!.isStarted;
 	}
 
 	/** False while the caller has received a part of a message, in which it would not see an error. */
--- a/src/node/caller/items.ts
+++ b/src/node/caller/items.ts
@@ -3,6 +3,7 @@
  */
 import {Buffer} from 'node:buffer';
 import * as messages from '../wire/messages.js';
+import * as startupParameters from './startup-parameters.js';
 import type * as statements from './statements.js';
 import type * as types from './types.js';
 
@@ -40,6 +41,29 @@
 	}
 }
 
+/** Creates the request that sets startup parameters on the server; undefined when there are none. */
+export function createStartupSetRequest(
+	parametersToSet: ReadonlyMap<string, string>,
+): types.WorkItem | undefined {
+	if (parametersToSet.size === 0) {
+		return undefined;
+	}
+
+	return {
+		type: 'request',
+		kind: 'sessionState',
+		payload: {
+			frames: messages.buildMessage(messages.messageTypes.query, [
+				`${startupParameters.formatSetStatements(parametersToSet)}\0`,
+			]),
+		},
+		attributes: [],
+		preventsKeyClaim: false,
+		isFlush: false,
+		isStartupSet: true,
+	};
+}
+
 /** Creates a request that every server refuses because the text is not valid SQL. */
 export function createFailingRequest(
 	message: string,
--- a/src/node/caller/session-end.test.ts
+++ b/src/node/caller/session-end.test.ts
@@ -1,4 +1,6 @@
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import * as net from 'node:net';
 import * as serializer from 'pg-protocol/dist/serializer';
 import tap from 'tap';
 import * as directDriver from '../../bench/direct-driver.js';
@@ -173,3 +175,57 @@
 		t.strictSame(await readErrors(setup), [expected]);
 	}
 });
+
+// Guards against requests that are left without an answer and do not show in the log or the metrics.
+tap.test('requests without an answer are logged and counted', async (t) => {
+	const counts: Array<[string, number]> = [];
+	const lines: unknown[] = [];
+	const setup = await testing.start(
+		t,
+		{},
+		{
+			countEvent(name, amount) {
+				counts.push([name, amount]);
+			},
+			logger: {
+				write({message, fields}) {
+					lines.push([message, fields?.stage, fields?.cause]);
+				},
+			},
+		},
+	);
+	setup.socket.write(Buffer.concat([insert, insert, insert]));
+	testing.startAttempt(setup, await setup.waitRequest(1), attempt);
+	setup.adapter.relay(attempt, messages.buildDataRow('cut').subarray(0, -1));
+	setup.adapter.handle({
+		type: 'closeSession',
+		session,
+		sqlState: 'XX000',
+		message: 'an internal error',
+	});
+	t.strictSame(await readErrors(setup), []);
+	t.strictSame(counts, [
+		['unansweredRequests', 1],
+		['unansweredRequests', 2],
+	]);
+	t.strictSame(lines, [
+		['Left without an answer', 'running', 'an internal error'],
+		['Left without an answer', 'queued', 'an internal error'],
+	]);
+});
+
+// Guards against a connection that is closed without an error before its startup is complete.
+tap.test('a startup is told of the end of the process', async (t) => {
+	const setup = await testing.start(t);
+	const {remoteAddress, remotePort} = setup.socket;
+	const caller = net.connect(remotePort!, remoteAddress);
+	await once(caller, 'connect');
+	await new Promise((resolve) => {
+		setTimeout(resolve, 20);
+	});
+	const [[answer]] = await Promise.all([
+		once(caller, 'data') as Promise<[Buffer]>,
+		setup.adapter.dispose(),
+	]);
+	t.equal(messages.findErrorField(answer, 'C'), '57P01');
+});
--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -14,6 +14,7 @@
 import * as messages from '../wire/messages.js';
 import * as itemRunner from './item-runner.js';
 import * as items from './items.js';
+import type * as requestLog from './request-log.js';
 import * as requestSplitter from './request-splitter.js';
 import type * as settings from './settings.js';
 import * as statements from './statements.js';
@@ -38,6 +39,11 @@
 	): void;
 	handleToken(token: commonTypes.Position): void;
 	handleDrain(): void;
+	/** The session is closed without an error that answers its requests. */
+	handleUnanswered(
+		requests: requestLog.UnansweredRequests,
+		cause: string,
+	): void;
 	handleClosed(): void;
 };
 
@@ -74,8 +80,8 @@
 			handleFatal: (sqlState, message) => {
 				this.close(sqlState, message);
 			},
-			handleAbort: () => {
-				this.#abort();
+			handleAbort: (message) => {
+				this.#abort(message);
 			},
 		});
 		this.#buffers = new sessionBuffers.SessionBuffers(socket, {
@@ -158,7 +164,7 @@
 		}
 
 		if (!this.#runner.isAtBoundary) {
-			this.#abort();
+			this.#abort(message);
 			return;
 		}
 
@@ -184,13 +190,22 @@
 	}
 
 	/** Closes the connection after what has been written; the caller sees a broken connection. */
-	#abort(): void {
+	#abort(cause: string): void {
+		this.#reportUnanswered(cause);
 		this.#end();
 	}
 
+	#reportUnanswered(cause: string): void {
+		this.handler.handleUnanswered(
+			{running: this.#runner.hasRequest ? 1 : 0, queued: this.#queue.length},
+			cause,
+		);
+	}
+
 	/** Closes the connection for a limit; one with unread answers at once, because they hold memory. */
 	#shed(limit: proxy.LimitName): void {
 		if (this.socket.writableLength > 0) {
+			this.#reportUnanswered(`the limit ${limit} acted`);
 			this.dispose();
 		} else if (limit === 'MemoryBudget') {
 			this.close(outOfMemorySqlState, noMemoryMessage);
--- a/src/node/caller/types.ts
+++ b/src/node/caller/types.ts
@@ -74,6 +74,8 @@
 	/** The memory budget of the process; by default one of its own. */
 	readonly guard?: resourceGuard.ResourceGuard;
 	readonly maxConnections?: number;
+	/** Adds to a counter of the metrics. */
+	readonly countEvent?: (name: proxy.CounterName, amount: number) => void;
 };
 
 /** Times in ms and sizes in bytes. */
