Test that a lack of memory costs earlier requests no answer

Done: 'requests before a lack of memory are answered': the earlier request is answered, then the session ends with FATAL 53200.

--- a/src/node/caller/session-end.test.ts
+++ b/src/node/caller/session-end.test.ts
@@ -229,3 +229,20 @@
 	]);
 	t.equal(messages.findErrorField(answer, 'C'), '57P01');
 });
+
+// Guards against a message without room in memory that costs earlier requests their answers.
+tap.test('requests before a lack of memory are answered', async (t) => {
+	const guard = resourceGuard.createDefaultGuard(directDriver.monotonicClock, {
+		write: () => undefined,
+	});
+	guard.hasRoom = () => false;
+	const setup = await testing.start(t, {}, {guard});
+	const large = serialize.query(`SELECT '${'x'.repeat(100_000)}'`);
+	setup.socket.write(Buffer.concat([insert, large, insert]));
+	const request = await setup.waitRequest(1);
+	testing.startAttempt(setup, request, attempt);
+	await setup.wait(() => setup.socket.writableLength === 0);
+	testing.finish(setup, request, attempt, 'answer');
+	t.strictSame(await readErrors(setup), ['FATAL 53200']);
+	t.match(setup.readText(), /answer.*FATAL/sv);
+});
