Count requests whose final error was never sent

Callers saw: nothing, when the proxy closed their session while they left earlier answers unread; the log and the metrics were silent, as a FATAL had been written. Cause: the error waits behind the unread answers, and the connection is destroyed after 1 s, or 0.7 s when the process ends. Change: the outstanding requests are reported when the connection is closed here before all that was written has been sent. A caller that resets its connection is not reported.

--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -415,14 +415,7 @@
 						this.options.handleDrain?.(attempt);
 					}
 				},
-				handleUnanswered: (requests, reason) => {
-					this.#log.reportUnanswered(
-						id,
-						sessionSettings.member,
-						requests,
-						reason,
-					);
-				},
+				handleUnanswered: this.#createReporter(id, sessionSettings.member),
 				handleClosed: () => {
 					this.#removeSession(session);
 					dispatch({type: 'sessionClosed', now: clock.now(), session: id});
@@ -442,6 +435,15 @@
 		return session;
 	}
 
+	#createReporter(
+		id: ids.SessionId,
+		member: string,
+	): sessions.SessionHandler['handleUnanswered'] {
+		return (requests, cause) => {
+			this.#log.reportUnanswered(id, member, requests, cause);
+		};
+	}
+
 	#writeStartupResponse(socket: net.Socket, id: ids.SessionId): void {
 		socket.write(
 			Buffer.concat([
--- a/src/node/caller/session-end.test.ts
+++ b/src/node/caller/session-end.test.ts
@@ -246,3 +246,37 @@
 	t.strictSame(await readErrors(setup), ['FATAL 53200']);
 	t.match(setup.readText(), /answer.*FATAL/sv);
 });
+
+// Guards against an error that never left the process and is taken for the answer to its requests.
+tap.test('an error that cannot be sent is no answer', async (t) => {
+	for (const [isRead, expected] of [
+		[true, []],
+		[false, [1, 1]],
+	] as const) {
+		const counts: number[] = [];
+		const setup = await testing.start(
+			t,
+			{},
+			{
+				countEvent(_name, amount) {
+					counts.push(amount);
+				},
+			},
+		);
+		setup.socket.write(Buffer.concat([insert, insert]));
+		testing.startAttempt(setup, await setup.waitRequest(1), attempt);
+		setup.socket.pause();
+		const row = messages.buildDataRow('x'.repeat(100_000));
+		for (let index = 0; index < 100; index++) {
+			setup.adapter.relay(attempt, row);
+		}
+
+		const disposed = setup.adapter.dispose();
+		if (isRead) {
+			setup.socket.resume();
+		}
+
+		await disposed;
+		t.strictSame(counts, expected);
+	}
+});
--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -32,6 +32,11 @@
 type InputError = {readonly sqlState: string; readonly message: string};
 
 export type SessionHandler = {
+	/** The session is closed, and no error that answers its requests reaches the caller. */
+	readonly handleUnanswered: (
+		requests: requestLog.UnansweredRequests,
+		cause: string,
+	) => void;
 	handleRequest(
 		kind: proxy.RequestKind,
 		attributes: proxy.RequestAttributes,
@@ -39,11 +44,6 @@
 	): void;
 	handleToken(token: commonTypes.Position): void;
 	handleDrain(): void;
-	/** The session is closed without an error that answers its requests. */
-	handleUnanswered(
-		requests: requestLog.UnansweredRequests,
-		cause: string,
-	): void;
 	handleClosed(): void;
 };
 
@@ -175,6 +175,7 @@
 					`the outcome is unknown: ${message}`,
 				)
 			: messages.buildErrorResponse('FATAL', sqlState, message);
+		this.#watchError(message);
 		this.#end(error);
 	}
 
@@ -196,10 +197,27 @@
 	}
 
 	#reportUnanswered(cause: string): void {
-		this.handler.handleUnanswered(
-			{running: this.#runner.hasRequest ? 1 : 0, queued: this.#queue.length},
-			cause,
-		);
+		this.handler.handleUnanswered(this.#countOutstanding(), cause);
+	}
+
+	#countOutstanding(): requestLog.UnansweredRequests {
+		return {
+			running: this.#runner.hasRequest ? 1 : 0,
+			queued: this.#queue.length,
+		};
+	}
+
+	/** Reports the outstanding requests if the connection is closed here before their error was sent. */
+	#watchError(cause: string): void {
+		// The callback must not keep the state of the session in memory.
+		const {socket} = this;
+		const {handleUnanswered} = this.handler;
+		const requests = this.#countOutstanding();
+		socket.once('close', (hadError) => {
+			if (!hadError && !socket.writableFinished) {
+				handleUnanswered(requests, cause);
+			}
+		});
 	}
 
 	/** Closes the connection for a limit; one with unread answers at once, because they hold memory. */
