--- a/src/node/caller/caller-adapter.ts
+++ b/src/node/caller/caller-adapter.ts
@@ -4,15 +4,19 @@
 import {Buffer} from 'node:buffer';
 import * as crypto from 'node:crypto';
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import {assertNever} from '../../common/assert-never.js';
 import type * as ids from '../../common/ids.js';
 import * as position from '../../common/position.js';
+import * as refusals from '../../common/proxy/refusals.js';
 import type * as commonTypes from '../../common/types.js';
 import * as connectionLimiter from '../limits/connection-limiter.js';
 import * as resourceGuard from '../limits/resource-guard.js';
 import type * as node from '../types.js';
 import * as messages from '../wire/messages.js';
+import * as items from './items.js';
 import * as password from './password.js';
+import * as requestLog from './request-log.js';
 import * as sessions from './session.js';
 import * as settings from './settings.js';
 import * as startup from './startup.js';
@@ -32,6 +36,10 @@
 /** Interval of the check for messages and answers that take too long. */
 const timeCheckIntervalMs = 1000;
 
+/** Time in which callers are told of the end of the process and close their connections. */
+const disposeLimitMs = 700;
+const shutdownMessage = 'the proxy is shutting down; connect again';
+
 /** Reported when the daemon specifies no parameters. */
 const defaultServerParameters: Readonly<Record<string, string>> = {
 	server_version: '16.0',
@@ -76,9 +84,11 @@
 	readonly #attemptsBySession = new Map<sessions.Session, ids.AttemptId[]>();
 	readonly #guard: resourceGuard.ResourceGuard;
 	readonly #limiter: connectionLimiter.ConnectionLimiter;
+	readonly #log: requestLog.RequestLog;
 	#timeCheck: NodeJS.Timeout | undefined;
 	#lastSessionId = 0;
 	#lastRequestId = 0;
+	#isDisposed = false;
 
 	constructor(private readonly options: types.CallerOptions) {
 		this.#limits = {...types.defaultLimits, ...options.limits};
@@ -96,6 +106,10 @@
 			options.maxConnections ?? Number.POSITIVE_INFINITY,
 			this.#guard.report,
 		);
+		this.#log = new requestLog.RequestLog({
+			logger: options.logger,
+			countEvent: options.countEvent ?? (() => undefined),
+		});
 		this.#server = net.createServer((socket) => {
 			this.#accept(socket);
 		});
@@ -138,6 +152,7 @@
 
 			case 'startAttempt': {
 				if (session.runner.isRunning(effect.request)) {
+					session.runner.recordAttempt();
 					this.#attempts.set(effect.attempt, session);
 					this.#attemptsBySession.get(session)?.push(effect.attempt);
 				}
@@ -190,24 +205,53 @@
 		this.#server.close();
 	}
 
+	/** Resolves when the callers have left, or after a time in which they could have. */
 	async dispose(): Promise<void> {
 		clearInterval(this.#timeCheck);
+		this.#isDisposed = true;
+		this.#server.close();
 		for (const session of this.#sessions.values()) {
-			session.dispose();
+			session.close(refusals.adminShutdownSqlState, shutdownMessage);
 		}
 
 		for (const socket of this.#sockets) {
-			socket.destroy();
+			if (!socket.writableEnded) {
+				// A startup is incomplete.
+				refuseStartup(socket, {
+					sqlState: refusals.adminShutdownSqlState,
+					message: shutdownMessage,
+				});
+			}
 		}
 
-		if (this.#server.listening) {
-			await new Promise((resolve) => {
-				this.#server.close(resolve);
-			});
+		const abort = new AbortController();
+		const {signal} = abort;
+		const closed = Promise.all(
+			[...this.#sockets].map(
+				async (socket) =>
+					new Promise((resolve) => {
+						socket.once('close', resolve);
+					}),
+			),
+		);
+		await Promise.race([
+			timers.setTimeout(disposeLimitMs, undefined, {signal}),
+			closed,
+		]);
+		abort.abort();
+		for (const socket of this.#sockets) {
+			socket.destroy();
 		}
+
+		await closed;
 	}
 
 	#accept(socket: net.Socket): void {
+		if (this.#isDisposed) {
+			socket.destroy();
+			return;
+		}
+
 		if (!this.#limiter.add(socket)) {
 			return;
 		}
@@ -250,6 +294,10 @@
 		parameters: Readonly<Record<string, string>>,
 		remainder: Buffer,
 	): void {
+		if (this.#isDisposed) {
+			return;
+		}
+
 		const parsed = startupParameters.parseStartup(parameters, this.#parameters);
 		if (parsed.isErr()) {
 			refuseStartup(socket, parsed.error);
@@ -278,6 +326,10 @@
 		key: ids.KeyDigest | undefined,
 		remainder: Buffer,
 	): void {
+		if (this.#isDisposed) {
+			return;
+		}
+
 		this.#lastSessionId++;
 		const id = this.#lastSessionId as ids.SessionId;
 		const {
@@ -320,7 +372,7 @@
 		}
 
 		this.#writeStartupResponse(socket, id);
-		session.start(remainder, createStartupSetRequest(parametersToSet));
+		session.start(remainder, items.createStartupSetRequest(parametersToSet));
 	}
 
 	#createSession(
@@ -363,6 +415,7 @@
 						this.options.handleDrain?.(attempt);
 					}
 				},
+				handleUnanswered: this.#createReporter(id, sessionSettings.member),
 				handleClosed: () => {
 					this.#removeSession(session);
 					dispatch({type: 'sessionClosed', now: clock.now(), session: id});
@@ -375,12 +428,22 @@
 		this.#sessions.set(id, session);
 		this.#cancelKeys.set(id, crypto.randomInt(2 ** 32));
 		this.#attemptsBySession.set(session, []);
+		// By id, so that a closed session is not kept in memory until its caller has left.
 		socket.once('close', () => {
-			session.dispose();
+			this.#sessions.get(id)?.dispose();
 		});
 		return session;
 	}
 
+	#createReporter(
+		id: ids.SessionId,
+		member: string,
+	): sessions.SessionHandler['handleUnanswered'] {
+		return (requests, cause) => {
+			this.#log.reportUnanswered(id, member, requests, cause);
+		};
+	}
+
 	#writeStartupResponse(socket: net.Socket, id: ids.SessionId): void {
 		socket.write(
 			Buffer.concat([
@@ -418,28 +481,6 @@
 	}
 }
 
-function createStartupSetRequest(
-	parametersToSet: ReadonlyMap<string, string>,
-): types.WorkItem | undefined {
-	if (parametersToSet.size === 0) {
-		return undefined;
-	}
-
-	return {
-		type: 'request',
-		kind: 'sessionState',
-		payload: {
-			frames: messages.buildMessage(messages.messageTypes.query, [
-				`${startupParameters.formatSetStatements(parametersToSet)}\0`,
-			]),
-		},
-		attributes: [],
-		preventsKeyClaim: false,
-		isFlush: false,
-		isStartupSet: true,
-	};
-}
-
 function refuseStartup(
 	socket: net.Socket,
 	problem: settings.SettingProblem,
--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -14,22 +14,29 @@
 import * as messages from '../wire/messages.js';
 import * as itemRunner from './item-runner.js';
 import * as items from './items.js';
+import type * as requestLog from './request-log.js';
 import * as requestSplitter from './request-splitter.js';
 import type * as settings from './settings.js';
 import * as statements from './statements.js';
 import type * as types from './types.js';
 
-/** Time for sending a final error before the socket is destroyed. */
-const closeTimeoutMs = 1000;
+const unknownOutcomeSqlState = '08007';
 const outOfMemorySqlState = '53200';
-const noMemoryMessage = 'not run: the proxy is short of memory';
+const noMemoryMessage = 'the proxy is short of memory';
 /**
  * Response bytes buffered for a slow caller above which the server's connection pauses. A smaller
  * response frees its slot while the caller still reads it.
  */
 const maxRelayedBytes = 2 * 1024 * 1024;
 
+type InputError = {readonly sqlState: string; readonly message: string};
+
 export type SessionHandler = {
+	/** The session is closed, and no error that answers its requests reaches the caller. */
+	readonly handleUnanswered: (
+		requests: requestLog.UnansweredRequests,
+		cause: string,
+	) => void;
 	handleRequest(
 		kind: proxy.RequestKind,
 		attributes: proxy.RequestAttributes,
@@ -48,6 +55,8 @@
 	#queuedBytes = 0;
 	readonly #runner: itemRunner.ItemRunner;
 	#isRunningQueue = false;
+	/** An error of the input, which closes the session after the answers to earlier requests. */
+	#inputError: InputError | undefined;
 	#isClosed = false;
 	readonly #maxMessageBytes: number;
 	readonly #buffers: sessionBuffers.SessionBuffers;
@@ -71,16 +80,16 @@
 			handleFatal: (sqlState, message) => {
 				this.close(sqlState, message);
 			},
-			handleAbort: () => {
-				this.dispose();
+			handleAbort: (message) => {
+				this.#abort(message);
 			},
 		});
 		this.#buffers = new sessionBuffers.SessionBuffers(socket, {
 			listener: 'callers',
 			guard,
 			clock,
-			shed: () => {
-				this.dispose();
+			shed: (limit) => {
+				this.#shed(limit);
 			},
 		});
 		this.#buffers.recordStartup();
@@ -115,14 +124,8 @@
 		this.socket.on('data', (chunk: Buffer) => {
 			this.#receive(chunk);
 		});
-		this.socket.on('drain', () => {
-			this.handler.handleDrain();
-			this.#runQueue();
-			this.#updateFlowControl();
-		});
-		this.socket.on('end', () => {
-			this.#finishClose();
-		});
+		this.socket.on('drain', this.#handleDrain);
+		this.socket.on('end', this.#finishClose);
 		if (startupSetRequest) {
 			this.#queue.push(startupSetRequest);
 			this.#runQueue();
@@ -151,17 +154,29 @@
 		);
 	}
 
-	/** Writes a FATAL error and closes the connection. */
+	/**
+	 * Closes the connection after a FATAL error, which answers all requests that are outstanding. The
+	 * outcome of a request that may have run is unknown, whatever the reason of the close.
+	 */
 	close(sqlState: string, message: string): void {
 		if (this.#isClosed) {
 			return;
 		}
 
-		this.socket.end(messages.buildErrorResponse('FATAL', sqlState, message));
-		setTimeout(() => {
-			this.socket.destroy();
-		}, closeTimeoutMs).unref();
-		this.#finishClose();
+		if (!this.#runner.isAtBoundary) {
+			this.#abort(message);
+			return;
+		}
+
+		const error = this.#runner.mayHaveRun
+			? messages.buildErrorResponse(
+					'FATAL',
+					unknownOutcomeSqlState,
+					`the outcome is unknown: ${message}`,
+				)
+			: messages.buildErrorResponse('FATAL', sqlState, message);
+		this.#watchError(message);
+		this.#end(error);
 	}
 
 	/** Closes the connection when a message or an answer takes too long. */
@@ -175,37 +190,101 @@
 		this.#finishClose();
 	}
 
-	#finishClose(): void {
+	/** Closes the connection after what has been written; the caller sees a broken connection. */
+	#abort(cause: string): void {
+		this.#reportUnanswered(cause);
+		this.#end();
+	}
+
+	#reportUnanswered(cause: string): void {
+		this.handler.handleUnanswered(this.#countOutstanding(), cause);
+	}
+
+	#countOutstanding(): requestLog.UnansweredRequests {
+		return {
+			running: this.#runner.hasRequest ? 1 : 0,
+			queued: this.#queue.length,
+		};
+	}
+
+	/** Reports the outstanding requests if the connection is closed here before their error was sent. */
+	#watchError(cause: string): void {
+		// The callback must not keep the state of the session in memory.
+		const {socket} = this;
+		const {handleUnanswered} = this.handler;
+		const requests = this.#countOutstanding();
+		socket.once('close', (hadError) => {
+			if (!hadError && !socket.writableFinished) {
+				handleUnanswered(requests, cause);
+			}
+		});
+	}
+
+	/** Closes the connection for a limit; one with unread answers at once, because they hold memory. */
+	#shed(limit: proxy.LimitName): void {
+		if (this.socket.writableLength > 0) {
+			this.#reportUnanswered(`the limit ${limit} acted`);
+			this.dispose();
+		} else if (limit === 'MemoryBudget') {
+			this.close(outOfMemorySqlState, noMemoryMessage);
+		} else {
+			this.close('08P01', 'the rest of a message did not arrive in time');
+		}
+	}
+
+	#end(data?: Uint8Array): void {
+		if (data) {
+			this.socket.write(data);
+		}
+
+		this.socket.end();
+		this.#buffers.scheduleDestroy();
+		this.#finishClose();
+	}
+
+	readonly #handleDrain = (): void => {
+		this.handler.handleDrain();
+		this.#runQueue();
+		this.#updateFlowControl();
+	};
+
+	readonly #finishClose = (): void => {
 		if (this.#isClosed) {
 			return;
 		}
 
 		this.#isClosed = true;
 		this.#queue = [];
+		this.socket.off('drain', this.#handleDrain);
+		this.socket.off('end', this.#finishClose);
 		// Further input is read and discarded instead of buffered.
 		this.socket.removeAllListeners('data');
 		this.socket.resume();
 		this.#buffers.dispose();
 		this.handler.handleClosed();
 		this.#runner.clear();
-	}
+	};
 
 	#receive(chunk: Buffer): void {
+		if (this.#inputError) {
+			return;
+		}
+
 		this.#reader.push(chunk);
-		while (!this.#isClosed) {
+		while (!this.#isClosed && !this.#inputError) {
 			const frame = this.#reader.read();
 			if (frame === undefined) {
 				break;
 			}
 
 			if (typeof frame === 'string') {
-				this.close(
+				this.#stopReading(
 					frame === 'tooLarge' ? '54000' : '08P01',
 					frame === 'tooLarge'
 						? `a message exceeds the limit of ${this.#maxMessageBytes} bytes`
 						: 'invalid message length',
 				);
-				return;
+				break;
 			}
 
 			if (frame[0] === messages.messageTypes.terminate) {
@@ -222,13 +301,7 @@
 
 	#handleFrame(frame: Buffer): void {
 		if (!this.#buffers.hasRoom(frame.length)) {
-			if (this.#runner.isIdle && this.#queue.length === 0) {
-				this.close(outOfMemorySqlState, noMemoryMessage);
-			} else {
-				// The caller would take an error for the answer to an earlier request.
-				this.dispose();
-			}
-
+			this.#stopReading(outOfMemorySqlState, `not run: ${noMemoryMessage}`);
 			return;
 		}
 
@@ -238,7 +311,7 @@
 		}
 
 		if (item.type === 'problem') {
-			this.close(item.sqlState, item.message);
+			this.#stopReading(item.sqlState, item.message);
 			return;
 		}
 
@@ -246,6 +319,15 @@
 		this.#queuedBytes += items.measureItem(item);
 	}
 
+	/**
+	 * Discards the rest of the input and closes the session after the answers to earlier requests, so
+	 * that the caller does not take the error for one of them.
+	 */
+	#stopReading(sqlState: string, message: string): void {
+		this.#inputError = {sqlState, message};
+		this.#reader.clear();
+	}
+
 	/** Charges the buffers, and pauses reading while they are full. */
 	#updateFlowControl(): void {
 		if (!this.#isClosed) {
@@ -286,7 +368,7 @@
 					? {
 							type: 'refusal',
 							sqlState: outOfMemorySqlState,
-							message: noMemoryMessage,
+							message: `not run: ${noMemoryMessage}`,
 							isFlush: item.isFlush,
 						}
 					: item,
@@ -294,6 +376,15 @@
 		}
 
 		this.#isRunningQueue = false;
+		if (
+			this.#inputError &&
+			this.#runner.isIdle &&
+			this.#queue.length === 0 &&
+			!this.#isClosed
+		) {
+			this.close(this.#inputError.sqlState, this.#inputError.message);
+		}
+
 		if (this.socket.isPaused()) {
 			this.#updateFlowControl();
 		}
--- a/src/node/limits/session-buffers.ts
+++ b/src/node/limits/session-buffers.ts
@@ -5,6 +5,7 @@
 import type * as net from 'node:net';
 import type * as node from '../types.js';
 import type * as resourceGuard from './resource-guard.js';
+import type * as resourceLimits from './types.js';
 
 /** Unsent bytes above which no further request begins. */
 const fullOutputBytes = 64 * 1024;
@@ -14,8 +15,10 @@
 const answerTimeoutMs = 30_000;
 /** Time for a startup; ordinary callers send it at once. */
 const startupTimeoutMs = 10_000;
-/** Time in which a caller must take some of its last answers before the socket is destroyed. */
+/** Time in which a caller closes a connection that has ended here, before the socket is destroyed. */
 const destroyDelayMs = 1000;
+/** Time in which such a caller must take one of the last answers. */
+const lastAnswerDelayMs = 5000;
 /** Copies of a message while it is carried out: texts and frames at the entry, on the link and at the owner. */
 const runningCopies = 6;
 /** Smaller requests begin even when the budget is short. */
@@ -26,7 +29,7 @@
 	readonly guard: resourceGuard.ResourceGuard;
 	readonly clock: Pick<node.Clock, 'now'>;
 	/** Ends the connection at once. */
-	readonly shed: () => void;
+	readonly shed: (limit: resourceLimits.LimitReport['limit']) => void;
 };
 
 export type BufferSizes = {
@@ -50,6 +53,7 @@
 	/** Since when no answer has been taken, with the bytes written by then. */
 	#unsentSince: number | undefined;
 	#unsentBytes = 0;
+	#isDisposed = false;
 
 	constructor(
 		private readonly socket: net.Socket,
@@ -58,7 +62,9 @@
 		this.#openedAt = options.clock.now();
 		this.#account = options.guard.openAccount({
 			listener: options.listener,
-			shed: options.shed,
+			shed() {
+				options.shed('MemoryBudget');
+			},
 		});
 	}
 
@@ -91,7 +97,11 @@
 			sizes.isQueueFull ||
 			(this.isOutputFull && sizes.isEnding !== true) ||
 			sizes.queued > this.#shareBytes;
-		if (this.socket.destroyed || isFull === this.socket.isPaused()) {
+		if (
+			this.#isDisposed ||
+			this.socket.destroyed ||
+			isFull === this.socket.isPaused()
+		) {
 			return;
 		}
 
@@ -170,23 +180,12 @@
 
 	/** Destroys the socket unless its caller goes on taking what was written. */
 	scheduleDestroy(): void {
-		const unsent = this.socket.writableLength;
-		const timer = setTimeout(() => {
-			if (this.socket.writableLength < unsent) {
-				this.scheduleDestroy();
-			} else {
-				this.socket.destroy();
-			}
-		}, destroyDelayMs);
-		timer.unref();
-		// A pending timer would keep the state of the session in memory.
-		this.socket.once('close', () => {
-			clearTimeout(timer);
-		});
+		scheduleSocketDestroy(this.socket);
 	}
 
 	/** Ends the account; what arrives later is discarded. */
 	dispose(): void {
+		this.#isDisposed = true;
 		this.#account.close();
 		if (!this.socket.destroyed) {
 			this.socket.resume();
@@ -199,6 +198,25 @@
 
 	#end(limit: 'MessageTime' | 'AnswerTime'): void {
 		this.options.guard.report({limit, listener: this.options.listener});
-		this.options.shed();
+		this.options.shed(limit);
 	}
 }
+
+/** Holds only the socket, so that a pending timer does not keep the state of a session in memory. */
+function scheduleSocketDestroy(socket: net.Socket): void {
+	const unsent = socket.writableLength;
+	const timer = setTimeout(
+		() => {
+			if (socket.writableLength < unsent) {
+				scheduleSocketDestroy(socket);
+			} else {
+				socket.destroy();
+			}
+		},
+		unsent === 0 ? destroyDelayMs : lastAnswerDelayMs,
+	);
+	timer.unref();
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+}
