Search random plans with keys of customers and rate limits

Callers saw: requests without an answer after a withdrawal of their key. The random search did not find it, because its plans had no keys. Done: src/scenario/customers plays random plans on the fleet of production reducers with three control peers: changes of keys (the last one of a customer too) that overlap with planned stops, kills, freezes and cuts of proxies, losses of control peers and crashes of servers; callers that send a statement ahead or in the turn of an answer; a customer with a limit that is flooded in bursts. It checks that each statement that a proxy has read is answered once unless its process was killed, that no key works 4 s after its withdrawal, that "not run" is true, that no window of 5 s exceeds (rate x 5 s + burst) x 1.1 + 20, and that no limit refuses below it after the faults.

--- a/src/bench/fleet-search.ts
+++ b/src/bench/fleet-search.ts
@@ -1,10 +1,13 @@
 /**
- * Runs random scenarios on a fleet of production reducers, and random losses of control peers. Prints one JSON line per scenario that
- * violates a guarantee, and exits with code 1 if there is any.
+ * Runs random scenarios and plans with customers on a fleet of production reducers, and random losses of
+ * control peers. Prints one JSON line per seed that violates a guarantee, and exits with code 1 if there is
+ * any.
  *
  * Usage: npm run search:fleet -- [runs] [first seed]
  */
 import process from 'node:process';
+import * as customerPlan from '../scenario/customers/random-plan.js';
+import * as customerRun from '../scenario/customers/run.js';
 import * as controlGroup from '../scenario/fleet/control-group.js';
 import * as fleets from '../scenario/fleet/fleet.js';
 import * as interpreter from '../scenario/fleet/interpreter.js';
@@ -29,9 +32,12 @@
 	const problems = [true, false].flatMap((endsWithRestart) =>
 		controlGroup.runRandomLosses(seed, endsWithRestart),
 	);
-	if (failures.length > 0 || problems.length > 0) {
+	const violations = customerRun.listViolations(
+		customerRun.runPlan(customerPlan.buildPlan(seed)),
+	);
+	if (failures.length + problems.length + violations.length > 0) {
 		failed++;
-		console.log(JSON.stringify({seed, failures, problems}));
+		console.log(JSON.stringify({seed, failures, problems, violations}));
 	}
 }
 
--- /dev/null
+++ b/src/scenario/customers/checks.ts
@@ -0,0 +1,102 @@
+/**
+ * Checks what callers observed against what the servers did.
+ */
+import * as refusals from '../../common/proxy/refusals.js';
+import type * as fakeServer from '../fleet/fake-server.js';
+import * as callers from './caller.js';
+import type * as types from './types.js';
+
+/** A proxy may accept a key for this long after its withdrawal, in ms. */
+const withdrawalLimitMs = 4000;
+const windowMs = 5000;
+const overage = 0.1;
+const slack = 20;
+
+/** The bound of the rates of customers that the control peers enforce. */
+export const rateBound = {windowMs, overage, slack};
+
+/** Counts statements that ran although a proxy read them too late after the withdrawal of their key. */
+export function countLateRuns(
+	records: readonly callers.StatementRecord[],
+	servers: Iterable<fakeServer.FakeServer>,
+): number {
+	const committed = collectCommitted(servers);
+	return records.filter(
+		({withdrawnMs = 0, answer, value}) =>
+			withdrawnMs > withdrawalLimitMs &&
+			((answer?.type === 'answered' && answer.answer.type === 'ok') ||
+				(value !== undefined && committed.has(value))),
+	).length;
+}
+
+/** Counts writes, and commits of them, that were refused as not run although a server committed them. */
+export function countFalseRefusals(
+	records: readonly callers.StatementRecord[],
+	servers: Iterable<fakeServer.FakeServer>,
+): number {
+	const committed = collectCommitted(servers);
+	return records.filter(({type, value, answer, previous}) => {
+		if (answer === undefined || !callers.isNotRun(answer)) {
+			return false;
+		}
+
+		if (value !== undefined) {
+			return committed.has(value);
+		}
+
+		// Without its BEGIN, a write runs outside of a transaction.
+		return (
+			type === 'commit' &&
+			previous?.previous?.answer?.type === 'answered' &&
+			committed.has(previous.value!)
+		);
+	}).length;
+}
+
+/** Counts the windows, one from each statement, in which a customer ran more than its limit allows. */
+export function countExceededWindows(
+	{customer, ratePerS, burst}: types.CustomerSpec,
+	servers: Iterable<fakeServer.FakeServer>,
+): number {
+	if (ratePerS === undefined) {
+		return 0;
+	}
+
+	const limit = ((ratePerS * windowMs) / 1000 + burst) * (1 + overage) + slack;
+	const times = [...servers]
+		.flatMap(({executedAt, executedBy}) =>
+			executedAt.filter((_, index) => executedBy[index] === customer),
+		)
+		.sort((left, right) => left - right);
+	let count = 0;
+	let end = 0;
+	for (const [index, at] of times.entries()) {
+		while (end < times.length && times[end] < at + windowMs) {
+			end++;
+		}
+
+		count += Number(end - index > limit);
+	}
+
+	return count;
+}
+
+/** Counts refusals for a rate limit since a time from which no customer exceeds its limit. */
+export function countLimitRefusals(
+	records: readonly callers.StatementRecord[],
+	since: number,
+): number {
+	const sqlState = refusals.getRefusalSqlState('rateLimit');
+	return records.filter(
+		({sentAt, answer}) =>
+			sentAt >= since &&
+			answer?.type === 'refused' &&
+			answer.sqlState === sqlState,
+	).length;
+}
+
+function collectCommitted(
+	servers: Iterable<fakeServer.FakeServer>,
+): ReadonlySet<string> {
+	return new Set([...servers].flatMap(({committedValues}) => committedValues));
+}
--- /dev/null
+++ b/src/scenario/customers/types.ts
@@ -0,0 +1,92 @@
+/**
+ * Plans of the fleet with customers: callers with keys, changes of the configuration, faults and planned
+ * stops. Times are in ms after the fleet is ready.
+ */
+import type * as ids from '../../common/ids.js';
+
+/** A customer at the start of a plan. */
+export type CustomerSpec = {
+	readonly customer: ids.CustomerId;
+	readonly keys: readonly ids.KeyDigest[];
+	/** `undefined` without a limit. */
+	readonly ratePerS: number | undefined;
+	readonly burst: number;
+};
+
+/** How a caller sends the two statements of a turn. */
+export type Pace =
+	/** One after the other, with a pause. */
+	| 'paced'
+	/** The second one in the turn in which the first is answered. */
+	| 'atOnce'
+	/** The second one before the first is answered. */
+	| 'ahead';
+
+export type CallerSpec = {
+	readonly name: string;
+	readonly key: ids.KeyDigest;
+	readonly pace: Pace;
+	/** True when its turns are transactions. */
+	readonly usesTransactions: boolean;
+	readonly pauseMs: number;
+	/** Pause between its turns after the faults. */
+	readonly calmPauseMs: number;
+};
+
+/** `kill` and `drain` end the process, which starts again `forMs` after its end; the others end after `forMs`. */
+export type ProcessFault = {
+	readonly type: 'kill' | 'drain' | 'freeze' | 'cut';
+	readonly process: string;
+	readonly forMs: number;
+};
+
+export type PlanAction =
+	| {
+			readonly type: 'addKey' | 'withdrawKey';
+			readonly customer: ids.CustomerId;
+			readonly key: ids.KeyDigest;
+	  }
+	| ProcessFault
+	| {
+			readonly type: 'crash';
+			readonly server: string;
+			readonly forMs: number;
+	  };
+
+export type Plan = {
+	readonly seed: number;
+	readonly customers: readonly CustomerSpec[];
+	readonly callers: readonly CallerSpec[];
+	readonly actions: ReadonlyArray<{
+		readonly at: number;
+		readonly action: PlanAction;
+	}>;
+};
+
+/** A mistake that a check has to find. */
+export type Mistake =
+	/** The reducer does not answer a request whose session it has ended. */
+	| 'dropsLateRequests'
+	/** A proxy that was started again accepts every key that has ever existed. */
+	| 'keepsKeysAfterRestart';
+
+/** What the callers and the operator of a plan observed; each count but the last two must be 0. */
+export type Result = {
+	/** Statements without an answer, a refusal or the close of a killed process. */
+	readonly unanswered: number;
+	/** Statements that a process had read when it closed their connection. */
+	readonly cut: number;
+	readonly answeredTwice: number;
+	/** Statements that were accepted when their key had been withdrawn for too long. */
+	readonly lateRuns: number;
+	/** Writes that were refused as not run and that a server committed. */
+	readonly falseRefusals: number;
+	/** Windows in which a customer ran more than its limit allows. */
+	readonly exceededWindows: number;
+	/** Refusals for a rate limit while the customer stayed below it. */
+	readonly limitRefusals: number;
+	/** Changes that no control peer has accepted. */
+	readonly pendingChanges: number;
+	readonly statements: number;
+	readonly withdrawals: number;
+};
--- a/src/scenario/fleet/control-process.ts
+++ b/src/scenario/fleet/control-process.ts
@@ -25,6 +25,7 @@
 	readonly controlPeers: readonly ids.PeerId[];
 	readonly seed: number;
 	readonly wantedVoters?: number;
+	readonly rateLimits?: control.RateLimitOptions;
 	/** False for a process that joins a group which has started before. */
 	readonly mayBootstrap?: boolean;
 };
@@ -124,7 +125,7 @@
 	}
 
 	requestChange(
-		change: types.TemplateChange,
+		change: types.OperatorChange,
 		callback: (result: types.TemplateChangeResult) => void,
 	): void {
 		const operation = this.nextOperation++;
@@ -140,7 +141,13 @@
 	}
 
 	private start(): void {
-		const {peer, dataCentre, wantedVoters, mayBootstrap = true} = this.options;
+		const {
+			peer,
+			dataCentre,
+			wantedVoters,
+			rateLimits,
+			mayBootstrap = true,
+		} = this.options;
 		const {controlPeers} = this;
 		const stored = this.disk.load();
 		this.consensus = new consensus.Consensus<control.ControlCommand>({
@@ -161,6 +168,7 @@
 			log: this.consensus,
 			random: this.random,
 			...(wantedVoters === undefined ? {} : {wantedVoters}),
+			...(rateLimits ? {rateLimits} : {}),
 		});
 		this.handleEffects(this.reducer.start(this.timeline.now));
 	}
--- a/src/scenario/fleet/customer-fleet.ts
+++ b/src/scenario/fleet/customer-fleet.ts
@@ -28,7 +28,7 @@
 			stalenessMs: toleratedStalenessMs,
 		};
 		super(proxyCount, parameters, timing, (text) =>
-			buildRouteSet(JSON.parse(text) as CustomerKeys, parameters),
+			buildUnlimitedRouteSet(JSON.parse(text) as CustomerKeys, parameters),
 		);
 		this.setKeys(keys);
 		this.timeline.runUntil(this.timeline.now + settleMs);
@@ -48,16 +48,26 @@
 	}
 }
 
-function buildRouteSet(
+function buildUnlimitedRouteSet(
 	keys: CustomerKeys,
 	parameters: types.TemplateParameters,
 ): types.RouteSet {
-	const customers = Object.entries(keys).map(([name, digests]) => ({
-		customer: name as ids.CustomerId,
-		keys: new Set(digests as readonly ids.KeyDigest[]),
-		ratePerS: Infinity,
-		burst: Infinity,
-	}));
+	return buildRouteSet(
+		Object.entries(keys).map(([name, digests]) => ({
+			customer: name as ids.CustomerId,
+			keys: new Set(digests as readonly ids.KeyDigest[]),
+			ratePerS: Infinity,
+			burst: Infinity,
+		})),
+		parameters,
+	);
+}
+
+/** Builds routes with one member, which needs keys when there are customers. */
+export function buildRouteSet(
+	customers: readonly types.Customer[],
+	parameters: types.TemplateParameters,
+): types.RouteSet {
 	return {
 		members: new Map([
 			[
--- a/src/scenario/fleet/fleet-types.ts
+++ b/src/scenario/fleet/fleet-types.ts
@@ -37,13 +37,15 @@
 		statement: fakeServer.FakeStatement,
 		attributes: proxy.RequestAttributes,
 		callback: (answer: proxyProcess.CallerAnswer) => void,
+		/** Called when the proxy reads the statement. */
+		handleRead?: () => void,
 	): void;
 	drain(): void;
 };
 
 export type FleetControl = FleetProcess & {
 	requestChange(
-		change: types.TemplateChange,
+		change: types.OperatorChange,
 		callback: (result: types.TemplateChangeResult) => void,
 	): void;
 };
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -2,8 +2,11 @@
  * A complete deployment in virtual time: control peers and proxies with the production reducers,
  * one group of three fake servers, and a record of the promotions.
  */
+import type * as control from '../../common/control/types.js';
 import type * as ids from '../../common/ids.js';
 import * as policyTesting from '../../common/policy/testing.js';
+import type * as reducer from '../../common/proxy/reducer.js';
+import type * as templateStore from '../../common/proxy/template-store.js';
 import type * as types from '../../common/types.js';
 import * as controlProcess from './control-process.js';
 import * as fakeServer from './fake-server.js';
@@ -23,6 +26,13 @@
 	readonly controls: number;
 	readonly seed: number;
 	readonly parameters?: types.TemplateParameters;
+	readonly rateLimits?: control.RateLimitOptions;
+	/** Creates the parser of an instance of a proxy; without it, proxies take no configuration. */
+	readonly createConfigurationParser?: (
+		incarnation: number,
+	) => templateStore.ConfigurationParser;
+	/** Wraps the reducer of each instance of a proxy. */
+	readonly wrapReducer?: (inner: reducer.ProxyReducer) => reducer.ProxyReducer;
 };
 
 export class Fleet implements fleetTypes.ScenarioFleet {
@@ -110,6 +120,9 @@
 				dataCentre: `dc${index}` as ids.DataCentre,
 				controlPeers,
 				seed: this.options.seed * 100 + index,
+				...(this.options.rateLimits
+					? {rateLimits: this.options.rateLimits}
+					: {}),
 			},
 			this.timeline,
 			this.links,
@@ -134,23 +147,32 @@
 			this.timeline,
 			this.links,
 			this.servers,
-			(incarnation) =>
-				smallFleet.createProxyReducer({
-					peer,
-					dataCentre:
-						`dc${((index - 1) % dataCentreCount) + 1}` as ids.DataCentre,
-					incarnation,
-					controlPeers,
-					parameters:
-						this.options.parameters ?? policyTesting.buildParameters(),
-					seed:
-						this.options.seed * 1000 + index + 1_000_000 * (incarnation - 1),
-				}),
+			(incarnation) => this.createReducer(index, incarnation, controlPeers),
 		);
 		this.links.addProcess(process);
 		this.proxies.set(peer, process);
 	}
 
+	private createReducer(
+		index: number,
+		incarnation: number,
+		controlPeers: readonly ids.PeerId[],
+	): reducer.ProxyReducer {
+		const {options} = this;
+		const inner = smallFleet.createProxyReducer({
+			peer: `p${index}` as ids.PeerId,
+			dataCentre: `dc${((index - 1) % dataCentreCount) + 1}` as ids.DataCentre,
+			incarnation,
+			controlPeers,
+			parameters: options.parameters ?? policyTesting.buildParameters(),
+			seed: options.seed * 1000 + index + 1_000_000 * (incarnation - 1),
+			...(options.createConfigurationParser
+				? {parseConfiguration: options.createConfigurationParser(incarnation)}
+				: {}),
+		});
+		return options.wrapReducer?.(inner) ?? inner;
+	}
+
 	/** Announces each running server to one of the running proxies, in turn. */
 	private announceAll(): void {
 		const running = [...this.proxies.values()].filter(
--- a/src/scenario/fleet/proxy-process.ts
+++ b/src/scenario/fleet/proxy-process.ts
@@ -29,6 +29,14 @@
 type PendingCall = {
 	readonly session: ids.SessionId;
 	readonly callback: (answer: CallerAnswer) => void;
+	/** False while the call waits in the socket of a frozen process. */
+	isRead: boolean;
+};
+
+/** A call behind another one of its session. */
+type QueuedCall = {
+	readonly begin: () => void;
+	readonly callback: (answer: CallerAnswer) => void;
 };
 
 export class ProxyProcess
@@ -38,6 +46,8 @@
 	isReady = false;
 	readonly records: proxy.RequestRecord[] = [];
 	readonly logs: string[] = [];
+	/** Calls that the process had read and whose connection it closed without an answer. */
+	cutCalls = 0;
 	reducer: reducer.ProxyReducer;
 	private upstreams: fakeUpstreams.FakeUpstreams;
 	/** Counts kills and restarts, so that events of an earlier instance are discarded. */
@@ -45,6 +55,8 @@
 	private nextSession = 1;
 	private nextRequest = 1;
 	private readonly pendingCalls = new Map<ids.RequestId, PendingCall>();
+	/** The calls behind the running one, of each session that has a running call. */
+	private readonly queuedCalls = new Map<ids.SessionId, QueuedCall[]>();
 	/** Called when the proxy closes a connection; has an entry for each open session. */
 	private readonly closeHandlers = new Map<ids.SessionId, () => void>();
 
@@ -100,11 +112,16 @@
 		this.generation++;
 		this.upstreams.closeAll();
 		this.links.handleProcessExit(this.peer);
-		for (const call of this.pendingCalls.values()) {
-			call.callback({type: 'closed', sqlState: '08006'});
+		const calls = [
+			...this.pendingCalls.values(),
+			...[...this.queuedCalls.values()].flat(),
+		];
+		this.pendingCalls.clear();
+		this.queuedCalls.clear();
+		for (const {callback} of calls) {
+			callback({type: 'closed', sqlState: '08006'});
 		}
 
-		this.pendingCalls.clear();
 		const handlers = [...this.closeHandlers.values()];
 		this.closeHandlers.clear();
 		for (const handleClose of handlers) {
@@ -148,35 +165,56 @@
 
 	closeSession(session: ids.SessionId): void {
 		this.closeHandlers.delete(session);
+		this.queuedCalls.delete(session);
 		this.receive(() => {
 			this.step({type: 'sessionClosed', now: this.timeline.now, session});
 		});
 	}
 
+	/**
+	 * Sends a statement. Like the caller adapters, the process begins it when the statements before it
+	 * in its session have ended.
+	 *
+	 * @param handleRead - Called when the reducer is about to receive the statement.
+	 */
 	send(
 		session: ids.SessionId,
 		statement: fakeServer.FakeStatement,
 		attributes: proxy.RequestAttributes,
 		callback: (answer: CallerAnswer) => void,
+		handleRead: () => void = () => undefined,
 	): void {
 		if (this.condition === 'dead' || !this.closeHandlers.has(session)) {
 			callback({type: 'closed', sqlState: '08006'});
 			return;
 		}
 
-		const request = this.nextRequest++ as ids.RequestId;
-		this.pendingCalls.set(request, {session, callback});
-		this.receive(() => {
-			this.step({
-				type: 'requestArrived',
-				now: this.timeline.now,
-				session,
-				request,
-				kind: classify(statement),
-				attributes,
-				payload: {frames: fakeUpstreams.encodeStatement(statement)},
+		const begin = () => {
+			const request = this.nextRequest++ as ids.RequestId;
+			const call: PendingCall = {session, callback, isRead: false};
+			this.pendingCalls.set(request, call);
+			this.receive(() => {
+				call.isRead = true;
+				handleRead();
+				this.step({
+					type: 'requestArrived',
+					now: this.timeline.now,
+					session,
+					request,
+					kind: classify(statement),
+					attributes,
+					payload: {frames: fakeUpstreams.encodeStatement(statement)},
+				});
 			});
-		});
+		};
+
+		const queue = this.queuedCalls.get(session);
+		if (queue) {
+			queue.push({begin, callback});
+		} else {
+			this.queuedCalls.set(session, []);
+			begin();
+		}
 	}
 
 	drain(): void {
@@ -307,6 +345,7 @@
 			}
 
 			case 'drained': {
+				this.cutCalls += this.pendingCalls.size;
 				this.kill();
 				return;
 			}
@@ -326,25 +365,48 @@
 		}
 	}
 
+	/** Answers a call and begins the next one of its session, in the same turn. */
 	private answerCall(request: ids.RequestId, answer: CallerAnswer): void {
 		const call = this.pendingCalls.get(request);
+		if (!call) {
+			return;
+		}
+
 		this.pendingCalls.delete(request);
-		call?.callback(answer);
+		const next = this.queuedCalls.get(call.session)?.shift();
+		if (!next) {
+			this.queuedCalls.delete(call.session);
+		}
+
+		call.callback(answer);
+		next?.begin();
 	}
 
+	/** Refuses the calls that were not begun; a call in flight gets no answer any more. */
 	private closeCallerConnection(
 		session: ids.SessionId,
 		sqlState: string,
 	): void {
 		const handleClose = this.closeHandlers.get(session);
 		this.closeHandlers.delete(session);
+		const queued = this.queuedCalls.get(session) ?? [];
+		this.queuedCalls.delete(session);
 		for (const [request, call] of this.pendingCalls) {
 			if (call.session === session) {
 				this.pendingCalls.delete(request);
-				call.callback({type: 'closed', sqlState});
+				this.cutCalls += Number(call.isRead);
+				call.callback(
+					call.isRead
+						? {type: 'closed', sqlState}
+						: {type: 'refused', sqlState},
+				);
 			}
 		}
 
+		for (const {callback} of queued) {
+			callback({type: 'refused', sqlState});
+		}
+
 		handleClose?.();
 	}
 }
