Release the transaction of a BEGIN that its entry has given up

Callers saw, in the search: for up to 20 s every BEGIN was refused with HK006 while the owner of the primary was stopped or handed the server over. Cause: an entry that gives up a request after its deadline cancels it at the owner. When the BEGIN had ended before and its answer was lost, the cancellation found nothing to cancel, and its transaction stayed open. The owner refuses new transactions until the open ones end. A session that is closed also sends the release; giving up did not. With boundIdleLimitMs, as the platform sets it, such a transaction ends after 5 s. Change: giving up sends the release after the cancellation. Result: 'a BEGIN without an answer leaves no transaction' fails before and passes. The tests of src/common/proxy that were run (transactions, proxy, key-withdrawal, returned-requests, customers) pass.

--- a/src/common/proxy/pending-requests.ts
+++ b/src/common/proxy/pending-requests.ts
@@ -105,6 +105,11 @@
 					type: 'forwardCancel',
 					attempt: attempt.id,
 				});
+				// The attempt may have ended and left an open transaction, which its session does not know.
+				this.context.send(attempt.owner, {
+					type: 'forwardRelease',
+					session: request.session.id,
+				});
 			}
 
 			const wasBound = request.isBound;
--- a/src/common/proxy/transactions.test.ts
+++ b/src/common/proxy/transactions.test.ts
@@ -233,3 +233,23 @@
 	t.equal(fleet.proxies[1].reducer.entry.sessions.size, 0);
 	t.equal(fleet.getServer('s1').position, 0);
 });
+
+// Guards against a transaction that stays open when its entry has given up the BEGIN that opened it, and
+// that blocks a planned stop of the owner.
+tap.test('a BEGIN without an answer leaves no transaction', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	const [owner, entry] = fleet.proxies;
+	const session = fleet.openSession(1);
+	const {timeline, links} = fleet;
+	// The answer is lost, but the link is not.
+	links.cutOneWay(owner.peer, entry.peer);
+	timeline.schedule(statementStartMs, () => {
+		links.heal();
+	});
+	const answer = fleet.run(1, session, {type: 'begin'}, {deadlineMs: 100});
+	t.same(answer, {type: 'refused', sqlState: '08007'});
+	timeline.runUntil(timeline.now + 200);
+	const server = owner.reducer.owner.servers.get(fleet.getServer('s1').id)!;
+	t.equal(server.countBoundConnections(), 0);
+	t.match(fleet.run(1, session, put('1')), {type: 'answered'});
+});
