Close a simulated link for both of its ends

Seen in the search of customers: after a freeze, a proxy sent requests over a link that its peer had closed, and they arrived. The peer's answers and reports were dropped, because its own direction was down. Reads through such a proxy were refused with HK003 for seconds, since it did not subscribe to reports again. Cause: the idle timeout closed only the direction of the end that noticed it. On TCP the other end learns of the close. Change: the timeout closes both directions; a frozen process is told at its thaw. The tests of src/scenario (random-plan, guarantees, control-group, customers) and of src/common/proxy (key-withdrawal, proxy, transactions) pass.

--- a/src/scenario/fleet/links.ts
+++ b/src/scenario/fleet/links.ts
@@ -136,7 +136,7 @@
 				this.processes.get(to)?.condition !== 'up';
 			link.idleSince = isIdle ? (link.idleSince ?? now) : undefined;
 			if (isIdle && now - link.idleSince! >= idleTimeoutMs) {
-				this.setDown(from, to, link);
+				this.close(from, to);
 			}
 		}
 	}
@@ -171,6 +171,19 @@
 		}
 	}
 
+	/** Closes a link for both ends; a frozen process is told at its thaw. */
+	private close(from: ids.PeerId, to: ids.PeerId): void {
+		for (const [near, far] of [
+			[from, to],
+			[to, from],
+		]) {
+			const link = this.links.get(`${near}>${far}`);
+			if (link) {
+				this.setDown(near, far, link);
+			}
+		}
+	}
+
 	private setDown(from: ids.PeerId, to: ids.PeerId, link: Link): void {
 		if (link.isUp) {
 			link.isUp = false;
