--- a/src/scenario/customers/checks.ts
+++ b/src/scenario/customers/checks.ts
@@ -1,7 +1,6 @@
 /**
  * Checks what callers observed against what the servers did.
  */
-import * as refusals from '../../common/proxy/refusals.js';
 import type * as fakeServer from '../fleet/fake-server.js';
 import * as callers from './caller.js';
 import type * as types from './types.js';
@@ -81,17 +80,20 @@
 	return count;
 }
 
-/** Counts refusals for a rate limit since a time from which no customer exceeds its limit. */
-export function countLimitRefusals(
+/**
+ * Counts refusals of callers with a key in force since a time from which all processes work and no
+ * customer exceeds its limit.
+ */
+export function countCalmRefusals(
 	records: readonly callers.StatementRecord[],
 	since: number,
 ): number {
-	const sqlState = refusals.getRefusalSqlState('rateLimit');
 	return records.filter(
-		({sentAt, answer}) =>
+		({sentAt, withdrawnMs, answer}) =>
 			sentAt >= since &&
-			answer?.type === 'refused' &&
-			answer.sqlState === sqlState,
+			withdrawnMs === 0 &&
+			answer !== undefined &&
+			callers.isNotRun(answer),
 	).length;
 }
 
--- a/src/scenario/customers/run.ts
+++ b/src/scenario/customers/run.ts
@@ -85,7 +85,7 @@
 				(sum, spec) => sum + checks.countExceededWindows(spec, servers),
 				0,
 			),
-			limitRefusals: checks.countLimitRefusals(
+			calmRefusals: checks.countCalmRefusals(
 				records,
 				this.startedAt + randomPlan.faultsEndMs + recoveryMs,
 			),
@@ -137,7 +137,7 @@
 			case 'drain':
 			case 'freeze':
 			case 'cut': {
-				this.disturb(action);
+				this.runFault(action);
 			}
 		}
 	}
@@ -153,17 +153,17 @@
 		}
 	}
 
-	/** Disturbs a process, unless it is disturbed already or another control peer is. */
-	private disturb({type, process, forMs}: types.ProcessFault): void {
+	/** Runs the fault, unless the process has one already or another control peer has. */
+	private runFault({type, process, forMs}: types.ProcessFault): void {
 		const {proxies, controls, timeline} = this.fleet;
 		const target: fleetTypes.FleetProcess =
 			proxies.get(process) ?? controls.get(process)!;
 		const isControl = controls.has(process);
-		const disturbed = isControl ? [...controls.values()] : [target];
+		const candidates = isControl ? [...controls.values()] : [target];
 		const isControlCut =
 			this.cutProcess !== undefined && controls.has(this.cutProcess);
 		if (
-			disturbed.some(({condition}) => condition !== 'up') ||
+			candidates.some(({condition}) => condition !== 'up') ||
 			(isControl && isControlCut)
 		) {
 			return;
--- a/src/scenario/customers/types.ts
+++ b/src/scenario/customers/types.ts
@@ -70,7 +70,7 @@
 	/** A proxy that was started again accepts every key that has ever existed. */
 	| 'keepsKeysAfterRestart';
 
-/** What the callers and the operator of a plan observed; each count but the last two must be 0. */
+/** What the callers and the operator of a plan observed; all counts but the last two must be 0. */
 export type Result = {
 	/** Statements without an answer, a refusal or the close of a killed process. */
 	readonly unanswered: number;
@@ -83,8 +83,8 @@
 	readonly falseRefusals: number;
 	/** Windows in which a customer ran more than its limit allows. */
 	readonly exceededWindows: number;
-	/** Refusals for a rate limit while the customer stayed below it. */
-	readonly limitRefusals: number;
+	/** Refusals of callers with a key in force, below the limit of their customer, after the faults. */
+	readonly calmRefusals: number;
 	/** Changes that no control peer has accepted. */
 	readonly pendingChanges: number;
 	readonly statements: number;
