Read the settings again on SIGHUP instead of ending

Callers saw: a SIGHUP to a proxy or control peer ended the process at once, with its sessions and requests in flight. Cause: the commands handled SIGTERM and SIGINT only; the default action of SIGHUP ends a process. Change: SIGHUP reads the settings file again with the watcher of settings and applies changed control peers; it is handled before the daemon starts, so that an early one does not end it either. A change of control peers by SIGHUP was not run with these daemons; the platform's processes apply it the same way.

--- a/src/cli/daemon-commands.ts
+++ b/src/cli/daemon-commands.ts
@@ -1,8 +1,11 @@
 /**
  * `proxy` and `control`: run a daemon in the foreground until it is drained. SIGTERM and SIGINT
- * start the drain; a second signal ends the process at once.
+ * start the drain; a second signal ends the process at once. SIGHUP reads the settings again.
  */
+import * as fs from 'node:fs';
 import process from 'node:process';
+import * as logger from '../node/logging/logger.js';
+import * as settingsWatcher from '../node/settings/settings-watcher.js';
 import * as settings from '../node/settings/settings.js';
 import type * as settingsTypes from '../node/settings/types.js';
 import * as base from './base-command.js';
@@ -38,10 +41,27 @@
 			);
 		}
 
-		const start = await daemons.loadDaemon(role);
-		const daemon = await start(loaded.value);
-		const code = await waitForExit(daemon);
-		return code === 0 ? exits.exitCodes.done : exits.exitCodes.failed;
+		// Without a handler, SIGHUP would end the process, also while it starts.
+		let reload: (() => void) | undefined;
+		const handleReload = () => {
+			reload?.();
+		};
+
+		process.on('SIGHUP', handleReload);
+		try {
+			const text = fs.readFileSync(file, 'utf8');
+			const start = await daemons.loadDaemon(role);
+			const daemon = await start(loaded.value);
+			const watcher = createWatcher(file, text, loaded.value, daemon);
+			reload = () => {
+				watcher.check('signal');
+			};
+
+			const code = await waitForExit(daemon);
+			return code === 0 ? exits.exitCodes.done : exits.exitCodes.failed;
+		} finally {
+			process.off('SIGHUP', handleReload);
+		}
 	}
 }
 
@@ -69,6 +89,33 @@
 	}
 }
 
+/** Applies the control peers of changed settings; the other settings need a restart. */
+function createWatcher(
+	file: string,
+	text: string,
+	{log}: settingsTypes.Settings,
+	daemon: daemons.RunningDaemon,
+): settingsWatcher.SettingsWatcher<settingsTypes.Settings> {
+	return new settingsWatcher.SettingsWatcher(text, {
+		file,
+		logger: logger.createLogger(log),
+		parse: (changed) =>
+			settings
+				.parseSettings(changed, file)
+				.mapErr((problems) =>
+					problems.map((problem) => settings.formatProblem(problem)).join('; '),
+				),
+		apply({control}) {
+			daemon.setControlPeers(
+				control.peers.map(({id, address}) => ({peer: id, address})),
+			);
+			return {
+				controlPeers: control.peers.map(({address}) => address).join(','),
+			};
+		},
+	});
+}
+
 /** Starts the drain on the first signal; resolves with the exit code of the daemon. */
 async function waitForExit(daemon: daemons.RunningDaemon): Promise<number> {
 	let isDraining = false;
--- a/src/cli/daemons.ts
+++ b/src/cli/daemons.ts
@@ -2,6 +2,7 @@
  * The interface between the command line and the daemons in `src/daemon/`, and the loader of their
  * modules.
  */
+import type * as types from '../common/types.js';
 import type * as settings from '../node/settings/types.js';
 import * as exits from './exit-codes.js';
 
@@ -10,6 +11,8 @@
 	readonly finished: Promise<number>;
 	/** Starts the drain; further calls have no effect. */
 	startDrain(): void;
+	/** Applies the control peers of changed settings. */
+	setControlPeers(controlPeers: readonly types.PeerAddress[]): void;
 };
 
 /** Opens the listeners and files of the settings; rejects when one of them cannot be opened. */
--- a/src/daemon/process.test.ts
+++ b/src/daemon/process.test.ts
@@ -452,6 +452,23 @@
 	await waitForDaemons(proxies);
 });
 
+// Guards against a process that a request to read its settings again ends.
+tap.test('SIGHUP keeps a daemon and its sessions', async (t) => {
+	const client = await openSession('proxy-1');
+	for (const name of ['proxy-1', 'control-1']) {
+		cluster.signal(name, 'SIGHUP');
+		await waitFor(`the reload of ${name}`, waitTimeoutMs, async () =>
+			fs
+				.readFileSync(`${cluster.folder}/${name}.log`, 'utf8')
+				.includes('The settings have not changed'),
+		);
+		t.ok(await cluster.isReady(name));
+	}
+
+	await client.query('SELECT id FROM notes');
+	await client.end();
+});
+
 // Guards against a template change that is applied twice when it is sent again.
 tap.test('a template change that is sent again is applied once', async (t) => {
 	const version = await fetchVersion('proxy-1');
