End a busy session at a planned stop

Callers saw: a planned stop of a proxy whose callers always have a request in flight never ended; it was killed after its grace period with their requests. Cause: a drain ends sessions on a tick, when they have no request. A caller that sends ahead of its answers has one at every tick, also after the drain deadline. Change: once a drain ends sessions, the next request of a session outside of a transaction is refused with HK005 and the session ends with 57P01; after the drain deadline, also one in a transaction.

--- a/src/common/proxy/drain.ts
+++ b/src/common/proxy/drain.ts
@@ -55,6 +55,7 @@
 		this.removeUnleasedServers();
 		const elapsed = this.context.now - this.startedAt;
 		const isPastDeadline = elapsed >= this.context.config.drainDeadlineMs;
+		this.entry.closingSessions = isPastDeadline ? 'all' : 'unbound';
 		this.entry.closeIdleSessions(isPastDeadline);
 		const hasSessions = this.entry.sessions.size > 0;
 		// When all proxies drain together, no other proxy can take over the servers.
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -35,10 +35,14 @@
 	};
 };
 
+const shutdownMessage = 'the proxy is shutting down; connect again';
+
 export class Entry {
 	readonly sessions = new Map<ids.SessionId, entryState.Session>();
 	readonly pendingRequests: pendingRequests.PendingRequests;
 	readonly rateLimiter: rateLimiter.RateLimiter;
+	/** Sessions that a drain ends once they are idle; a busy one ends with its next request. */
+	closingSessions: 'none' | 'unbound' | 'all' = 'none';
 	private readonly admission: sessionAdmission.SessionAdmission;
 	private readonly table: requestTable.RequestTable;
 	private readonly replies: entryReplies.EntryReplies;
@@ -211,7 +215,8 @@
 			return;
 		}
 
-		const problem = this.access.updateCustomer(session);
+		const problem =
+			this.checkClosing(session) ?? this.access.updateCustomer(session);
 		if (problem) {
 			this.refuseCaller(request, problem);
 			return;
@@ -425,7 +430,7 @@
 				this.replies.closeSession(
 					session,
 					refusals.adminShutdownSqlState,
-					'the proxy is shutting down; connect again',
+					shutdownMessage,
 				);
 			}
 		}
@@ -443,9 +448,19 @@
 		return session.parameters;
 	}
 
+	/** Returns why a draining proxy takes no more requests of a session that was busy until now. */
+	private checkClosing(
+		session: entryState.Session,
+	): callerAccess.AccessProblem | undefined {
+		const isOpen =
+			this.closingSessions === 'none' ||
+			(this.closingSessions === 'unbound' && session.binding);
+		return isOpen ? undefined : {reason: 'draining', message: shutdownMessage};
+	}
+
 	/**
-	 * Refuses a request whose caller may not send it and rolls back its transaction. An unknown key also
-	 * ends the session.
+	 * Refuses a request whose caller may not send it and rolls back its transaction. An unknown key and
+	 * a drain also end the session.
 	 */
 	private refuseCaller(
 		request: entryState.EntryRequest,
@@ -455,7 +470,7 @@
 		const wasBound = session.binding !== undefined;
 		this.releaseBinding(session);
 		this.replies.refuse(request, reason, message);
-		if (reason !== 'unknownKey') {
+		if (reason !== 'unknownKey' && reason !== 'draining') {
 			if (wasBound) {
 				this.replies.endLostSession(session);
 			}
@@ -465,7 +480,9 @@
 
 		this.replies.closeSession(
 			session,
-			refusals.getRefusalSqlState(reason),
+			reason === 'draining'
+				? refusals.adminShutdownSqlState
+				: refusals.getRefusalSqlState(reason),
 			message,
 		);
 	}
