Soak: customers whose keys are rotated and withdrawn

The soak had no keys. Change: an operator rotates and withdraws the keys of a customer with the commands of ctl during the run; callers keep sessions with valid and withdrawn keys. A request that is sent more than 5 s after a withdrawal has succeeded must not be answered; around planned work alone, a key that was added 2 s ago must not be refused with 28P01.

--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -12,6 +12,10 @@
 const calmMs = 4000;
 /** Time after a fault in which it may still cut requests. */
 const calmBeforeMs = 6000;
+/** No proxy accepts a key longer after the command that withdrew it. */
+const withdrawalLimitMs = 5000;
+/** Time in which every proxy that serves callers knows a new key. */
+const keyPropagationMs = 2000;
 /** The grace period, with the time that a busy process takes to close everything. */
 const maxPlannedStopMs = fleets.drainDeadlineMs + 2000;
 /** Far above what the daemons need for the load of a soak. */
@@ -99,20 +103,17 @@
 	faults: readonly types.TimeSpan[],
 	requests: readonly types.BrokenRequest[],
 ): types.Violation[] {
-	const isCalm = (at: number, endAt: number) =>
-		faults.every(
-			(fault) => fault.endAt + calmBeforeMs < at || fault.at > endAt,
-		);
 	return [
 		...requests
-			.filter(({endedAt}) => isCalm(endedAt, endedAt))
+			.filter(({endedAt}) => isCalm(faults, endedAt, endedAt))
 			.map(({proxy, sentAt, endedAt}) => ({
 				promise: 'requestUnanswered' as const,
 				detail: `at ${proxy}, sent ${new Date(sentAt).toISOString()}, ended ${endedAt - sentAt} ms later`,
 			})),
 		...stops
 			.filter(
-				({at, endAt}) => isCalm(at, endAt) && endAt - at > maxPlannedStopMs,
+				({at, endAt}) =>
+					isCalm(faults, at, endAt) && endAt - at > maxPlannedStopMs,
 			)
 			.map(({proxy, at, endAt}) => ({
 				promise: 'stopTooLong' as const,
@@ -121,6 +122,38 @@
 	];
 }
 
+/**
+ * Finds requests that a withdrawn key was accepted for after the bound, and refusals of a valid key
+ * around planned work alone.
+ */
+export function checkKeys(
+	uses: readonly types.KeyUse[],
+	faults: readonly types.TimeSpan[],
+): types.Violation[] {
+	return uses.flatMap(
+		({key, proxy, sentAt, endedAt, outcome}): types.Violation[] => {
+			const {addedAt, withdrawalStartedAt, withdrawnAt} = key;
+			const detail = `at ${proxy}, ${new Date(sentAt).toISOString()}, added ${sentAt - addedAt} ms before`;
+			if (
+				outcome === 'answered' &&
+				withdrawnAt !== undefined &&
+				sentAt > withdrawnAt + withdrawalLimitMs
+			) {
+				const promise = 'withdrawnKeyAccepted' as const;
+				const lateMs = sentAt - withdrawnAt;
+				return [{promise, detail: `${detail}, withdrawn ${lateMs} ms before`}];
+			}
+
+			const isValid =
+				addedAt + keyPropagationMs < sentAt &&
+				(withdrawalStartedAt === undefined || endedAt < withdrawalStartedAt);
+			return outcome === '28P01' && isValid && isCalm(faults, sentAt, endedAt)
+				? [{promise: 'validKeyRefused' as const, detail}]
+				: [];
+		},
+	);
+}
+
 /** Checks that no process ended by itself or took too much memory. */
 export function checkProcesses(fleet: fleets.SoakFleet): types.Violation[] {
 	const ends = fleet.unexpectedEnds.map((detail) => ({
@@ -149,6 +182,16 @@
 	};
 }
 
+function isCalm(
+	faults: readonly types.TimeSpan[],
+	at: number,
+	endAt: number,
+): boolean {
+	return faults.every(
+		(fault) => fault.endAt + calmBeforeMs < at || fault.at > endAt,
+	);
+}
+
 function buildViolation(
 	promise: types.Violation['promise'],
 	id: number,
--- a/src/soak/fleet.ts
+++ b/src/soak/fleet.ts
@@ -14,7 +14,7 @@
 
 export const member = 'sanna';
 export const group = 'ledger';
-const templateFile = 'samples/kalahari/templates/bloom-member.ini';
+export const templateFile = 'samples/kalahari/templates/bloom-member.ini';
 const controls = 3;
 const servers = 3;
 const startTimeoutMs = 30_000;
@@ -76,6 +76,13 @@
 		return this.#cluster.folder;
 	}
 
+	/** The addresses of all proxies for the commands of operators. */
+	get httpAddresses(): string[] {
+		return this.proxies.map(
+			(proxy) => `127.0.0.1:${this.#cluster.ports.get(proxy)!.http}`,
+		);
+	}
+
 	/** The port at which callers reach a proxy. */
 	getCallerPort(proxy: string): number {
 		return this.#relays.get(proxy)!.port;
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -3,7 +3,7 @@
  * was not kept; the logs of that run are kept.
  *
  * Usage: npm run soak -- [--seed S] [--minutes M] [--runs N] [--proxies P] [--callers C]
- * [--senders D]
+ * [--senders D] [--keyed K]
  */
 import process from 'node:process';
 import * as util from 'node:util';
@@ -17,6 +17,7 @@
 		proxies: {type: 'string', default: '5'},
 		callers: {type: 'string', default: '20'},
 		senders: {type: 'string', default: '6'},
+		keyed: {type: 'string', default: '4'},
 	},
 });
 
@@ -42,6 +43,7 @@
 		proxies: readNumber('proxies', 2),
 		callers: readNumber('callers', 1),
 		senders: readNumber('senders', 0),
+		keyedCallers: readNumber('keyed', 0),
 	});
 	failed += report.violations.length > 0 ? 1 : 0;
 	console.log(JSON.stringify(report));
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -7,6 +7,7 @@
 import * as callers from './callers.js';
 import * as checks from './checks.js';
 import * as fleets from './fleet.js';
+import * as keys from './keys.js';
 import * as plan from './plan.js';
 import * as senders from './senders.js';
 import type * as types from './types.js';
@@ -30,7 +31,9 @@
 	let violations: types.Violation[] = [];
 	try {
 		await runStatement(fleet, 'CREATE TABLE events (id int, body text)');
-		const faults = await runLoad(options, fleet, record);
+		const operator = new keys.KeyOperator(options.seed, fleet);
+		await operator.start();
+		const faults = await runLoad(options, fleet, record, operator);
 		violations = [
 			...record.violations,
 			...(await checkStoredWrites(fleet, record)),
@@ -44,6 +47,7 @@
 				faults,
 				record.unansweredRequests,
 			),
+			...checks.checkKeys(operator.uses, faults),
 			...checks.checkProcesses(fleet),
 		];
 		return {
@@ -52,6 +56,9 @@
 			writes: checks.countOutcomes(record),
 			reads: record.reads,
 			sent: record.sent,
+			keys: operator.keys.length,
+			keyedRequests: operator.uses.filter(({outcome}) => outcome === 'answered')
+				.length,
 			longestStopMs: Math.max(
 				0,
 				...fleet.plannedStops.map(({at, endAt}) => endAt - at),
@@ -72,12 +79,19 @@
 		durationMs,
 		callers: callerCount,
 		senders: senderCount,
+		keyedCallers: keyedCallerCount,
 	}: types.SoakOptions,
 	fleet: fleets.SoakFleet,
 	record: callers.CallerRecord,
+	operator: keys.KeyOperator,
 ): Promise<types.TimeSpan[]> {
 	const times: types.TimeSpan[] = [];
 	const all = [
+		operator,
+		...Array.from(
+			{length: keyedCallerCount},
+			(_, index) => new keys.KeyedCaller(seed * 1000 + 700 + index, operator),
+		),
 		...Array.from(
 			{length: callerCount},
 			(_, index) => new callers.Caller(seed * 1000 + index, fleet, record),
--- a/src/soak/soak.test.ts
+++ b/src/soak/soak.test.ts
@@ -66,6 +66,32 @@
 	t.same(list([{at: 20_000, endAt: 21_000}]), ['requestUnanswered']);
 });
 
+// Guards against a withdrawn key that is accepted, or a valid one that is refused, without a finding.
+tap.test('wrong decisions about keys are found', async (t) => {
+	const key = {text: 'k', addedAt: 1000, withdrawalStartedAt: 10_000};
+	const withdrawn = {...key, withdrawnAt: 11_000};
+	const list = (
+		use: {key: types.CustomerKey; sentAt: number; outcome: string},
+		faults: ReadonlyArray<{at: number; endAt: number}> = [],
+	) =>
+		checks
+			.checkKeys(
+				[{...use, proxy: 'proxy-1', endedAt: use.sentAt + 100}],
+				faults,
+			)
+			.map(({promise}) => promise as string);
+	const late = {key: withdrawn, sentAt: 16_001, outcome: 'answered'};
+	t.same(list(late, [{at: 0, endAt: 20_000}]), ['withdrawnKeyAccepted']);
+	t.same(list({...late, sentAt: 15_999}), []);
+	t.same(list({...late, key}), []);
+	const early = {key, sentAt: 5000, outcome: '28P01'};
+	t.same(list(early), ['validKeyRefused']);
+	t.same(list(early, [{at: 0, endAt: 1}]), []);
+	t.same(list({...early, sentAt: 2500}), []);
+	t.same(list({...early, sentAt: 9950}), []);
+	t.same(list({...early, outcome: 'HK006'}), []);
+});
+
 // Guards against plans that affect more than the system promises to bear, and that can't be repeated.
 tap.test('a plan affects one control peer and one server', async (t) => {
 	const names = {
@@ -96,6 +122,7 @@
 		proxies: 4,
 		callers: 8,
 		senders: 3,
+		keyedCallers: 2,
 	});
 	t.same(report.violations, []);
 	t.ok(report.faults > 0);
--- a/src/soak/types.ts
+++ b/src/soak/types.ts
@@ -69,6 +69,26 @@
 	readonly endedAt: number;
 };
 
+/** A key of a customer; times are wall clock in ms. */
+export type CustomerKey = {
+	readonly text: string;
+	/** When the command that added it had succeeded. */
+	readonly addedAt: number;
+	withdrawalStartedAt?: number;
+	/** When the command that withdrew it had succeeded. */
+	withdrawnAt?: number;
+};
+
+/** A request or the beginning of a session with a key; times are wall clock in ms. */
+export type KeyUse = {
+	readonly key: CustomerKey;
+	readonly proxy: string;
+	readonly sentAt: number;
+	readonly endedAt: number;
+	/** `answered`, an SQLSTATE or the text of another error. */
+	readonly outcome: string;
+};
+
 /** Wall clock, in ms. */
 export type TimeSpan = {readonly at: number; readonly endAt: number};
 
@@ -84,6 +104,8 @@
 		| 'requestCutByStop'
 		| 'requestUnanswered'
 		| 'stopTooLong'
+		| 'withdrawnKeyAccepted'
+		| 'validKeyRefused'
 		| 'processEnded'
 		| 'memoryExceeded'
 		| 'notRecovered';
@@ -98,6 +120,8 @@
 	readonly callers: number;
 	/** Callers without pauses. */
 	readonly senders: number;
+	/** Callers with keys of a customer. */
+	readonly keyedCallers: number;
 };
 
 export type SoakReport = {
@@ -107,6 +131,9 @@
 	readonly reads: number;
 	/** Requests of callers without pauses. */
 	readonly sent: number;
+	/** Keys that were created, and answered requests with them. */
+	readonly keys: number;
+	readonly keyedRequests: number;
 	/** The longest planned stop of a proxy, in ms. */
 	readonly longestStopMs: number;
 	/** Largest peak of the resident memory of a daemon, in MB. */
