End the processes of a soak that a signal ends

A soak that was ended by a signal left its daemons and stand-ins running: 11 processes of a run that was ended by its id. They are ended when the process exits, which a signal without a handler does not announce. Seen by reading and in that run; no test.

--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -33,6 +33,13 @@
 	return number;
 }
 
+// The processes of a run end with this one, but not when a signal ends it.
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	process.once(signal, () => {
+		process.exit(1);
+	});
+}
+
 const firstSeed = readNumber('seed', 0);
 const runs = readNumber('runs', 1);
 let failed = 0;
