Let a drained process end while an operator's change is pending

Callers saw: a proxy with a pending change of a template at its planned stop stayed for up to 10 s after its drain was complete, and was started again that much later. Cause: the timer of the operation keeps the process alive after the listener has closed its connections; the commands set an exit code and wait for the end. The new test of server.test.ts fails before the change: one timer is left. Change: the timer does not keep the process alive.

--- a/src/node/http/server.test.ts
+++ b/src/node/http/server.test.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import tap, {type Test} from 'tap';
 import type * as ids from '../../common/ids.js';
 import {Metrics} from '../../common/metrics/metrics.js';
@@ -134,6 +135,33 @@
 	await t.rejects(fetchJson(`${url}/health`));
 });
 
+function countTimeouts(): number {
+	return process
+		.getActiveResourcesInfo()
+		.filter((resource) => resource === 'Timeout').length;
+}
+
+// Guards against a process that waits for a pending change after it has drained.
+tap.test('a pending change does not keep a stopped process', async (t) => {
+	const before = countTimeouts();
+	let begin: (() => void) | undefined;
+	const begun = new Promise<void>((resolve) => {
+		begin = resolve;
+	});
+	const {url, server} = await startDisposableServer(t, {
+		async requestTemplateChange() {
+			begin?.();
+			return neverSettled;
+		},
+	});
+	const path = `${url}/templates/${member}`;
+	const answer = t.rejects(fetchJson(path, {method: 'PUT', body: change}));
+	await begun;
+	await server.dispose();
+	await answer;
+	t.equal(countTimeouts(), before);
+});
+
 // Guards against invalid announcements that reach the directory, and against a control daemon that
 // accepts announcements.
 tap.test('proxies accept valid announcements only', async (t) => {
--- a/src/node/http/server.ts
+++ b/src/node/http/server.ts
@@ -119,6 +119,8 @@
 			timer = setTimeout(() => {
 				resolve(buildTimeoutResponse(method));
 			}, this.operationTimeoutMs);
+			// Once all connections are closed, nobody waits for the response.
+			timer.unref();
 		});
 		try {
 			return await Promise.race([handler(request, this.guard), timeout]);
