Soak: report the longest stall, rotate keys faster

A run on a busy machine is judged by the time for which a daemon did not run, as the daemons log it; without a freeze in the plan it comes from the machine. Keys are rotated and withdrawn every 0.3 to 1.5 s instead of 1 to 4 s.

--- a/src/soak/fleet.ts
+++ b/src/soak/fleet.ts
@@ -4,6 +4,7 @@
  */
 import type * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
+import * as path from 'node:path';
 import process from 'node:process';
 import * as timers from 'node:timers/promises';
 import * as pg from 'pg';
@@ -132,6 +133,18 @@
 		}
 	}
 
+	/** Returns the longest time in ms for which a daemon did not run, as the daemons log it. */
+	readLongestStallMs(): number {
+		const stalls = fs
+			.readdirSync(this.folder)
+			.filter((name) => name.endsWith('.log'))
+			.flatMap((name) => {
+				const log = fs.readFileSync(path.join(this.folder, name), 'utf8');
+				return [...log.matchAll(/The process did not run for (\d+) ms/gv)];
+			});
+		return Math.max(0, ...stalls.map(([, ms]) => Number(ms)));
+	}
+
 	/** Ends all processes; removes their logs unless they are kept. */
 	async dispose(keepsLogs: boolean): Promise<void> {
 		for (const child of this.#cluster.children.values()) {
--- a/src/soak/keys.ts
+++ b/src/soak/keys.ts
@@ -17,8 +17,8 @@
 const maxPauseMs = 50;
 const errorPauseMs = 100;
 const timeoutMs = 10_000;
-const minRotationMs = 1000;
-const maxRotationMs = 4000;
+const minRotationMs = 300;
+const maxRotationMs = 1500;
 const shownDigestLength = 12;
 /** Callers try this many of the newest keys; all but one or two of them are withdrawn. */
 const triedKeys = 4;
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -63,6 +63,7 @@
 				0,
 				...fleet.plannedStops.map(({at, endAt}) => endAt - at),
 			),
+			longestStallMs: fleet.readLongestStallMs(),
 			peakMemoryMb: fleet.peakMemoryMb,
 			violations,
 			logs: violations.length > 0 ? fleet.folder : undefined,
--- a/src/soak/types.ts
+++ b/src/soak/types.ts
@@ -136,6 +136,11 @@
 	readonly keyedRequests: number;
 	/** The longest planned stop of a proxy, in ms. */
 	readonly longestStopMs: number;
+	/**
+	 * The longest time in ms for which a daemon did not run; without a freeze in the plan, it shows how
+	 * busy the machine was.
+	 */
+	readonly longestStallMs: number;
 	/** Largest peak of the resident memory of a daemon, in MB. */
 	readonly peakMemoryMb: number;
 	readonly violations: readonly Violation[];
