--- a/src/soak/fleet.ts
+++ b/src/soak/fleet.ts
@@ -54,6 +54,7 @@
 	readonly #ending = new Set<childProcess.ChildProcess>();
 	/** The last fault of each process; the next one waits for it. */
 	readonly #lastFaults = new Map<string, Promise<void>>();
+	#handleExit: (() => void) | undefined;
 
 	private constructor(
 		private readonly quickstart: Awaited<
@@ -156,6 +157,10 @@
 				this.#cluster.kill(name),
 			),
 		);
+		if (this.#handleExit) {
+			process.off('exit', this.#handleExit);
+		}
+
 		for (const relay of this.#relays.values()) {
 			relay.dispose();
 		}
@@ -221,11 +226,13 @@
 	}
 
 	async #start(): Promise<void> {
-		process.once('exit', () => {
+		this.#handleExit = () => {
 			for (const child of this.#cluster.children.values()) {
 				child.kill('SIGKILL');
 			}
-		});
+		};
+
+		process.once('exit', this.#handleExit);
 		await this.#cluster.start();
 		for (const proxy of this.proxies) {
 			const {callers} = this.#cluster.ports.get(proxy)!;
