--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -3,13 +3,21 @@
  * processes did.
  */
 import type * as callers from './callers.js';
-import type * as fleets from './fleet.js';
+import * as fleets from './fleet.js';
 import type * as types from './types.js';
 
 /** A request sent this long before a planned stop has reached the proxy by then. */
 const transitMs = 500;
 /** Time before and after a planned stop in which no other fault may excuse a cut request. */
 const calmMs = 4000;
+/** Time after a fault in which it may still cut requests. */
+const calmBeforeMs = 6000;
+/** No proxy accepts a key longer after the command that withdrew it. */
+const withdrawalLimitMs = 5000;
+/** Time in which every proxy that serves callers knows a new key. */
+const keyPropagationMs = 2000;
+/** The grace period, with the time that a busy process takes to close everything. */
+const maxPlannedStopMs = fleets.drainDeadlineMs + 2000;
 /** Far above what the daemons need for the load of a soak. */
 const memoryLimitMb = 512;
 
@@ -60,8 +68,8 @@
  * because the other fault may have cut the request.
  */
 export function checkPlannedStops(
-	stops: readonly fleets.PlannedStop[],
-	faults: ReadonlyArray<{readonly at: number; readonly endAt: number}>,
+	stops: ReadonlyArray<Omit<fleets.PlannedStop, 'endAt'>>,
+	faults: readonly types.TimeSpan[],
 	requests: readonly types.BrokenRequest[],
 ): types.Violation[] {
 	return stops.flatMap(({proxy, at}) => {
@@ -86,6 +94,66 @@
 	});
 }
 
+/**
+ * Finds requests that got neither an answer nor a refusal, and stops that exceeded their grace period,
+ * around planned work alone.
+ */
+export function checkCalm(
+	stops: readonly fleets.PlannedStop[],
+	faults: readonly types.TimeSpan[],
+	requests: readonly types.BrokenRequest[],
+): types.Violation[] {
+	return [
+		...requests
+			.filter(({endedAt}) => isCalm(faults, endedAt, endedAt))
+			.map(({proxy, sentAt, endedAt}) => ({
+				promise: 'requestUnanswered' as const,
+				detail: `at ${proxy}, sent ${new Date(sentAt).toISOString()}, ended ${endedAt - sentAt} ms later`,
+			})),
+		...stops
+			.filter(
+				({at, endAt}) =>
+					isCalm(faults, at, endAt) && endAt - at > maxPlannedStopMs,
+			)
+			.map(({proxy, at, endAt}) => ({
+				promise: 'stopTooLong' as const,
+				detail: `${proxy} took ${endAt - at} ms from ${new Date(at).toISOString()}`,
+			})),
+	];
+}
+
+/**
+ * Finds requests that a withdrawn key was accepted for after the bound, and refusals of a valid key
+ * around planned work alone.
+ */
+export function checkKeys(
+	uses: readonly types.KeyUse[],
+	faults: readonly types.TimeSpan[],
+): types.Violation[] {
+	return uses.flatMap(
+		({key, proxy, sentAt, endedAt, outcome}): types.Violation[] => {
+			const {addedAt, withdrawalStartedAt, withdrawnAt} = key;
+			const detail = `at ${proxy}, ${new Date(sentAt).toISOString()}, added ${sentAt - addedAt} ms before`;
+			if (
+				outcome === 'answered' &&
+				withdrawnAt !== undefined &&
+				sentAt > withdrawnAt + withdrawalLimitMs
+			) {
+				const promise = 'withdrawnKeyAccepted' as const;
+				const lateMs = sentAt - withdrawnAt;
+				return [{promise, detail: `${detail}, withdrawn ${lateMs} ms before`}];
+			}
+
+			const isValid =
+				addedAt + keyPropagationMs < sentAt &&
+				(withdrawalStartedAt === undefined || endedAt < withdrawalStartedAt);
+			return outcome === '28P01' && isValid && isCalm(faults, sentAt, endedAt)
+				? [{promise: 'validKeyRefused' as const, detail}]
+				: [];
+		},
+	);
+}
+
 /** Checks that no process ended by itself or took too much memory. */
 export function checkProcesses(fleet: fleets.SoakFleet): types.Violation[] {
 	const ends = fleet.unexpectedEnds.map((detail) => ({
@@ -114,6 +182,16 @@
 	};
 }
 
+function isCalm(
+	faults: readonly types.TimeSpan[],
+	at: number,
+	endAt: number,
+): boolean {
+	return faults.every(
+		(fault) => fault.endAt + calmBeforeMs < at || fault.at > endAt,
+	);
+}
+
 function buildViolation(
 	promise: types.Violation['promise'],
 	id: number,
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -3,6 +3,7 @@
  * was not kept; the logs of that run are kept.
  *
  * Usage: npm run soak -- [--seed S] [--minutes M] [--runs N] [--proxies P] [--callers C]
+ * [--senders D] [--keyed K]
  */
 import process from 'node:process';
 import * as util from 'node:util';
@@ -15,6 +16,8 @@
 		runs: {type: 'string', default: '1'},
 		proxies: {type: 'string', default: '5'},
 		callers: {type: 'string', default: '20'},
+		senders: {type: 'string', default: '6'},
+		keyed: {type: 'string', default: '4'},
 	},
 });
 
@@ -30,6 +33,13 @@
 	return number;
 }
 
+// The processes of a run end with this one, but not when a signal ends it.
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	process.once(signal, () => {
+		process.exit(1);
+	});
+}
+
 const firstSeed = readNumber('seed', 0);
 const runs = readNumber('runs', 1);
 let failed = 0;
@@ -39,6 +49,8 @@
 		durationMs: readNumber('minutes', 0) * 60_000,
 		proxies: readNumber('proxies', 2),
 		callers: readNumber('callers', 1),
+		senders: readNumber('senders', 0),
+		keyedCallers: readNumber('keyed', 0),
 	});
 	failed += report.violations.length > 0 ? 1 : 0;
 	console.log(JSON.stringify(report));
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -7,13 +7,21 @@
 import * as callers from './callers.js';
 import * as checks from './checks.js';
 import * as fleets from './fleet.js';
+import * as keys from './keys.js';
 import * as plan from './plan.js';
+import * as senders from './senders.js';
 import type * as types from './types.js';
 
 const memoryIntervalMs = 500;
 /** Time after the last fault until every request must be served again. */
 const recoveryTimeoutMs = 30_000;
 const retryIntervalMs = 100;
+/** Work that must not cut any request. */
+const plannedWork = new Set<types.Fault['type']>([
+	'stop',
+	'reload',
+	'template',
+]);
 
 export async function runSoak(
 	options: types.SoakOptions,
@@ -23,7 +31,9 @@
 	let violations: types.Violation[] = [];
 	try {
 		await runStatement(fleet, 'CREATE TABLE events (id int, body text)');
-		const faults = await runLoad(options, fleet, record);
+		const operator = new keys.KeyOperator(options.seed, fleet);
+		await operator.start();
+		const faults = await runLoad(options, fleet, record, operator);
 		violations = [
 			...record.violations,
 			...(await checkStoredWrites(fleet, record)),
@@ -32,6 +42,12 @@
 				faults,
 				record.brokenRequests,
 			),
+			...checks.checkCalm(
+				fleet.plannedStops,
+				faults,
+				record.unansweredRequests,
+			),
+			...checks.checkKeys(operator.uses, faults),
 			...checks.checkProcesses(fleet),
 		];
 		return {
@@ -39,6 +55,15 @@
 			faults: faults.length + fleet.plannedStops.length,
 			writes: checks.countOutcomes(record),
 			reads: record.reads,
+			sent: record.sent,
+			keys: operator.keys.length,
+			keyedRequests: operator.uses.filter(({outcome}) => outcome === 'answered')
+				.length,
+			longestStopMs: Math.max(
+				0,
+				...fleet.plannedStops.map(({at, endAt}) => endAt - at),
+			),
+			longestStallMs: fleet.readLongestStallMs(),
 			peakMemoryMb: fleet.peakMemoryMb,
 			violations,
 			logs: violations.length > 0 ? fleet.folder : undefined,
@@ -50,15 +75,34 @@
 
 /** Resolves with the times of all faults but planned stops, wall clock in ms. */
 async function runLoad(
-	{seed, durationMs, callers: callerCount}: types.SoakOptions,
+	{
+		seed,
+		durationMs,
+		callers: callerCount,
+		senders: senderCount,
+		keyedCallers: keyedCallerCount,
+	}: types.SoakOptions,
 	fleet: fleets.SoakFleet,
 	record: callers.CallerRecord,
-): Promise<Array<{at: number; endAt: number}>> {
-	const times: Array<{at: number; endAt: number}> = [];
-	const all = Array.from(
-		{length: callerCount},
-		(_, index) => new callers.Caller(seed * 1000 + index, fleet, record),
-	);
+	operator: keys.KeyOperator,
+): Promise<types.TimeSpan[]> {
+	const times: types.TimeSpan[] = [];
+	const all = [
+		operator,
+		...Array.from(
+			{length: keyedCallerCount},
+			(_, index) => new keys.KeyedCaller(seed * 1000 + 700 + index, operator),
+		),
+		...Array.from(
+			{length: callerCount},
+			(_, index) => new callers.Caller(seed * 1000 + index, fleet, record),
+		),
+		...Array.from(
+			{length: senderCount},
+			(_, index) =>
+				new senders.Sender(seed * 1000 + 500 + index, fleet, record),
+		),
+	];
 	const running = all.map(async (caller) => caller.run());
 	const memoryTimer = setInterval(() => {
 		fleet.recordMemory();
@@ -73,7 +117,7 @@
 			await timers.setTimeout(atMs);
 			const at = Date.now();
 			await fleet.applyFault(fault);
-			if (fault.type !== 'stop') {
+			if (!plannedWork.has(fault.type)) {
 				times.push({at, endAt: Date.now()});
 			}
 		}),
--- a/src/soak/types.ts
+++ b/src/soak/types.ts
@@ -19,6 +19,15 @@
 	| {readonly type: 'freeze'; readonly target: string; readonly forMs: number}
 	/** A planned stop with SIGTERM, followed by a start. */
 	| {readonly type: 'stop'; readonly target: string; readonly forMs: number}
+	/** SIGHUP, several times without a pause. */
+	| {
+			readonly type: 'reload';
+			readonly target: string;
+			readonly times: number;
+			readonly forMs: 0;
+	  }
+	/** A change of the member's template through a proxy. */
+	| {readonly type: 'template'; readonly target: string; readonly forMs: 0}
 	| {
 			readonly type: 'relay';
 			readonly target: string;
@@ -60,6 +69,29 @@
 	readonly endedAt: number;
 };
 
+/** A key of a customer; times are wall clock in ms. */
+export type CustomerKey = {
+	readonly text: string;
+	/** When the command that added it had succeeded. */
+	readonly addedAt: number;
+	withdrawalStartedAt?: number;
+	/** When the command that withdrew it had succeeded. */
+	withdrawnAt?: number;
+};
+
+/** A request or the beginning of a session with a key; times are wall clock in ms. */
+export type KeyUse = {
+	readonly key: CustomerKey;
+	readonly proxy: string;
+	readonly sentAt: number;
+	readonly endedAt: number;
+	/** `answered`, an SQLSTATE or the text of another error. */
+	readonly outcome: string;
+};
+
+/** Wall clock, in ms. */
+export type TimeSpan = {readonly at: number; readonly endAt: number};
+
 /** A promise that was not kept. */
 export type Violation = {
 	readonly promise:
@@ -70,6 +102,10 @@
 		| 'ownWriteNotRead'
 		| 'foreignAnswer'
 		| 'requestCutByStop'
+		| 'requestUnanswered'
+		| 'stopTooLong'
+		| 'withdrawnKeyAccepted'
+		| 'validKeyRefused'
 		| 'processEnded'
 		| 'memoryExceeded'
 		| 'notRecovered';
@@ -82,6 +118,10 @@
 	readonly durationMs: number;
 	readonly proxies: number;
 	readonly callers: number;
+	/** Callers without pauses. */
+	readonly senders: number;
+	/** Callers with keys of a customer. */
+	readonly keyedCallers: number;
 };
 
 export type SoakReport = {
@@ -89,6 +129,18 @@
 	readonly faults: number;
 	readonly writes: Readonly<Record<WriteOutcome, number>>;
 	readonly reads: number;
+	/** Requests of callers without pauses. */
+	readonly sent: number;
+	/** Keys that were created, and answered requests with them. */
+	readonly keys: number;
+	readonly keyedRequests: number;
+	/** The longest planned stop of a proxy, in ms. */
+	readonly longestStopMs: number;
+	/**
+	 * The longest time in ms for which a daemon did not run; without a freeze in the plan, it shows how
+	 * busy the machine was.
+	 */
+	readonly longestStallMs: number;
 	/** Largest peak of the resident memory of a daemon, in MB. */
 	readonly peakMemoryMb: number;
 	readonly violations: readonly Violation[];
