--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -227,6 +227,8 @@
 			this.dispose();
 		} else if (limit === 'MemoryBudget') {
 			this.close(outOfMemorySqlState, noMemoryMessage);
+			// What the caller still sends would take the memory that the shed has freed.
+			this.socket.destroySoon();
 		} else {
 			this.close('08P01', 'the rest of a message did not arrive in time');
 		}
