Drop the input and the statements of a closed PostgreSQL session

Cause: a session that ends keeps its prepared statements (up to its share of the budget) and its incomplete message until its socket is gone, although its account in the memory budget is closed with it. So the budget is given to others while the bytes are still held.

Change: the close of a session clears its reader and its table of statements.

--- a/src/node/caller/session.ts
+++ b/src/node/caller/session.ts
@@ -257,6 +257,8 @@
 
 		this.#isClosed = true;
 		this.#queue = [];
+		this.#reader.clear();
+		this.#table.clear();
 		this.socket.off('drain', this.#handleDrain);
 		this.socket.off('end', this.#finishClose);
 		// Further input is read and discarded instead of buffered.
