Keep one copy of a prepared statement

Cause: a prepared statement kept the Parse message of its caller, which is a part of a larger input buffer, beside the copy with the name that servers know. The first is never used again once the second exists, but kept its whole input buffer in memory.

Change: the renamed message takes the place of the caller's on first use. The charge of the memory budget stays as it was: a request that declares a statement holds another copy of it.

--- a/src/node/caller/statements.ts
+++ b/src/node/caller/statements.ts
@@ -12,9 +12,11 @@
 
 /** A statement that the caller prepared. */
 export class Statement {
-	#parse: Buffer | undefined;
-	readonly #frame: Buffer;
-	readonly #name: string;
+	/** Size of the Parse frame in bytes. */
+	readonly size: number;
+	#frame: Buffer;
+	/** Name in the frame, which is the caller's until the frame is first sent. */
+	#frameName: string;
 
 	constructor(
 		/** Name under which servers know the statement. */
@@ -23,19 +25,19 @@
 		frame: Buffer,
 		name: string,
 	) {
+		this.size = frame.length;
 		this.#frame = frame;
-		this.#name = name;
+		this.#frameName = name;
 	}
 
-	/** Size of the Parse frame in bytes. */
-	get size(): number {
-		return this.#frame.length;
-	}
-
-	/** The Parse frame with `wireName`, built on first use. */
+	/** The Parse frame with `wireName`, which replaces that of the caller on first use. */
 	get parse(): Buffer {
-		this.#parse ??= rewriteName(this.#frame, 5, this.#name, this.wireName);
-		return this.#parse;
+		if (this.#frameName !== this.wireName) {
+			this.#frame = rewriteName(this.#frame, 5, this.#frameName, this.wireName);
+			this.#frameName = this.wireName;
+		}
+
+		return this.#frame;
 	}
 }
 
@@ -72,7 +74,7 @@
 		this.#maxBytes = maxBytes;
 	}
 
-	/** Bytes of the statements and names, with the copies that have another name. */
+	/** Bytes of the statements and names, with the copies in the requests that declare them. */
 	get size(): number {
 		return 2 * (this.#totalBytes + this.#portalCharacters);
 	}
