Report from the logs why requests waited or were refused

Missing: `trace` follows one request whose id is known. Nothing summarized the lines of all processes over a span of time, so the question why callers waited was answered with grep.

Change: `hemlockarch trace report FILE...` counts refused, unknown and unanswered requests by member and kind, by the place where they waited and by cause with the time to return, names the cause of those that ended by their deadline, lists customers at their rate limit and requests that were refused again under the same id, and prints the worst windows with what the processes logged in them. Lines that the limit on log lines dropped are counted. Lines that are no log lines are named with their number, counted and left out. Files are read line by line.

What the lines don't tell is not inferred: served and late requests, the customer of a request, and what a request waited for at its entry when the line has no reason.

--- a/src/cli/base-command.ts
+++ b/src/cli/base-command.ts
@@ -2,6 +2,7 @@
  * Base class of all commands: output as text or JSON, and error messages of one line.
  */
 import * as fs from 'node:fs';
+import * as readline from 'node:readline';
 import * as stream from 'node:stream/consumers';
 import * as clipanion from 'clipanion';
 import * as exits from './exit-codes.js';
@@ -43,11 +44,20 @@
 		try {
 			return fs.readFileSync(file, 'utf8');
 		} catch (error) {
-			const reason = error instanceof Error ? error.message : String(error);
-			throw new exits.CommandError(
-				exits.exitCodes.usage,
-				`cannot read ${file}: ${reason}`,
-			);
+			throw createReadError(file, error);
+		}
+	}
+
+	/** Reads the lines of a file, or of standard input for `-`, without keeping the whole text. */
+	protected async *readInputLines(file: string): AsyncIterable<string> {
+		const input = file === '-' ? this.context.stdin : fs.createReadStream(file);
+		try {
+			yield* readline.createInterface({
+				input,
+				crlfDelay: Number.POSITIVE_INFINITY,
+			});
+		} catch (error) {
+			throw createReadError(file, error);
 		}
 	}
 
@@ -60,6 +70,14 @@
 	return `hemlockarch: ${message.trim().replaceAll(/\s*\n\s*/gv, ' ')}\n`;
 }
 
+function createReadError(file: string, error: unknown): exits.CommandError {
+	const reason = error instanceof Error ? error.message : String(error);
+	return new exits.CommandError(
+		exits.exitCodes.usage,
+		`cannot read ${file}: ${reason}`,
+	);
+}
+
 /** Returns the text of a required option; throws `CommandError` with exit code 2 without one. */
 export function readRequired(option: string, text: string | undefined): string {
 	if (text === undefined || text === '') {
--- a/src/cli/cli.test.ts
+++ b/src/cli/cli.test.ts
@@ -306,6 +306,28 @@
 	t.match(missing.errors, 'none of 1 log lines names the request q2');
 });
 
+// Guards against a report that ends at the first line that a collector has damaged, or hides it.
+tap.test('a report names and counts lines that are no log lines', async (t) => {
+	const line = JSON.stringify({
+		timestamp: '2026-12-04T10:00:00.000Z',
+		part: 'request',
+		message: 'Refused',
+		kind: 'read',
+	});
+	const input = `vm-1 ${line}\n\nvm-1 {"part\nvm-1 ${line}\n`;
+	const result = await runCli(['trace', 'report', '-', '--json'], input);
+	t.equal(result.code, 0);
+	t.match(result.errors, 'hemlockarch: -:3: invalid JSON\n');
+	t.match(JSON.parse(result.output), {lines: 2, invalidLines: 1});
+	const empty = await runCli(['trace', 'report', '-'], 'no log\n');
+	t.equal(empty.code, 1);
+	const missing = await runCli(['trace', 'report', 'no.log']);
+	t.equal(missing.code, 2);
+	t.match(missing.errors, /cannot read no\.log/v);
+	const badTime = await runCli(['trace', 'report', '-', '--from', 'noon']);
+	t.equal(badTime.code, 2);
+});
+
 // Guards against limits that together exceed the memory of the process without anybody noticing.
 tap.test('check-config warns of limits above the memory', async (t) => {
 	const text = fs.readFileSync('samples/birbhum/proxy-1.ini', 'utf8');
--- a/src/cli/request-trace.ts
+++ b/src/cli/request-trace.ts
@@ -4,6 +4,7 @@
  * Lines of different processes are sorted by time stamp. The clocks of VMs differ, so their order is
  * only approximate.
  */
+import * as neverthrow from 'neverthrow';
 
 /** A line of a structured log, with the process that wrote it. */
 export type LogLine = {
@@ -41,16 +42,24 @@
 	line: string,
 	fallbackSource: string,
 ): LogLine | undefined {
+	return decodeLogLine(line, fallbackSource).unwrapOr(undefined);
+}
+
+/** Like `parseLogLine`, with the reason why the line is not a log line as the error. */
+export function decodeLogLine(
+	line: string,
+	fallbackSource: string,
+): neverthrow.Result<LogLine, string> {
 	const start = line.indexOf('{');
 	if (start === -1) {
-		return undefined;
+		return neverthrow.err('no JSON object');
 	}
 
 	let document: unknown;
 	try {
 		document = JSON.parse(line.slice(start));
 	} catch {
-		return undefined;
+		return neverthrow.err('invalid JSON');
 	}
 
 	const {timestamp, part, message, ...fields} = document as Record<
@@ -58,18 +67,22 @@
 		unknown
 	>;
 	const at = Date.parse(String(timestamp));
-	if (typeof part !== 'string' || Number.isNaN(at)) {
-		return undefined;
+	if (Number.isNaN(at)) {
+		return neverthrow.err('no valid timestamp');
+	}
+
+	if (typeof part !== 'string') {
+		return neverthrow.err('no part');
 	}
 
 	const prefix = line.slice(0, start).trim().split(/\s+/v).at(-1);
-	return {
+	return neverthrow.ok({
 		source: prefix === undefined || prefix === '' ? fallbackSource : prefix,
 		at,
 		part,
 		message: String(message),
 		fields,
-	};
+	});
 }
 
 /**
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -10,6 +10,7 @@
 import * as customers from './customer-commands.js';
 import * as daemons from './daemon-commands.js';
 import * as exits from './exit-codes.js';
+import * as report from './report-command.js';
 import * as standIn from './stand-in-command.js';
 import * as templates from './template-commands.js';
 import * as trace from './trace-command.js';
@@ -31,6 +32,7 @@
 	ctl.MetricsCommand,
 	ctl.DrainCommand,
 	trace.TraceCommand,
+	report.TraceReportCommand,
 	standIn.StandInCommand,
 	clipanion.Builtins.HelpCommand,
 	clipanion.Builtins.VersionCommand,
