Scan statements without a stack that grows with the token

What callers saw: the product's proxy ended. A query with a string, quoted name, word, tag or comment attribute of about 6 MB or more, which a proxy with 500 MB of memory accepts, made the scanner throw "RangeError: Maximum call stack size exceeded" in the handler of the socket, so that one caller ended the sessions of all.

Cause: V8 stores a state for each character of `(?:a|b)*` and of a class that matches surrogate pairs.

--- a/src/node/caller/statement-details.ts
+++ b/src/node/caller/statement-details.ts
@@ -117,20 +117,49 @@
 	};
 }
 
+const attributeBeginning = /(?<![\w.])hemlockarch_(?<name>\w+)\s*=\s*'/gv;
+const valueMark = /['\\]/gv;
+
+/** Returns the offset of the quote that ends a value; -1 when it is unterminated. */
+function findValueEnd(comment: string, start: number): number {
+	valueMark.lastIndex = start;
+	for (
+		let mark = valueMark.exec(comment);
+		mark;
+		mark = valueMark.exec(comment)
+	) {
+		if (mark[0] === "'") {
+			return mark.index;
+		}
+
+		valueMark.lastIndex = mark.index + 2;
+	}
+
+	return -1;
+}
+
 /** Parses `hemlockarch_<name>='<value>'` in sqlcommenter comments; values are URL-encoded. */
 export function parseComments(
 	comments: readonly string[],
 ): ReadonlyArray<readonly [string, string]> {
 	const found: Array<readonly [string, string]> = [];
 	for (const comment of comments) {
-		const pairs = comment.matchAll(
-			/(?<![\w.])hemlockarch_(?<name>\w+)\s*=\s*'(?<value>(?:[^'\\]|\\.)*)'/gv,
-		);
-		for (const pair of pairs) {
-			found.push([
-				pair.groups!.name,
-				decodeValue(pair.groups!.value.replaceAll(/\\(?<mark>.)/gv, '$<mark>')),
-			]);
+		let offset = 0;
+		while (offset !== -1) {
+			attributeBeginning.lastIndex = offset;
+			const beginning = attributeBeginning.exec(comment);
+			if (!beginning?.groups) {
+				break;
+			}
+
+			const start = beginning.index + beginning[0].length;
+			offset = findValueEnd(comment, start);
+			if (offset !== -1) {
+				const value = comment
+					.slice(start, offset)
+					.replaceAll(/\\(?<mark>.)/gv, '$<mark>');
+				found.push([beginning.groups.name, decodeValue(value)]);
+			}
 		}
 	}
 
