Close the connection on malformed answers of a server

What callers saw: one malformed message of a server could end a proxy with all its sessions, or stop it for good. A session that listens and makes no request let its notifications pile up without a bound.

Cause: the readers of status rows and of the startup's answers trusted the counts and lengths in the message; an exception in the handler of a socket ends the process. The tracker of message boundaries read the length as a signed number, so a length of 0xffffffff left it in an endless loop.

Evidence: on parseColumnNames and parseValues throw ERR_OUT_OF_RANGE for a message without a body, and the tracker doesn't return for 44 ff ff ff ff (stopped after 3 s).

Change: a malformed status row is an invalid answer, a malformed answer to the startup closes the connection, and lengths are unsigned. Notifications that wait are limited to 4 MiB a connection; more of them close it.

--- a/src/node/upstream/connection.ts
+++ b/src/node/upstream/connection.ts
@@ -34,6 +34,7 @@
 	#resetTimer: NodeJS.Timeout | undefined;
 	/** NotificationResponse messages that arrived while no request was running. */
 	#notifications: Buffer[] = [];
+	#notificationBytes = 0;
 	#isCancelling = false;
 	/** Outcome that is reported once the cancel connection is closed. */
 	#delayedOutcome: proxy.ExecutionOutcome | undefined;
@@ -120,6 +121,7 @@
 				this.#server.close(message);
 			},
 		});
+		this.#notificationBytes = 0;
 		for (const notification of this.#notifications.splice(0)) {
 			this.#execution.handleMessage(
 				messages.messageTypes.notification,
@@ -155,6 +157,7 @@
 		this.#pendingResetAnswers = bytes.length;
 		this.#hasResetFailed = false;
 		this.#notifications = [];
+		this.#notificationBytes = 0;
 		this.#resetTimer = setTimeout(() => {
 			this.#server.close('the reset timed out');
 		}, this.limits.resetTimeoutMs);
@@ -247,7 +250,13 @@
 
 		switch (typeByte) {
 			case messages.messageTypes.notification: {
-				this.#notifications.push(Buffer.from(chunk.subarray(start, end)));
+				this.#notificationBytes += end - start;
+				if (this.#notificationBytes > this.limits.notificationBytes) {
+					this.#server.close('the notifications exceed the buffer limit');
+				} else {
+					this.#notifications.push(Buffer.from(chunk.subarray(start, end)));
+				}
+
 				return;
 			}
 
--- a/src/node/upstream/server-socket.ts
+++ b/src/node/upstream/server-socket.ts
@@ -11,6 +11,8 @@
 import * as messages from '../wire/messages.js';
 import * as messageStream from './message-stream.js';
 
+const invalidMessage = 'the server sent an invalid PostgreSQL message';
+
 export type ServerSocketHandler = {
 	handleOpen(): void;
 	handleMessage(
@@ -73,7 +75,7 @@
 				}
 			},
 			handleInvalidStream: () => {
-				this.close('the server sent an invalid PostgreSQL message');
+				this.close(invalidMessage);
 			},
 		});
 		this.socket.once('connect', () => {
@@ -157,14 +159,16 @@
 		if (this.#isOpen) {
 			this.handler.handleMessage(typeByte, chunk, start, end);
 		} else {
-			this.#handleStartupMessage(typeByte, chunk, start);
+			this.#handleStartupMessage(typeByte, chunk.subarray(start, end));
 		}
 	}
 
-	#handleStartupMessage(typeByte: number, chunk: Buffer, start: number): void {
+	#handleStartupMessage(typeByte: number, message: Buffer): void {
 		switch (typeByte) {
 			case messages.messageTypes.authentication: {
-				if (chunk.readUInt32BE(start + 5) !== 0) {
+				if (message.length < 9) {
+					this.close(invalidMessage);
+				} else if (message.readUInt32BE(5) !== 0) {
 					this.close('the server requires authentication');
 				}
 
@@ -172,8 +176,13 @@
 			}
 
 			case messages.messageTypes.backendKeyData: {
-				this.#processId = chunk.readInt32BE(start + 5);
-				this.#secretKey = chunk.readInt32BE(start + 9);
+				if (message.length < 13) {
+					this.close(invalidMessage);
+					return;
+				}
+
+				this.#processId = message.readInt32BE(5);
+				this.#secretKey = message.readInt32BE(9);
 				return;
 			}
 
--- a/src/node/upstream/status-row.ts
+++ b/src/node/upstream/status-row.ts
@@ -1,12 +1,11 @@
 /**
  * Parses the row of `hemlockarch.status()` from a RowDescription and a DataRow in text format.
  */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import * as neverthrow from 'neverthrow';
 import * as zod from 'zod';
 import type * as ids from '../../common/ids.js';
 import type * as types from '../../common/types.js';
-import * as messages from '../wire/messages.js';
 
 const wholeNumber = zod.coerce.number().int().min(0);
 
@@ -23,26 +22,43 @@
 	zod.object({server: zod.string().min(1), position: wholeNumber}),
 );
 
-/** Parses the column names of a RowDescription message. */
+/** Bytes of the fields that follow the name of a column. */
+const columnFieldBytes = 18;
+
+/** Reads the number of columns at the beginning of a RowDescription or DataRow. */
+function readCount(message: Buffer): number {
+	return message.length < 7 ? 0 : message.readUInt16BE(5);
+}
+
+/** Parses the column names of a RowDescription message; those before its end when it is malformed. */
 export function parseColumnNames(message: Buffer): string[] {
 	const names: string[] = [];
 	let offset = 7;
-	for (let remaining = message.readUInt16BE(5); remaining > 0; remaining--) {
-		const name = messages.readString(message, offset) ?? '';
-		names.push(name);
-		offset += Buffer.byteLength(name) + 1 + 18;
+	for (let remaining = readCount(message); remaining > 0; remaining--) {
+		const end = message.indexOf(0, offset);
+		if (end === -1) {
+			break;
+		}
+
+		names.push(message.toString('utf8', offset, end));
+		offset = end + 1 + columnFieldBytes;
 	}
 
 	return names;
 }
 
-/** Parses the text values of a DataRow message; null for SQL NULL. */
+/** Parses the text values of a DataRow message; null for SQL NULL, and none when it is malformed. */
 export function parseValues(message: Buffer): Array<string | null> {
 	const values: Array<string | null> = [];
 	let offset = 7;
-	for (let remaining = message.readUInt16BE(5); remaining > 0; remaining--) {
-		const length = message.readInt32BE(offset);
+	for (let remaining = readCount(message); remaining > 0; remaining--) {
+		const length =
+			offset + 4 <= message.length ? message.readInt32BE(offset) : Infinity;
 		offset += 4;
+		if (offset + length > message.length) {
+			return [];
+		}
+
 		if (length < 0) {
 			values.push(null);
 		} else {
--- a/src/node/upstream/types.ts
+++ b/src/node/upstream/types.ts
@@ -53,6 +53,8 @@
 	readonly flushBytes: number;
 	/** Response bytes that may be buffered; when an answer needs more, its connection is closed. */
 	readonly maxBufferedBytes: number;
+	/** Notifications that wait for the next request of a session; more of them close its connection. */
+	readonly notificationBytes: number;
 	/** Largest number of prepared statements on one connection. */
 	readonly preparedStatements: number;
 };
@@ -67,5 +69,6 @@
 	flushBytes: 16 * 1024,
 	// The buffered tail of a response must fit into one peer frame, which is limited to 64 MiB.
 	maxBufferedBytes: 60 * mebibyte,
+	notificationBytes: 4 * mebibyte,
 	preparedStatements: 256,
 };
--- a/src/node/wire/message-boundary.ts
+++ b/src/node/wire/message-boundary.ts
@@ -16,12 +16,12 @@
 	add(data: Uint8Array): void {
 		let offset = this.#remainingBytes;
 		while (offset + headerBytes <= data.length) {
-			offset +=
-				1 +
-				((data[offset + 1] << 24) |
-					(data[offset + 2] << 16) |
-					(data[offset + 3] << 8) |
-					data[offset + 4]);
+			const length =
+				(data[offset + 1] << 24) |
+				(data[offset + 2] << 16) |
+				(data[offset + 3] << 8) |
+				data[offset + 4];
+			offset += 1 + (length >>> 0);
 		}
 
 		this.#remainingBytes = offset - data.length;
