Count and check what small messages of callers keep

What callers saw: 24 callers that send Execute messages of 10 bytes without a Sync, or 140 callers that send `;` ahead, ended the proxy: the heap of 128 MB was full while the memory budget saw little. A Parse whose name was not UTF-8 was classified by another text than the server's, so that a write could count as a read, and reached the server as a broken message. Each Bind copied the attributes from the comment of its statement, without a limit on their number.

Cause: the budget counted the bytes of messages and queued items, not the objects that hold them. The offset behind a name was computed from its decoded text, which has another length when bytes were replaced.

Change: each message of a sequence and each queued item is charged with 512 bytes; a name that is not UTF-8 closes the session with 08P01, as one without an end does; a text has at most 32 attributes, and a request keeps them once for each statement.

--- a/src/node/caller/classify.ts
+++ b/src/node/caller/classify.ts
@@ -12,6 +12,8 @@
 /** Longest text whose class is cached, in characters. */
 const maxCachedTextLength = 2000;
 const maxCachedTexts = 2000;
+/** Attributes in the comments of one text; a request uses at most one value of each. */
+const maxAttributes = 32;
 const cache = new Map<string, types.StatementClass>();
 
 export const lateBeginMessage =
@@ -164,12 +166,16 @@
 	const settings = scanned.statements.filter((tokens) =>
 		details.isHemlockarchSetting(tokens),
 	);
+	const attributes = details.parseComments(scanned.comments);
+	const hasTooManyAttributes = attributes.length > maxAttributes;
 	return {
 		kind: scanned.isCertain
 			? classifySequence(kinds)
 			: classifyUncertain(kinds),
 		isEmpty: scanned.statements.length === 0,
-		refusal: findRefusal(kinds, scanned.statements, settings.length),
+		refusal: hasTooManyAttributes
+			? `the comments have more than ${maxAttributes} hemlockarch attributes`
+			: findRefusal(kinds, scanned.statements, settings.length),
 		preventsKeyClaim: preventsKeyClaim(kinds),
 		setting:
 			scanned.statements.length === 1 && settings[0]
@@ -188,7 +194,7 @@
 		preparesStatement: scanned.statements.some(
 			(tokens) => tokens[0]?.text === 'prepare',
 		),
-		attributes: details.parseComments(scanned.comments),
+		attributes: hasTooManyAttributes ? [] : attributes,
 	};
 }
 
--- a/src/node/caller/items.ts
+++ b/src/node/caller/items.ts
@@ -7,6 +7,9 @@
 import type * as statements from './statements.js';
 import type * as types from './types.js';
 
+/** Bytes of the objects that hold one message or one queued item. */
+export const overheadBytes = 512;
+
 /** SQLSTATE of a feature that the proxy refuses. */
 export const featureNotSupportedSqlState = '0A000';
 
@@ -24,19 +27,19 @@
 		: item.isFlush;
 }
 
-/** Size of a queued item in bytes. */
+/** Size of a queued item in bytes, with the objects that hold it. */
 export function measureItem(item: types.WorkItem): number {
 	switch (item.type) {
 		case 'request': {
-			return item.payload.frames.length;
+			return overheadBytes + item.payload.frames.length;
 		}
 
 		case 'local': {
-			return item.size;
+			return overheadBytes + item.size;
 		}
 
 		case 'refusal': {
-			return 0;
+			return overheadBytes;
 		}
 	}
 }
@@ -96,8 +99,11 @@
 	return {type: 'problem', sqlState, message};
 }
 
-export function createUnterminatedStringProblem(): ProtocolProblem {
-	return createProblem('08P01', 'a string of the message has no end');
+export function createInvalidStringProblem(): ProtocolProblem {
+	return createProblem(
+		'08P01',
+		'a string of the message has no end, or a name is not UTF-8',
+	);
 }
 
 export function createRefusal(message: string): types.WorkItem {
--- a/src/node/caller/request-splitter.ts
+++ b/src/node/caller/request-splitter.ts
@@ -19,7 +19,8 @@
 	#frames: Buffer[] = [];
 	#size = 0;
 	#kinds: proxy.RequestKind[] = [];
-	#attributes: Array<readonly [string, string]> = [];
+	/** Attributes of the statements, in the order of their last use. */
+	readonly #attributes = new Set<types.StatementClass['attributes']>();
 	#prepared = new Map<string, Buffer>();
 	readonly #parsedInRequest = new Set<string>();
 	#steps: types.LocalStep[] = [];
@@ -39,9 +40,9 @@
 		this.#maxRequestBytes = maxRequestBytes;
 	}
 
-	/** Bytes of the request that is not complete yet. */
+	/** Bytes of the request that is not complete yet, with the objects that hold its messages. */
 	get size(): number {
-		return this.#size;
+		return this.#size + this.#frames.length * items.overheadBytes;
 	}
 
 	add(frame: Buffer): types.WorkItem | items.ProtocolProblem | undefined {
@@ -114,7 +115,7 @@
 
 		const text = messages.readString(frame, 5);
 		if (text === undefined) {
-			return items.createUnterminatedStringProblem();
+			return items.createInvalidStringProblem();
 		}
 
 		this.#size = 0;
@@ -124,13 +125,13 @@
 	}
 
 	#handleParse(frame: Buffer): items.ProtocolProblem | undefined {
-		const name = messages.readString(frame, 5);
+		const name = messages.readName(frame, 5);
 		const text =
 			name === undefined
 				? undefined
 				: messages.readString(frame, 6 + Buffer.byteLength(name));
 		if (name === undefined || text === undefined) {
-			return items.createUnterminatedStringProblem();
+			return items.createInvalidStringProblem();
 		}
 
 		const statementClass = classify.classifyText(text);
@@ -158,19 +159,19 @@
 	}
 
 	#handleBind(frame: Buffer): items.ProtocolProblem | undefined {
-		const portal = messages.readString(frame, 5);
+		const portal = messages.readName(frame, 5);
 		const offset = portal === undefined ? 0 : 6 + Buffer.byteLength(portal);
 		const name =
-			portal === undefined ? undefined : messages.readString(frame, offset);
+			portal === undefined ? undefined : messages.readName(frame, offset);
 		if (portal === undefined || name === undefined) {
-			return items.createUnterminatedStringProblem();
+			return items.createInvalidStringProblem();
 		}
 
 		const statementClass = this.#table.get(name)?.statementClass;
 		if (statementClass) {
 			this.#checkRefusal(statementClass);
 			this.#table.setPortal(portal, statementClass);
-			this.#attributes.push(...statementClass.attributes);
+			this.#addAttributes(statementClass);
 		}
 
 		if (statementClass?.setting) {
@@ -184,10 +185,18 @@
 		return undefined;
 	}
 
+	/** A list that was added before moves to the end, because later values override earlier ones. */
+	#addAttributes({attributes}: types.StatementClass): void {
+		if (attributes.length > 0) {
+			this.#attributes.delete(attributes);
+			this.#attributes.add(attributes);
+		}
+	}
+
 	#handleDescribe(frame: Buffer): items.ProtocolProblem | undefined {
-		const name = messages.readString(frame, 6);
+		const name = messages.readName(frame, 6);
 		if (name === undefined) {
-			return items.createUnterminatedStringProblem();
+			return items.createInvalidStringProblem();
 		}
 
 		const isStatement = frame[5] === 0x53;
@@ -212,9 +221,9 @@
 	}
 
 	#handleExecute(frame: Buffer): items.ProtocolProblem | undefined {
-		const portal = messages.readString(frame, 5);
+		const portal = messages.readName(frame, 5);
 		if (portal === undefined) {
-			return items.createUnterminatedStringProblem();
+			return items.createInvalidStringProblem();
 		}
 
 		const statementClass = this.#table.getPortal(portal);
@@ -238,9 +247,9 @@
 	}
 
 	#handleClose(frame: Buffer): items.ProtocolProblem | undefined {
-		const name = messages.readString(frame, 6);
+		const name = messages.readName(frame, 6);
 		if (name === undefined) {
-			return items.createUnterminatedStringProblem();
+			return items.createInvalidStringProblem();
 		}
 
 		const statement = frame[5] === 0x53 ? this.#table.get(name) : undefined;
@@ -306,7 +315,7 @@
 			const item: types.WorkItem = {
 				type: 'local',
 				steps: isFlush ? this.#steps : [...this.#steps, {type: 'ready'}],
-				size: this.#size,
+				size: this.size,
 			};
 			this.#reset();
 			return item;
@@ -330,7 +339,7 @@
 								parse,
 							})),
 						},
-			attributes: this.#attributes,
+			attributes: [...this.#attributes].flat(),
 			preventsKeyClaim:
 				this.#preventsKeyClaim || classify.preventsKeyClaim(this.#kinds),
 			isFlush,
@@ -380,7 +389,7 @@
 		this.#frames = [];
 		this.#size = 0;
 		this.#kinds = [];
-		this.#attributes = [];
+		this.#attributes.clear();
 		this.#prepared = new Map();
 		this.#parsedInRequest.clear();
 		this.#steps = [];
--- a/src/node/wire/messages.ts
+++ b/src/node/wire/messages.ts
@@ -2,7 +2,7 @@
  * Builds messages of a PostgreSQL server and the few others that `pg-protocol` cannot build, and
  * reads fields of messages. See "Message Formats" in the documentation of protocol version 3.
  */
-import {Buffer} from 'node:buffer';
+import {Buffer, isUtf8} from 'node:buffer';
 import type * as proxy from '../../common/proxy/types.js';
 
 /** Type bytes of the messages that the adapters handle. */
@@ -180,3 +180,14 @@
 	const end = buffer.indexOf(0, offset);
 	return end === -1 ? undefined : buffer.toString('utf8', offset, end);
 }
+
+/**
+ * Reads the zero-terminated name at `offset`; undefined when the terminator is missing or the name is
+ * not UTF-8, because its bytes in the message could not be told from the text.
+ */
+export function readName(buffer: Buffer, offset: number): string | undefined {
+	const end = buffer.indexOf(0, offset);
+	return end === -1 || !isUtf8(buffer.subarray(offset, end))
+		? undefined
+		: buffer.toString('utf8', offset, end);
+}
