End a startup that was refused, and limit its requests for encryption

What was missing: after a refused startup packet the proxy read the next packet of the same caller and could answer or open a session on a socket whose side was ended. A caller could ask for encryption without end in the 10 s of its startup and leave the answers unread.

Change: a refusal by the gateway ends the reading; TLS and GSSAPI are refused once each, a third request gets 08P01.

--- a/src/node/caller/startup.ts
+++ b/src/node/caller/startup.ts
@@ -15,6 +15,8 @@
 const cancelRequestCode = 80_877_102;
 const sslRequestCode = 80_877_103;
 const gssEncRequestCode = 80_877_104;
+/** Callers ask once for TLS and once for GSSAPI. */
+const maxEncryptionRequests = 2;
 
 export type StartupHandler = {
 	handleCancel(processId: number, key: number): void;
@@ -31,6 +33,7 @@
 	readonly #gateway: pgGateway.PostgresConnection;
 	readonly #timer: NodeJS.Timeout;
 	#parameters: Record<string, string> | undefined;
+	#encryptionRequests = 0;
 	#isBusy = false;
 	#isDone = false;
 
@@ -103,6 +106,8 @@
 				packet.readUInt32BE(12),
 			);
 			this.socket.end();
+		} else if (this.#isExcessiveRequest(code)) {
+			this.#refuse('encryption was refused already');
 		} else if (code === gssEncRequestCode) {
 			this.socket.write('N');
 		} else if (
@@ -116,6 +121,16 @@
 		}
 	}
 
+	/** Counts requests for encryption, whose answers a caller may leave unread. */
+	#isExcessiveRequest(code: number): boolean {
+		if (code !== sslRequestCode && code !== gssEncRequestCode) {
+			return false;
+		}
+
+		this.#encryptionRequests++;
+		return this.#encryptionRequests > maxEncryptionRequests;
+	}
+
 	async #runGateway(packet: Buffer): Promise<void> {
 		await this.#gateway.handleData(packet);
 		this.#isBusy = false;
@@ -123,7 +138,10 @@
 			return;
 		}
 
-		if (this.#parameters) {
+		if (this.socket.writableEnded) {
+			// The gateway has refused the packet.
+			this.dispose();
+		} else if (this.#parameters) {
 			this.dispose();
 			const remainder = this.#reader.take(this.#reader.size) ?? Buffer.alloc(0);
 			this.handler.handleStartup(this.#parameters, remainder);
