Skip log lines whose fields have other types

What operators saw: `hemlockarch trace` ended with "Cannot convert object to primitive value" when a file had a JSON line such as {"part":"owner","timestamp":{"toString":1}}.

Change: a line whose time is no text is not a log line; other messages are shown as JSON.

--- a/src/cli/request-trace.test.ts
+++ b/src/cli/request-trace.test.ts
@@ -1,3 +1,4 @@
+import * as fc from 'fast-check';
 import tap from 'tap';
 import * as requestTrace from './request-trace.js';
 
@@ -46,3 +47,44 @@
 	const line = buildLine(1, {part: 'owner', message: 'x'});
 	t.equal(requestTrace.parseLogLine(line, 'proxy.log')?.source, 'proxy.log');
 });
+
+// Guards against a line of another program that ends the command.
+tap.test('any line is a log line or none', async (t) => {
+	const value = fc.oneof(
+		fc.json({maxDepth: 2}),
+		fc.constantFrom(
+			'{"toString":1}',
+			'"2026-12-04T10:00:00Z"',
+			'"q1"',
+			'1e999',
+		),
+	);
+	const line = fc.oneof(
+		fc.string(),
+		fc.json().map((text) => `p {"part":"peer","x":${text}}`),
+		fc
+			.tuple(value, value, value, value)
+			.map(
+				([timestamp, message, id, ageMs]) =>
+					`{"part":"owner","timestamp":${timestamp},"message":${message},"id":${id},"ageMs":${ageMs},"server":${id}}`,
+			),
+	);
+	fc.assert(
+		fc.property(
+			fc.array(line, {maxLength: 6}),
+			fc.nat(30),
+			(damaged, length) => {
+				const parsed = [
+					...damaged,
+					...damaged.map((text) => text.slice(0, -length)),
+				].flatMap((text) => requestTrace.parseLogLine(text, 'file') ?? []);
+				const trace = requestTrace.buildRequestTrace(parsed, 'q1', 3000);
+				return [...trace.own, ...trace.related].every(
+					(found) => requestTrace.formatLogLine(found).length > 0,
+				);
+			},
+		),
+		{seed: 20_261_206, numRuns: 1000},
+	);
+	t.pass('for all lines');
+});
--- a/src/cli/request-trace.ts
+++ b/src/cli/request-trace.ts
@@ -57,7 +57,7 @@
 		string,
 		unknown
 	>;
-	const at = Date.parse(String(timestamp));
+	const at = typeof timestamp === 'string' ? Date.parse(timestamp) : Number.NaN;
 	if (typeof part !== 'string' || Number.isNaN(at)) {
 		return undefined;
 	}
@@ -67,7 +67,7 @@
 		source: prefix === undefined || prefix === '' ? fallbackSource : prefix,
 		at,
 		part,
-		message: String(message),
+		message: typeof message === 'string' ? message : JSON.stringify(message),
 		fields,
 	};
 }
@@ -94,7 +94,9 @@
 			(name): name is string => typeof name === 'string',
 		),
 	);
-	const windowStartAt = first.at - Number(first.fields.ageMs ?? 0) - windowMs;
+	const {ageMs} = first.fields;
+	const windowStartAt =
+		first.at - (typeof ageMs === 'number' ? ageMs : 0) - windowMs;
 	const windowEndAt = last.at + windowMs;
 	const related = lines.filter(
 		(line) =>
