--- a/src/cli/request-trace.ts
+++ b/src/cli/request-trace.ts
@@ -66,7 +66,7 @@
 		string,
 		unknown
 	>;
-	const at = Date.parse(String(timestamp));
+	const at = typeof timestamp === 'string' ? Date.parse(timestamp) : Number.NaN;
 	if (Number.isNaN(at)) {
 		return neverthrow.err('no valid timestamp');
 	}
@@ -80,7 +80,8 @@
 		source: prefix === undefined || prefix === '' ? fallbackSource : prefix,
 		at,
 		part,
-		message: String(message),
+		message:
+			typeof message === 'string' ? message : JSON.stringify(message ?? null),
 		fields,
 	});
 }
@@ -107,7 +108,9 @@
 			(name): name is string => typeof name === 'string',
 		),
 	);
-	const windowStartAt = first.at - Number(first.fields.ageMs ?? 0) - windowMs;
+	const {ageMs} = first.fields;
+	const windowStartAt =
+		first.at - (typeof ageMs === 'number' ? ageMs : 0) - windowMs;
 	const windowEndAt = last.at + windowMs;
 	const related = lines.filter(
 		(line) =>
