Enforce the rates and bursts of customers in templates

What callers saw: rate_per_s and burst of a [customer NAME] were checked and listed, and had no effect: a customer could send any number of requests.

Cause: the leader read limits from the configuration only, which the product has not, and entries took as limited only the customers of a configuration.

Change: while there is no configuration, the leader and the entries derive the limits from the replicated templates, with the same code (policy/customer-limits.ts). A committed template change puts its limits in force at the leader at once and at each proxy with the template. Refusals were there already: HK009, "not run: the customer has reached its limit; a place is expected in N ms".

--- a/src/common/control/allowance-simulation.ts
+++ b/src/common/control/allowance-simulation.ts
@@ -158,7 +158,7 @@
 		);
 		created.setLink(leader, true);
 		const client = new allowanceClient.AllowanceClient(created, {
-			getCustomers: () => this.simulation.customers,
+			getLimits: () => this.simulation.customers,
 			countWaiting: (customer) => this.waiting.get(customer)?.length ?? 0,
 			getLeader: () => leader,
 		});
--- a/src/common/control/allowances.ts
+++ b/src/common/control/allowances.ts
@@ -8,7 +8,7 @@
  */
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
-import type * as types from '../types.js';
+import type * as customerLimits from '../policy/customer-limits.js';
 import * as rateBound from '../policy/rate-bound.js';
 import * as tokenBucket from '../policy/token-bucket.js';
 
@@ -41,7 +41,7 @@
 	readonly bucket: tokenBucket.TokenBucket;
 	readonly ratePerS: number;
 	readonly burst: number;
-	/** Set while the configuration does not name the customer. */
+	/** Set while the customer has no limit. */
 	removedAt: number | undefined;
 };
 
@@ -65,8 +65,11 @@
 		return this.bound.windowMs + 2 * rateBound.grantorValidityMs;
 	}
 
-	/** Puts the limits of a configuration in force. */
-	setCustomers(now: number, customers: Iterable<types.Customer>): void {
+	/** Puts the limits of a configuration, or of all templates, in force. */
+	setCustomers(
+		now: number,
+		customers: Iterable<customerLimits.CustomerLimit>,
+	): void {
 		this.expire(now);
 		const named = new Set<ids.CustomerId>();
 		for (const {customer, ratePerS, burst} of customers) {
--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -6,6 +6,7 @@
 import * as announcementRules from '../announcement.js';
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
+import type * as customerLimits from '../policy/customer-limits.js';
 import * as rateBound from '../policy/rate-bound.js';
 import * as allowances from './allowances.js';
 import type * as control from './types.js';
@@ -17,6 +18,7 @@
 import * as ownership from './ownership.js';
 import * as placement from './placement.js';
 import * as serverSets from './server-sets.js';
+import * as templateLimits from './template-limits.js';
 import * as timing from './timing.js';
 
 /** What the leader needs from the control reducer. */
@@ -53,6 +55,7 @@
 	readonly #failover: failovers.Failover;
 	/** Created when this leader first acts, because its predecessor may have granted until then. */
 	#allowances: allowances.AllowanceTable | undefined;
+	readonly #templateLimits: templateLimits.TemplateLimits;
 	/** Set by changes that are not urgent: the grants wait for the next tick and carry all of them. */
 	#isGrantDue = false;
 	#lastMoveCheckAt = Number.NEGATIVE_INFINITY;
@@ -70,6 +73,10 @@
 			environment.faults,
 			environment.recordsLeaseHolders ? machine.leaseHolders : undefined,
 		);
+		this.#templateLimits = new templateLimits.TemplateLimits(
+			machine,
+			environment.rateLimits?.parseTemplateCustomers,
+		);
 		this.#serverSets = new serverSets.ServerSets(this.table, machine, (group) =>
 			environment.hasProposal(group),
 		);
@@ -100,7 +107,7 @@
 			const {incarnation, allowances: report} = renewal;
 			const grant =
 				report &&
-				this.#getAllowances(now).handleReport(now, from, incarnation, report);
+				this.#getAllowances(now)?.handleReport(now, from, incarnation, report);
 			if (!this.#sendGrant(now, from, grant) && grant) {
 				this.environment.send(from, {type: 'allowanceGranted', grant});
 			}
@@ -116,7 +123,7 @@
 			report,
 		}: Extract<messages.ControlMessage, {type: 'allowanceRequest'}>,
 	): void {
-		const grant = this.#getAllowances(now).handleReport(
+		const grant = this.#getAllowances(now)?.handleReport(
 			now,
 			from,
 			incarnation,
@@ -139,6 +146,7 @@
 	/** Runs the periodic work that is due. Called every tick. */
 	step(now: number): void {
 		this.table.expire(now);
+		this.#templateLimits.step();
 		for (const {peer, grant} of this.#allowances?.step(now) ?? []) {
 			this.environment.send(peer, {type: 'allowanceGranted', grant});
 		}
@@ -167,6 +175,8 @@
 	): void {
 		if (command.type === 'changeTemplate') {
 			this.#pushTemplate(command.change.member);
+			this.#templateLimits.updateMember(command.change.member);
+			this.#updateCustomers(now);
 			return;
 		}
 
@@ -286,8 +296,9 @@
 		}
 	}
 
-	#getAllowances(now: number): allowances.AllowanceTable {
-		if (!this.#allowances) {
+	/** Returns undefined while the limits are not known. */
+	#getAllowances(now: number): allowances.AllowanceTable | undefined {
+		if (!this.#allowances && this.#templateLimits.isComplete) {
 			this.#allowances = new allowances.AllowanceTable(
 				this.environment.term,
 				now,
@@ -300,15 +311,20 @@
 	}
 
 	#updateCustomers(now: number): void {
-		const {machine, rateLimits} = this.environment;
-		const customers =
-			machine.configuration &&
-			rateLimits?.parseCustomers(machine.configuration.text);
+		const customers = this.#readLimits();
 		if (customers) {
 			this.#allowances?.setCustomers(now, customers);
 		}
 	}
 
+	/** Reads the limits in force; undefined when the configuration is not valid. */
+	#readLimits(): Iterable<customerLimits.CustomerLimit> | undefined {
+		const {machine, rateLimits} = this.environment;
+		return machine.configuration && rateLimits?.parseCustomers
+			? rateLimits.parseCustomers(machine.configuration.text)
+			: this.#templateLimits.limits.getLimits().values();
+	}
+
 	/** Returns false when the proxy gets no grant at present. */
 	#sendGrant(
 		now: number,
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -11,7 +11,9 @@
 export type RateLimitOptions = {
 	readonly bound: rateBound.RateBound;
 	/** Reads the customers of a configuration; undefined when its text is not valid. */
-	parseCustomers(text: string): Iterable<types.Customer> | undefined;
+	parseCustomers?(text: string): Iterable<types.Customer> | undefined;
+	/** Reads the customers of a template; its limits hold while there is no configuration. */
+	parseTemplateCustomers?(text: string): Iterable<types.Customer> | undefined;
 };
 
 /**
--- a/src/common/proxy/allowance-client.ts
+++ b/src/common/proxy/allowance-client.ts
@@ -5,10 +5,10 @@
  */
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
+import type * as customerLimits from '../policy/customer-limits.js';
 import * as rateBound from '../policy/rate-bound.js';
 import * as tokenStock from '../policy/token-stock.js';
 import * as random from '../random.js';
-import type * as types from '../types.js';
 import type * as context from './context.js';
 
 /** A request to the leader is sent again after this time without an answer. */
@@ -36,7 +36,7 @@
 };
 
 export type AllowanceSource = {
-	getCustomers(): ReadonlyMap<ids.CustomerId, types.Customer> | undefined;
+	getLimits(): customerLimits.LimitMap;
 	/** Number of requests of a customer that wait for a token. */
 	countWaiting(customer: ids.CustomerId): number;
 	getLeader(): ids.PeerId | undefined;
@@ -65,7 +65,7 @@
 
 	/** Returns whether the operations of a customer are limited. */
 	isLimited(customer: ids.CustomerId): boolean {
-		const ratePerS = this.source.getCustomers()?.get(customer)?.ratePerS;
+		const ratePerS = this.source.getLimits().get(customer)?.ratePerS;
 		return ratePerS !== undefined && Number.isFinite(ratePerS);
 	}
 
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -96,7 +96,7 @@
 			buildAllowanceReport: () => this.allowances.buildReport(),
 		});
 		this.allowances = new allowanceClient.AllowanceClient(this.context, {
-			getCustomers: () => this.templates.routes?.customers,
+			getLimits: () => this.templates.getLimits(),
 			countWaiting: (customer) => this.entry.rateLimiter.countWaiting(customer),
 			getLeader: () => this.lease.getLeader(),
 		});
--- a/src/common/proxy/template-store.ts
+++ b/src/common/proxy/template-store.ts
@@ -3,6 +3,7 @@
  * is never undone, in whatever order versions arrive.
  */
 import type * as ids from '../ids.js';
+import * as customerLimits from '../policy/customer-limits.js';
 import * as customerWeights from '../policy/customer-weights.js';
 import type * as types from '../types.js';
 
@@ -40,6 +41,7 @@
 	configuration: types.Configuration | undefined;
 	private weights: ReadonlyMap<ids.CustomerId, number> = new Map();
 	private readonly templates = new Map<ids.MemberId, StoredTemplate>();
+	private readonly templateLimits = new customerLimits.CustomerLimits();
 	/** Groups with an open route; undefined until it is needed after a change. */
 	private openGroups: ReadonlySet<ids.GroupId> | undefined;
 
@@ -101,6 +103,11 @@
 		);
 	}
 
+	/** The limits of customers, which templates set while there is no configuration. */
+	getLimits(): customerLimits.LimitMap {
+		return this.routes?.customers ?? this.templateLimits.getLimits();
+	}
+
 	/** The weight of a customer in the queues of servers. */
 	getCustomerWeight(customer: ids.CustomerId): number {
 		return this.weights.get(customer) ?? 1;
@@ -150,6 +157,10 @@
 			parameters,
 			access: buildAccess(parameters),
 		});
+		this.templateLimits.setMember(
+			template.member,
+			parameters.customers?.values() ?? [],
+		);
 		return true;
 	}
 
--- a/src/daemon/control-types.ts
+++ b/src/daemon/control-types.ts
@@ -34,7 +34,7 @@
 	readonly startedAt?: number;
 	/** See `ControlPeerOptions`. */
 	readonly recordsLeaseHolders?: boolean;
-	/** Rate limits of the customers in configurations; none when it is not set. */
+	/** Rate limits of customers; none when it is not set. */
 	readonly rateLimits?: control.RateLimitOptions;
 	/** The control peers of a new installation, including this one, with their peer addresses. */
 	readonly controlPeers: readonly types.PeerAddress[];
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -3,6 +3,8 @@
  */
 import type * as control from '../common/control/types.js';
 import * as metrics from '../common/metrics/metrics.js';
+import type * as rateBound from '../common/policy/rate-bound.js';
+import * as template from '../common/template/parse.js';
 import * as httpServer from '../node/http/server.js';
 import type * as http from '../node/http/types.js';
 import * as resourceGuard from '../node/limits/resource-guard.js';
@@ -19,6 +21,12 @@
 /** User and database of control's connections to servers, which trust the control VMs. */
 const upstreamUser = 'hemlockarch';
 const storageFailureExitCode = 1;
+/** The overage lets a customer whose burst equals its rate use the whole rate. */
+const customerBound: rateBound.RateBound = {
+	windowMs: 5000,
+	overage: 0.12,
+	slack: 0,
+};
 
 /**
  * Starts a control peer.
@@ -43,6 +51,14 @@
 				peer: id,
 				address,
 			})),
+			rateLimits: {
+				bound: customerBound,
+				parseTemplateCustomers: (text) =>
+					template
+						.parseTemplate(text)
+						.map(({customers}) => customers?.values() ?? [])
+						.unwrapOr(undefined),
+			},
 			peerListener: {address: listen.address, port: listen.peersPort},
 			httpListener: {address: listen.address, port: listen.httpPort},
 		},
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -27,6 +27,8 @@
 	readonly seed: number;
 	readonly parameters?: types.TemplateParameters;
 	readonly rateLimits?: control.RateLimitOptions;
+	/** Without it, every template sets the parameters. */
+	readonly parseTemplate?: templateStore.TemplateParser;
 	/** Creates the parser of an instance of a proxy; without it, proxies take no configuration. */
 	readonly createConfigurationParser?: (
 		incarnation: number,
@@ -166,6 +168,7 @@
 			controlPeers,
 			parameters: options.parameters ?? policyTesting.buildParameters(),
 			seed: options.seed * 1000 + index + 1_000_000 * (incarnation - 1),
+			...(options.parseTemplate ? {parseTemplate: options.parseTemplate} : {}),
 			...(options.createConfigurationParser
 				? {parseConfiguration: options.createConfigurationParser(incarnation)}
 				: {}),
--- a/src/scenario/fleet/small-fleet.ts
+++ b/src/scenario/fleet/small-fleet.ts
@@ -32,6 +32,8 @@
 	readonly parameters: types.TemplateParameters;
 	readonly seed: number;
 	readonly timing?: Partial<context.ProxyTiming>;
+	/** Without it, every template sets the parameters. */
+	readonly parseTemplate?: templateStore.TemplateParser;
 	readonly parseConfiguration?: templateStore.ConfigurationParser;
 	readonly routing?: routing.RoutingOptions;
 }): reducer.ProxyReducer {
@@ -60,7 +62,7 @@
 					slots,
 					getParameters: () => parameters,
 				}),
-			parseTemplate: () => parameters,
+			parseTemplate: options.parseTemplate ?? (() => parameters),
 			...(options.parseConfiguration
 				? {parseConfiguration: options.parseConfiguration}
 				: {}),
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -1054,7 +1054,9 @@
 /** How the leader learns the rate limits of customers, and what it tolerates above them. */
 export type RateLimitOptions = {
 	/** Reads the customers of a configuration; undefined when its text is not valid. */
-	parseCustomers(text: string): Iterable<Customer> | undefined;
+	parseCustomers?(text: string): Iterable<Customer> | undefined;
+	/** Reads the customers of a template; its limits hold while there is no configuration. */
+	parseTemplateCustomers?(text: string): Iterable<Customer> | undefined;
 	readonly bound: RateBound;
 };
 export type ControlPeerOptions = {
