Send the requests that wait for a token when their limit is gone

What callers saw: requests that waited for a token when the limit of their customer was removed were refused with HK009 up to 1.5 s later, although nothing limited them any more.

Cause: the leader grants nothing to a customer without a limit, and a request in the queue is only looked at when a grant names its customer or its wait has ended.

Change: each tick sends what waits for a customer without a limit.

--- a/src/common/proxy/rate-limiter.ts
+++ b/src/common/proxy/rate-limiter.ts
@@ -99,6 +99,11 @@
 	handleTick(): void {
 		const {now} = this.context;
 		for (const customer of this.queues.keys()) {
+			if (!this.client.isLimited(customer)) {
+				this.serveWaiting(customer);
+				continue;
+			}
+
 			this.removeEnded(customer);
 			const isEmpty = this.client.findEmptyWait(customer) !== undefined;
 			for (const request of this.queues.get(customer) ?? []) {
--- a/src/scenario/customers/template-limits.test.ts
+++ b/src/scenario/customers/template-limits.test.ts
@@ -147,6 +147,18 @@
 	t.same(raised, {answered: 400, HK009: 0});
 });
 
+// Guards against requests that are refused because their limit is gone while they wait for a token.
+tap.test('a removed rate serves what waits', async (t) => {
+	const fleet = new TemplateFleet(2);
+	const before = fleet.runReads(limitedKey, 80, 5000);
+	const {HK009: refused} = before;
+	t.ok(before.answered + refused < 400, 'requests wait');
+	fleet.setRate(undefined);
+	const after = fleet.runReads(limitedKey, 80, 5000);
+	t.same(before, {answered: 400 - refused, HK009: refused});
+	t.ok(after.HK009 <= 4, `${after.HK009} refused`);
+});
+
 // Guards against a customer that gets its limit once for each template that names it.
 tap.test('another template can lower the rate', async (t) => {
 	const fleet = new TemplateFleet(100);
