Change limits of customers in the fleet search

What was missing: the random plans with customers never changed a limit, so no run met a limit that is raised or lowered while a proxy holds tokens of the old one.

Change: each plan raises or lowers the limit twice while a proxy is frozen, the second time to the first limit; in half of the changes the customer pauses around it, so that its bucket is full. A window is checked against the limits that may have been in force in it or in the 3 s before it. The random draws of the other parts of a plan stay as they were.

--- a/src/scenario/customers/operator.ts
+++ b/src/scenario/customers/operator.ts
@@ -13,11 +13,17 @@
 
 export class Operator {
 	withdrawals = 0;
+	limitChanges = 0;
 	private readonly keysByCustomer: ReadonlyMap<
 		ids.CustomerId,
 		Set<ids.KeyDigest>
 	>;
 
+	private readonly limitsByCustomer: ReadonlyMap<
+		ids.CustomerId,
+		types.LimitPeriod[]
+	>;
+
 	/** Times since which no change with the key has been sent or is in force. */
 	private readonly withdrawnAt = new Map<ids.KeyDigest, number>();
 	private readonly queue: Array<() => void> = [];
@@ -32,6 +38,14 @@
 		this.keysByCustomer = new Map(
 			customers.map(({customer, keys}) => [customer, new Set(keys)]),
 		);
+		this.limitsByCustomer = new Map(
+			customers.map(({customer, ratePerS, burst}) => [
+				customer,
+				ratePerS === undefined
+					? []
+					: [{ratePerS, burst, from: 0, until: Infinity}],
+			]),
+		);
 	}
 
 	/** Number of changes that were not accepted yet. */
@@ -63,6 +77,25 @@
 		);
 	}
 
+	changeLimit(customer: ids.CustomerId, ratePerS: number, burst: number): void {
+		const limits = this.getLimits(customer);
+		this.submit(
+			() => {
+				const from = this.fleet.timeline.now;
+				limits.push({ratePerS, burst, from, until: Infinity});
+			},
+			() => {
+				this.limitChanges++;
+				limits.at(-2)!.until = this.fleet.timeline.now;
+			},
+		);
+	}
+
+	/** Returns the limits that a customer has had. */
+	getLimits(customer: ids.CustomerId): types.LimitPeriod[] {
+		return this.limitsByCustomer.get(customer)!;
+	}
+
 	/** Returns the time for which a key has been withdrawn; 0 while it may be in force. */
 	computeWithdrawnTime(key: ids.KeyDigest): number {
 		const {now} = this.fleet.timeline;
@@ -128,6 +161,8 @@
 		return JSON.stringify(
 			this.customers.map((spec) => ({
 				...spec,
+				ratePerS: this.getLimits(spec.customer).at(-1)?.ratePerS,
+				burst: this.getLimits(spec.customer).at(-1)?.burst ?? 0,
 				keys: [...this.keysByCustomer.get(spec.customer)!],
 			})),
 		);
--- a/src/scenario/customers/random-plan.test.ts
+++ b/src/scenario/customers/random-plan.test.ts
@@ -15,6 +15,10 @@
 			result.withdrawals > 0,
 			`callers with keys, seed ${seed}: withdrawals`,
 		);
+		t.ok(
+			result.limitChanges > 0,
+			`callers with keys, seed ${seed}: changes of a limit`,
+		);
 	});
 }
 
@@ -23,6 +27,7 @@
 > = [
 	['dropsLateRequests', 'cut', 3],
 	['keepsKeysAfterRestart', 'lateRuns', 3],
+	['ignoresLoweredLimits', 'exceededWindows', 2],
 ];
 
 for (const [mistake, violation, seed] of mistakes) {
--- a/src/scenario/customers/random-plan.ts
+++ b/src/scenario/customers/random-plan.ts
@@ -25,6 +25,15 @@
 const limitedCallers = 6;
 /** Share of its limit that a customer uses while faults are over. */
 const calmUse = 0.5;
+const firstLimitChangeMs = 3000;
+/** Leaves whole windows between the grace after a change and the next one. */
+const limitChangeIntervalMs = 12_000;
+const limitFactors = [0.1, 0.3, 3];
+/** A bucket fills before a change, and what it keeps from then is used after the grace of the check. */
+const pauseBeforeMs = 2500;
+const pauseAfterMs = 3500;
+/** Plans without changes of limits stay the same when this part changes. */
+const limitSeedOffset = 1_000_000;
 
 type TimedAction = types.Plan['actions'][number];
 
@@ -44,8 +53,16 @@
 		ratePerS: undefined,
 		burst: 0,
 	}));
+	const limitSource = random.createRandom(seed + limitSeedOffset);
+	const changes = buildLimitChanges(limitSource, limited, ratePerS);
 	return {
 		seed,
+		pauses: changes
+			.filter(
+				({action}) =>
+					action.type === 'changeLimit' && limitSource.readInteger(0, 1) === 0,
+			)
+			.map(({at}) => ({from: at - pauseBeforeMs, until: at + pauseAfterMs})),
 		customers: [limited, ...others],
 		callers: [
 			...others.flatMap(({keys}) =>
@@ -60,7 +77,9 @@
 				calmPauseMs: (2 * limitedCallers * 1000) / (ratePerS * calmUse),
 			})),
 		],
-		actions: buildActions(source, others),
+		actions: [...buildActions(source, others), ...changes].sort(
+			(left, right) => left.at - right.at,
+		),
 	};
 }
 
@@ -112,7 +131,46 @@
 		);
 	}
 
-	return actions.sort((left, right) => left.at - right.at);
+	return actions;
+}
+
+/** Changes the limit of a customer while a proxy may be frozen; the first limit is the last one again. */
+function buildLimitChanges(
+	source: random.RandomSource,
+	{customer, burst}: types.CustomerSpec,
+	ratePerS: number,
+): TimedAction[] {
+	const times: number[] = [];
+	for (
+		let at = firstLimitChangeMs;
+		at < faultsEndMs;
+		at += limitChangeIntervalMs
+	) {
+		times.push(at + source.readInteger(0, 1500));
+	}
+
+	return times.flatMap((at, index) => {
+		const factor =
+			index === times.length - 1 ? 1 : choose(source, limitFactors);
+		const freeze: TimedAction = {
+			at: at - source.readInteger(0, 300),
+			action: {
+				type: 'freeze',
+				process: choose(source, proxies),
+				forMs: source.readInteger(300, 3000),
+			},
+		};
+		const change: TimedAction = {
+			at,
+			action: {
+				type: 'changeLimit',
+				customer,
+				ratePerS: ratePerS * factor,
+				burst: burst * factor,
+			},
+		};
+		return [freeze, change];
+	});
 }
 
 function buildFault(source: random.RandomSource): types.PlanAction {
