Report a settings key with the name of a section

What operators saw: a line such as `log = null` before the first section was accepted silently, because the INI parser turns it into a null, which is an object to `typeof`.

Change: it is reported as a key outside of a section. A fuzz test for settings files.

--- a/src/node/settings/settings.test.ts
+++ b/src/node/settings/settings.test.ts
@@ -1,5 +1,6 @@
 import * as fs from 'node:fs';
 import * as path from 'node:path';
+import * as fc from 'fast-check';
 import tap from 'tap';
 import * as template from '../../common/template/parse.js';
 import * as settings from './settings.js';
@@ -132,3 +133,48 @@
 		}
 	}
 });
+
+// Guards against a settings file that ends the start with an exception instead of a list of problems.
+tap.test('any text is parsed or refused', async (t) => {
+	const line = fc.oneof(
+		fc.constantFrom(
+			'[process]',
+			'[listen]',
+			'[control]',
+			'[log]',
+			'[a.b]',
+			'[',
+			'',
+			'log = null',
+			'process',
+			'id[] = 1',
+			'__proto__ = 1',
+			'role = true',
+			'peers = a@1',
+			'peers = @,',
+			'peers = a@::1:1',
+			'memory_mb = 1e9',
+			'address = 1.1',
+			'peers_port = -1',
+			'level = null',
+			'= 1',
+			'; x',
+		),
+		fc.string({maxLength: 8}),
+	);
+	fc.assert(
+		fc.property(fc.array(line, {maxLength: 12}), (lines) => {
+			const problems = settings
+				.parseSettings(lines.join('\n'), 'file')
+				._unsafeUnwrapErr();
+			return problems.every(
+				(problem) => settings.formatProblem(problem).length < 2000,
+			);
+		}),
+		{seed: 20_261_206, numRuns: 1000},
+	);
+	t.match(settings.parseSettings('log = null', 'file')._unsafeUnwrapErr()[0], {
+		key: 'log',
+		found: 'a key outside of a section',
+	});
+});
--- a/src/node/settings/settings.ts
+++ b/src/node/settings/settings.ts
@@ -121,7 +121,11 @@
 		.map((name) => `[${name}]`)
 		.join(', ')}`;
 	for (const [name, content] of Object.entries(parsed)) {
-		if (typeof content !== 'object' || Array.isArray(content)) {
+		if (
+			typeof content !== 'object' ||
+			content === null ||
+			Array.isArray(content)
+		) {
 			report('', name, 'a key outside of a section', allowed);
 		} else if (!rules.sectionRules.has(name)) {
 			report(name, '', 'an unknown section', allowed);
