Refuse a template with a null outside of a section

CHANGES THE PLATFORM BUNDLE: template/parse.ts is part of it.

What operators saw: nothing yet. A template whose text has the line `member = null` before its first section makes the check of a change throw in the control leader instead of being refused.

Cause: the INI parser turns the value into a null, which is an object to `typeof`.

Evidence: validateChange throws "Cannot convert undefined or null to object" for that text; the fuzz test fails after 188 runs. Not tried against the processes.

Change: it is reported as a key outside of a section. A fuzz test for template texts.

--- a/src/common/template/parse.ts
+++ b/src/common/template/parse.ts
@@ -129,7 +129,11 @@
 	const allowed = `the sections ${listNames([...sectionRules.keys(), 'customer NAME'], (name) => `[${name}]`)}`;
 	for (const [name, content] of Object.entries(parsed)) {
 		const rules = findRules(name);
-		if (typeof content !== 'object' || Array.isArray(content)) {
+		if (
+			typeof content !== 'object' ||
+			content === null ||
+			Array.isArray(content)
+		) {
 			problems.push({
 				section: '',
 				key: name,
--- a/src/common/template/template.test.ts
+++ b/src/common/template/template.test.ts
@@ -170,3 +170,59 @@
 	t.equal(parse.parseTemplate(added)._unsafeUnwrap().customers?.size, 2);
 	t.match(customers.setDigests('', 'b', []), /^\[customer b\]/v);
 });
+
+// Guards against a text that ends a control process instead of being refused, and against an edit of
+// keys that changes other customers.
+tap.test('any text is parsed or refused', async (t) => {
+	const key = fastCheck.constantFrom(
+		'member',
+		'weight',
+		'key_digests',
+		'key_digests[]',
+		'rate_per_s',
+		'__proto__',
+		'constructor',
+		'"weight"',
+		'[]',
+		'a.b',
+		'',
+	);
+	const value = fastCheck.oneof(
+		fastCheck.constantFrom('null', 'true', '5', '"x', '{}', `${digests[0]},`),
+		fastCheck.string({maxLength: 4}),
+	);
+	const line = fastCheck.oneof(
+		fastCheck.constantFrom(
+			'[member]',
+			'[rank urgent]',
+			'[customer a]',
+			'[customer b]',
+			'[customer a.b]',
+			'[__proto__]',
+			'[ customer a ]',
+			'[',
+			'; x',
+			'',
+		),
+		fastCheck.tuple(key, value).map(([name, text]) => `${name} = ${text}`),
+		key,
+		fastCheck.string({maxLength: 6}),
+	);
+	const text = fastCheck
+		.array(line, {maxLength: 10})
+		.map((lines) => lines.join('\n'));
+	fastCheck.assert(
+		fastCheck.property(text, (found) => {
+			const parsed = parse.parseTemplate(found);
+			const problems = parsed.isErr() ? parsed.error : [];
+			for (const problem of problems) {
+				parse.formatProblem(problem);
+			}
+
+			customers.setDigests(found, 'a', digests.slice(0, 1));
+			return parsed.isOk() || problems.length > 0;
+		}),
+		{seed: 20_261_206, numRuns: 2000},
+	);
+	t.pass('for all texts');
+});
