Name the file when a log holds records of another file

What operators saw: nothing yet. A control peer whose file `log` is a copy of one of its other files, as after a wrong restore, ends with a TypeError that names no file.

Change: a record of another kind is corruption and named with file and offset.

--- a/src/node/storage/segment.ts
+++ b/src/node/storage/segment.ts
@@ -44,7 +44,7 @@
 		const decoded = records.decodeRecords(file, content);
 		const segment = new Segment(file);
 		for (const {offset, value} of decoded.records) {
-			segment.#applyRecord(offset, value as SegmentRecord);
+			segment.#applyRecord(offset, checkRecord(file, offset, value));
 		}
 
 		if (decoded.records.length === 0) {
@@ -172,6 +172,23 @@
 	}
 }
 
+/** Returns the value as a record of a log; throws a `StorageError` for that of another file. */
+function checkRecord(
+	file: string,
+	offset: number,
+	value: unknown,
+): SegmentRecord {
+	const record = value as Partial<SegmentRecord> | undefined | null;
+	const isRecord =
+		record?.type === 'base' ||
+		(record?.type === 'entries' && Array.isArray(record.entries));
+	if (!isRecord) {
+		throw records.makeCorruptionError(file, offset, 'not a record of a log');
+	}
+
+	return record as SegmentRecord;
+}
+
 function encodeEntries({
 	truncateFrom,
 	append = [],
