Leave connections to others when transactions begin together

What callers saw: with 100 callers that begin a transaction and stop half-way, an ordinary read sometimes got no answer for 20 s, until the test ended; in the product, which has no time limit for transactions at rest, it would get none before the others end.

Cause: the limit on the connections that sessions keep was compared with the bound ones only. Requests that are about to bind (BEGIN, session state) were not counted while they ran, so up to the concurrency of the server could pass the check together and take the connections that the limit leaves to others.

The new test in virtual time fails on the code before: 100 sessions begin at once, and a write after them ends by its deadline.

Change: the check counts running requests that may keep their connection. What exceeds the limit is refused at once as not run, as before.

--- a/src/common/proxy/owned-server.ts
+++ b/src/common/proxy/owned-server.ts
@@ -84,6 +84,24 @@
 	readonly arrivedAt: number;
 };
 
+/** Returns whether a session keeps the connection on which a request of this kind has run. */
+export function needsConnection(kind: proxy.RequestKind): boolean {
+	switch (kind) {
+		case 'begin':
+		case 'beginReadOnly':
+		case 'sessionState': {
+			return true;
+		}
+
+		case 'read':
+		case 'write':
+		case 'commit':
+		case 'rollback': {
+			return false;
+		}
+	}
+}
+
 export class OwnedServer {
 	readonly connections = new Map<ids.ConnectionId, Connection>();
 	readonly idleConnections: Connection[] = [];
@@ -226,6 +244,21 @@
 		return count;
 	}
 
+	/** Counts the connections that sessions keep, or may keep once their running request has ended. */
+	countHeldConnections(): number {
+		let count = 0;
+		for (const {binding, ownerRequest} of this.connections.values()) {
+			const mayKeep =
+				ownerRequest !== undefined &&
+				needsConnection(ownerRequest.request.kind);
+			if (binding !== undefined || mayKeep) {
+				count++;
+			}
+		}
+
+		return count;
+	}
+
 	/** Counts requests that run, wait in a queue or wait for their acknowledgement. */
 	countRequests(): number {
 		return (
--- a/src/common/proxy/serving-rules.ts
+++ b/src/common/proxy/serving-rules.ts
@@ -8,7 +8,8 @@
 import type * as context from './context.js';
 import type * as directory from './directory.js';
 import type * as leaseClient from './lease-client.js';
-import type * as owned from './owned-server.js';
+import * as owned from './owned-server.js';
+import type * as proxy from './types.js';
 
 /**
  * Time from the announcement of a server's departure until it gets no new requests, whatever control
@@ -91,9 +92,7 @@
 				return 'noPrimary';
 			}
 
-			const needsBinding =
-				request.kind === 'begin' || request.kind === 'sessionState';
-			return needsBinding ? this.checkBinding(server) : undefined;
+			return this.checkBinding(server, request.kind);
 		}
 
 		if (this.hasDeparted(server)) {
@@ -118,20 +117,24 @@
 			return 'tooStale';
 		}
 
-		return request.kind === 'beginReadOnly'
-			? this.checkBinding(server)
-			: undefined;
+		return this.checkBinding(server, request.kind);
 	}
 
 	/** Returns why a session may not keep a connection of the server, or undefined when it may. */
 	private checkBinding(
 		server: owned.OwnedServer,
+		kind: proxy.RequestKind,
 	): types.RefusalReason | undefined {
+		if (!owned.needsConnection(kind)) {
+			return undefined;
+		}
+
 		if (server.ownershipReleaseRequestedAt !== undefined) {
 			return 'noServer';
 		}
 
-		return server.countBoundConnections() >= server.boundLimit
+		// Running requests count too: those that begin together would take all connections.
+		return server.countHeldConnections() >= server.boundLimit
 			? 'queueFull'
 			: undefined;
 	}
--- a/src/common/proxy/transactions.test.ts
+++ b/src/common/proxy/transactions.test.ts
@@ -253,3 +253,25 @@
 	t.equal(server.countBoundConnections(), 0);
 	t.match(fleet.run(1, session, put('1')), {type: 'answered'});
 });
+
+// Guards against transactions that begin together and take the connections that are left to others.
+tap.test('transactions at rest leave connections to others', async (t) => {
+	const fleet = new smallFleet.SmallFleet(2);
+	const answers: proxyProcess.CallerAnswer[] = [];
+	for (let index = 0; index < 100; index++) {
+		fleet.proxies[index % 2].send(
+			fleet.openSession(index % 2),
+			{type: 'begin'},
+			{deadlineMs: 2000},
+			(answer) => {
+				answers.push(answer);
+			},
+		);
+	}
+
+	fleet.timeline.runUntil(fleet.timeline.now + 3000);
+	t.equal(answers.length, 100);
+	t.ok(answers.some(({type}) => type === 'answered'));
+	t.ok(answers.some(({type}) => type === 'refused'));
+	t.equal(fleet.run(1, fleet.openSession(1), put('1')).type, 'answered');
+});
