Show late grants, the configuration in force and unsent bytes

The logs and metrics could not tell full links from an overloaded process or a lost leader: nothing said how long a grant of control was under way, which version a proxy had at a moment, or whether a link that was closed as silent still held unsent data.

Added: the counter late_grants with a log line for the first late grant in a row, the gauge configuration_version, the unsent bytes in the reason for closing a silent link, and a line of the leader with the size of a committed configuration and the number of proxies it goes to. No change of what is sent or decided. The traffic counters by message type already give the copies.

Test: 'late grants are counted and the first is logged' (new).

--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -288,6 +288,12 @@
 
 	#pushConfiguration(): void {
 		const {configuration} = this.environment.machine;
+		if (configuration) {
+			this.environment.log(
+				`configuration ${configuration.version} of ${configuration.text.length} characters goes to ${this.table.proxies.size} proxies`,
+			);
+		}
+
 		for (const peer of configuration ? this.table.proxies.keys() : []) {
 			this.environment.send(peer, {
 				type: 'configurationPush',
--- a/src/common/proxy/lease-client.test.ts
+++ b/src/common/proxy/lease-client.test.ts
@@ -44,6 +44,19 @@
 	return {shared, client, listRenewals};
 }
 
+const buildGrant = (sequence: number) =>
+	({
+		type: 'leaseGranted',
+		sequence,
+		durationMs: 1500,
+		appliedIndex: 1,
+		owned: [],
+		groups: [],
+		owners: [],
+		templates: [],
+		confirmed: [],
+	}) as const;
+
 // Guards against a proxy that keeps asking the control peers in turn although a new leader has
 // announced itself, which leaves its servers without an owner for longer.
 tap.test('a renewal is sent to an announced leader at once', async (t) => {
@@ -62,16 +75,8 @@
 	shared.now = 1000;
 	client.handleLeader(k2, 5);
 	client.handleGrant(k2, {
-		type: 'leaseGranted',
-		sequence: 1,
-		durationMs: 1500,
-		appliedIndex: 1,
-		owned: [],
-		owners: [],
+		...buildGrant(1),
 		ownersVersion: {consensusTerm: 5, counter: 1},
-		groups: [],
-		confirmed: [],
-		templates: [],
 	});
 	listRenewals();
 	client.handleLeader(k1, 4);
@@ -94,18 +99,6 @@
 			return {client, sequence: sequence!};
 		},
 	);
-	const buildGrant = (sequence: number) =>
-		({
-			type: 'leaseGranted',
-			sequence,
-			durationMs: 1500,
-			appliedIndex: 1,
-			owned: [],
-			groups: [],
-			owners: [],
-			templates: [],
-			confirmed: [],
-		}) as const;
 	t.ok(later.client.isOutdated(buildGrant(earlier.sequence)));
 	later.client.handleGrant(k1, buildGrant(earlier.sequence));
 	t.equal(later.client.expiresAt, 0);
@@ -113,3 +106,33 @@
 	later.client.handleGrant(k1, buildGrant(later.sequence));
 	t.ok(later.client.expiresAt > 0);
 });
+
+// Guards against links that are full without a trace in the log and the metrics.
+tap.test('late grants are counted and the first is logged', async (t) => {
+	const {shared, client} = createClient();
+	const counted: string[] = [];
+	const logged: string[] = [];
+	for (const latencyMs of [100, 900, 700, 100]) {
+		shared.now += 1000;
+		client.sendRenewal();
+		const sequence = shared
+			.takeEffects()
+			.flatMap((effect) =>
+				effect.type === 'sendPeer' && effect.message.type === 'renewLease'
+					? [effect.message.sequence]
+					: [],
+			)[0];
+		shared.now += latencyMs;
+		client.handleGrant(k1, buildGrant(sequence));
+		for (const effect of shared.takeEffects()) {
+			if (effect.type === 'countEvent') {
+				counted.push(effect.name);
+			} else if (effect.type === 'log') {
+				logged.push(`${effect.record.message} ${latencyMs}`);
+			}
+		}
+	}
+
+	t.same(counted, ['lateGrants', 'lateGrants']);
+	t.same(logged, ['A grant of control came late 900']);
+});
--- a/src/common/proxy/lease-client.ts
+++ b/src/common/proxy/lease-client.ts
@@ -16,6 +16,9 @@
 /** Redirects to a leader that did not answer are ignored for this long. */
 const leaderBackoffMs = 1000;
 const maxClockDrift = 0.01;
+/** A grant that answers an older renewal is late: it waited in a queue, or control is overloaded. */
+const lateGrantMs = 500;
+const part = 'lease';
 
 /** State of the proxy that a renewal reports. */
 export type RenewalSource = {
@@ -51,6 +54,7 @@
 	/** The last leader that did not answer in time, and when that was noticed. */
 	private unresponsiveLeader: {peer: ids.PeerId; at: number} | undefined;
 	private readonly sentAtBySequence = new Map<number, number>();
+	private isAnsweredLate = false;
 
 	constructor(
 		private readonly context: context.ProxyContext,
@@ -137,6 +141,7 @@
 		}
 
 		this.sentAtBySequence.delete(grant.sequence);
+		this.observeLatency(from, this.context.now - sentAt);
 		this.leader = from;
 		this.lastAnswerAt = this.context.now;
 		this.lastGrantAt = this.context.now;
@@ -229,6 +234,23 @@
 		);
 	}
 
+	/** Counts late grants, and logs the first of several in a row. */
+	private observeLatency(from: ids.PeerId, latencyMs: number): void {
+		const isLate = latencyMs > lateGrantMs;
+		if (isLate) {
+			this.context.count('lateGrants');
+		}
+
+		if (isLate && !this.isAnsweredLate) {
+			this.context.log('warn', part, 'A grant of control came late', {
+				from,
+				latencyMs: Math.round(latencyMs),
+			});
+		}
+
+		this.isAnsweredLate = isLate;
+	}
+
 	private removeOldSequences(): void {
 		for (const [sequence, sentAt] of this.sentAtBySequence) {
 			if (this.context.now - sentAt > 10_000) {
--- a/src/common/proxy/types.ts
+++ b/src/common/proxy/types.ts
@@ -433,6 +433,7 @@
 	| 'returns'
 	| 'internalErrors'
 	| 'templateUpdates'
+	| 'lateGrants'
 	| 'unknownKeys'
 	| 'unconfirmedKeys'
 	| 'unansweredRequests'
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -324,6 +324,10 @@
 
 		metrics.setGauge('buffered_bytes', this.guard.usedBytes);
 		metrics.setGauge('sessions', reducer.entry.sessions.size);
+		metrics.setGauge(
+			'configuration_version',
+			reducer.templates.configuration?.version ?? 0,
+		);
 		metrics.setGauge('requests_in_flight', reducer.entry.inFlight);
 		metrics.setGauge('owned_servers', servers.length);
 		metrics.setGauge(
--- a/src/node/peer/link-socket.ts
+++ b/src/node/peer/link-socket.ts
@@ -67,6 +67,11 @@
 		return this.#isCongested;
 	}
 
+	/** Bytes that the peer's side of the connection has not taken yet. */
+	get unsentBytes(): number {
+		return this.#queuedBytes + this.socket.writableLength;
+	}
+
 	/** Queues a message to be written at the end of the event-loop turn; false when it was dropped. */
 	send(message: messages.PeerMessage): boolean {
 		if (this.#isClosed) {
@@ -83,7 +88,7 @@
 		this.handler.recordFrame('sent', message.type, frame.length);
 		this.#queuedFrames.push(frame);
 		this.#queuedBytes += frame.length;
-		const buffered = this.#queuedBytes + this.socket.writableLength;
+		const buffered = this.unsentBytes;
 		if (buffered > this.limits.sendBufferBytes) {
 			this.close('the peer does not read');
 			return false;
--- a/src/node/peer/peer-connection.ts
+++ b/src/node/peer/peer-connection.ts
@@ -190,7 +190,9 @@
 
 			case 'silent': {
 				this.environment.handleSilentPeer();
-				this.close('the peer is silent');
+				this.close(
+					`the peer is silent, ${this.#socket.unsentBytes} bytes are unsent`,
+				);
 				return;
 			}
 
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -540,6 +540,7 @@
 	| 'returns'
 	| 'internalErrors'
 	| 'templateUpdates'
+	| 'lateGrants'
 	| 'unknownKeys'
 	| 'unconfirmedKeys'
 	| 'unansweredRequests'
