--- a/src/scenario/fleet/customer-fleet.ts
+++ b/src/scenario/fleet/customer-fleet.ts
@@ -63,22 +63,23 @@
 	);
 }
 
-/** Builds routes with one member, which needs keys when there are customers. */
+/** Builds the routes of members, which need keys when there are customers. */
 export function buildRouteSet(
 	customers: readonly types.Customer[],
 	parameters: types.TemplateParameters,
+	members: readonly ids.MemberId[] = ['m' as ids.MemberId],
 ): types.RouteSet {
 	return {
-		members: new Map([
-			[
-				'm' as ids.MemberId,
+		members: new Map(
+			members.map((member) => [
+				member,
 				{
 					group: 'ledger' as ids.GroupId,
 					parameters,
 					isOpen: customers.length === 0,
 				},
-			],
-		]),
+			]),
+		),
 		idleTransactionMs: Infinity,
 		customers: new Map(
 			customers.map((customer) => [customer.customer, customer]),
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -26,6 +26,8 @@
 	readonly controls: number;
 	readonly seed: number;
 	readonly parameters?: types.TemplateParameters;
+	/** Without it, messages take a delay but no time to transmit. */
+	readonly createLinks?: (timeline: timeline.Timeline) => links.Links;
 	readonly rateLimits?: control.RateLimitOptions;
 	/** Without it, every template sets the parameters. */
 	readonly parseTemplate?: templateStore.TemplateParser;
@@ -48,9 +50,11 @@
 	readonly member = 'm' as ids.MemberId;
 
 	constructor(private readonly options: FleetOptions) {
-		this.links = new links.Links(this.timeline, (from, to) =>
-			from.at(-1) === to.at(-1) ? localDelayMs : remoteDelayMs,
-		);
+		this.links =
+			options.createLinks?.(this.timeline) ??
+			new links.Links(this.timeline, (from, to) =>
+				from.at(-1) === to.at(-1) ? localDelayMs : remoteDelayMs,
+			);
 		this.servers = fakeServer.createGroup(this.group, this.timeline);
 		const controlPeers = Array.from(
 			{length: options.controls},
--- a/src/scenario/fleet/links.ts
+++ b/src/scenario/fleet/links.ts
@@ -18,7 +18,7 @@
 	handleLinkChange(peer: ids.PeerId, up: boolean): void;
 };
 
-type Link = {
+export type Link = {
 	isWanted: boolean;
 	isUp: boolean;
 	idleSince: number | undefined;
@@ -103,14 +103,18 @@
 	}
 
 	send(from: ids.PeerId, to: ids.PeerId, message: messages.PeerMessage): void {
-		if (this.links.get(`${from}>${to}`)?.isUp) {
+		if (this.isUp(from, to)) {
 			this.timeline.schedule(this.computeDelay(from, to), () => {
 				this.deliver(from, to, message);
 			});
 		}
 	}
 
-	private deliver(
+	protected isUp(from: ids.PeerId, to: ids.PeerId): boolean {
+		return this.links.get(`${from}>${to}`)?.isUp ?? false;
+	}
+
+	protected deliver(
 		from: ids.PeerId,
 		to: ids.PeerId,
 		message: messages.PeerMessage,
@@ -121,6 +125,26 @@
 		}
 	}
 
+	/** Closes a link for both ends; a frozen process is told at its thaw. */
+	protected close(from: ids.PeerId, to: ids.PeerId): void {
+		for (const [near, far] of [
+			[from, to],
+			[to, from],
+		]) {
+			const link = this.links.get(`${near}>${far}`);
+			if (link) {
+				this.setDown(near, far, link);
+			}
+		}
+	}
+
+	protected setDown(from: ids.PeerId, to: ids.PeerId, link: Link): void {
+		if (link.isUp) {
+			link.isUp = false;
+			this.processes.get(from)?.handleLinkChange(to, false);
+		}
+	}
+
 	private checkLinks(): void {
 		const {now} = this.timeline;
 		for (const [key, link] of this.links) {
@@ -170,24 +194,4 @@
 			this.processes.get(from)!.handleLinkChange(to, true);
 		}
 	}
-
-	/** Closes a link for both ends; a frozen process is told at its thaw. */
-	private close(from: ids.PeerId, to: ids.PeerId): void {
-		for (const [near, far] of [
-			[from, to],
-			[to, from],
-		]) {
-			const link = this.links.get(`${near}>${far}`);
-			if (link) {
-				this.setDown(near, far, link);
-			}
-		}
-	}
-
-	private setDown(from: ids.PeerId, to: ids.PeerId, link: Link): void {
-		if (link.isUp) {
-			link.isUp = false;
-			this.processes.get(from)?.handleLinkChange(to, false);
-		}
-	}
 }
