Let proxies fetch a configuration in parts instead of pushing it to them

What callers saw: after a change that adds 1,400 routes, seconds without service on all VMs, and a VM that refused a new database 5.7 s after the acknowledgement.

Cause: the leader pushed the text to all proxies when it was committed, and put it into every answer to a renewal (each 250 ms) until a renewal named the version. A slow link takes longer than 250 ms for one copy, so copies queued up in it. Leases, pings and requests waited behind them, links were closed as silent, the leader's heartbeats came late, and every new leader and every new link began anew. The class of the fault: state of unbounded size is repeated on a timer, on links that carry urgent messages, and nothing bounds what is under way.

Change: grants and a notice at the commit only name the version and a source. The proxy fetches the text from a voter of its data centre, else from one of the voters, else from the leader: packed by zlib, in parts of 16 KiB, one at a time, so a link never has more than one part under way. A source hands out at most 160 KiB a tick. Peer protocol 5: all processes are updated together.

--- a/src/common/control/grants.ts
+++ b/src/common/control/grants.ts
@@ -1,6 +1,6 @@
 /**
- * Builds the grants that the control leader sends to proxies. A grant carries only the groups, owners,
- * templates and configuration that are newer than those the proxy has.
+ * Builds the grants that the control leader sends to proxies. A grant carries only the groups, owners
+ * and templates that are newer than those the proxy has, and names the configuration when it is newer.
  */
 import type * as ids from '../ids.js';
 import type * as types from '../types.js';
@@ -48,6 +48,7 @@
 	machine: machines.ControlMachine,
 	proxy: leases.ProxyRecord,
 	canGrantWriteLease: (group: ids.GroupId) => boolean,
+	chooseSource: (proxy: leases.ProxyRecord) => ids.PeerId,
 ): Grant {
 	const {renewal} = proxy;
 	const {configuration} = machine;
@@ -71,7 +72,14 @@
 		ownersVersion: table.ownersVersion,
 		owners: table.listOwners(renewal.knownOwners),
 		templates: isUpToDate ? [] : listNewTemplates(machine, renewal),
-		...(isConfigurationNew ? {configuration} : {}),
+		...(isConfigurationNew
+			? {
+					configuration: {
+						version: configuration.version,
+						source: chooseSource(proxy),
+					},
+				}
+			: {}),
 		confirmed: renewal.announcements.map(({server, version}) => [
 			server,
 			version,
--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -9,6 +9,7 @@
 import type * as customerLimits from '../policy/customer-limits.js';
 import * as rateBound from '../policy/rate-bound.js';
 import * as allowances from './allowances.js';
+import * as configurationHolders from './configuration-holders.js';
 import type * as control from './types.js';
 import type * as leases from './leases.js';
 import type * as machines from './machine.js';
@@ -32,6 +33,9 @@
 	readonly faults: control.FaultInjection;
 	/** Undefined when no customer has a limit. */
 	readonly rateLimits: control.RateLimitOptions | undefined;
+	readonly self: ids.PeerId;
+	/** Lists the running control peers that hold the replicated log. */
+	listHolders(): readonly configurationHolders.Holder[];
 	send(to: ids.PeerId, message: messages.PeerMessage): void;
 	/** Proposes a command; `hasProposal` of its group is true until the outcome is known. */
 	propose(command: control.GroupCommand): void;
@@ -181,7 +185,7 @@
 		}
 
 		if (command.type === 'setConfiguration') {
-			this.#pushConfiguration();
+			this.#announceConfiguration();
 			this.#updateCustomers(now);
 			return;
 		}
@@ -286,22 +290,37 @@
 		}
 	}
 
-	#pushConfiguration(): void {
+	/** Names a committed configuration to the proxies, which then fetch it. */
+	#announceConfiguration(): void {
 		const {configuration} = this.environment.machine;
-		if (configuration) {
-			this.environment.log(
-				`configuration ${configuration.version} of ${configuration.text.length} characters goes to ${this.table.proxies.size} proxies`,
-			);
+		if (!configuration) {
+			return;
 		}
 
-		for (const peer of configuration ? this.table.proxies.keys() : []) {
-			this.environment.send(peer, {
-				type: 'configurationPush',
-				configuration: configuration!,
+		this.environment.log(
+			`configuration ${configuration.version} of ${configuration.text.length} characters goes to ${this.table.proxies.size} proxies`,
+		);
+		const holders = this.environment.listHolders();
+		for (const proxy of this.table.proxies.values()) {
+			this.environment.send(proxy.peer, {
+				type: 'configurationChanged',
+				version: configuration.version,
+				source: this.#chooseSource(proxy, holders),
 			});
 		}
 	}
 
+	/** Chooses the control peer from which a proxy should fetch the configuration. */
+	#chooseSource(
+		{peer, dataCentre}: leases.ProxyRecord,
+		holders: readonly configurationHolders.Holder[],
+	): ids.PeerId {
+		return (
+			configurationHolders.chooseHolder(peer, dataCentre, holders) ??
+			this.environment.self
+		);
+	}
+
 	/** Returns undefined while the limits are not known. */
 	#getAllowances(now: number): allowances.AllowanceTable | undefined {
 		if (!this.#allowances && this.#templateLimits.isComplete) {
@@ -345,6 +364,7 @@
 				this.environment.machine,
 				proxy,
 				(group) => this.#serverSets.canGrantWriteLease(now, group),
+				(record) => this.#chooseSource(record, this.environment.listHolders()),
 			);
 			this.environment.send(
 				peer,
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -11,6 +11,7 @@
 import type * as messages from '../messages.js';
 import * as random from '../random.js';
 import type * as types from '../types.js';
+import type * as configurationHolders from './configuration-holders.js';
 import type * as control from './types.js';
 import * as reducer from './reducer.js';
 import * as voters from './voters.js';
@@ -38,6 +39,7 @@
 	readonly wantedVoters?: number;
 	readonly recordsLeaseHolders?: boolean;
 	readonly rateLimits?: control.RateLimitOptions;
+	readonly packing?: types.TextPacking;
 	readonly random: random.RandomSource;
 };
 
@@ -105,6 +107,8 @@
 			log: options.log,
 			recordsLeaseHolders: options.recordsLeaseHolders ?? false,
 			...(options.rateLimits ? {rateLimits: options.rateLimits} : {}),
+			...(options.packing ? {packing: options.packing} : {}),
+			listControlPeers: () => this.listControlPeers(),
 			messageNumberStart: random.drawSequenceStart(options.random),
 		});
 		this.membership = this.createMembership();
@@ -175,6 +179,15 @@
 		}
 	}
 
+	/** Lists the running control peers, this one included. */
+	private listControlPeers(): configurationHolders.Holder[] {
+		const {peer, dataCentre} = this.options;
+		const others = this.membership
+			.listLivePeers()
+			.filter((state) => state.role === 'control' && state.peer !== peer);
+		return [{peer, dataCentre}, ...others];
+	}
+
 	private updateVoters(): void {
 		const {log, peer: self, wantedVoters} = this.options;
 		if (
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -4,11 +4,14 @@
  */
 import type * as ids from '../ids.js';
 import {assertNever} from '../assert-never.js';
+import * as packing from '../packing.js';
 import type * as types from '../types.js';
 import type * as messages from '../messages.js';
 import * as messageTypes from '../consensus/message-types.js';
 import type * as consensus from '../consensus/types.js';
+import type * as configurationHolders from './configuration-holders.js';
 import * as configurationReads from './configuration-reads.js';
+import * as configurationSource from './configuration-source.js';
 import type * as control from './types.js';
 import * as leaders from './leader.js';
 import * as logDriver from './log-driver.js';
@@ -26,6 +29,9 @@
 	 */
 	readonly recordsLeaseHolders?: boolean;
 	readonly rateLimits?: control.RateLimitOptions;
+	readonly packing?: types.TextPacking;
+	/** The control peers that membership knows; only this peer when it is not set. */
+	readonly listControlPeers?: () => readonly configurationHolders.Holder[];
 	/** Requests to the leader have higher numbers; differs between instances of the peer. */
 	readonly messageNumberStart?: number;
 };
@@ -41,6 +47,8 @@
 	readonly #machine = new machines.ControlMachine();
 	readonly #operatorChanges: operatorChanges.OperatorChanges;
 	readonly #configurationReads: configurationReads.ConfigurationReads;
+	readonly #configurationSource: configurationSource.ConfigurationSource;
+	readonly #listControlPeers: () => readonly configurationHolders.Holder[];
 	/** Group of each proposal about a group whose outcome is pending. */
 	readonly #groupProposals = new Map<number, ids.GroupId>();
 	/** Announcements of servers that membership delivered; a new leader starts from them. */
@@ -74,6 +82,14 @@
 		this.#recordsLeaseHolders = options.recordsLeaseHolders ?? false;
 		this.#rateLimits = options.rateLimits;
 		const {messageNumberStart = 0} = options;
+		this.#listControlPeers = options.listControlPeers ?? (() => []);
+		this.#configurationSource = new configurationSource.ConfigurationSource({
+			packing: options.packing ?? packing.plainPacking,
+			isFollowing: () => this.#log.leader !== undefined,
+			send: (to, message) => {
+				this.#send(to, message);
+			},
+		});
 		this.#configurationReads = new configurationReads.ConfigurationReads({
 			peer: options.peer,
 			messageNumberStart,
@@ -154,6 +170,7 @@
 				});
 				this.#updateLeader();
 				this.#findActiveLeader()?.step(event.now);
+				this.#configurationSource.step(event.now);
 				this.#updateHealth();
 				return;
 			}
@@ -264,6 +281,10 @@
 			this.#sendTemplate(from, message.member);
 		}
 
+		if (message.type === 'configurationFetch') {
+			this.#configurationSource.handleFetch(this.#now, from, message);
+		}
+
 		if (message.type === 'proposeChange') {
 			this.#operatorChanges.handleProposedChange(this.#now, from, message);
 		}
@@ -355,6 +376,13 @@
 			machine: this.#machine,
 			term: this.#log.term,
 			faults: this.#faults,
+			self: this.#peer,
+			listHolders: () => {
+				const {voters = []} = this.#log;
+				return this.#listControlPeers().filter(({peer}) =>
+					voters.includes(peer),
+				);
+			},
 			send: (to, message) => {
 				this.#send(to, message);
 			},
@@ -422,6 +450,7 @@
 
 			case 'restore': {
 				this.#machine.restore(effect.snapshot.state as control.MachineState);
+				this.#configurationSource.setConfiguration(this.#machine.configuration);
 				this.#logDriver.recordSnapshot(effect.snapshot.index);
 				return;
 			}
@@ -460,6 +489,7 @@
 
 		const {command} = payload;
 		const result = this.#machine.apply(index, command);
+		this.#configurationSource.setConfiguration(this.#machine.configuration);
 		if (proposal !== undefined) {
 			this.#groupProposals.delete(proposal);
 		}
--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -158,6 +158,13 @@
 	>;
 };
 
+/** Names a configuration that is committed. */
+export type ConfigurationNotice = {
+	readonly version: number;
+	/** The control peer from which this proxy should fetch the text. */
+	readonly source: ids.PeerId;
+};
+
 export type ControlMessage =
 	| {
 			/** Proxy to control leader, every 250 ms. */
@@ -197,8 +204,8 @@
 			}>;
 			/** Templates that are newer than the proxy's. */
 			readonly templates: readonly types.Template[];
-			/** The configuration, when it is newer than the proxy's. */
-			readonly configuration?: types.Configuration;
+			/** The version of the configuration in force, when it is newer than the proxy's. */
+			readonly configuration?: ConfigurationNotice;
 			/** Announcement versions that the leader has stored. */
 			readonly confirmed: ReadonlyArray<readonly [ids.UpstreamId, number]>;
 			readonly appliedIndex: number;
@@ -249,9 +256,31 @@
 export type TemplateMessage =
 	| {readonly type: 'templatePush'; readonly template: types.Template}
 	| {readonly type: 'templateFetch'; readonly member: ids.MemberId}
+	| ({
+			/** The leader has committed a configuration. */
+			readonly type: 'configurationChanged';
+	  } & ConfigurationNotice)
+	| {
+			/**
+			 * Proxy to control: asks for the part of the packed text that begins at this byte. The source
+			 * may answer with the first part of a newer version.
+			 */
+			readonly type: 'configurationFetch';
+			readonly version: number;
+			readonly offset: number;
+	  }
+	| {
+			readonly type: 'configurationPart';
+			readonly version: number;
+			/** Size of the whole packed text, in bytes. */
+			readonly size: number;
+			readonly offset: number;
+			readonly data: Uint8Array;
+	  }
 	| {
-			readonly type: 'configurationPush';
-			readonly configuration: types.Configuration;
+			/** The sender has neither the version that was asked for nor a newer one. */
+			readonly type: 'configurationMissing';
+			readonly version: number;
 	  };
 
 export type OperatorMessage =
--- a/src/common/proxy/peer-messages.ts
+++ b/src/common/proxy/peer-messages.ts
@@ -8,6 +8,7 @@
 import type * as messages from '../messages.js';
 import type * as types from '../types.js';
 import type * as callerAccess from './caller-access.js';
+import type * as configurationClient from './configuration-client.js';
 import type * as context from './context.js';
 import type * as candidates from './candidates.js';
 import type * as directory from './directory.js';
@@ -27,6 +28,7 @@
 export type MessageRecipients = {
 	readonly access: callerAccess.CallerAccess;
 	readonly candidates: candidates.CandidateList;
+	readonly configurations: configurationClient.ConfigurationClient;
 	readonly directory: directory.Directory;
 	readonly entry: entry.Entry;
 	readonly lease: leaseClient.LeaseClient;
@@ -141,8 +143,18 @@
 				return;
 			}
 
-			case 'configurationPush': {
-				this.mergeConfiguration(message.configuration);
+			case 'configurationChanged': {
+				this.parts.configurations.handleNotice(message);
+				return;
+			}
+
+			case 'configurationPart': {
+				this.parts.configurations.handlePart(from, message);
+				return;
+			}
+
+			case 'configurationMissing': {
+				this.parts.configurations.handleMissing(from, message);
 				return;
 			}
 
@@ -163,6 +175,7 @@
 			case 'allowanceRequest':
 			case 'leaseReleased':
 			case 'proposeChange':
+			case 'configurationFetch':
 			case 'readConfiguration':
 			case 'configurationRead':
 			case 'preVote':
@@ -235,7 +248,7 @@
 		}
 
 		if (grant.configuration) {
-			this.mergeConfiguration(grant.configuration);
+			this.parts.configurations.handleNotice(grant.configuration);
 		}
 
 		this.parts.access.recordGrant(grant, this.parts.lease.answeredRenewalAt);
@@ -254,18 +267,6 @@
 		}
 	}
 
-	private mergeConfiguration(configuration: types.Configuration): void {
-		const previousVersion = this.parts.templates.configuration?.version ?? 0;
-		if (this.parts.templates.mergeConfiguration(configuration)) {
-			this.context.count('templateUpdates');
-			this.context.log('info', part, 'A configuration is in force', {
-				version: configuration.version,
-				before: previousVersion,
-				members: this.parts.templates.routes?.members.size,
-			});
-		}
-	}
-
 	private mergeTemplate(template: types.Template): void {
 		if (!this.parts.templates.mergeTemplate(template)) {
 			return;
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -6,11 +6,13 @@
 import {assertNever} from '../assert-never.js';
 import type * as ids from '../ids.js';
 import type * as membershipService from '../membership/membership.js';
+import * as packing from '../packing.js';
 import type * as random from '../random.js';
 import type * as types from '../types.js';
 import * as allowanceClient from './allowance-client.js';
 import * as callerAccess from './caller-access.js';
 import * as candidates from './candidates.js';
+import * as configurationClient from './configuration-client.js';
 import * as context from './context.js';
 import * as directory from './directory.js';
 import * as drain from './drain.js';
@@ -44,6 +46,7 @@
 	owner.OwnerServices & {
 		readonly parseTemplate: templateStore.TemplateParser;
 		readonly parseConfiguration?: templateStore.ConfigurationParser;
+		readonly packing?: types.TextPacking;
 	};
 
 export class ProxyReducer {
@@ -63,6 +66,7 @@
 	private readonly poller: poller.Poller;
 	private readonly drain: drain.DrainController;
 	private readonly operators: operatorClient.OperatorClient;
+	private readonly configurations: configurationClient.ConfigurationClient;
 	private lastEventAt: number | undefined;
 	private readonly health: proxyHealth.ProxyHealth;
 	private readonly peerWatch: peerWatch.PeerWatch;
@@ -171,9 +175,19 @@
 			(startedBefore) => this.owner.listActiveOrigins(startedBefore),
 			() => this.health.listSampledPeers(),
 		]);
+		this.configurations = new configurationClient.ConfigurationClient(
+			this.context,
+			{
+				packing: services.packing ?? packing.plainPacking,
+				getVersion: () => this.templates.configuration?.version ?? 0,
+				apply: (configuration) => this.applyConfiguration(configuration),
+				getLeader: () => this.lease.getLeader(),
+			},
+		);
 		this.peerMessages = new peerMessages.PeerMessageHandler(this.context, {
 			access,
 			candidates: this.candidates,
+			configurations: this.configurations,
 			directory: this.directory,
 			entry: this.entry,
 			lease: this.lease,
@@ -374,6 +388,7 @@
 		this.candidates.handleTick(this.listUsedGroups());
 		this.reports.handleTick();
 		this.operators.handleTick();
+		this.configurations.handleTick();
 		this.directory.expireAnnouncements();
 		this.drain.handleTick();
 		this.health.update();
@@ -387,6 +402,23 @@
 		}
 	}
 
+	/** Returns false when the text of the configuration is not valid. */
+	private applyConfiguration(configuration: types.Configuration): boolean {
+		const before = this.templates.configuration?.version ?? 0;
+		if (!this.templates.mergeConfiguration(configuration)) {
+			return false;
+		}
+
+		this.context.count('templateUpdates');
+		this.context.log('info', part, 'A configuration is in force', {
+			version: configuration.version,
+			before,
+			members: this.templates.routes?.members.size,
+			delayMs: Math.round(this.configurations.delayMs),
+		});
+		return true;
+	}
+
 	private handleExecutionFinished(
 		event: Extract<proxy.ProxyEvent, {type: 'executionFinished'}>,
 	): void {
@@ -451,6 +483,7 @@
 		this.reports.handleLinkDown(peer);
 		this.peerView.handleLinkDown(peer);
 		this.lease.handleLinkDown(peer);
+		this.configurations.handleLinkDown(peer);
 		this.owner.handleLinkDown(peer);
 		this.entry.handleLinkDown(peer);
 	}
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -174,6 +174,13 @@
 	readonly text: string;
 };
 
+/** Converts texts to the form in which peers exchange them, and back. */
+export type TextPacking = {
+	pack(text: string): Uint8Array;
+	/** Returns undefined when the bytes are damaged. */
+	unpack(bytes: Uint8Array): string | undefined;
+};
+
 /** An operator's request to put a configuration in force. */
 export type ConfigurationChange = {
 	readonly type: 'configuration';
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -9,6 +9,7 @@
 import * as consensus from '../common/consensus/consensus.js';
 import * as controlPeer from '../common/control/peer.js';
 import * as random from '../common/random.js';
+import * as textPacking from '../node/text-packing.js';
 import type * as node from '../node/types.js';
 import type * as daemon from './control-types.js';
 import * as deferred from './deferred.js';
@@ -48,6 +49,7 @@
 		...(settings.wantedVoters === undefined
 			? {}
 			: {wantedVoters: settings.wantedVoters}),
+		packing: textPacking.zlibPacking,
 		random: random.createRandom(Math.floor(adapters.random() * 2 ** 31)),
 	});
 	const instance = new ControlProcess(reducer, adapters);
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -22,6 +22,7 @@
 import * as peerLinks from '../node/peer/peer-links.js';
 import type * as peerTypes from '../node/peer/types.js';
 import type * as settings from '../node/settings/types.js';
+import * as textPacking from '../node/text-packing.js';
 import type * as node from '../node/types.js';
 import type * as daemon from './types.js';
 import * as clock from './clock.js';
@@ -229,6 +230,7 @@
 					}),
 				parseTemplate: (text) =>
 					template.parseTemplate(text).unwrapOr(undefined),
+				packing: textPacking.zlibPacking,
 				...this.options.services,
 			},
 			random.createRandom(Math.floor(Math.random() * 2 ** 31)),
--- a/src/node/peer/frame-keys.ts
+++ b/src/node/peer/frame-keys.ts
@@ -126,4 +126,6 @@
 	'customer',
 	'maxWaitMs',
 	'isReturned',
+	'source',
+	'size',
 ] as const;
--- a/src/node/peer/message-shapes.ts
+++ b/src/node/peer/message-shapes.ts
@@ -53,6 +53,7 @@
 	changeId: text,
 });
 const configuration = shape.createObject({version: count, text});
+const configurationNotice = {version: count, source: text};
 const groupView = shape.createObject({group: text, term: count});
 
 const delta = shape.createUnion([
@@ -240,7 +241,9 @@
 			shape.createObject({server: text, owner: shape.createOptional(text)}),
 		),
 		templates: shape.createArray(template),
-		configuration: shape.createOptional(configuration),
+		configuration: shape.createOptional(
+			shape.createObject(configurationNotice),
+		),
 		confirmed: shape.createArray(shape.createTuple([text, count])),
 		appliedIndex: count,
 		allowances: shape.createOptional(allowanceGrant),
@@ -254,7 +257,15 @@
 	}),
 	templatePush: shape.createObject({template}),
 	templateFetch: shape.createObject({member: text}),
-	configurationPush: shape.createObject({configuration}),
+	configurationChanged: shape.createObject(configurationNotice),
+	configurationFetch: shape.createObject({version: count, offset: count}),
+	configurationPart: shape.createObject({
+		version: count,
+		size: count,
+		offset: count,
+		data: shape.createBytes(1),
+	}),
+	configurationMissing: shape.createObject({version: count}),
 	proposeChange: shape.createObject({operation: count, change}),
 	changeResult: shape.createObject({
 		operation: count,
--- a/src/node/peer/peer-links.test.ts
+++ b/src/node/peer/peer-links.test.ts
@@ -493,7 +493,7 @@
 	await waitUntil(() => left.changes.length === 1);
 	left.links.send(right.id, probeMessage);
 	await waitUntil(() => left.logs.length > 0 && right.logs.length > 0);
-	t.match(left.logs[0], /protocol 4/v);
-	t.match(right.logs[0], /protocol 1, this process 4/v);
+	t.match(left.logs[0], /protocol 5/v);
+	t.match(right.logs[0], /protocol 1, this process 5/v);
 	t.strictSame(right.received, []);
 });
--- a/src/node/peer/peer-links.ts
+++ b/src/node/peer/peer-links.ts
@@ -12,7 +12,7 @@
 import * as types from './types.js';
 
 /** Version of the peer protocol. Peers close connections with peers of another version. */
-export const protocolVersion = 4;
+export const protocolVersion = 5;
 
 /** The links of this process, with flow control for producers of large data. */
 export type FlowControlledPeerLinks = node.PeerLinks & {
--- a/src/scenario/fleet/scripted-control.ts
+++ b/src/scenario/fleet/scripted-control.ts
@@ -5,6 +5,7 @@
 import type * as ids from '../../common/ids.js';
 import * as membership from '../../common/membership/membership.js';
 import type * as messages from '../../common/messages.js';
+import * as packing from '../../common/packing.js';
 import * as random from '../../common/random.js';
 import type * as types from '../../common/types.js';
 import type * as allowances from '../../common/control/allowances.js';
@@ -83,7 +84,6 @@
 			return;
 		}
 
-		// eslint-disable-next-line unicorn/prefer-switch -- other messages are ignored on purpose
 		if (message.type === 'renewLease') {
 			this.answerRenewal(from, message);
 		} else if (message.type === 'allowanceRequest') {
@@ -98,6 +98,15 @@
 			if (grant) {
 				this.links.send(this.peer, from, {type: 'allowanceGranted', grant});
 			}
+		} else if (message.type === 'configurationFetch' && this.configuration) {
+			const data = packing.plainPacking.pack(this.configuration.text);
+			this.links.send(this.peer, from, {
+				type: 'configurationPart',
+				version: this.configuration.version,
+				size: data.length,
+				offset: 0,
+				data,
+			});
 		} else if (message.type === 'leaseReleased') {
 			this.releasedLeases.push(`${message.server}/${message.scope}`);
 		} else if (
@@ -188,7 +197,12 @@
 			templates: this.templates,
 			...(this.configuration &&
 			(renewal.configurationVersion ?? 0) < this.configuration.version
-				? {configuration: this.configuration}
+				? {
+						configuration: {
+							version: this.configuration.version,
+							source: this.peer,
+						},
+					}
 				: {}),
 			confirmed: renewal.announcements.map(
 				({server, version}) => [server, version] as const,
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -619,6 +619,12 @@
 	 */
 	readonly keyConfirmationLimitMs: number;
 };
+/** Converts texts to the form in which peers exchange them, and back. */
+export type TextPacking = {
+	pack(text: string): Uint8Array;
+	/** Returns undefined when the bytes are damaged. */
+	unpack(bytes: Uint8Array): string | undefined;
+};
 /** The decisions that a driver may replace. Source: "Mechanisms". */
 export type ProxyServices = {
 	readonly routing: RoutingPolicy;
@@ -634,6 +640,8 @@
 	readonly parseTemplate: (text: string) => TemplateParameters | undefined;
 	/** Undefined when the text is not valid. */
 	readonly parseConfiguration?: (text: string) => RouteSet | undefined;
+	/** The same as that of the control peers; without it, texts are exchanged as UTF-8. */
+	readonly packing?: TextPacking;
 };
 /** A proxy process as one reducer; does not throw for expected faults. */
 export class ProxyReducer {
@@ -1076,6 +1084,8 @@
 	 */
 	readonly recordsLeaseHolders?: boolean;
 	readonly rateLimits?: RateLimitOptions;
+	/** The same as that of the proxies; without it, texts are exchanged as UTF-8. */
+	readonly packing?: TextPacking;
 	readonly random: RandomSource;
 };
 export type ControlPeerEvent =
