Pack large peer messages with the texts of operators

What a payload may expand to is bounded by the frame limit of its connection, which is 16 KiB before the hello.

--- a/src/node/peer/frame-codec.test.ts
+++ b/src/node/peer/frame-codec.test.ts
@@ -54,3 +54,33 @@
 	t.notOk(isValid(new Uint8Array(7)));
 	t.notOk(isValid([1, 2, 3, 4]));
 });
+
+/** A message with a text of this length, which repeats itself. */
+function buildTextMessage(length: number): messages.PeerMessage {
+	return {
+		type: 'proposeChange',
+		operation: 1,
+		change: {
+			type: 'configuration',
+			configuration: {version: 2, text: 'route '.repeat(length / 6)},
+		},
+	};
+}
+
+// Guards against change logs and proposals that fill a link with texts that repeat themselves.
+tap.test('a large text is packed and comes back whole', async (t) => {
+	const large = buildTextMessage(300_000);
+	const frame = frameCodec.encodeFrame(large);
+	t.ok(frame.length < 30_000, `${frame.length} bytes`);
+	const payload = frame.subarray(frameCodec.prefixBytes);
+	t.same(frameCodec.decodePayload(payload)._unsafeUnwrap(), large);
+});
+
+// Guards against a stranger that expands a few bytes to as much memory as it likes.
+tap.test('a packed payload above its limit is refused', async (t) => {
+	const payload = frameCodec
+		.encodeFrame(buildTextMessage(300_000))
+		.subarray(frameCodec.prefixBytes);
+	t.ok(frameCodec.decodePayload(payload, 16_384).isErr());
+	t.ok(frameCodec.decodePayload(payload.subarray(0, 40)).isErr());
+});
--- a/src/node/peer/link-socket.ts
+++ b/src/node/peer/link-socket.ts
@@ -204,7 +204,7 @@
 	}
 
 	#handleFrame(payload: Buffer): void {
-		const decoded = frameCodec.decodePayload(payload);
+		const decoded = frameCodec.decodePayload(payload, this.#maxFrameBytes);
 		if (decoded.isErr()) {
 			this.close(decoded.error);
 			return;
