Give large entries and changes time before they are sent again

Cause: an append without a reply for 200 ms, and a forwarded change without an answer for 500 ms, were sent again with their whole text, however long its transmission takes. The copies queue up behind each other in a link that delivers in order, with the heartbeats behind them.

Change: the time before a retry grows with the size, at 250 bytes a ms. An entry that was lost with its link is sent again when the link is back, instead of after a time-out.

--- a/src/common/consensus/consensus.ts
+++ b/src/common/consensus/consensus.ts
@@ -193,6 +193,7 @@
 
 			case 'peerConnected': {
 				this.#voting.handlePeerConnected(event.peer);
+				this.#leadership?.handlePeerConnected(event.peer);
 				return;
 			}
 
--- a/src/common/consensus/leadership.ts
+++ b/src/common/consensus/leadership.ts
@@ -65,6 +65,10 @@
 		this.#replication.handleTick(now, commitIndex);
 	}
 
+	handlePeerConnected(peer: ids.PeerId): void {
+		this.#replication.handlePeerConnected(peer);
+	}
+
 	handleReply(
 		from: ids.PeerId,
 		reply: Extract<types.ConsensusMessage, {type: 'appendReply'}>,
--- a/src/common/consensus/log.ts
+++ b/src/common/consensus/log.ts
@@ -18,7 +18,8 @@
 	#entries: Array<types.LogEntry<Command>>;
 	readonly #initialConfiguration: Configuration;
 	#configuration: Configuration;
-	readonly #sizes = new WeakMap<types.LogEntry<Command>, number>();
+	/** Estimated sizes of entries and snapshots. */
+	readonly #sizes = new WeakMap<object, number>();
 
 	constructor(
 		stored: types.StoredLog<Command>,
@@ -73,7 +74,7 @@
 		let bytes = 0;
 		for (let index = from; index <= this.lastIndex; index++) {
 			const entry = this.getEntry(index)!;
-			bytes += this.#estimateSize(entry);
+			bytes += this.estimateSize(entry);
 			const isFull =
 				batch.length === timing.maxAppendEntries ||
 				bytes > timing.maxAppendBytes;
@@ -87,6 +88,21 @@
 		return batch;
 	}
 
+	estimateBatchSize(entries: readonly types.LogEntry[]): number {
+		return entries.reduce((sum, entry) => sum + this.estimateSize(entry), 0);
+	}
+
+	/** Estimates the size of a message with an entry or a snapshot, in bytes. */
+	estimateSize(content: types.LogEntry | types.Snapshot): number {
+		let size = this.#sizes.get(content);
+		if (size === undefined) {
+			size = JSON.stringify(content).length;
+			this.#sizes.set(content, size);
+		}
+
+		return size;
+	}
+
 	/** Appends an entry whose index is one above the last. */
 	appendEntry(entry: types.LogEntry<Command>): void {
 		this.#entries.push(entry);
@@ -152,16 +168,6 @@
 			? readConfiguration(this.#snapshot)
 			: this.#initialConfiguration;
 	}
-
-	#estimateSize(entry: types.LogEntry<Command>): number {
-		let size = this.#sizes.get(entry);
-		if (size === undefined) {
-			size = JSON.stringify(entry.payload).length;
-			this.#sizes.set(entry, size);
-		}
-
-		return size;
-	}
 }
 
 function readConfiguration(source: {
--- a/src/common/consensus/progress.ts
+++ b/src/common/consensus/progress.ts
@@ -13,7 +13,7 @@
 	lastAckedSentAt = Number.NEGATIVE_INFINITY;
 	/** Incarnation of a peer without state that is being added. */
 	joiningIncarnation: number | undefined;
-	#inFlight: {round: number; sentAt: number} | undefined;
+	#inFlight: {round: number; retryAt: number} | undefined;
 	/** Replies to earlier rounds are ignored: they may come from an instance whose disk was lost since. */
 	readonly #firstRound: number;
 
@@ -24,24 +24,35 @@
 
 	/** Tells whether sent entries are unanswered and the reply timeout has not passed. */
 	isAwaitingReply(now: number): boolean {
-		return (
-			this.#inFlight !== undefined &&
-			now - this.#inFlight.sentAt < timing.appendReplyTimeoutMs
-		);
+		return this.#inFlight !== undefined && now < this.#inFlight.retryAt;
 	}
 
 	/** Marks entries as unsent when their reply did not arrive in time, so that they are retried. */
 	expireInFlight(now: number): void {
-		if (this.#inFlight && !this.isAwaitingReply(now)) {
+		if (!this.isAwaitingReply(now)) {
+			this.retryInFlight();
+		}
+	}
+
+	/** Marks entries as unsent because they were lost with their link. */
+	retryInFlight(): void {
+		if (this.#inFlight) {
 			this.#inFlight = undefined;
 			this.nextIndex = this.matchIndex + 1;
 		}
 	}
 
 	/** Records that entries or a snapshot up to `lastIndex` were sent. */
-	recordSent(lastIndex: number, round: number, now: number): void {
+	recordSent(
+		lastIndex: number,
+		round: number,
+		now: number,
+		bytes: number,
+	): void {
 		this.nextIndex = lastIndex + 1;
-		this.#inFlight = {round, sentAt: now};
+		const retryAt =
+			now + timing.appendReplyTimeoutMs + bytes / timing.minTransferRate;
+		this.#inFlight = {round, retryAt};
 	}
 
 	/**
--- a/src/common/consensus/replication.ts
+++ b/src/common/consensus/replication.ts
@@ -72,6 +72,11 @@
 		this.#progress.set(peer, record);
 	}
 
+	/** Sends what is unanswered again: a peer whose link was lost does not have it. */
+	handlePeerConnected(peer: ids.PeerId): void {
+		this.#progress.get(peer)?.retryInFlight();
+	}
+
 	getProgress(peer: ids.PeerId): progress.Progress | undefined {
 		return this.#progress.get(peer);
 	}
@@ -196,14 +201,24 @@
 				round: this.#round,
 				...makeJoiningField(record),
 			});
-			record.recordSent(snapshot.index, this.#round, now);
+			record.recordSent(
+				snapshot.index,
+				this.#round,
+				now,
+				this.#log.estimateSize(snapshot),
+			);
 			return;
 		}
 
 		const entries = this.#log.getBatch(record.nextIndex);
 		const previousIndex = record.nextIndex - 1;
 		this.#sendAppend(peer, record, {previousIndex, entries, commitIndex});
-		record.recordSent(previousIndex + entries.length, this.#round, now);
+		record.recordSent(
+			previousIndex + entries.length,
+			this.#round,
+			now,
+			this.#log.estimateBatchSize(entries),
+		);
 	}
 
 	#isBehindSnapshot(record: progress.Progress): boolean {
--- a/src/common/consensus/timing.ts
+++ b/src/common/consensus/timing.ts
@@ -26,6 +26,12 @@
  */
 export const appendReplyTimeoutMs = 200;
 
+/**
+ * Rate at which the entries of an append are assumed to reach their peer at least, in bytes per ms. The
+ * time for a reply grows with the size, because a copy would only wait behind the first one.
+ */
+export const minTransferRate = 250;
+
 /** A leader steps down after this time without replies from a majority, in ms. */
 export const quorumLossTimeoutMs = minElectionTimeoutMs + electionJitterMs;
 
--- a/src/common/control/operations.test.ts
+++ b/src/common/control/operations.test.ts
@@ -89,3 +89,22 @@
 	later.receive(later.number, 7);
 	t.match(later.answers.at(-1), {operation, version: 7});
 });
+
+// Guards against copies of a large change that queue up in the link to the leader.
+tap.test('a large change is not sent again at once', async (t) => {
+	const instance = new operations.Operations({
+		messageNumberStart: 0,
+		createProposalNumber: () => 1,
+		findAnswer: () => undefined,
+	});
+	const text = 'x'.repeat(270_000);
+	instance.add(
+		0,
+		{type: 'local', operation},
+		{type: 'configuration', configuration: {version: 7, text}},
+	);
+	const counts = [0, 600, 1200, 1600].map(
+		(now) => instance.step(now, false, leader).length,
+	);
+	t.same(counts, [1, 0, 0, 1]);
+});
--- a/src/common/control/operations.ts
+++ b/src/common/control/operations.ts
@@ -211,10 +211,12 @@
 	operation: Operation,
 	leader: ids.PeerId,
 ): boolean {
-	const {lastSend} = operation;
-	return (
-		lastSend?.to !== leader || now - lastSend.at >= timing.operationRetryMs
-	);
+	const {lastSend, change} = operation;
+	const {text} = 'type' in change ? change.configuration : change;
+	// A copy would only wait behind the first one.
+	const retryMs =
+		timing.operationRetryMs + text.length / timing.minTransferRate;
+	return lastSend?.to !== leader || now - lastSend.at >= retryMs;
 }
 
 function buildUnavailableResult(
--- a/src/common/control/timing.ts
+++ b/src/common/control/timing.ts
@@ -115,5 +115,11 @@
 /** A change is sent to the leader again after this time without an answer; its id makes this safe. */
 export const operationRetryMs = 500;
 
+/**
+ * Rate at which a forwarded change is assumed to reach the leader at least, in bytes per ms; its size
+ * extends the time after which it is sent again.
+ */
+export const minTransferRate = 250;
+
 /** Number of applied entries between two snapshots. */
 export const snapshotIntervalEntries = 256;
