Forward changes from control peers that are no voters

Cause: five of the six peers are voters. The sixth does not receive the log, so it did not know the leader, and a change waited there for one until its time was over.

Change: a leader announces itself to the control peers that membership knows, as it does to proxies. A peer that is no voter forwards changes and reads to the leader that has announced itself, and counts as healthy with it.

Result: 'a peer that is no voter forwards changes' and 'a leader announces itself to control peers' are new and fail on the code before.

--- a/src/common/control/operator-changes.ts
+++ b/src/common/control/operator-changes.ts
@@ -19,6 +19,8 @@
 	>;
 	/** Messages to the leader have higher numbers; differs between instances of the peer. */
 	readonly messageNumberStart: number;
+	/** Returns the leader, as far as this peer knows it. */
+	findLeader(): ids.PeerId | undefined;
 	/** True while the leader lease of this peer is valid. */
 	isActiveLeader(): boolean;
 	/** Returns a number that no other proposal of this process has. */
@@ -97,7 +99,7 @@
 
 	step(now: number): void {
 		const {environment} = this;
-		const {leader} = environment.log;
+		const leader = environment.findLeader();
 		this.#runActions(
 			this.#operations.step(
 				now,
--- a/src/common/control/reducer.test.ts
+++ b/src/common/control/reducer.test.ts
@@ -17,9 +17,15 @@
 function startSingleVoter(
 	start: consensusTypes.StoredLog<control.ControlCommand> = network.makeEmptyStoredLog(),
 	rateLimits?: control.RateLimitOptions,
+	otherControlPeers: readonly ids.PeerId[] = [],
 ) {
 	const reducer = new reducers.ControlReducer({
 		peer,
+		listControlPeers: () =>
+			[peer, ...otherControlPeers].map((known) => ({
+				peer: known,
+				dataCentre: 'a' as ids.DataCentre,
+			})),
 		...(rateLimits ? {rateLimits} : {}),
 		log: new consensus.Consensus<control.ControlCommand>({
 			peer,
@@ -254,6 +260,65 @@
 	t.strictSame(second.change(502, 500), {type: 'accepted', version: 501});
 });
 
+// Guards against a control peer that is no voter, does not know the leader and holds a change until
+// the operator gives up.
+tap.test('a peer that is no voter forwards changes', async (t) => {
+	const [observer, voter] = ['k9', 'k1'] as ids.PeerId[];
+	const reducer = new reducers.ControlReducer({
+		peer: observer,
+		log: {
+			role: 'follower',
+			term: 0,
+			leader: undefined,
+			voters: [voter],
+			step: () => [],
+			isLeaderLeaseValid: () => false,
+		},
+	});
+	const listTargets = (event: control.ControlEvent) =>
+		reducer
+			.step(event)
+			.flatMap((effect) =>
+				effect.type === 'sendPeer' && effect.message.type === 'proposeChange'
+					? [effect.to]
+					: [],
+			);
+	t.same(
+		listTargets({
+			type: 'templateChangeRequested',
+			now: 0,
+			operation: 1,
+			change: makeChange(1, 0),
+		}),
+		[],
+		'no leader is known',
+	);
+	t.same(
+		listTargets({
+			type: 'peerMessage',
+			now: 25,
+			from: voter,
+			message: {type: 'leaderAnnounced', term: 1},
+		}),
+		[voter],
+	);
+});
+
+// Guards against an election of which a control peer that is no voter does not hear.
+tap.test('a leader announces itself to control peers', async (t) => {
+	const other = 'k9' as ids.PeerId;
+	const single = startSingleVoter(undefined, undefined, [other]);
+	single.run(1500);
+	const targets = single
+		.take()
+		.flatMap((effect) =>
+			effect.type === 'sendPeer' && effect.message.type === 'leaderAnnounced'
+				? [effect.to]
+				: [],
+		);
+	t.same(targets, [other]);
+});
+
 function listResults(simulation: simulations.Simulation): string[] {
 	return simulation.answers.map(({result}) => result.type);
 }
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -61,6 +61,10 @@
 	/** Term of the last applied entry; a leader acts once it has applied an entry of its own term. */
 	#appliedTerm = 0;
 	#pendingVoters: readonly ids.PeerId[] | undefined;
+	/** The last leader that has announced itself. */
+	#announcedLeader:
+		{readonly peer: ids.PeerId; readonly term: number} | undefined;
+
 	#proposalCounter = 0;
 	#callCounter = 0;
 	#isDraining = false;
@@ -93,7 +97,7 @@
 		this.#configurationReads = new configurationReads.ConfigurationReads({
 			peer: options.peer,
 			messageNumberStart,
-			getLeader: () => this.#log.leader,
+			getLeader: () => this.#findKnownLeader(),
 			isActiveLeader: () => this.#findActiveLeader() !== undefined,
 			getConfiguration: () => this.#machine.configuration,
 			send: (to, message) => {
@@ -108,6 +112,7 @@
 			log: options.log,
 			machine: this.#machine,
 			messageNumberStart,
+			findLeader: () => this.#findKnownLeader(),
 			isActiveLeader: () => this.#findActiveLeader() !== undefined,
 			createProposalNumber: () => ++this.#proposalCounter,
 			propose: (proposal, command) => {
@@ -268,6 +273,10 @@
 			this.#handleRenewal(from, message);
 		}
 
+		if (message.type === 'leaderAnnounced') {
+			this.#handleAnnouncedLeader(from, message.term);
+		}
+
 		if (message.type === 'allowanceRequest') {
 			this.#findActiveLeader()?.handleAllowance(this.#now, from, message);
 		}
@@ -307,6 +316,23 @@
 		}
 	}
 
+	#handleAnnouncedLeader(peer: ids.PeerId, term: number): void {
+		if (term >= (this.#announcedLeader?.term ?? 0)) {
+			this.#announcedLeader = {peer, term};
+		}
+	}
+
+	/**
+	 * Returns the leader as far as this peer knows it. A peer that is no voter does not receive the log,
+	 * so it only knows the leader that has announced itself.
+	 */
+	#findKnownLeader(): ids.PeerId | undefined {
+		const isVoter = this.#log.voters?.includes(this.#peer) ?? true;
+		return (
+			this.#log.leader ?? (isVoter ? undefined : this.#announcedLeader?.peer)
+		);
+	}
+
 	#sendTemplate(to: ids.PeerId, member: ids.MemberId): void {
 		const template = this.#machine.getTemplate(member);
 		if (template) {
@@ -365,7 +391,13 @@
 			}
 
 			this.#logRecord('info', `acting as leader in consensus term ${term}`);
-			for (const peer of this.#machine.leaseHolders) {
+			const listeners = new Set(this.#machine.leaseHolders);
+			for (const {peer} of this.#listControlPeers()) {
+				listeners.add(peer);
+			}
+
+			listeners.delete(this.#peer);
+			for (const peer of listeners) {
 				this.#send(peer, {type: 'leaderAnnounced', term});
 			}
 		}
@@ -505,7 +537,7 @@
 	}
 
 	#updateHealth(): void {
-		const isReady = !this.#isDraining && this.#log.leader !== undefined;
+		const isReady = !this.#isDraining && this.#findKnownLeader() !== undefined;
 		const reason = this.#isDraining
 			? 'draining'
 			: isReady
--- a/src/common/messages.ts
+++ b/src/common/messages.ts
@@ -241,8 +241,9 @@
 	| {
 			/**
 			 * The sender is the leader: proxies renew their leases with it at once instead of searching for
-			 * a leader. It is sent to known lease holders after an election, and to each peer whose link
-			 * is connected later.
+			 * a leader, and control peers that are no voters forward changes to it. It is sent to known
+			 * lease holders and control peers after an election, and to each peer whose link is connected
+			 * later.
 			 */
 			readonly type: 'leaderAnnounced';
 			readonly term: number;
