Call a database unknown only while control confirms the routes

What callers saw: 404 (NODB) for a database of a version that had been acknowledged 5.7 s before.

Cause: a proxy answered 'no such route' from whatever configuration it held, however long ago control had confirmed that it is the newest, and also while it knew of a newer one. Keys of customers had such a limit, routes had none.

Change: one decision in CallerAccess tells whether a route is present, absent, pending (a newer configuration is under way, or nothing was confirmed yet) or unconfirmed. Only an absent one is called unknown. Requests outside of transactions are refused in the same way once a newer configuration has been known for longer than the limit.

--- a/src/common/proxy/caller-access.ts
+++ b/src/common/proxy/caller-access.ts
@@ -8,6 +8,9 @@
  * committed. The confirmation dates from the time at which the renewal that it answers was sent, so
  * whatever was acknowledged to an operator before is in force. The clock includes the time in which the
  * process or its VM did not run.
+ *
+ * The same confirmation decides whether a member without a route is called unknown. A proxy that cannot
+ * know refuses the caller as not served here, so that it tries another proxy.
  */
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
@@ -32,6 +35,12 @@
 	  }
 	| ({readonly type: 'refused'} & AccessProblem);
 
+/**
+ * What a proxy knows about the route of a member: it has one, it has none, a newer configuration that
+ * may contain it is under way, or the proxy has been out of touch with control for too long to know.
+ */
+export type RouteState = 'present' | 'absent' | 'pending' | 'unconfirmed';
+
 export class CallerAccess {
 	/** Monotonic time from which the configuration in force is known to be the newest. */
 	private confirmedAt = Number.NEGATIVE_INFINITY;
@@ -40,6 +49,8 @@
 	constructor(
 		private readonly context: context.ProxyContext,
 		private readonly templates: templateStore.TemplateStore,
+		/** Time for which control has named a configuration that is not in force here, in ms. */
+		private readonly getConfigurationDelay: () => number = () => 0,
 	) {}
 
 	/** True while a withdrawal of a key would be known here, or is too recent to matter. */
@@ -55,6 +66,60 @@
 		return !this.canConfirmKeys && !this.templates.hasOpenRoutes();
 	}
 
+	/** Tells what this proxy knows about the route of a member. */
+	findRouteState(member: ids.MemberId): RouteState {
+		if (this.templates.getParameters(member)) {
+			return 'present';
+		}
+
+		const isUnderWay =
+			this.confirmedAt === Number.NEGATIVE_INFINITY ||
+			this.getConfigurationDelay() > 0;
+		if (isUnderWay) {
+			return 'pending';
+		}
+
+		const ageMs = this.context.now - this.confirmedAt;
+		return ageMs < this.context.timing.routeConfirmationLimitMs
+			? 'absent'
+			: 'unconfirmed';
+	}
+
+	/**
+	 * Returns why a request of a member cannot be routed; undefined when it can. Requests of a
+	 * transaction keep the route with which it began.
+	 */
+	findRouteProblem(member: ids.MemberId): AccessProblem | undefined {
+		switch (this.findRouteState(member)) {
+			case 'absent': {
+				return {
+					reason: 'noTemplate',
+					message: `member "${member.slice(0, 64)}" has no template`,
+				};
+			}
+
+			case 'pending':
+			case 'unconfirmed': {
+				return {
+					reason: 'noServer',
+					message: 'control has not confirmed the routes for too long',
+				};
+			}
+
+			case 'present': {
+				const isOutdated =
+					this.getConfigurationDelay() >
+					this.context.timing.routeConfirmationLimitMs;
+				return isOutdated
+					? {
+							reason: 'noServer',
+							message: 'a newer configuration is not in force here yet',
+						}
+					: undefined;
+			}
+		}
+	}
+
 	/**
 	 * Records a grant of a leader whose lease is valid. It carries the configuration and the templates
 	 * that are newer than those that its renewal named; when one of them is not in force, the grant
--- a/src/common/proxy/context.ts
+++ b/src/common/proxy/context.ts
@@ -62,6 +62,11 @@
 	 * the newest. A withdrawn key works no longer than this anywhere.
 	 */
 	readonly keyConfirmationLimitMs: number;
+	/**
+	 * A route that is missing here is called unknown only for this long after the last confirmation, and
+	 * requests run on the routes in force only for this long after control has named newer ones.
+	 */
+	readonly routeConfirmationLimitMs: number;
 };
 
 const defaultTiming: ProxyTiming = {
@@ -77,6 +82,7 @@
 	startGraceMs: 0,
 	boundIdleLimitMs: Infinity,
 	keyConfirmationLimitMs: 4000,
+	routeConfirmationLimitMs: 8000,
 };
 
 export class ProxyContext {
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -202,27 +202,21 @@
 		const parameters = this.updateRoute(session);
 		const request = entryState.createRequest(session, event, parameters);
 		this.table.addRequest(request);
-		if (!parameters) {
-			this.replies.refuse(
-				request,
-				'noTemplate',
-				sessionAdmission.describeMissingTemplate(session.member),
-			);
-			return;
-		}
-
-		const problem = this.access.updateCustomer(session);
+		const routeProblem = session.binding
+			? undefined
+			: this.access.findRouteProblem(session.member);
+		const problem = routeProblem ?? this.access.updateCustomer(session);
 		if (problem) {
 			this.refuseCaller(request, problem);
 			return;
 		}
 
 		const inFlight = this.table.countInFlight(session.member);
-		if (inFlight > parameters.maxInFlight && !session.binding) {
+		if (inFlight > parameters!.maxInFlight && !session.binding) {
 			this.replies.refuse(
 				request,
 				'memberLimit',
-				`the member has more than ${parameters.maxInFlight} requests in flight`,
+				`the member has more than ${parameters!.maxInFlight} requests in flight`,
 			);
 			return;
 		}
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -56,6 +56,7 @@
 	readonly entry: entry.Entry;
 	readonly membership: membershipService.Membership;
 	readonly lease: leaseClient.LeaseClient;
+	readonly access: callerAccess.CallerAccess;
 	private readonly context: context.ProxyContext;
 	private readonly peerView: peerView.PeerView;
 	private readonly ownership: ownership.OwnershipManager;
@@ -130,14 +131,18 @@
 			this.context,
 			this.owner,
 		);
-		const access = new callerAccess.CallerAccess(this.context, this.templates);
+		this.access = new callerAccess.CallerAccess(
+			this.context,
+			this.templates,
+			() => this.configurations.delayMs,
+		);
 		this.entry = new entry.Entry(
 			this.context,
 			this.directory,
 			this.templates,
 			this.candidates,
 			this.positionClient,
-			access,
+			this.access,
 			this.allowances,
 			services,
 		);
@@ -164,7 +169,7 @@
 			lacksRoutes: () =>
 				services.parseConfiguration !== undefined &&
 				this.templates.routes === undefined,
-			refusesAllCallers: () => access.refusesAllCallers,
+			refusesAllCallers: () => this.access.refusesAllCallers,
 		});
 		this.operators = new operatorClient.OperatorClient(
 			this.context,
@@ -185,7 +190,7 @@
 			},
 		);
 		this.peerMessages = new peerMessages.PeerMessageHandler(this.context, {
-			access,
+			access: this.access,
 			candidates: this.candidates,
 			configurations: this.configurations,
 			directory: this.directory,
--- a/src/common/proxy/session-admission.ts
+++ b/src/common/proxy/session-admission.ts
@@ -28,14 +28,13 @@
 		{member, key}: proxy.SessionAttributes,
 		openCount: number,
 	): callerAccess.AccessProblem | undefined {
-		const parameters = this.templates.getParameters(member);
-		if (!parameters) {
-			return {
-				reason: 'noTemplate',
-				message: describeMissingTemplate(member),
-			};
+		const problem = this.access.findRouteProblem(member);
+		if (problem) {
+			return problem;
 		}
 
+		const parameters = this.templates.getParameters(member)!;
+
 		const identification = this.access.identifyCustomer(member, key);
 		if (identification.type === 'refused') {
 			return identification;
@@ -48,7 +47,3 @@
 			: undefined;
 	}
 }
-
-export function describeMissingTemplate(member: ids.MemberId): string {
-	return `member "${member.slice(0, 64)}" has no template`;
-}
--- a/src/scenario/fleet/scripted-control.ts
+++ b/src/scenario/fleet/scripted-control.ts
@@ -22,6 +22,8 @@
 	groups: types.GroupView[] = [];
 	templates: types.Template[] = [];
 	configuration: types.Configuration | undefined;
+	/** False while proxies get no answer when they fetch the configuration. */
+	sendsParts = true;
 	/** The rate limits of customers; without it, reports about them are not answered. */
 	allowances: allowances.AllowanceTable | undefined;
 	private appliedIndex = 1;
@@ -98,7 +100,11 @@
 			if (grant) {
 				this.links.send(this.peer, from, {type: 'allowanceGranted', grant});
 			}
-		} else if (message.type === 'configurationFetch' && this.configuration) {
+		} else if (
+			message.type === 'configurationFetch' &&
+			this.configuration &&
+			this.sendsParts
+		) {
 			const data = packing.plainPacking.pack(this.configuration.text);
 			this.links.send(this.peer, from, {
 				type: 'configurationPart',
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -618,6 +618,11 @@
 	 * the newest. A withdrawn key works no longer than this anywhere.
 	 */
 	readonly keyConfirmationLimitMs: number;
+	/**
+	 * A route that is missing here is called unknown only for this long after the last confirmation, and
+	 * requests run on the routes in force only for this long after control has named newer ones.
+	 */
+	readonly routeConfirmationLimitMs: number;
 };
 /** Converts texts to the form in which peers exchange them, and back. */
 export type TextPacking = {
