Move parts of the reducers that grew into modules of their own

The proxy reducer loses the list of control peers to PeerView and that of groups to Entry; ConfigurationClient puts what it fetched in force itself.

--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -4,15 +4,15 @@
  */
 import type * as ids from '../ids.js';
 import {assertNever} from '../assert-never.js';
-import * as packing from '../packing.js';
 import type * as types from '../types.js';
 import type * as messages from '../messages.js';
 import * as messageTypes from '../consensus/message-types.js';
 import type * as consensus from '../consensus/types.js';
 import type * as configurationHolders from './configuration-holders.js';
-import * as configurationReads from './configuration-reads.js';
-import * as configurationSource from './configuration-source.js';
+import * as configurationService from './configuration-service.js';
+import * as controlHealth from './control-health.js';
 import type * as control from './types.js';
+import * as knownLeader from './known-leader.js';
 import * as leaders from './leader.js';
 import * as logDriver from './log-driver.js';
 import * as machines from './machine.js';
@@ -40,14 +40,15 @@
 export class ControlReducer {
 	readonly #peer: ids.PeerId;
 	readonly #log: control.ReplicatedLog;
+	readonly #knownLeader: knownLeader.KnownLeader;
+	readonly #health: controlHealth.ControlHealth;
 	readonly #logDriver: logDriver.LogDriver;
 	readonly #faults: control.FaultInjection;
 	readonly #recordsLeaseHolders: boolean;
 	readonly #rateLimits: control.RateLimitOptions | undefined;
 	readonly #machine = new machines.ControlMachine();
 	readonly #operatorChanges: operatorChanges.OperatorChanges;
-	readonly #configurationReads: configurationReads.ConfigurationReads;
-	readonly #configurationSource: configurationSource.ConfigurationSource;
+	readonly #configurations: configurationService.ConfigurationService;
 	readonly #listControlPeers: () => readonly configurationHolders.Holder[];
 	/** Group of each proposal about a group whose outcome is pending. */
 	readonly #groupProposals = new Map<number, ids.GroupId>();
@@ -61,20 +62,16 @@
 	/** Term of the last applied entry; a leader acts once it has applied an entry of its own term. */
 	#appliedTerm = 0;
 	#pendingVoters: readonly ids.PeerId[] | undefined;
-	/** The last leader that has announced itself. */
-	#announcedLeader:
-		{readonly peer: ids.PeerId; readonly term: number} | undefined;
-
 	#proposalCounter = 0;
 	#callCounter = 0;
 	#isDraining = false;
-	#healthReason = '';
 	#effects: control.ControlEffect[] = [];
 	#now = 0;
 
 	constructor(options: ControlOptions) {
 		this.#peer = options.peer;
 		this.#log = options.log;
+		this.#knownLeader = new knownLeader.KnownLeader(options.peer, options.log);
 		this.#logDriver = new logDriver.LogDriver(
 			options.log,
 			this.#machine,
@@ -86,44 +83,39 @@
 		this.#recordsLeaseHolders = options.recordsLeaseHolders ?? false;
 		this.#rateLimits = options.rateLimits;
 		const {messageNumberStart = 0} = options;
+		const send = (to: ids.PeerId, message: messages.PeerMessage): void => {
+			this.#send(to, message);
+		};
+
+		const emit = (effect: control.ControlEffect): void => {
+			this.#effects.push(effect);
+		};
+
+		this.#health = new controlHealth.ControlHealth(emit);
 		this.#listControlPeers = options.listControlPeers ?? (() => []);
-		this.#configurationSource = new configurationSource.ConfigurationSource({
-			packing: options.packing ?? packing.plainPacking,
-			isFollowing: () => this.#log.leader !== undefined,
-			send: (to, message) => {
-				this.#send(to, message);
-			},
-		});
-		this.#configurationReads = new configurationReads.ConfigurationReads({
+		this.#configurations = new configurationService.ConfigurationService({
 			peer: options.peer,
 			messageNumberStart,
-			getLeader: () => this.#findKnownLeader(),
+			packing: options.packing,
+			isFollowing: () => this.#log.leader !== undefined,
+			getLeader: () => this.#knownLeader.peer,
 			isActiveLeader: () => this.#findActiveLeader() !== undefined,
-			getConfiguration: () => this.#machine.configuration,
-			send: (to, message) => {
-				this.#send(to, message);
-			},
-			emit: (effect) => {
-				this.#effects.push(effect);
-			},
+			send,
+			emit,
 		});
 		this.#operatorChanges = new operatorChanges.OperatorChanges({
 			peer: options.peer,
 			log: options.log,
 			machine: this.#machine,
 			messageNumberStart,
-			findLeader: () => this.#findKnownLeader(),
+			findLeader: () => this.#knownLeader.peer,
 			isActiveLeader: () => this.#findActiveLeader() !== undefined,
 			createProposalNumber: () => ++this.#proposalCounter,
 			propose: (proposal, command) => {
 				this.#propose(proposal, command);
 			},
-			send: (to, message) => {
-				this.#send(to, message);
-			},
-			emit: (effect) => {
-				this.#effects.push(effect);
-			},
+			send,
+			emit,
 		});
 	}
 
@@ -175,7 +167,7 @@
 				});
 				this.#updateLeader();
 				this.#findActiveLeader()?.step(event.now);
-				this.#configurationSource.step(event.now);
+				this.#configurations.step(event.now);
 				this.#updateHealth();
 				return;
 			}
@@ -233,10 +225,7 @@
 			}
 
 			case 'configurationReadRequested': {
-				this.#configurationReads.handleRead({
-					type: 'local',
-					operation: event.operation,
-				});
+				this.#configurations.handleRead(event.operation);
 				return;
 			}
 
@@ -274,7 +263,7 @@
 		}
 
 		if (message.type === 'leaderAnnounced') {
-			this.#handleAnnouncedLeader(from, message.term);
+			this.#knownLeader.handleAnnouncement(from, message.term);
 		}
 
 		if (message.type === 'allowanceRequest') {
@@ -287,11 +276,10 @@
 		}
 
 		if (message.type === 'templateFetch') {
-			this.#sendTemplate(from, message.member);
-		}
-
-		if (message.type === 'configurationFetch') {
-			this.#configurationSource.handleFetch(this.#now, from, message);
+			const template = this.#machine.getTemplate(message.member);
+			if (template) {
+				this.#send(from, {type: 'templatePush', template});
+			}
 		}
 
 		if (message.type === 'proposeChange') {
@@ -302,42 +290,7 @@
 			this.#operatorChanges.handleResult(message);
 		}
 
-		if (message.type === 'readConfiguration') {
-			const {operation} = message;
-			this.#configurationReads.handleRead({
-				type: 'peer',
-				peer: from,
-				operation,
-			});
-		}
-
-		if (message.type === 'configurationRead') {
-			this.#configurationReads.handleResult(message);
-		}
-	}
-
-	#handleAnnouncedLeader(peer: ids.PeerId, term: number): void {
-		if (term >= (this.#announcedLeader?.term ?? 0)) {
-			this.#announcedLeader = {peer, term};
-		}
-	}
-
-	/**
-	 * Returns the leader as far as this peer knows it. A peer that is no voter does not receive the log,
-	 * so it only knows the leader that has announced itself.
-	 */
-	#findKnownLeader(): ids.PeerId | undefined {
-		const isVoter = this.#log.voters?.includes(this.#peer) ?? true;
-		return (
-			this.#log.leader ?? (isVoter ? undefined : this.#announcedLeader?.peer)
-		);
-	}
-
-	#sendTemplate(to: ids.PeerId, member: ids.MemberId): void {
-		const template = this.#machine.getTemplate(member);
-		if (template) {
-			this.#send(to, {type: 'templatePush', template});
-		}
+		this.#configurations.handleMessage(this.#now, from, message);
 	}
 
 	#handleRenewal(
@@ -391,12 +344,10 @@
 			}
 
 			this.#logRecord('info', `acting as leader in consensus term ${term}`);
-			const listeners = new Set(this.#machine.leaseHolders);
-			for (const {peer} of this.#listControlPeers()) {
-				listeners.add(peer);
-			}
-
-			listeners.delete(this.#peer);
+			const listeners = this.#knownLeader.listListeners(
+				this.#machine.leaseHolders,
+				this.#listControlPeers(),
+			);
 			for (const peer of listeners) {
 				this.#send(peer, {type: 'leaderAnnounced', term});
 			}
@@ -409,12 +360,7 @@
 			term: this.#log.term,
 			faults: this.#faults,
 			self: this.#peer,
-			listHolders: () => {
-				const {voters = []} = this.#log;
-				return this.#listControlPeers().filter(({peer}) =>
-					voters.includes(peer),
-				);
-			},
+			listHolders: () => this.#knownLeader.listVoters(this.#listControlPeers()),
 			send: (to, message) => {
 				this.#send(to, message);
 			},
@@ -482,7 +428,7 @@
 
 			case 'restore': {
 				this.#machine.restore(effect.snapshot.state as control.MachineState);
-				this.#configurationSource.setConfiguration(this.#machine.configuration);
+				this.#configurations.setConfiguration(this.#machine.configuration);
 				this.#logDriver.recordSnapshot(effect.snapshot.index);
 				return;
 			}
@@ -521,7 +467,7 @@
 
 		const {command} = payload;
 		const result = this.#machine.apply(index, command);
-		this.#configurationSource.setConfiguration(this.#machine.configuration);
+		this.#configurations.setConfiguration(this.#machine.configuration);
 		if (proposal !== undefined) {
 			this.#groupProposals.delete(proposal);
 		}
@@ -537,16 +483,7 @@
 	}
 
 	#updateHealth(): void {
-		const isReady = !this.#isDraining && this.#findKnownLeader() !== undefined;
-		const reason = this.#isDraining
-			? 'draining'
-			: isReady
-				? 'ready'
-				: 'no control leader known';
-		if (reason !== this.#healthReason) {
-			this.#healthReason = reason;
-			this.#effects.push({type: 'setHealth', ready: isReady, reason});
-		}
+		this.#health.update(this.#isDraining, this.#knownLeader.peer !== undefined);
 	}
 
 	#send(to: ids.PeerId, message: messages.PeerMessage): void {
--- a/src/common/proxy/caller-access.ts
+++ b/src/common/proxy/caller-access.ts
@@ -15,6 +15,7 @@
 import type * as ids from '../ids.js';
 import type * as messages from '../messages.js';
 import type * as types from '../types.js';
+import type * as configurationClient from './configuration-client.js';
 import type * as context from './context.js';
 import type * as entryState from './entry-state.js';
 import type * as templateStore from './template-store.js';
@@ -49,8 +50,10 @@
 	constructor(
 		private readonly context: context.ProxyContext,
 		private readonly templates: templateStore.TemplateStore,
-		/** Time for which control has named a configuration that is not in force here, in ms. */
-		private readonly getConfigurationDelay: () => number = () => 0,
+		private readonly configurations: Pick<
+			configurationClient.ConfigurationClient,
+			'delayMs'
+		>,
 	) {}
 
 	/** True while a withdrawal of a key would be known here, or is too recent to matter. */
@@ -74,7 +77,7 @@
 
 		const isUnderWay =
 			this.confirmedAt === Number.NEGATIVE_INFINITY ||
-			this.getConfigurationDelay() > 0;
+			this.configurations.delayMs > 0;
 		if (isUnderWay) {
 			return 'pending';
 		}
@@ -108,7 +111,7 @@
 
 			case 'present': {
 				const isOutdated =
-					this.getConfigurationDelay() >
+					this.configurations.delayMs >
 					this.context.timing.routeConfirmationLimitMs;
 				return isOutdated
 					? {
--- a/src/common/proxy/configuration-client.test.ts
+++ b/src/common/proxy/configuration-client.test.ts
@@ -2,6 +2,7 @@
 import type * as ids from '../ids.js';
 import * as packing from '../packing.js';
 import * as random from '../random.js';
+import type * as types from '../types.js';
 import * as configurationClient from './configuration-client.js';
 import * as context from './context.js';
 
@@ -25,21 +26,25 @@
 	shared.setLink(near, true);
 	shared.setLink(leader, true);
 	const applied: string[] = [];
-	let version = 0;
-	const client = new configurationClient.ConfigurationClient(shared, {
-		packing: packing.plainPacking,
-		getVersion: () => version,
-		apply(configuration) {
+	const templates = {
+		configuration: undefined as types.Configuration | undefined,
+		routes: undefined,
+		mergeConfiguration(configuration: types.Configuration): boolean {
 			if (configuration.text === invalidText) {
 				return false;
 			}
 
-			version = configuration.version;
+			templates.configuration = configuration;
 			applied.push(`${configuration.version} ${configuration.text}`);
 			return true;
 		},
-		getLeader: () => leader,
-	});
+	};
+	const client = new configurationClient.ConfigurationClient(
+		shared,
+		templates,
+		{getLeader: () => leader},
+		packing.plainPacking,
+	);
 	const takeFetches = () =>
 		shared
 			.takeEffects()
--- a/src/common/proxy/configuration-client.ts
+++ b/src/common/proxy/configuration-client.ts
@@ -8,6 +8,8 @@
 import type * as messages from '../messages.js';
 import type * as types from '../types.js';
 import type * as context from './context.js';
+import type * as leaseClient from './lease-client.js';
+import type * as templateStore from './template-store.js';
 
 const part = 'proxy';
 /** Covers the time in which a source serves other proxies first. */
@@ -15,14 +17,6 @@
 /** Pause before a source that lacks the version is asked again. */
 const retryDelayMs = 100;
 
-export type ConfigurationTarget = {
-	readonly packing: types.TextPacking;
-	getVersion(): number;
-	/** Returns false when the text is not valid. */
-	apply(configuration: types.Configuration): boolean;
-	getLeader(): ids.PeerId | undefined;
-};
-
 /** A version that control has named and that is not in force here. */
 type NamedVersion = {readonly version: number; readonly since: number};
 
@@ -50,7 +44,12 @@
 
 	constructor(
 		private readonly context: context.ProxyContext,
-		private readonly target: ConfigurationTarget,
+		private readonly templates: Pick<
+			templateStore.TemplateStore,
+			'configuration' | 'routes' | 'mergeConfiguration'
+		>,
+		private readonly lease: Pick<leaseClient.LeaseClient, 'getLeader'>,
+		private readonly packing: types.TextPacking,
 	) {}
 
 	/** Time for which a newer version has been known without being in force, in ms. */
@@ -61,7 +60,7 @@
 
 	/** Handles the newest version that the control leader knows. */
 	handleNotice({version, source}: messages.ConfigurationNotice): void {
-		const newest = this.named.at(-1)?.version ?? this.target.getVersion();
+		const newest = this.named.at(-1)?.version ?? this.version;
 		if (version > newest && version > this.unusableVersion) {
 			this.named = [...this.named, {version, since: this.context.now}];
 			this.source = source;
@@ -132,6 +131,11 @@
 		}
 	}
 
+	/** The version in force; 0 without one. */
+	private get version(): number {
+		return this.templates.configuration?.version ?? 0;
+	}
+
 	private start(): void {
 		const newest = this.named.at(-1);
 		this.transfer = undefined;
@@ -139,7 +143,7 @@
 			return;
 		}
 
-		const leader = this.target.getLeader();
+		const leader = this.lease.getLeader();
 		const source =
 			this.failures % 2 === 0
 				? (this.source ?? leader)
@@ -182,7 +186,7 @@
 	}
 
 	private complete({version, source, parts}: Transfer): void {
-		const text = this.target.packing.unpack(joinParts(parts));
+		const text = this.packing.unpack(joinParts(parts));
 		if (text === undefined) {
 			this.context.log('error', part, 'A configuration arrived damaged', {
 				version,
@@ -192,17 +196,33 @@
 			return;
 		}
 
-		const isCurrent = version <= this.target.getVersion();
-		if (!isCurrent && !this.target.apply({version, text})) {
+		this.apply({version, text});
+		this.named = this.named.filter((named) => named.version > version);
+		this.start();
+	}
+
+	private apply(configuration: types.Configuration): void {
+		const {version} = configuration;
+		const before = this.version;
+		if (version <= before) {
+			return;
+		}
+
+		if (!this.templates.mergeConfiguration(configuration)) {
 			this.unusableVersion = version;
 			this.context.log('error', part, 'A configuration cannot be used', {
 				version,
-				source,
 			});
+			return;
 		}
 
-		this.named = this.named.filter((named) => named.version > version);
-		this.start();
+		this.context.count('templateUpdates');
+		this.context.log('info', part, 'A configuration is in force', {
+			version,
+			before,
+			members: this.templates.routes?.members.size,
+			delayMs: Math.round(this.delayMs),
+		});
 	}
 }
 
--- a/src/common/proxy/entry.ts
+++ b/src/common/proxy/entry.ts
@@ -115,6 +115,17 @@
 		return this.table.size;
 	}
 
+	/** Lists the groups of the open sessions. */
+	*listUsedGroups(): Iterable<ids.GroupId> {
+		const seen = new Set<ids.GroupId>();
+		for (const session of this.sessions.values()) {
+			if (!seen.has(session.group)) {
+				seen.add(session.group);
+				yield session.group;
+			}
+		}
+	}
+
 	openSession(
 		id: ids.SessionId,
 		attributes: proxy.SessionAttributes,
--- a/src/common/proxy/peer-view.ts
+++ b/src/common/proxy/peer-view.ts
@@ -24,6 +24,18 @@
 		this.membership = this.createMembership();
 	}
 
+	/** Lists the configured control peers and those that membership found, without duplicates. */
+	listControlPeers(): ids.PeerId[] {
+		const peers = new Set(this.context.controlPeers.map(({peer}) => peer));
+		for (const state of this.membership.listLivePeers()) {
+			if (state.role === 'control') {
+				peers.add(state.peer);
+			}
+		}
+
+		return [...peers];
+	}
+
 	handleLinkUp(peer: ids.PeerId): void {
 		this.membership.handleLinkUp(
 			peer,
--- a/src/common/proxy/reducer.ts
+++ b/src/common/proxy/reducer.ts
@@ -96,7 +96,7 @@
 			listAnnouncements: () => this.directory.listUnconfirmed(),
 			listTemplateVersions: () => this.templates.listVersions(),
 			getConfigurationVersion: () => this.templates.configuration?.version ?? 0,
-			listControlPeers: () => this.listControlPeers(),
+			listControlPeers: () => this.peerView.listControlPeers(),
 			isDraining: () => this.drain.isDraining,
 			buildAllowanceReport: () => this.allowances.buildReport(),
 		});
@@ -131,10 +131,16 @@
 			this.context,
 			this.owner,
 		);
+		this.configurations = new configurationClient.ConfigurationClient(
+			this.context,
+			this.templates,
+			this.lease,
+			services.packing ?? packing.plainPacking,
+		);
 		this.access = new callerAccess.CallerAccess(
 			this.context,
 			this.templates,
-			() => this.configurations.delayMs,
+			this.configurations,
 		);
 		this.entry = new entry.Entry(
 			this.context,
@@ -180,15 +186,6 @@
 			(startedBefore) => this.owner.listActiveOrigins(startedBefore),
 			() => this.health.listSampledPeers(),
 		]);
-		this.configurations = new configurationClient.ConfigurationClient(
-			this.context,
-			{
-				packing: services.packing ?? packing.plainPacking,
-				getVersion: () => this.templates.configuration?.version ?? 0,
-				apply: (configuration) => this.applyConfiguration(configuration),
-				getLeader: () => this.lease.getLeader(),
-			},
-		);
 		this.peerMessages = new peerMessages.PeerMessageHandler(this.context, {
 			access: this.access,
 			candidates: this.candidates,
@@ -390,7 +387,7 @@
 		this.owner.handleTick();
 		this.entry.pendingRequests.handleTick();
 		this.entry.rateLimiter.handleTick();
-		this.candidates.handleTick(this.listUsedGroups());
+		this.candidates.handleTick(this.entry.listUsedGroups());
 		this.reports.handleTick();
 		this.operators.handleTick();
 		this.configurations.handleTick();
@@ -407,23 +404,6 @@
 		}
 	}
 
-	/** Returns false when the text of the configuration is not valid. */
-	private applyConfiguration(configuration: types.Configuration): boolean {
-		const before = this.templates.configuration?.version ?? 0;
-		if (!this.templates.mergeConfiguration(configuration)) {
-			return false;
-		}
-
-		this.context.count('templateUpdates');
-		this.context.log('info', part, 'A configuration is in force', {
-			version: configuration.version,
-			before,
-			members: this.templates.routes?.members.size,
-			delayMs: Math.round(this.configurations.delayMs),
-		});
-		return true;
-	}
-
 	private handleExecutionFinished(
 		event: Extract<proxy.ProxyEvent, {type: 'executionFinished'}>,
 	): void {
@@ -463,18 +443,6 @@
 		}
 	}
 
-	/** Lists the configured control peers and those that membership found, without duplicates. */
-	private listControlPeers(): ids.PeerId[] {
-		const peers = new Set(this.context.controlPeers.map(({peer}) => peer));
-		for (const state of this.membership.listLivePeers()) {
-			if (state.role === 'control') {
-				peers.add(state.peer);
-			}
-		}
-
-		return [...peers];
-	}
-
 	private handleLinkChange(peer: ids.PeerId, up: boolean): void {
 		this.context.setLink(peer, up);
 		if (up) {
@@ -493,16 +461,6 @@
 		this.entry.handleLinkDown(peer);
 	}
 
-	private *listUsedGroups(): Iterable<ids.GroupId> {
-		const seen = new Set<ids.GroupId>();
-		for (const session of this.entry.sessions.values()) {
-			if (!seen.has(session.group)) {
-				seen.add(session.group);
-				yield session.group;
-			}
-		}
-	}
-
 	private checkSessionAcceptance():
 		{reason: types.RefusalReason; message: string} | undefined {
 		if (this.drain.isRefusingSessions) {
