--- a/src/scenario/fleet/control-process.ts
+++ b/src/scenario/fleet/control-process.ts
@@ -26,6 +26,7 @@
 	readonly seed: number;
 	readonly wantedVoters?: number;
 	readonly rateLimits?: control.RateLimitOptions;
+	readonly packing?: types.TextPacking;
 	/** False for a process that joins a group which has started before. */
 	readonly mayBootstrap?: boolean;
 };
@@ -146,6 +147,7 @@
 			dataCentre,
 			wantedVoters,
 			rateLimits,
+			packing,
 			mayBootstrap = true,
 		} = this.options;
 		const {controlPeers} = this;
@@ -169,6 +171,7 @@
 			random: this.random,
 			...(wantedVoters === undefined ? {} : {wantedVoters}),
 			...(rateLimits ? {rateLimits} : {}),
+			...(packing ? {packing} : {}),
 		});
 		this.handleEffects(this.reducer.start(this.timeline.now));
 	}
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -26,6 +26,8 @@
 	readonly controls: number;
 	readonly seed: number;
 	readonly parameters?: types.TemplateParameters;
+	/** How the configuration is packed on its way; without it, its text is sent as it is. */
+	readonly packing?: types.TextPacking;
 	/** Without it, messages take a delay but no time to transmit. */
 	readonly createLinks?: (timeline: timeline.Timeline) => links.Links;
 	readonly rateLimits?: control.RateLimitOptions;
@@ -126,6 +128,7 @@
 				dataCentre: `dc${index}` as ids.DataCentre,
 				controlPeers,
 				seed: this.options.seed * 100 + index,
+				...(this.options.packing ? {packing: this.options.packing} : {}),
 				...(this.options.rateLimits
 					? {rateLimits: this.options.rateLimits}
 					: {}),
@@ -173,6 +176,7 @@
 			parameters: options.parameters ?? policyTesting.buildParameters(),
 			seed: options.seed * 1000 + index + 1_000_000 * (incarnation - 1),
 			...(options.parseTemplate ? {parseTemplate: options.parseTemplate} : {}),
+			...(options.packing ? {packing: options.packing} : {}),
 			...(options.createConfigurationParser
 				? {parseConfiguration: options.createConfigurationParser(incarnation)}
 				: {}),
--- a/src/scenario/fleet/rated-fleet.ts
+++ b/src/scenario/fleet/rated-fleet.ts
@@ -5,6 +5,7 @@
  */
 import type * as ids from '../../common/ids.js';
 import * as policyTesting from '../../common/policy/testing.js';
+import * as random from '../../common/random.js';
 import type * as types from '../../common/types.js';
 import * as frameCodec from '../../node/peer/frame-codec.js';
 import * as customerFleet from './customer-fleet.js';
@@ -34,6 +35,7 @@
 	/** Rate of the slow links in bytes per ms. */
 	readonly slowRate: number;
 	readonly seed: number;
+	readonly packing?: types.TextPacking;
 };
 
 export type ChangeResult = {
@@ -65,6 +67,7 @@
 			controls: controlCount,
 			seed: options.seed,
 			parameters,
+			...(options.packing ? {packing: options.packing} : {}),
 			createLinks(timeline) {
 				created = new ratedLinks.RatedLinks(timeline, {
 					computeDelay: (from, to) =>
@@ -229,3 +232,26 @@
 function getNumber(peer: ids.PeerId): number {
 	return Number(peer.slice(1));
 }
+
+/** Builds a configuration with routes of the size that the users' have, about 190 bytes each. */
+export function buildConfiguration(
+	version: number,
+	routeCount: number,
+): types.Configuration {
+	const source = random.createRandom(3);
+	const drawName = (length: number): string =>
+		Array.from({length}, () => source.readInteger(0, 35).toString(36)).join('');
+	const routes = Array.from({length: routeCount}, (_, index) => ({
+		Name: `r-${drawName(7)}`,
+		Host: index === 0 ? member : drawName(9),
+		PathPrefix: '/',
+		RouteKind: 'read_your_writes',
+		TimeoutMs: 1000,
+		TargetLatencyMs: 2000,
+		Priority: 2,
+		Service: drawName(7),
+		MaxAttempts: 2,
+		MaxStalenessMs: 2500,
+	}));
+	return {version, text: JSON.stringify({Version: version, Routes: routes})};
+}
--- a/src/scenario/fleet/small-fleet.ts
+++ b/src/scenario/fleet/small-fleet.ts
@@ -35,6 +35,7 @@
 	/** Without it, every template sets the parameters. */
 	readonly parseTemplate?: templateStore.TemplateParser;
 	readonly parseConfiguration?: templateStore.ConfigurationParser;
+	readonly packing?: types.TextPacking;
 	readonly routing?: routing.RoutingOptions;
 }): reducer.ProxyReducer {
 	const {parameters} = options;
@@ -66,6 +67,7 @@
 			...(options.parseConfiguration
 				? {parseConfiguration: options.parseConfiguration}
 				: {}),
+			...(options.packing ? {packing: options.packing} : {}),
 		},
 		random.createRandom(options.seed),
 	);
--- a/src/scenario/large-configuration.test.ts
+++ b/src/scenario/large-configuration.test.ts
@@ -1,6 +1,4 @@
 import tap from 'tap';
-import * as random from '../common/random.js';
-import type * as types from '../common/types.js';
 import * as ratedFleet from './fleet/rated-fleet.js';
 
 /** Routes that one change adds on the users' deployments. */
@@ -14,45 +12,8 @@
 /** The deadline of the callers. */
 const deadlineMs = 800;
 
-const source = random.createRandom(3);
-
-function drawName(length: number): string {
-	let name = '';
-	while (name.length < length) {
-		name += source.readInteger(0, 35).toString(36);
-	}
-
-	return name;
-}
-
-const routes = Array.from({length: addedRoutes + 60}, (_, index) => ({
-	Name: `r-${drawName(7)}`,
-	Host: index === 0 ? 'm' : drawName(9),
-	PathPrefix: '/',
-	RouteKind: 'read_your_writes',
-	TimeoutMs: 1000,
-	TargetLatencyMs: 2000,
-	Priority: 2,
-	Service: drawName(7),
-	MaxAttempts: 2,
-	MaxStalenessMs: 2500,
-}));
-
-function buildConfiguration(
-	version: number,
-	routeCount: number,
-): types.Configuration {
-	return {
-		version,
-		text: JSON.stringify({
-			Version: version,
-			Routes: routes.slice(0, routeCount),
-		}),
-	};
-}
-
 const fleet = new ratedFleet.RatedFleet({proxies: 30, slowRate, seed: 1});
-fleet.startUp(buildConfiguration(3, 60));
+fleet.startUp(ratedFleet.buildConfiguration(3, 60));
 fleet.runFor(2000);
 const calmSince = fleet.now;
 fleet.runFor(8000);
@@ -63,8 +24,10 @@
 	refused: fleet.refused,
 };
 const changedAt = fleet.now;
-const grown = fleet.change(buildConfiguration(5, addedRoutes + 60));
-const changed = fleet.change(buildConfiguration(7, addedRoutes + 60));
+const grown = fleet.change(ratedFleet.buildConfiguration(5, addedRoutes + 60));
+const changed = fleet.change(
+	ratedFleet.buildConfiguration(7, addedRoutes + 60),
+);
 const changeBytes = fleet.countReceivedBytes(changedAt);
 
 // Guards against a change that is sent several times over, or to which whole seconds of a link go.
