Tell a configuration under way from routes that are not confirmed

A caller that asks for a database while a newer configuration is being fetched was told that control has not confirmed the routes for too long, which is not the cause. Only the texts of refusals change.

Result: platform/callers, routes and configuration tests pass.

--- a/src/common/proxy/caller-access.ts
+++ b/src/common/proxy/caller-access.ts
@@ -101,7 +101,13 @@
 				};
 			}
 
-			case 'pending':
+			case 'pending': {
+				return {
+					reason: 'noServer',
+					message: 'a newer configuration is under way',
+				};
+			}
+
 			case 'unconfirmed': {
 				return {
 					reason: 'noServer',
