Name the fields of generated configurations like the project's own

The fleet with rated links is not part of platform/, so its configurations do not use the field names of the users' interface. Their sizes stay the same.

--- a/src/scenario/fleet/rated-fleet.ts
+++ b/src/scenario/fleet/rated-fleet.ts
@@ -82,8 +82,8 @@
 				customerFleet.buildRouteSet(
 					[],
 					parameters,
-					(JSON.parse(text) as {Routes: Array<{Host: string}>}).Routes.map(
-						({Host}) => Host as ids.MemberId,
+					(JSON.parse(text) as {routes: Array<{host: string}>}).routes.map(
+						({host}) => host as ids.MemberId,
 					),
 				),
 		});
@@ -242,16 +242,16 @@
 	const drawName = (length: number): string =>
 		Array.from({length}, () => source.readInteger(0, 35).toString(36)).join('');
 	const routes = Array.from({length: routeCount}, (_, index) => ({
-		Name: `r-${drawName(7)}`,
-		Host: index === 0 ? member : drawName(9),
-		PathPrefix: '/',
-		RouteKind: 'read_your_writes',
-		TimeoutMs: 1000,
-		TargetLatencyMs: 2000,
-		Priority: 2,
-		Service: drawName(7),
-		MaxAttempts: 2,
-		MaxStalenessMs: 2500,
+		name: `r-${drawName(7)}`,
+		host: index === 0 ? member : drawName(9),
+		pathPrefix: '/',
+		routeKind: 'read_your_writes',
+		timeoutMs: 1000,
+		targetLatencyMs: 2000,
+		priority: 2,
+		service: drawName(7),
+		maxAttempts: 2,
+		maxStalenessMs: 2500,
 	}));
-	return {version, text: JSON.stringify({Version: version, Routes: routes})};
+	return {version, text: JSON.stringify({version, routes})};
 }
