--- a/src/common/control/configuration-source.ts
+++ b/src/common/control/configuration-source.ts
@@ -7,9 +7,9 @@
 import type * as messages from '../messages.js';
 import type * as types from '../types.js';
 
-/** Takes 65 ms on a link of 2 Mbit/s. */
+/** Largest part; what is urgent on a slow link waits for one part at most. */
 export const partBytes = 16 * 1024;
-/** Half of a link of 100 Mbit/s. */
+/** Leaves room for heartbeats and leases on the link of a control peer. */
 const bytesPerTick = 160 * 1024;
 /** A version that is committed reaches a follower with the next heartbeat of the leader. */
 const waitLimitMs = 1000;
