--- a/review/8/test.mjs
+++ b/review/8/test.mjs
@@ -12,8 +12,8 @@
 const deafMs = 6000;
 /** The primary leaves this long after its replica stopped receiving. */
 const leaveAfterMs = 2500;
-/** Together about 240 reads a second of a service, of the 300 that its three servers could run. */
-const readersPerService = 16;
+/** They keep the slots of two of three servers in use. */
+const readersPerService = 20;
 const services = ['ledger-1', 'ledger-2', 'ledger-3'];
 const zones = ['zone-a', 'zone-b', 'zone-c'];
 const world = new harness.World(import.meta.dirname, {
@@ -112,8 +112,9 @@
 			synchronousReplicas: 1,
 			// As between the regions of the small site file.
 			computeLatencyMs: (left, right) => (left === right ? 0 : 20),
-			// As `work_ms` of the small site files: 30 ms in the mean, 220 ms at most.
-			computeWorkMs: () => Math.min(220, 10 - 20 * Math.log(1 - Math.random())),
+			// As `work_ms` of the small site files: 40 ms in the mean, 300 ms at most.
+			computeWorkMs: () =>
+				Math.min(300, 15 - 25 * Math.log(1 - Math.random())),
 		});
 		for (const index of zones.keys()) {
 			const server = group.addServer({
