--- a/review/8/test.mjs
+++ b/review/8/test.mjs
@@ -14,7 +14,7 @@
 const leaveAfterMs = 2500;
 /** They keep the slots of two of three servers in use. */
 const readersPerService = 20;
-const services = ['ledger-1', 'ledger-2', 'ledger-3'];
+const services = [1, 2, 3, 4, 5, 6].map((number) => `ledger-${number}`);
 const zones = ['zone-a', 'zone-b', 'zone-c'];
 const world = new harness.World(import.meta.dirname, {
 	zones,
@@ -28,6 +28,8 @@
 let exitCode = 2;
 let isRunning = true;
 let nextId = 1;
+/** The service that is read at present. */
+let readService;
 let servedReads = 0;
 let lost = 0;
 /** Acknowledged writes: `{service, id, position}`. */
@@ -62,7 +64,7 @@
 
 async function runReader(service, machine) {
 	let client;
-	while (isRunning) {
+	while (isRunning && readService === service) {
 		client ??= await harness.Client.connect(machine.host, `bounded-${service}`);
 		const id = `r${nextId++}`;
 		const answer =
@@ -113,8 +115,7 @@
 			// As between the regions of the small site file.
 			computeLatencyMs: (left, right) => (left === right ? 0 : 20),
 			// As `work_ms` of the small site files: 40 ms in the mean, 300 ms at most.
-			computeWorkMs: () =>
-				Math.min(300, 15 - 25 * Math.log(1 - Math.random())),
+			computeWorkMs: () => Math.min(300, 15 - 25 * Math.log(1 - Math.random())),
 		});
 		for (const index of zones.keys()) {
 			const server = group.addServer({
@@ -148,16 +149,19 @@
 		20_000,
 	);
 	await sleep(3000);
-	const work = services.flatMap((service, index) => [
-		runWriter(service, world.machines[index]),
-		...Array.from({length: readersPerService}, () =>
-			runReader(service, world.machines[(index + 1) % 3]),
-		),
-	]);
-	await sleep(4000);
-	for (const group of world.groups) {
+	const work = services.map((service, index) =>
+		runWriter(service, world.machines[index % 3]),
+	);
+	for (const [index, group] of world.groups.entries()) {
+		const [primary, near, replica] = group.servers;
+		const machine = world.machines.find(({zone}) => zone === near.zone);
+		readService = group.service;
+		for (let reader = 0; reader < readersPerService; reader++) {
+			work.push(runReader(readService, machine));
+		}
+
+		await sleep(index === 0 ? 3000 : 1500);
 		if (hasTrouble) {
-			const [primary, , replica] = group.servers;
 			replica.isDeaf = true;
 			recorder.write(
 				`${replica.id} of ${group.service} receives nothing from now on, it is at ${replica.position}`,
@@ -174,7 +178,7 @@
 			primary.sendHeartbeats(primary.born);
 		}
 
-		await sleep(8000);
+		await sleep(deafMs - leaveAfterMs + 1000);
 	}
 
 	isRunning = false;
