--- a/review/8/test.mjs
+++ b/review/8/test.mjs
@@ -77,6 +77,12 @@
 	}
 }
 
+function startReaders(service, machine) {
+	return Array.from({length: readersPerService}, async () =>
+		runReader(service, machine),
+	);
+}
+
 /** Judges the log of a server at the time of its promotion. */
 function judgePromotion(group, server) {
 	const held = new Set(server.log.map(({id}) => id));
@@ -156,9 +162,7 @@
 		const [primary, near, replica] = group.servers;
 		const machine = world.machines.find(({zone}) => zone === near.zone);
 		readService = group.service;
-		for (let reader = 0; reader < readersPerService; reader++) {
-			work.push(runReader(readService, machine));
-		}
+		work.push(...startReaders(readService, machine));
 
 		await sleep(index === 0 ? 3000 : 1500);
 		if (hasTrouble) {
