Simulate servers that acknowledge commits themselves in the tests of control

The servers of the project's users acknowledge commits themselves and have no fence, but no stand-in of the tests of promotions did so: `FakeServer` has a fence and no synchronous replicas, so no test and no search could see what a promotion does to their commits.

The simulation checks at the moment of each promotion that the server holds every acknowledged write, and at each acknowledgement that no later primary has been promoted.

--- a/src/common/control/fake-proxy.ts
+++ b/src/common/control/fake-proxy.ts
@@ -1,7 +1,7 @@
 /**
  * Simulates a proxy's side of leases for tests: renewals, grants, revocations and polls, as
  * docs/design.md describes them. The proxy writes to a primary while it holds the write lease. It
- * acknowledges a write once a majority of the group holds it, provided that the lease is still valid.
+ * acknowledges a write once enough servers of the group hold it, provided that the lease is still valid.
  */
 import type * as ids from '../ids.js';
 import type * as types from '../types.js';
@@ -37,14 +37,24 @@
 	readonly controlPeers: readonly ids.PeerId[];
 	/** Upper limit of the random time by which requests in flight delay the release of a lease. */
 	readonly maxReleaseDelayMs: number;
+	/** Time between two writes, in ms. */
+	readonly writeIntervalMs: number;
+	/** Set when the servers acknowledge commits themselves; see `Announcement`. */
+	readonly synchronousReplicas?: number;
 	send(to: ids.PeerId, message: messages.PeerMessage): void;
 	/** Returns the server; undefined while the proxy cannot reach it. */
 	findServer(server: ids.UpstreamId): fakeServers.FakeServer | undefined;
 	listServers(): fakeServers.FakeServer[];
 	/** Returns the number of a new write; each write has its own. */
 	createWriteNumber(): number;
+	/** True when enough servers hold the write at this offset of a primary. */
+	canAcknowledge(
+		server: fakeServers.FakeServer,
+		offset: number,
+		group: types.GroupView,
+	): boolean;
 	/** Reports that a write was acknowledged to its caller. */
-	acknowledge(write: number): void;
+	acknowledge(write: number, server: fakeServers.FakeServer): void;
 	random(): number;
 };
 
@@ -79,6 +89,7 @@
 	#knownIndex = 0;
 	#nextRenewalAt = 0;
 	#nextPollAt = 0;
+	#nextWriteAt = 0;
 	#nextAnnouncementAt = 0;
 
 	constructor(
@@ -117,6 +128,10 @@
 		if (now >= this.#nextPollAt) {
 			this.#nextPollAt = now + pollIntervalMs;
 			this.#poll(now);
+		}
+
+		if (now >= this.#nextWriteAt) {
+			this.#nextWriteAt = now + this.#environment.writeIntervalMs;
 			this.#write(now);
 		}
 
@@ -360,6 +375,9 @@
 				connectionLimit: 25,
 				departing: server.isDeparting,
 				startedAt: server.startedAt,
+				...(this.#environment.synchronousReplicas === undefined
+					? {}
+					: {synchronousReplicas: this.#environment.synchronousReplicas}),
 				version: (this.#announcements.get(id)?.version ?? 0) + 1,
 			});
 		}
@@ -372,6 +390,7 @@
 				lease.lastAnswerAt = now;
 				const status = fakeServer.readStatus();
 				const isStalled =
+					this.#environment.synchronousReplicas === undefined &&
 					computeReplicatedOffset(status) < status.position &&
 					computeReplicatedOffset(status) ===
 						computeReplicatedOffset(lease.status);
@@ -383,7 +402,7 @@
 		}
 	}
 
-	/** Acknowledges the pending writes that a majority holds, then writes once to each writable primary. */
+	/** Acknowledges the pending writes that enough servers hold, then writes once to each writable primary. */
 	#write(now: number): void {
 		this.#pendingWrites = this.#pendingWrites.filter((pending) => {
 			const lease = this.leases.get(pending.server);
@@ -393,17 +412,12 @@
 				return false;
 			}
 
-			const holders = group.servers.filter(
-				(id) =>
-					id === pending.server ||
-					(server.replicas.get(id) ?? 0) >= pending.offset,
-			);
 			if (
 				server.term === pending.term &&
 				now < lease.expiresAt &&
-				holders.length > group.servers.length / 2
+				this.#environment.canAcknowledge(server, pending.offset, group)
 			) {
-				this.#environment.acknowledge(pending.number);
+				this.#environment.acknowledge(pending.number, server);
 				return false;
 			}
 
--- /dev/null
+++ b/src/common/control/self-acknowledging.test.ts
@@ -0,0 +1,57 @@
+import tap, {type Test} from 'tap';
+import type * as selfAcknowledging from './self-acknowledging-servers.js';
+import * as simulations from './simulation.js';
+
+/** Starts a group with one synchronous replica, which has writes every 10 ms. */
+function startGroup(
+	options: Partial<simulations.SimulationOptions> = {},
+): simulations.Simulation {
+	const simulation = new simulations.Simulation({
+		seed: 1,
+		synchronousReplicas: 1,
+		writeIntervalMs: 10,
+		...options,
+	});
+	simulation.run(8000);
+	return simulation;
+}
+
+function getServer(
+	simulation: simulations.Simulation,
+	server: string,
+): selfAcknowledging.SelfAcknowledgingServer {
+	return simulation.selfAcknowledging!.servers.find(
+		(candidate) => candidate.server === server,
+	)!;
+}
+
+/** Counts the writes that are acknowledged while the simulation runs. */
+function countWrites(
+	simulation: simulations.Simulation,
+	durationMs: number,
+): number {
+	const before = simulation.acknowledgedWrites.length;
+	simulation.run(durationMs);
+	return simulation.acknowledgedWrites.length - before;
+}
+
+function checkHealthy(t: Test, simulation: simulations.Simulation): void {
+	t.strictSame(simulation.problems, []);
+	t.ok(countWrites(simulation, 1000) > 50);
+	const primary = simulation.getServer(simulation.group!.primary);
+	t.equal(simulation.listLostWrites(primary).length, 0);
+}
+
+// Guards against a stand-in in which nothing is written, replicated or promoted.
+tap.test('a silent primary is replaced by a replica', async (t) => {
+	const simulation = startGroup();
+	checkHealthy(t, simulation);
+	getServer(simulation, 's1').isRunning = false;
+	simulation.run(4000);
+	t.not(simulation.group?.primary, 's1');
+	checkHealthy(t, simulation);
+	getServer(simulation, 's1').isRunning = true;
+	simulation.run(2000);
+	t.match(getServer(simulation, 's1'), {role: 'replica', term: 2});
+	checkHealthy(t, simulation);
+});
--- a/src/common/control/simulation.ts
+++ b/src/common/control/simulation.ts
@@ -11,6 +11,7 @@
 import * as fakeProxies from './fake-proxy.js';
 import * as fakeServers from './fake-server.js';
 import * as reducers from './reducer.js';
+import * as selfAcknowledging from './self-acknowledging-servers.js';
 
 /** Simulated time of one step. */
 const stepMs = 5;
@@ -30,6 +31,13 @@
 	readonly servers?: number;
 	/** See `FakeProxyEnvironment`; 100 by default. */
 	readonly maxReleaseDelayMs?: number;
+	/** See `FakeProxyEnvironment`; 100 by default. */
+	readonly writeIntervalMs?: number;
+	/**
+	 * Set when the servers acknowledge commits themselves: the number of replicas that have received a
+	 * commit by then. Such servers have no fences.
+	 */
+	readonly synchronousReplicas?: number;
 };
 
 type SimulatedControlPeer = {
@@ -58,6 +66,10 @@
 	readonly controlPeers: SimulatedControlPeer[];
 	readonly proxies = new Map<ids.PeerId, fakeProxies.FakeProxy | undefined>();
 	readonly servers: fakeServers.FakeServer[];
+	/** The servers as a group that acknowledges commits itself; undefined for servers with fences. */
+	readonly selfAcknowledging:
+		selfAcknowledging.SelfAcknowledgingServers | undefined;
+
 	readonly answers: ChangeAnswer[] = [];
 	readonly acknowledgedWrites: number[] = [];
 	readonly problems: string[] = [];
@@ -83,9 +95,35 @@
 			nextTickAt: 0,
 			incarnation: 0,
 		}));
-		this.servers = Array.from({length: options.servers ?? 3}, (_, index) =>
-			makeServer(index),
+		const serverIndexes = Array.from(
+			{length: options.servers ?? 3},
+			(_, index) => index,
 		);
+		if (options.synchronousReplicas === undefined) {
+			this.servers = serverIndexes.map((index) =>
+				makeServer(fakeServers.FakeServer, index),
+			);
+		} else {
+			const servers = serverIndexes.map((index) =>
+				makeServer(selfAcknowledging.SelfAcknowledgingServer, index),
+			);
+			this.servers = servers;
+			this.selfAcknowledging = new selfAcknowledging.SelfAcknowledgingServers(
+				servers,
+				options.synchronousReplicas,
+				{
+					readNow: () => this.now,
+					schedule: (delayMs, run) => {
+						this.schedule(delayMs, run);
+					},
+					canReach: (from, to) => !this.cutLinks.has(`${from} ${to}`),
+					handlePromotion: (server) => {
+						this.#checkPromotion(server);
+					},
+				},
+			);
+		}
+
 		for (const controlPeer of this.controlPeers) {
 			this.startControl(controlPeer);
 		}
@@ -220,9 +258,15 @@
 				listServers: () =>
 					this.servers.filter(({server}) => this.#findServer(peer, server)),
 				createWriteNumber: () => ++this.#counter,
-				acknowledge: (write) => {
-					this.acknowledgedWrites.push(write);
+				acknowledge: (write, server) => {
+					this.#acknowledge(write, server);
 				},
+				canAcknowledge: (server, offset, group) =>
+					this.#canAcknowledge(server, offset, group),
+				...(this.#options.synchronousReplicas === undefined
+					? {}
+					: {synchronousReplicas: this.#options.synchronousReplicas}),
+				writeIntervalMs: this.#options.writeIntervalMs ?? 100,
 				random: this.random,
 				maxReleaseDelayMs: this.#options.maxReleaseDelayMs ?? 100,
 			}),
@@ -374,15 +418,58 @@
 		const delayMs = minDelayMs + this.random() * (maxDelayMs - minDelayMs);
 		this.schedule(delayMs, () => {
 			const server = this.#findServer(controlPeer.peer, effect.server);
-			const answer = server?.run(effect.request);
-			if (!answer || this.random() < this.callLossRate) {
-				scheduleAnswer(callTimeoutMs, {type: 'failed', message: 'timeout'});
+			const handleAnswer = (answer?: control.ServerAnswer) => {
+				if (!answer || this.random() < this.callLossRate) {
+					scheduleAnswer(callTimeoutMs, {type: 'failed', message: 'timeout'});
+				} else {
+					scheduleAnswer(delayMs, answer);
+				}
+			};
+
+			if (server instanceof selfAcknowledging.SelfAcknowledgingServer) {
+				this.selfAcknowledging?.call(server, effect.request, handleAnswer);
 			} else {
-				scheduleAnswer(delayMs, answer);
+				handleAnswer(server?.run(effect.request));
 			}
 		});
 	}
 
+	/** True when the caller of a write at this offset may be told that it is kept. */
+	#canAcknowledge(
+		server: fakeServers.FakeServer,
+		offset: number,
+		group: types.GroupView,
+	): boolean {
+		if (this.selfAcknowledging) {
+			return this.selfAcknowledging.isAcknowledged(server, offset);
+		}
+
+		const holders = group.servers.filter(
+			(id) => id === server.server || (server.replicas.get(id) ?? 0) >= offset,
+		);
+		return holders.length > group.servers.length / 2;
+	}
+
+	#acknowledge(write: number, server: fakeServers.FakeServer): void {
+		this.acknowledgedWrites.push(write);
+		const primary = this.selfAcknowledging?.primary;
+		if (primary && primary !== server) {
+			this.#reportProblem(
+				`write ${write} of ${server.server} is acknowledged after ${primary.server} was promoted`,
+			);
+		}
+	}
+
+	/** Checks that a server that acknowledges commits itself holds them all when it is promoted. */
+	#checkPromotion(server: fakeServers.FakeServer): void {
+		const lost = this.listLostWrites(server);
+		if (lost.length > 0) {
+			this.#reportProblem(
+				`${server.server} is promoted without ${lost.length} acknowledged writes`,
+			);
+		}
+	}
+
 	#findServer(
 		peer: ids.PeerId,
 		server: ids.UpstreamId,
@@ -394,6 +481,11 @@
 	}
 
 	#replicate(): void {
+		if (this.selfAcknowledging) {
+			this.selfAcknowledging.replicate(replicationBatchRecords);
+			return;
+		}
+
 		for (const replica of this.servers) {
 			const primary = this.servers.find(
 				({server}) => server === replica.upstream,
@@ -442,8 +534,13 @@
 	}
 }
 
-function makeServer(index: number): fakeServers.FakeServer {
-	return new fakeServers.FakeServer(
+function makeServer<Server extends fakeServers.FakeServer>(
+	ServerClass: new (
+		...parameters: ConstructorParameters<typeof fakeServers.FakeServer>
+	) => Server,
+	index: number,
+): Server {
+	return new ServerClass(
 		`s${index + 1}` as ids.UpstreamId,
 		`d${(index % 3) + 1}` as ids.DataCentre,
 		index === 0 ? undefined : ('s1' as ids.UpstreamId),
