Grant the write lease again to a primary that is chosen again

What callers saw: where servers number terms themselves, a primary that was silent for over half a second and was then chosen again, because no other server was better, refused all writes until its owner changed.

Cause: the promotion API changes nothing for the present primary, so its term stays. The write lease of that term had been revoked, a revocation is final for its epoch and term, and `WriteLeases.grant` waited for a lease that can never be extended again.

Change: when the last lease of a term has ended and the term goes on, the owner gets a new epoch with its next grant. Releases of the earlier lease that are still in flight name the earlier epoch and are ignored, which is why the old lease isn't simply taken up again. The owner keeps the server and its connections.

--- a/src/common/control/ownership.ts
+++ b/src/common/control/ownership.ts
@@ -121,13 +121,19 @@
 	): messages.OwnershipGrant[] {
 		const grants: messages.OwnershipGrant[] = [];
 		for (const server of this.listOwned(peer)) {
-			const ownership = this.servers.get(server)?.ownership;
-			if (!ownership || !leases.canExtendOwnership(now, ownership)) {
+			const record = this.servers.get(server);
+			let ownership = record?.ownership;
+			if (!record || !ownership || !leases.canExtendOwnership(now, ownership)) {
 				continue;
 			}
 
-			ownership.expiresAt = now + timing.grantorLeaseMs;
 			const group = findWritableGroup(server);
+			if (group && this.#writeLeases.needsNewEpoch(now, group, ownership)) {
+				ownership = this.#buildOwnership(now, peer);
+				this.#setOwnership(record, ownership);
+			}
+
+			ownership.expiresAt = now + timing.grantorLeaseMs;
 			const writeTerm = group && this.#writeLeases.grant(now, group, ownership);
 			grants.push({
 				server,
--- a/src/common/control/self-acknowledging.test.ts
+++ b/src/common/control/self-acknowledging.test.ts
@@ -55,3 +55,15 @@
 	t.match(getServer(simulation, 's1'), {role: 'replica', term: 2});
 	checkHealthy(t, simulation);
 });
+
+// Guards against a group whose primary is chosen again in its term, but never gets its write lease again.
+tap.test('a primary that is chosen again takes writes', async (t) => {
+	const simulation = startGroup({servers: 1, synchronousReplicas: 0});
+	checkHealthy(t, simulation);
+	getServer(simulation, 's1').isRunning = false;
+	simulation.runUntil(() => simulation.group?.promotion !== undefined, 3000);
+	getServer(simulation, 's1').isRunning = true;
+	simulation.run(4000);
+	t.match(simulation.group, {promotion: undefined, primary: 's1', term: 1});
+	checkHealthy(t, simulation);
+});
--- a/src/common/control/write-leases.ts
+++ b/src/common/control/write-leases.ts
@@ -75,6 +75,27 @@
 		return term;
 	}
 
+	/**
+	 * True when the owner's last write lease has ended but its term has not, because the same primary was
+	 * chosen again. A release of that lease may still be in flight, so the term's next lease needs another
+	 * epoch.
+	 */
+	needsNewEpoch(
+		now: number,
+		group: control.GroupState,
+		ownership: leases.Ownership,
+	): boolean {
+		const lease = this.#leases.get(group.group);
+		return (
+			lease?.term === group.term &&
+			isHeldWith(lease, group.primary, ownership) &&
+			(lease.isReleased || lease.revokedAt !== undefined) &&
+			this.hasEnded(now, group.group) &&
+			group.promotion === undefined &&
+			ownership.revokedAt === undefined
+		);
+	}
+
 	/** Starts the revocation of a lease; has no effect when it has already started. */
 	revoke(now: number, group: ids.GroupId, isPlanned: boolean): void {
 		const lease = this.#leases.get(group);
