--- a/src/common/control/promotion.ts
+++ b/src/common/control/promotion.ts
@@ -301,20 +301,18 @@
 		);
 	}
 
-	/** Chooses the most advanced fenced server, without fallback candidates if the others are enough. */
+	/**
+	 * Chooses the most advanced fenced server, without fallback candidates if the others are enough to
+	 * hold every acknowledged commit among them.
+	 */
 	#chooseTarget(now: number): void {
 		const fenced = [...this.#fenceStatuses.keys()];
 
 		const preferred = fenced.filter(
 			(server) => !this.#isFallbackCandidate(server),
 		);
-		// When the servers acknowledge commits themselves, a replica that lacks the newest commits is
-		// preferred to the primary that is to be replaced.
-		const isPreferredEnough =
-			this.synchronousReplicas === undefined
-				? preferred.length >= this.#computeFenceQuorumSize()
-				: preferred.length > 0;
-		const candidates = isPreferredEnough ? preferred : fenced;
+		const candidates =
+			preferred.length >= this.#computeFenceQuorumSize() ? preferred : fenced;
 		const [best] = candidates.sort((left, right) =>
 			this.#compareCandidates(left, right),
 		);
--- a/src/common/control/self-acknowledging.test.ts
+++ b/src/common/control/self-acknowledging.test.ts
@@ -56,6 +56,22 @@
 	checkHealthy(t, simulation);
 });
 
+// Guards against the promotion of a replica that lacks acknowledged commits while only the departing
+// primary, which is known to hold them, and not the synchronous replica, answers.
+tap.test('a deaf replica is not promoted for a busy one', async (t) => {
+	const simulation = startGroup();
+	getServer(simulation, 's3').isReplicationPaused = true;
+	simulation.run(1000);
+	getServer(simulation, 's2').isBusy = true;
+	getServer(simulation, 's1').isDeparting = true;
+	simulation.run(3000);
+	t.strictSame(simulation.problems, []);
+	getServer(simulation, 's2').isBusy = false;
+	simulation.run(6000);
+	t.equal(simulation.group?.primary, 's2');
+	checkHealthy(t, simulation);
+});
+
 // Guards against a group whose primary is chosen again in its term, but never gets its write lease again.
 tap.test('a primary that is chosen again takes writes', async (t) => {
 	const simulation = startGroup({servers: 1, synchronousReplicas: 0});
