Guard against passing over a departing replica that holds all commits

The second way to the same loss: `#isFallbackCandidate` holds for departing servers as for the old primary, so a departing replica that held the commits was passed over for one that stays and lacks them.

--- a/src/common/control/self-acknowledging.test.ts
+++ b/src/common/control/self-acknowledging.test.ts
@@ -72,6 +72,21 @@
 	checkHealthy(t, simulation);
 });
 
+// Guards against a replica that lacks acknowledged commits and is chosen because it stays, while the one
+// that holds them is departing.
+tap.test('a departing replica that holds all commits is chosen', async (t) => {
+	const simulation = startGroup();
+	getServer(simulation, 's3').isReplicationPaused = true;
+	getServer(simulation, 's2').isDeparting = true;
+	simulation.run(3000);
+	getServer(simulation, 's1').isRunning = false;
+	simulation.run(4000);
+	t.equal(simulation.group?.primary, 's2');
+	getServer(simulation, 's3').isReplicationPaused = false;
+	simulation.run(6000);
+	checkHealthy(t, simulation);
+});
+
 // Guards against a group whose primary is chosen again in its term, but never gets its write lease again.
 tap.test('a primary that is chosen again takes writes', async (t) => {
 	const simulation = startGroup({servers: 1, synchronousReplicas: 0});
