Read the positions of servers without a fence after the end of the lease

What callers would see: acknowledged commits of the last moments before a change of an unresponsive primary are gone.

Cause: in an unplanned change the leader fenced the servers at once and kept each answer for good, while the target is chosen only when the write lease has ended. Servers that acknowledge commits themselves have no fence; theirs is a plain STATUS.

Evidence: the new test: the primary is silent, control begins a promotion and reads equal positions of both replicas; then one receives nothing more, the primary is back, and control's messages to the owner are lost.

Change: with synchronous replicas, nothing is asked before the end of the lease. Without them no position covers the acknowledged commits, so such services keep the head start; so do servers with a fence.

The cost is the round trips of one STATUS between the end of the lease and the choice.

--- a/src/common/control/promotion.ts
+++ b/src/common/control/promotion.ts
@@ -98,7 +98,11 @@
 		const hasLeaseEnded =
 			this.#environment.faults.isLeaseWaitDisabled === true ||
 			table.hasWriteLeaseEnded(now, group);
-		if (this.#isPlanned && !(hasLeaseEnded && this.#canFence(now))) {
+		if (!hasLeaseEnded && !this.#canFenceDuringLease) {
+			return undefined;
+		}
+
+		if (this.#isPlanned && !this.#canFence(now)) {
 			return undefined;
 		}
 
@@ -243,6 +247,15 @@
 				};
 	}
 
+	/**
+	 * True when the positions that the servers report remain valid although the write lease has not
+	 * ended. A fence sees to that. Servers that acknowledge commits themselves have none, so until the
+	 * end of the lease they acknowledge commits that no earlier status shows.
+	 */
+	get #canFenceDuringLease(): boolean {
+		return !this.#isPlanned && (this.synchronousReplicas ?? 0) === 0;
+	}
+
 	/**
 	 * True when a planned change may fence the servers. The old primary usually still answers and holds
 	 * every write. When its successor must be chosen from a quorum that includes the old primary, or
--- a/src/common/control/self-acknowledging.test.ts
+++ b/src/common/control/self-acknowledging.test.ts
@@ -1,4 +1,5 @@
 import tap, {type Test} from 'tap';
+import type * as ids from '../ids.js';
 import type * as selfAcknowledging from './self-acknowledging-servers.js';
 import * as simulations from './simulation.js';
 
@@ -25,6 +26,13 @@
 	)!;
 }
 
+function findOwner(
+	simulation: simulations.Simulation,
+	server: string,
+): {readonly owner: ids.PeerId} {
+	return {owner: simulation.listOwners()[server] as ids.PeerId};
+}
+
 /** Counts the writes that are acknowledged while the simulation runs. */
 function countWrites(
 	simulation: simulations.Simulation,
@@ -72,6 +80,31 @@
 	checkHealthy(t, simulation);
 });
 
+// Guards against a target that was chosen by positions from before the end of the write lease, so that
+// commits which its holder had acknowledged meanwhile were not in them.
+tap.test('positions are read after the write lease has ended', async (t) => {
+	const simulation = startGroup();
+	const {owner} = findOwner(simulation, 's1');
+	getServer(simulation, 's1').isRunning = false;
+	for (const peer of simulation.controlIds) {
+		simulation.network.setLinkCut(peer, owner, true);
+	}
+
+	simulation.runUntil(() => simulation.group?.promotion !== undefined, 3000);
+	simulation.run(50);
+	getServer(simulation, 's2').isReplicationPaused = true;
+	getServer(simulation, 's1').isRunning = true;
+	t.ok(countWrites(simulation, 300) > 10);
+	simulation.run(4000);
+	t.equal(simulation.group?.promotion, undefined);
+	for (const peer of simulation.controlIds) {
+		simulation.network.setLinkCut(peer, owner, false);
+	}
+
+	simulation.run(2000);
+	checkHealthy(t, simulation);
+});
+
 // Guards against a replica that lacks acknowledged commits and is chosen because it stays, while the one
 // that holds them is departing.
 tap.test('a departing replica that holds all commits is chosen', async (t) => {
