Compare logs by the term of their last record, not the newest known term

What callers would see: after two changes of the primary in a row, a replica that had received nothing was promoted, and acknowledged commits were gone.

Cause: control compared servers by the term that they report and the number of their last record. A server learns a new term as soon as it reaches the new primary, whether or not it receives records, so a replica that is far behind beat an old primary that came back with all commits.

Evidence: the new test: one replica receives nothing, the primary stops, the other replica is promoted and stops, the first primary comes back.

Change: a status carries the term of the record at its position where it differs from the server's term (the line protocol reports both), and a promotion compares by that.

--- a/src/common/control/promotion.ts
+++ b/src/common/control/promotion.ts
@@ -361,12 +361,16 @@
 	}
 }
 
+/**
+ * Compares the logs of two servers by the term and offset of their last records. The newest term that a
+ * server knows says nothing about its log: a replica that receives nothing may have heard of it.
+ */
 function compareStatuses(
 	left: types.UpstreamStatus,
 	right: types.UpstreamStatus,
 ): number {
 	return position.comparePositions(
-		{term: left.term, offset: left.position},
-		{term: right.term, offset: right.position},
+		{term: left.receivedTerm ?? left.term, offset: left.position},
+		{term: right.receivedTerm ?? right.term, offset: right.position},
 	);
 }
--- a/src/common/control/self-acknowledging-servers.ts
+++ b/src/common/control/self-acknowledging-servers.ts
@@ -54,6 +54,7 @@
 			role: this.role,
 			term: this.#term,
 			position: this.records.length,
+			receivedTerm: this.records.at(-1)?.term ?? 0,
 			applied: this.records.length,
 			replicas: [],
 		};
--- a/src/common/control/self-acknowledging.test.ts
+++ b/src/common/control/self-acknowledging.test.ts
@@ -120,6 +120,26 @@
 	checkHealthy(t, simulation);
 });
 
+// Guards against comparing logs by the newest term that a server has heard of, which may be above that
+// of its last record.
+tap.test('a log is not newer because its server knows the term', async (t) => {
+	const simulation = startGroup();
+	getServer(simulation, 's3').isReplicationPaused = true;
+	simulation.run(500);
+	getServer(simulation, 's1').isRunning = false;
+	t.ok(simulation.runUntil(() => simulation.group?.primary === 's2', 6000));
+	simulation.run(200);
+	t.match(getServer(simulation, 's3'), {role: 'replica', term: 2});
+	getServer(simulation, 's2').isRunning = false;
+	getServer(simulation, 's1').isRunning = true;
+	simulation.run(8000);
+	t.strictSame(simulation.problems, []);
+	getServer(simulation, 's2').isRunning = true;
+	getServer(simulation, 's3').isReplicationPaused = false;
+	simulation.run(4000);
+	checkHealthy(t, simulation);
+});
+
 // Guards against a group whose primary is chosen again in its term, but never gets its write lease again.
 tap.test('a primary that is chosen again takes writes', async (t) => {
 	const simulation = startGroup({servers: 1, synchronousReplicas: 0});
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -53,9 +53,11 @@
 	readonly term: number;
 	/** Offset up to which the log is received and synced. */
 	readonly position: number;
+	/** Term of the record at `position`, where it differs from `term`. */
+	readonly receivedTerm?: number;
 	/** Offset up to which the log is applied, so that reads see it. */
 	readonly applied: number;
-	/** Term of the last log record, where it can be below `term`; otherwise the same. */
+	/** Term of the record at `applied`, where it can be below `term`; otherwise the same. */
 	readonly logTerm?: number;
 	/** On the primary: synced offset per replica. */
 	readonly replicas: ReadonlyArray<{
--- a/src/node/peer/frame-keys.ts
+++ b/src/node/peer/frame-keys.ts
@@ -128,4 +128,5 @@
 	'isReturned',
 	'source',
 	'size',
+	'receivedTerm',
 ] as const;
--- a/src/node/peer/message-shapes.ts
+++ b/src/node/peer/message-shapes.ts
@@ -40,6 +40,7 @@
 	role,
 	term: count,
 	position: quantity,
+	receivedTerm: shape.createOptional(count),
 	applied: quantity,
 	logTerm: shape.createOptional(count),
 	replicas: shape.createArray(
