Begin a planned change only when a replica can take over

Cause: the change stopped the writes first and looked for a successor then. "Some replica answers" was the only condition to begin.

Change: with synchronous replicas the leader reads the statuses of the group while the primary still serves, and begins when enough servers answer and one that stays had received what the primary held up to a second before. Once the lease has ended, the choice waits for such a replica, at most `catchUpTimeoutMs`, and asks those again that may have caught up; only then it chooses the old primary. An unplanned change doesn't wait: its primary was silent, and what answers then is all there is. Weighed and rejected: to wait without writes for as long as it takes (callers pay for a replica that receives nothing), and to choose the old primary at once (callers pay for each attempt). A read of all statuses each 200 ms occupies a slot of each server for a moment, only while a primary is departing.

--- a/src/common/control/failover.ts
+++ b/src/common/control/failover.ts
@@ -10,6 +10,7 @@
 import * as holdDowns from './hold-down.js';
 import type * as machines from './machine.js';
 import * as promotions from './promotion.js';
+import * as successorSearch from './successor-search.js';
 import * as timing from './timing.js';
 
 /** What failover needs from the leader. */
@@ -32,6 +33,7 @@
 	readonly #environment: FailoverEnvironment;
 	readonly #calls: callTracking.ServerCalls;
 	readonly #holdDown = new holdDowns.HoldDown();
+	readonly #successorSearch: successorSearch.SuccessorSearch;
 	readonly #promotionRuns = new Map<ids.GroupId, promotions.PromotionRun>();
 
 	/** The term and primary address of the last `follow` call that each server confirmed. */
@@ -46,6 +48,10 @@
 	constructor(environment: FailoverEnvironment) {
 		this.#environment = environment;
 		this.#calls = new callTracking.ServerCalls(environment.callServer);
+		this.#successorSearch = new successorSearch.SuccessorSearch(
+			environment.table,
+			this.#calls,
+		);
 	}
 
 	/** Starts and advances promotions and sends `follow` calls, in every group. */
@@ -101,6 +107,7 @@
 		}
 
 		this.#promotionRuns.get(call.group)?.handleAnswer(call, answer);
+		this.#successorSearch.handleAnswer(now, call, answer);
 		if (call.request.type === 'follow' && answer.type === 'answered') {
 			this.#confirmedFollows.set(call.server, {
 				target: formatFollowTarget(call.request.term, call.request.address),
@@ -177,7 +184,9 @@
 		if (
 			reason === undefined ||
 			hasProposal(group.group) ||
-			now < this.#holdDown.computeEnd(now, group.group)
+			now < this.#holdDown.computeEnd(now, group.group) ||
+			(reason === 'departing' &&
+				!this.#successorSearch.hasSuccessor(now, group))
 		) {
 			return;
 		}
--- a/src/common/control/promotion.ts
+++ b/src/common/control/promotion.ts
@@ -41,6 +41,8 @@
 	#isPromoted = false;
 	/** The chosen server refused the promotion because it is not running. */
 	#isRefused = false;
+	/** True while a planned change waits for a replica that holds what the old primary holds. */
+	#isWaitingForReplica = false;
 	/** The term of this run once a server with a higher term refused its fence; 0 before. */
 	#rejectedTerm = 0;
 
@@ -180,9 +182,12 @@
 		}
 	}
 
+	/** Fences the servers that have not confirmed it, and asks again those that may have caught up. */
 	#fence(now: number): void {
 		for (const server of this.#group.servers) {
-			if (!this.#fenceStatuses.has(server)) {
+			const mayHaveCaughtUp =
+				this.#isWaitingForReplica && !this.#isFallbackCandidate(server);
+			if (mayHaveCaughtUp || !this.#fenceStatuses.has(server)) {
 				this.#call(now, server, {type: 'fence', term: this.term});
 			}
 		}
@@ -218,16 +223,12 @@
 
 	/** Number of synchronous replicas; undefined unless the servers acknowledge commits themselves. */
 	get synchronousReplicas(): number | undefined {
-		const {table} = this.#environment;
-		for (const server of this.#group.servers) {
-			const count =
-				table.servers.get(server)?.announcement?.synchronousReplicas;
-			if (count !== undefined) {
-				return count;
-			}
-		}
+		return findSynchronousReplicas(this.#environment.table, this.#group);
+	}
 
-		return undefined;
+	/** True when a replica may lead only if it holds every commit that the servers acknowledged. */
+	get #hasSynchronousReplicas(): boolean {
+		return (this.synchronousReplicas ?? 0) > 0;
 	}
 
 	/** A promotion through the platform of the servers takes longer than a call to the server. */
@@ -253,7 +254,7 @@
 	 * end of the lease they acknowledge commits that no earlier status shows.
 	 */
 	get #canFenceDuringLease(): boolean {
-		return !this.#isPlanned && (this.synchronousReplicas ?? 0) === 0;
+		return !this.#isPlanned && !this.#hasSynchronousReplicas;
 	}
 
 	/**
@@ -261,8 +262,13 @@
 	 * every write. When its successor must be chosen from a quorum that includes the old primary, or
 	 * the servers acknowledge commits themselves, the fence waits until a replica holds as much, at
 	 * most `timing.catchUpTimeoutMs`. While it returns false, this method requests the servers' statuses.
+	 * With synchronous replicas the choice of the target waits instead.
 	 */
 	#canFence(now: number): boolean {
+		if (this.#hasSynchronousReplicas) {
+			return true;
+		}
+
 		const {servers, primary} = this.#group;
 		const {table} = this.#environment;
 		const candidates = servers.filter(
@@ -329,6 +335,16 @@
 		const [best] = candidates.sort((left, right) =>
 			this.#compareCandidates(left, right),
 		);
+		this.#isWaitingForReplica =
+			best !== undefined &&
+			this.#isPlanned &&
+			this.#hasSynchronousReplicas &&
+			this.#isFallbackCandidate(best) &&
+			now - (this.#quorumReachedAt ?? now) < timing.catchUpTimeoutMs;
+		if (this.#isWaitingForReplica) {
+			return;
+		}
+
 		const status =
 			best === undefined ? undefined : this.#fenceStatuses.get(best);
 		if (best !== undefined && status) {
@@ -365,7 +381,7 @@
  * Compares the logs of two servers by the term and offset of their last records. The newest term that a
  * server knows says nothing about its log: a replica that receives nothing may have heard of it.
  */
-function compareStatuses(
+export function compareStatuses(
 	left: types.UpstreamStatus,
 	right: types.UpstreamStatus,
 ): number {
@@ -374,3 +390,18 @@
 		{term: right.receivedTerm ?? right.term, offset: right.position},
 	);
 }
+
+/** Number of synchronous replicas of a group; undefined unless its servers acknowledge commits themselves. */
+export function findSynchronousReplicas(
+	table: ownership.OwnershipTable,
+	group: control.GroupState,
+): number | undefined {
+	for (const server of group.servers) {
+		const count = table.servers.get(server)?.announcement?.synchronousReplicas;
+		if (count !== undefined) {
+			return count;
+		}
+	}
+
+	return undefined;
+}
--- a/src/common/control/self-acknowledging.test.ts
+++ b/src/common/control/self-acknowledging.test.ts
@@ -43,6 +43,27 @@
 	return simulation.acknowledgedWrites.length - before;
 }
 
+/** Returns the longest time in ms between two acknowledged writes while the simulation runs. */
+function measureWriteGap(
+	simulation: simulations.Simulation,
+	durationMs: number,
+): number {
+	let lastCount = simulation.acknowledgedWrites.length;
+	let lastWriteAt = simulation.now;
+	let longestMs = 0;
+	simulation.runUntil(() => {
+		const count = simulation.acknowledgedWrites.length;
+		if (count > lastCount) {
+			lastCount = count;
+			lastWriteAt = simulation.now;
+		}
+
+		longestMs = Math.max(longestMs, simulation.now - lastWriteAt);
+		return false;
+	}, durationMs);
+	return longestMs;
+}
+
 function checkHealthy(t: Test, simulation: simulations.Simulation): void {
 	t.strictSame(simulation.problems, []);
 	t.ok(countWrites(simulation, 1000) > 50);
@@ -151,3 +172,21 @@
 	t.match(simulation.group, {promotion: undefined, primary: 's1', term: 1});
 	checkHealthy(t, simulation);
 });
+
+// Guards against a planned change that stops writes while no replica can take over.
+tap.test('a departing primary serves until it can be replaced', async (t) => {
+	const simulation = startGroup();
+	getServer(simulation, 's3').isReplicationPaused = true;
+	simulation.run(1000);
+	getServer(simulation, 's2').isBusy = true;
+	getServer(simulation, 's1').isDeparting = true;
+	const written = countWrites(simulation, 4000);
+	t.comment(`writes acknowledged in 4 s: ${written}`);
+	t.ok(written > 350);
+	getServer(simulation, 's2').isBusy = false;
+	const writeGap = measureWriteGap(simulation, 2000);
+	t.comment(`longest time without a write: ${writeGap} ms`);
+	t.ok(writeGap < 1000);
+	t.match(simulation.group, {primary: 's2', term: 2});
+	checkHealthy(t, simulation);
+});
--- a/src/common/control/timing.ts
+++ b/src/common/control/timing.ts
@@ -92,6 +92,9 @@
 /** A planned change waits at most this long for a replica to catch up. */
 export const catchUpTimeoutMs = 2000;
 
+/** A status is recent enough to begin a planned change for this long. */
+export const successorReadingMs = 1000;
+
 /** Hold-down before the second promotion of a group; doubled for each further one. */
 export const initialHoldDownMs = 1000;
 
