--- a/src/common/control/fake-proxy.ts
+++ b/src/common/control/fake-proxy.ts
@@ -215,8 +215,9 @@
 		const expiresAt = sentAt + message.durationMs * (1 - timing.maxClockDrift);
 		const granted = new Set(message.owned.map(({server}) => server));
 		for (const server of this.leases.keys()) {
+			// The grant may have been overtaken by a later one, so a grant of the same epoch may follow.
 			if (!granted.has(server)) {
-				this.#endLease(server);
+				this.leases.delete(server);
 			}
 		}
 
