Take the number of synchronous replicas from the configuration in force

What callers would see: acknowledged commits are gone after a failover soon after a start, or after a control peer was replaced.

Cause: the number came from the first announcement of the group. The peer that receives a heartbeat puts the number of the configuration that it knows into the announcement, and 0 if it knows none, and a server that crashes announces nothing any more. With 0 a promotion needs one status.

Evidence: the new test: announcements carry 0, the configuration says 1, one replica receives nothing, the other one is busy, the primary stops.

Not covered: a change of the number while the group runs.

--- a/src/common/control/failover.ts
+++ b/src/common/control/failover.ts
@@ -10,6 +10,7 @@
 import * as holdDowns from './hold-down.js';
 import type * as machines from './machine.js';
 import * as promotions from './promotion.js';
+import type * as synchronousReplicas from './synchronous-replicas.js';
 import * as successorSearch from './successor-search.js';
 import * as timing from './timing.js';
 
@@ -17,6 +18,7 @@
 export type FailoverEnvironment = {
 	readonly machine: machines.ControlMachine;
 	readonly table: ownership.OwnershipTable;
+	readonly synchronousReplicas: synchronousReplicas.SynchronousReplicas;
 	readonly callServer: callTracking.CallServer;
 	readonly faults: control.FaultInjection;
 	propose(command: control.GroupCommand): void;
@@ -50,6 +52,7 @@
 		this.#calls = new callTracking.ServerCalls(environment.callServer);
 		this.#successorSearch = new successorSearch.SuccessorSearch(
 			environment.table,
+			environment.synchronousReplicas,
 			this.#calls,
 		);
 	}
@@ -137,6 +140,7 @@
 			const run = new promotions.PromotionRun(
 				{
 					table: this.#environment.table,
+					synchronousReplicas: this.#environment.synchronousReplicas,
 					calls: this.#calls,
 					faults: this.#environment.faults,
 				},
--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -18,6 +18,7 @@
 import * as grants from './grants.js';
 import * as ownership from './ownership.js';
 import * as placement from './placement.js';
+import * as synchronousReplicas from './synchronous-replicas.js';
 import * as serverSets from './server-sets.js';
 import * as templateLimits from './template-limits.js';
 import * as timing from './timing.js';
@@ -33,6 +34,10 @@
 	readonly faults: control.FaultInjection;
 	/** Undefined when no customer has a limit. */
 	readonly rateLimits: control.RateLimitOptions | undefined;
+	/** Undefined when the configuration doesn't say it. */
+	readonly parseSynchronousReplicas:
+		control.SynchronousReplicasParser | undefined;
+
 	readonly self: ids.PeerId;
 	/** Lists the running control peers that hold the replicated log. */
 	listHolders(): readonly configurationHolders.Holder[];
@@ -87,6 +92,11 @@
 		this.#failover = new failovers.Failover({
 			machine,
 			table: this.table,
+			synchronousReplicas: new synchronousReplicas.SynchronousReplicas(
+				this.table,
+				machine,
+				environment.parseSynchronousReplicas,
+			),
 			callServer: environment.callServer,
 			faults: environment.faults,
 			propose(command) {
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -39,6 +39,7 @@
 	readonly wantedVoters?: number;
 	readonly recordsLeaseHolders?: boolean;
 	readonly rateLimits?: control.RateLimitOptions;
+	readonly parseSynchronousReplicas?: control.SynchronousReplicasParser;
 	readonly packing?: types.TextPacking;
 	readonly random: random.RandomSource;
 };
@@ -107,6 +108,9 @@
 			log: options.log,
 			recordsLeaseHolders: options.recordsLeaseHolders ?? false,
 			...(options.rateLimits ? {rateLimits: options.rateLimits} : {}),
+			...(options.parseSynchronousReplicas
+				? {parseSynchronousReplicas: options.parseSynchronousReplicas}
+				: {}),
 			...(options.packing ? {packing: options.packing} : {}),
 			listControlPeers: () => this.listControlPeers(),
 			messageNumberStart: random.drawSequenceStart(options.random),
--- a/src/common/control/promotion.ts
+++ b/src/common/control/promotion.ts
@@ -11,6 +11,7 @@
 import type * as control from './types.js';
 import type * as ownership from './ownership.js';
 import * as machines from './machine.js';
+import type * as synchronousReplicas from './synchronous-replicas.js';
 import * as timing from './timing.js';
 
 /** SQLSTATE of a `promote` call that failed because the chosen server is not running. */
@@ -19,6 +20,7 @@
 /** What a promotion run needs from failover. */
 export type PromotionEnvironment = {
 	readonly table: ownership.OwnershipTable;
+	readonly synchronousReplicas: synchronousReplicas.SynchronousReplicas;
 	readonly calls: calls.ServerCalls;
 	readonly faults: control.FaultInjection;
 };
@@ -223,7 +225,7 @@
 
 	/** Number of synchronous replicas; undefined unless the servers acknowledge commits themselves. */
 	get synchronousReplicas(): number | undefined {
-		return findSynchronousReplicas(this.#environment.table, this.#group);
+		return this.#environment.synchronousReplicas.findCount(this.#group);
 	}
 
 	/** True when a replica may lead only if it holds every commit that the servers acknowledged. */
@@ -390,18 +392,3 @@
 		{term: right.receivedTerm ?? right.term, offset: right.position},
 	);
 }
-
-/** Number of synchronous replicas of a group; undefined unless its servers acknowledge commits themselves. */
-export function findSynchronousReplicas(
-	table: ownership.OwnershipTable,
-	group: control.GroupState,
-): number | undefined {
-	for (const server of group.servers) {
-		const count = table.servers.get(server)?.announcement?.synchronousReplicas;
-		if (count !== undefined) {
-			return count;
-		}
-	}
-
-	return undefined;
-}
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -29,6 +29,7 @@
 	 */
 	readonly recordsLeaseHolders?: boolean;
 	readonly rateLimits?: control.RateLimitOptions;
+	readonly parseSynchronousReplicas?: control.SynchronousReplicasParser;
 	readonly packing?: types.TextPacking;
 	/** The control peers that membership knows; only this peer when it is not set. */
 	readonly listControlPeers?: () => readonly configurationHolders.Holder[];
@@ -43,9 +44,7 @@
 	readonly #knownLeader: knownLeader.KnownLeader;
 	readonly #health: controlHealth.ControlHealth;
 	readonly #logDriver: logDriver.LogDriver;
-	readonly #faults: control.FaultInjection;
-	readonly #recordsLeaseHolders: boolean;
-	readonly #rateLimits: control.RateLimitOptions | undefined;
+	readonly #options: ControlOptions;
 	readonly #machine = new machines.ControlMachine();
 	readonly #operatorChanges: operatorChanges.OperatorChanges;
 	readonly #configurations: configurationService.ConfigurationService;
@@ -79,9 +78,7 @@
 				this.#handleLogEffect(effect);
 			},
 		);
-		this.#faults = options.faults ?? {};
-		this.#recordsLeaseHolders = options.recordsLeaseHolders ?? false;
-		this.#rateLimits = options.rateLimits;
+		this.#options = options;
 		const {messageNumberStart = 0} = options;
 		const send = (to: ids.PeerId, message: messages.PeerMessage): void => {
 			this.#send(to, message);
@@ -358,7 +355,7 @@
 		return {
 			machine: this.#machine,
 			term: this.#log.term,
-			faults: this.#faults,
+			faults: this.#options.faults ?? {},
 			self: this.#peer,
 			listHolders: () => this.#knownLeader.listVoters(this.#listControlPeers()),
 			send: (to, message) => {
@@ -369,7 +366,7 @@
 				this.#groupProposals.set(proposal, command.group);
 				this.#propose(proposal, command);
 			},
-			recordsLeaseHolders: this.#recordsLeaseHolders,
+			recordsLeaseHolders: this.#options.recordsLeaseHolders ?? false,
 			proposeRecord: (command) => {
 				this.#propose(++this.#proposalCounter, command);
 			},
@@ -380,7 +377,8 @@
 			},
 			hasProposal: (group) =>
 				[...this.#groupProposals.values()].includes(group),
-			rateLimits: this.#rateLimits,
+			rateLimits: this.#options.rateLimits,
+			parseSynchronousReplicas: this.#options.parseSynchronousReplicas,
 		};
 	}
 
--- a/src/common/control/self-acknowledging.test.ts
+++ b/src/common/control/self-acknowledging.test.ts
@@ -190,3 +190,24 @@
 	t.match(simulation.group, {primary: 's2', term: 2});
 	checkHealthy(t, simulation);
 });
+
+// Guards against a promotion by the count of an announcement that a peer without the configuration made.
+tap.test('the configuration says how many replicas count', async (t) => {
+	const simulation = startGroup({announcedSynchronousReplicas: 0});
+	simulation.requestChange('k1', {
+		type: 'configuration',
+		configuration: {version: 1, text: '1'},
+	});
+	simulation.run(500);
+	getServer(simulation, 's3').isReplicationPaused = true;
+	simulation.run(500);
+	getServer(simulation, 's2').isBusy = true;
+	getServer(simulation, 's1').isRunning = false;
+	simulation.run(2500);
+	getServer(simulation, 's2').isBusy = false;
+	simulation.run(4000);
+	t.equal(simulation.group?.primary, 's2');
+	getServer(simulation, 's3').isReplicationPaused = false;
+	simulation.run(500);
+	checkHealthy(t, simulation);
+});
--- a/src/common/control/simulation.ts
+++ b/src/common/control/simulation.ts
@@ -38,6 +38,8 @@
 	 * commit by then. Such servers have no fences.
 	 */
 	readonly synchronousReplicas?: number;
+	/** The number that announcements carry; `synchronousReplicas` by default. */
+	readonly announcedSynchronousReplicas?: number;
 };
 
 type SimulatedControlPeer = {
@@ -195,13 +197,16 @@
 		return undefined;
 	}
 
-	/** Sends a template change to one control peer. */
-	requestChange(peer: string, change: types.TemplateChange): void {
+	/** Sends an operator's change to one control peer. */
+	requestChange(peer: string, change: types.OperatorChange): void {
 		const controlPeer = this.controlPeers.find(
 			(candidate) => candidate.peer === peer,
 		)!;
 		const operation = ++this.#counter;
-		this.#changes.set(operation, change);
+		if (!('type' in change)) {
+			this.#changes.set(operation, change);
+		}
+
 		this.#stepControl(controlPeer, {
 			type: 'templateChangeRequested',
 			now: this.readClock(controlPeer.peer),
@@ -223,6 +228,12 @@
 			peer: controlPeer.peer,
 			log: controlPeer.log,
 			faults: this.#options.faults,
+			...(this.selfAcknowledging
+				? {
+						parseSynchronousReplicas: (text: string) =>
+							new Map([['g1' as ids.GroupId, Number(text)]]),
+					}
+				: {}),
 		});
 	}
 
@@ -263,9 +274,13 @@
 				},
 				canAcknowledge: (server, offset, group) =>
 					this.#canAcknowledge(server, offset, group),
-				...(this.#options.synchronousReplicas === undefined
-					? {}
-					: {synchronousReplicas: this.#options.synchronousReplicas}),
+				...(this.selfAcknowledging
+					? {
+							synchronousReplicas:
+								this.#options.announcedSynchronousReplicas ??
+								this.selfAcknowledging.synchronousReplicas,
+						}
+					: {}),
 				writeIntervalMs: this.#options.writeIntervalMs ?? 100,
 				random: this.random,
 				maxReleaseDelayMs: this.#options.maxReleaseDelayMs ?? 100,
--- a/src/common/control/successor-search.ts
+++ b/src/common/control/successor-search.ts
@@ -13,6 +13,7 @@
 import type * as control from './types.js';
 import type * as ownership from './ownership.js';
 import * as promotions from './promotion.js';
+import type * as synchronousReplicas from './synchronous-replicas.js';
 import * as timing from './timing.js';
 
 type Reading = {readonly status: types.UpstreamStatus; readonly at: number};
@@ -30,6 +31,7 @@
 
 	constructor(
 		private readonly table: ownership.OwnershipTable,
+		private readonly synchronousReplicas: synchronousReplicas.SynchronousReplicas,
 		private readonly calls: calls.ServerCalls,
 	) {}
 
@@ -38,11 +40,8 @@
 	 * answer to choose one. While it returns false, this method requests the servers' statuses.
 	 */
 	hasSuccessor(now: number, group: control.GroupState): boolean {
-		const synchronousReplicas = promotions.findSynchronousReplicas(
-			this.table,
-			group,
-		);
-		if (synchronousReplicas === undefined || synchronousReplicas === 0) {
+		const count = this.synchronousReplicas.findCount(group);
+		if (count === undefined || count === 0) {
 			return true;
 		}
 
@@ -56,7 +55,7 @@
 			this.#searches.set(group.group, search);
 		}
 
-		if (this.#isFound(now, group, search, synchronousReplicas)) {
+		if (this.#isFound(now, group, search, count)) {
 			this.#searches.delete(group.group);
 			return true;
 		}
@@ -102,7 +101,7 @@
 		now: number,
 		group: control.GroupState,
 		{primaryReadings, readings}: Search,
-		synchronousReplicas: number,
+		count: number,
 	): boolean {
 		const [goal] = primaryReadings;
 		const recent = group.servers.filter((server) => {
@@ -112,7 +111,7 @@
 		return (
 			goal !== undefined &&
 			now - goal.at <= timing.successorReadingMs &&
-			recent.length >= group.servers.length - synchronousReplicas &&
+			recent.length >= group.servers.length - count &&
 			recent.some(
 				(server) =>
 					server !== group.primary &&
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -7,6 +7,14 @@
 import type * as consensus from '../consensus/types.js';
 import type * as rateBound from '../policy/rate-bound.js';
 
+/**
+ * Reads from a configuration how many replicas of each group have received a commit before a server
+ * acknowledges it; undefined when its text is not valid.
+ */
+export type SynchronousReplicasParser = (
+	text: string,
+) => ReadonlyMap<ids.GroupId, number> | undefined;
+
 /** How the leader learns the rate limits of customers, and what it tolerates above them. */
 export type RateLimitOptions = {
 	readonly bound: rateBound.RateBound;
--- a/src/daemon/control-types.ts
+++ b/src/daemon/control-types.ts
@@ -36,6 +36,8 @@
 	readonly recordsLeaseHolders?: boolean;
 	/** Rate limits of customers; none when it is not set. */
 	readonly rateLimits?: control.RateLimitOptions;
+	/** Set when configurations say how many replicas receive a commit before it is acknowledged. */
+	readonly parseSynchronousReplicas?: control.SynchronousReplicasParser;
 	/** The control peers of a new installation, including this one, with their peer addresses. */
 	readonly controlPeers: readonly types.PeerAddress[];
 	readonly peerListener: ListenSettings;
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -1075,6 +1075,13 @@
 	parseTemplateCustomers?(text: string): Iterable<Customer> | undefined;
 	readonly bound: RateBound;
 };
+/**
+ * Reads from a configuration how many replicas of each group have received a commit before a server
+ * acknowledges it; undefined when its text is not valid.
+ */
+export type SynchronousReplicasParser = (
+	text: string,
+) => ReadonlyMap<GroupId, number> | undefined;
 export type ControlPeerOptions = {
 	readonly peer: PeerId;
 	/** `ip:port` of the peer listener. */
@@ -1091,6 +1098,7 @@
 	 */
 	readonly recordsLeaseHolders?: boolean;
 	readonly rateLimits?: RateLimitOptions;
+	readonly parseSynchronousReplicas?: SynchronousReplicasParser;
 	/** The same as that of the proxies; without it, texts are exchanged as UTF-8. */
 	readonly packing?: TextPacking;
 	readonly random: RandomSource;
