Keep a server in the set until others hold what it acknowledged

What callers would see: a replica has left for good, the other one lags, the primary fails, and the lagging replica is promoted without acknowledged commits.

Cause: with n synchronous replicas a promotion needs the statuses of all servers of the set but n. A server that left was removed 10 s later, whatever the others held, and with it the number of statuses fell: of two servers one was enough, also the one that held nothing of the last commits.

Evidence: the new test: one replica receives nothing, the other one leaves, the primary stops 14 s later.

Change: a server leaves the set only when n + 1 others hold what the primary held after it had gone. A server that joins raises the number of statuses by one, which keeps the rule, so it may join at once as before. Services without synchronous replicas and servers with a fence are not affected.

--- a/src/common/control/leader.ts
+++ b/src/common/control/leader.ts
@@ -86,17 +86,21 @@
 			machine,
 			environment.rateLimits?.parseTemplateCustomers,
 		);
-		this.#serverSets = new serverSets.ServerSets(this.table, machine, (group) =>
-			environment.hasProposal(group),
+		const replicaCounts = new synchronousReplicas.SynchronousReplicas(
+			this.table,
+			machine,
+			environment.parseSynchronousReplicas,
+		);
+		this.#serverSets = new serverSets.ServerSets(
+			this.table,
+			machine,
+			replicaCounts,
+			(group) => environment.hasProposal(group),
 		);
 		this.#failover = new failovers.Failover({
 			machine,
 			table: this.table,
-			synchronousReplicas: new synchronousReplicas.SynchronousReplicas(
-				this.table,
-				machine,
-				environment.parseSynchronousReplicas,
-			),
+			synchronousReplicas: replicaCounts,
 			callServer: environment.callServer,
 			faults: environment.faults,
 			propose(command) {
--- a/src/common/control/self-acknowledging.test.ts
+++ b/src/common/control/self-acknowledging.test.ts
@@ -211,3 +211,23 @@
 	simulation.run(500);
 	checkHealthy(t, simulation);
 });
+
+// Guards against a quorum over the servers that are left, where a server that has left held the commits.
+tap.test('a holder leaves the set when others hold as much', async (t) => {
+	const simulation = startGroup();
+	getServer(simulation, 's3').isReplicationPaused = true;
+	simulation.run(500);
+	getServer(simulation, 's2').isDeparting = true;
+	simulation.run(2000);
+	getServer(simulation, 's2').isRunning = false;
+	simulation.run(14_000);
+	t.match(simulation.group, {servers: ['s1', 's2', 's3']});
+	getServer(simulation, 's1').isRunning = false;
+	simulation.run(6000);
+	t.strictSame(simulation.problems, []);
+	getServer(simulation, 's1').isRunning = true;
+	getServer(simulation, 's3').isReplicationPaused = false;
+	simulation.run(14_000);
+	t.match(simulation.group, {servers: ['s1', 's3'], promotion: undefined});
+	checkHealthy(t, simulation);
+});
--- a/src/common/control/server-sets.ts
+++ b/src/common/control/server-sets.ts
@@ -4,6 +4,9 @@
  * A promotion needs a majority of the set, and so does each acknowledged write. Two sets that differ
  * by one server have majorities that overlap; sets that differ by more need not. So the next change
  * waits until every owner uses the new set and a majority of it holds what was acknowledged before.
+ * Where servers acknowledge commits themselves, with n synchronous replicas, all servers of the set but n
+ * must include a holder of each commit. A server that joins keeps this true; one that leaves may be a
+ * holder, so it stays in the set until n + 1 others hold what was acknowledged while it counted.
  * A new group need not wait as long as nobody can write to it: its first write lease is granted only
  * after the registration window.
  */
@@ -13,6 +16,7 @@
 import type * as leases from './leases.js';
 import type * as ownership from './ownership.js';
 import * as machines from './machine.js';
+import type * as synchronousReplicas from './synchronous-replicas.js';
 import * as timing from './timing.js';
 
 /** Progress of a group's server set towards its next change. */
@@ -25,11 +29,20 @@
 	primaryOffset: number | undefined;
 };
 
+/** Progress of the remaining servers towards the removal of another one. */
+type RemovalProgress = {
+	/** When the removal was due first. */
+	readonly dueSince: number;
+	/** Offset that the primary had reached by then. */
+	primaryOffset: number | undefined;
+};
+
 /** Plans the changes of server sets for one leader. */
 export class ServerSets {
 	private readonly table: ownership.OwnershipTable;
 	private readonly machine: machines.ControlMachine;
 	private readonly hasProposal: (group: ids.GroupId) => boolean;
+	readonly #removals = new Map<ids.UpstreamId, RemovalProgress>();
 	readonly #progressByGroup = new Map<ids.GroupId, SetChangeProgress>();
 	/** Time of the registration, for groups that this leader registered and that have no write lease. */
 	readonly #registeredAt = new Map<ids.GroupId, number>();
@@ -38,6 +51,7 @@
 	constructor(
 		table: ownership.OwnershipTable,
 		machine: machines.ControlMachine,
+		private readonly synchronousReplicas: synchronousReplicas.SynchronousReplicas,
 		hasProposal: (group: ids.GroupId) => boolean,
 	) {
 		this.table = table;
@@ -115,12 +129,18 @@
 				announcement?.departing === false &&
 				now - lastSeenAt <= timing.announcementExpiryMs,
 		);
+		for (const server of group.servers) {
+			if (!this.#isRemovalDue(now, server)) {
+				this.#removals.delete(server);
+			}
+		}
+
 		const removed = group.servers.find(
 			(server) =>
 				this.#isRemovalDue(now, server) &&
 				machines.canRemoveServer(group, server),
 		);
-		// Servers that acknowledge commits themselves need no majority, so the set may change at once.
+		// Servers that acknowledge commits themselves need no majority, so others may join at once.
 		const canChangeAtOnce =
 			this.#registeredAt.has(group.group) ||
 			records.some(
@@ -131,7 +151,9 @@
 		}
 
 		return removed !== undefined &&
-			(canChangeAtOnce || this.#isSetSafeToChange(now, group))
+			(canChangeAtOnce
+				? this.#isRemovalSafe(now, group, removed)
+				: this.#isSetSafeToChange(now, group))
 			? {type: 'removeServer', group: group.group, server: removed}
 			: undefined;
 	}
@@ -146,6 +168,38 @@
 		);
 	}
 
+	/**
+	 * True when enough of the remaining servers hold what the servers acknowledged themselves while the
+	 * removed one was a synchronous replica.
+	 */
+	#isRemovalSafe(
+		now: number,
+		group: control.GroupState,
+		removed: ids.UpstreamId,
+	): boolean {
+		const count = this.synchronousReplicas.findCount(group) ?? 0;
+		if (count === 0) {
+			return true;
+		}
+
+		let progress = this.#removals.get(removed);
+		if (!progress) {
+			progress = {dueSince: now, primaryOffset: undefined};
+			this.#removals.set(removed, progress);
+		}
+
+		const {dueSince} = progress;
+		progress.primaryOffset ??= this.#findOffset(group, group.primary, dueSince);
+		const {primaryOffset} = progress;
+		const holders = group.servers.filter(
+			(server) =>
+				server !== removed &&
+				primaryOffset !== undefined &&
+				(this.#findOffset(group, server, dueSince) ?? -1) >= primaryOffset,
+		);
+		return holders.length > count;
+	}
+
 	/** True when a majority of the set holds everything that was acknowledged under the previous set. */
 	#isSetSafeToChange(now: number, group: control.GroupState): boolean {
 		let progress = this.#progressByGroup.get(group.group);
