Log what a promotion knew of each server when it chose

A promotion left no trace of the positions that it compared, so the logs could not tell a choice without the holder's answer from one that ignored it. The leader now writes one record for each choice: the server, the term, and the position or "did not answer" of every server of the group.

--- a/src/common/control/failover.ts
+++ b/src/common/control/failover.ts
@@ -143,6 +143,9 @@
 					synchronousReplicas: this.#environment.synchronousReplicas,
 					calls: this.#calls,
 					faults: this.#environment.faults,
+					log: (message) => {
+						this.#environment.log(message);
+					},
 				},
 				group,
 				group.promotion,
--- a/src/common/control/promotion.ts
+++ b/src/common/control/promotion.ts
@@ -23,6 +23,8 @@
 	readonly synchronousReplicas: synchronousReplicas.SynchronousReplicas;
 	readonly calls: calls.ServerCalls;
 	readonly faults: control.FaultInjection;
+	/** Writes a log record of level info. */
+	log(message: string): void;
 };
 
 /** The steps of one promotion of a group to one term. */
@@ -351,9 +353,25 @@
 			best === undefined ? undefined : this.#fenceStatuses.get(best);
 		if (best !== undefined && status) {
 			this.#target = {server: best, offset: status.position, at: now};
+			this.#environment.log(
+				`${best} is chosen as primary of ${this.#group.group} in term ${this.term}: ${this.#describeStatuses()}`,
+			);
 		}
 	}
 
+	/** Describes what the choice of the target knew of each server. */
+	#describeStatuses(): string {
+		return this.#group.servers
+			.map((server) => {
+				const status = this.#fenceStatuses.get(server);
+				const state = status
+					? `at ${status.receivedTerm ?? status.term}:${status.position}`
+					: 'did not answer';
+				return `${server} ${state}`;
+			})
+			.join(', ');
+	}
+
 	/** Negative when `left` is the better choice. */
 	#compareCandidates(left: ids.UpstreamId, right: ids.UpstreamId): number {
 		const byPosition = compareStatuses(
