Run the fleet's scenarios and search with self-acknowledging servers too

The fleet of production reducers had fenced servers only, so the scripted scenarios and `search:fleet` never showed a promotion as the product's users have it. "Lost writes" now also counts writes that a server lacked at the moment of its promotion, for both kinds. Scenarios, random scenarios and `search:fleet` run with both.

--- a/src/bench/fleet-search.ts
+++ b/src/bench/fleet-search.ts
@@ -1,6 +1,6 @@
 /**
- * Runs random scenarios and plans with customers on a fleet of production reducers, and random losses of
- * control peers. Prints one JSON line per seed that violates a guarantee, and exits with code 1 if there is
+ * Runs random scenarios, with servers of both kinds, and plans with customers on a fleet of production
+ * reducers, and random losses of control peers. Prints one JSON line per seed that violates a guarantee, and exits with code 1 if there is
  * any.
  *
  * Usage: npm run search:fleet -- [runs] [first seed]
@@ -17,17 +17,21 @@
 
 const runs = Number(process.argv[2] ?? 50);
 const firstSeed = Number(process.argv[3] ?? 1);
+/** Servers with fences, and servers that acknowledge commits themselves. */
+const serverModes = [{}, {synchronousReplicas: 1}];
 let failed = 0;
 for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
 	const failures = [
 		randomPlan.buildRandomScenario(seed),
 		randomPlan.buildSlowStatementScenario(seed),
 	].flatMap((text) =>
-		runner.runScenario(parser.parseScenarios(text)._unsafeUnwrap()[0], [
-			new interpreter.FleetInterpreter(
-				new fleets.Fleet({proxies: 7, controls: 3, seed}),
-			),
-		]),
+		serverModes.flatMap((mode) =>
+			runner.runScenario(parser.parseScenarios(text)._unsafeUnwrap()[0], [
+				new interpreter.FleetInterpreter(
+					new fleets.Fleet({proxies: 7, controls: 3, seed, ...mode}),
+				),
+			]),
+		),
 	);
 	const problems = [true, false].flatMap((endsWithRestart) =>
 		controlGroup.runRandomLosses(seed, endsWithRestart),
--- a/src/scenario/fleet/control-process.ts
+++ b/src/scenario/fleet/control-process.ts
@@ -12,6 +12,7 @@
 import type * as types from '../../common/types.js';
 import * as fakeProcess from './fake-process.js';
 import type * as fakeServer from './fake-server.js';
+import * as selfAcknowledging from './self-acknowledging-server.js';
 import type * as links from './links.js';
 import type * as timeline from './timeline.js';
 
@@ -264,7 +265,9 @@
 		};
 
 		this.timeline.schedule(callDelayMs, () => {
-			if (!server || server.isDown) {
+			if (server instanceof selfAcknowledging.SelfAcknowledgingServer) {
+				this.callSelfAcknowledging(server, effect.request, answer);
+			} else if (!server || server.isDown) {
 				answer({type: 'failed', message: 'connection refused'});
 			} else if (server.isFrozen || !server.isReachableFrom(this.peer)) {
 				this.timeline.schedule(500, () => {
@@ -276,6 +279,23 @@
 		});
 	}
 
+	/** A promotion goes to the platform of the servers, which control always reaches. */
+	private callSelfAcknowledging(
+		server: selfAcknowledging.SelfAcknowledgingServer,
+		request: control.ServerRequest,
+		answer: (answer: control.ServerAnswer) => void,
+	): void {
+		if (
+			request.type === 'promote' &&
+			!server.requestPromotion(this.handlePromotion)
+		) {
+			answer(selfAcknowledging.refusedPromotion);
+			return;
+		}
+
+		server.runCall(request, () => server.isReachableFrom(this.peer), answer);
+	}
+
 	private runServerRequest(
 		server: fakeServer.FakeServer,
 		request: control.ServerRequest,
--- a/src/scenario/fleet/fake-server.ts
+++ b/src/scenario/fleet/fake-server.ts
@@ -53,6 +53,8 @@
 	receiveLagMs = 1;
 	applyLagMs = 0;
 	serviceMs = 1;
+	/** Set when the server acknowledges commits itself; see `Announcement`. */
+	readonly synchronousReplicas: number | undefined;
 	/** Stands for the start time in announcements; increases with each start. */
 	startedAt = 1;
 	/** Values that this server committed as a primary, including those that a promotion dropped. */
@@ -68,16 +70,16 @@
 	readonly sessions = new Set<ServerSession>();
 	/** Peers that cannot reach the server. */
 	readonly cutPeers = new Set<string>();
+	protected readonly replicaPositions = new Map<ids.UpstreamId, number>();
 	private appliedCount = 0;
 	/** Times at which the records were received, by index in the log. */
 	private receivedAt: number[] = [];
-	private readonly replicaPositions = new Map<ids.UpstreamId, number>();
 
 	constructor(
 		readonly id: ids.UpstreamId,
 		readonly group: ids.GroupId,
 		readonly dataCentre: ids.DataCentre,
-		private readonly timeline: timeline.Timeline,
+		protected readonly timeline: timeline.Timeline,
 	) {
 		timeline.scheduleEvery(1, () => {
 			this.replicate();
@@ -93,6 +95,13 @@
 		return this.appliedCount === 0 ? 0 : this.log[this.appliedCount - 1].offset;
 	}
 
+	/** Position of the newest record that reads see. */
+	get appliedPosition(): types.Position {
+		const count = this.role === 'primary' ? this.log.length : this.appliedCount;
+		const {term, offset} = this.log[count - 1] ?? {term: 0, offset: 0};
+		return {term, offset};
+	}
+
 	get isRunning(): boolean {
 		return !this.isDown && !this.isFrozen;
 	}
@@ -118,6 +127,11 @@
 		};
 	}
 
+	/** True when the answer to a commit at this offset may leave the server. */
+	isAcknowledged(_offset: number): boolean {
+		return true;
+	}
+
 	/** Returns false when the server has, or is fenced for, a higher term. */
 	setFence(term: number): boolean {
 		if (term < this.fencedTerm || term < this.term) {
@@ -137,11 +151,7 @@
 			return false;
 		}
 
-		this.role = 'primary';
-		this.term = term;
-		this.source = undefined;
-		this.appliedCount = this.log.length;
-		this.replicaPositions.clear();
+		this.beginTerm(term);
 		return true;
 	}
 
@@ -214,6 +224,45 @@
 		return this.runStatement(session, statement);
 	}
 
+	/** Leads a term with the records that the server holds. */
+	protected beginTerm(term: number): void {
+		this.role = 'primary';
+		this.term = term;
+		this.source = undefined;
+		this.appliedCount = this.log.length;
+		this.replicaPositions.clear();
+	}
+
+	protected abortTransactions(): void {
+		for (const session of this.sessions) {
+			session.pendingWrites = undefined;
+		}
+	}
+
+	/** Copies the missing records from the primary, which arrive after the receive lag. */
+	protected replicate(): void {
+		const {source} = this;
+		if (
+			!source ||
+			!this.isRunning ||
+			!source.isRunning ||
+			this.role !== 'replica' ||
+			source.role !== 'primary' ||
+			source.term !== this.term ||
+			source.term < this.fencedTerm ||
+			source.fencedTerm > source.term ||
+			!source.isReachableFrom(this.id) ||
+			!this.isReachableFrom(source.id)
+		) {
+			return;
+		}
+
+		const copied = source.log.slice(this.log.length);
+		this.timeline.schedule(this.receiveLagMs, () => {
+			this.receive(source, copied);
+		});
+	}
+
 	private runStatement(
 		session: ServerSession,
 		statement: FakeStatement,
@@ -295,36 +344,6 @@
 		return {type: 'ok', inTransaction: false};
 	}
 
-	private abortTransactions(): void {
-		for (const session of this.sessions) {
-			session.pendingWrites = undefined;
-		}
-	}
-
-	/** Copies the missing records from the primary, which arrive after the receive lag. */
-	private replicate(): void {
-		const {source} = this;
-		if (
-			!source ||
-			!this.isRunning ||
-			!source.isRunning ||
-			this.role !== 'replica' ||
-			source.role !== 'primary' ||
-			source.term !== this.term ||
-			source.term < this.fencedTerm ||
-			source.fencedTerm > source.term ||
-			!source.isReachableFrom(this.id) ||
-			!this.isReachableFrom(source.id)
-		) {
-			return;
-		}
-
-		const copied = source.log.slice(this.log.length);
-		this.timeline.schedule(this.receiveLagMs, () => {
-			this.receive(source, copied);
-		});
-	}
-
 	private receive(source: FakeServer, records: readonly LogRecord[]): void {
 		if (
 			!this.isRunning ||
@@ -362,15 +381,13 @@
 }
 
 /** Creates the servers s1 to s3 in the data centres dc1 to dc3; s1 is the primary of term 1. */
-export function createGroup(
-	group: ids.GroupId,
-	timeline: timeline.Timeline,
-): Map<string, FakeServer> {
-	const servers = new Map<string, FakeServer>();
+export function createGroup<Server extends FakeServer>(
+	create: (id: ids.UpstreamId, dataCentre: ids.DataCentre) => Server,
+): Map<string, Server> {
+	const servers = new Map<string, Server>();
 	for (const index of [1, 2, 3]) {
 		const id = `s${index}` as ids.UpstreamId;
-		const dataCentre = `dc${index}` as ids.DataCentre;
-		servers.set(id, new FakeServer(id, group, dataCentre, timeline));
+		servers.set(id, create(id, `dc${index}` as ids.DataCentre));
 	}
 
 	const primary = servers.get('s1')!;
--- a/src/scenario/fleet/fake-upstreams.ts
+++ b/src/scenario/fleet/fake-upstreams.ts
@@ -4,6 +4,8 @@
  */
 import {assertNever} from '../../common/assert-never.js';
 import type * as ids from '../../common/ids.js';
+import * as positions from '../../common/position.js';
+import type * as types from '../../common/types.js';
 import type * as proxy from '../../common/proxy/types.js';
 import type * as fakeServer from './fake-server.js';
 import type * as timeline from './timeline.js';
@@ -184,6 +186,16 @@
 		this.sendRequest(connection, () => {
 			const {server, session} = connection;
 			const statement = decodeStatement(effect.payload.frames);
+			if (lacksPosition(server, session, statement, effect.after)) {
+				return () => {
+					this.reportFinished(connection, effect.attempt, {
+						type: 'refused',
+						reason: 'tooStale',
+						message: 'the log of the server lacks the position',
+					});
+				};
+			}
+
 			const answer = server.execute(session, statement, effect.claimKey);
 			if (answer === 'keyUsed') {
 				return () => {
@@ -191,9 +203,14 @@
 				};
 			}
 
+			const position =
+				server.synchronousReplicas === undefined
+					? undefined
+					: server.appliedPosition;
 			return () => {
 				this.reportFinished(connection, effect.attempt, {
 					type: 'answered',
+					...(position ? {position} : {}),
 					tail: encodeAnswer(answer),
 					relayed: false,
 					transactionStatus: answer.inTransaction ? 'inTransaction' : 'idle',
@@ -222,17 +239,40 @@
 				return;
 			}
 
+			const offset = server.position;
 			const deliverAnswer = handleRequest();
-			this.timeline.schedule(networkDelayMs, () => {
-				if (session.isOpen && this.canReach(server)) {
-					deliverAnswer();
-				}
-			});
+			this.deliverAcknowledged(
+				connection,
+				server.position > offset ? server.position : undefined,
+				deliverAnswer,
+			);
 		};
 
 		this.timeline.schedule(networkDelayMs + server.serviceMs, deliverRequest);
 	}
 
+	/** Delivers an answer once its commit, if any, is acknowledged by the server. */
+	private deliverAcknowledged(
+		connection: FakeConnection,
+		commitOffset: number | undefined,
+		deliverAnswer: () => void,
+	): void {
+		const {server, session} = connection;
+		if (!session.isOpen) {
+			return;
+		}
+
+		const isAcknowledged =
+			commitOffset === undefined || server.isAcknowledged(commitOffset);
+		this.timeline.schedule(networkDelayMs, () => {
+			if (!isAcknowledged) {
+				this.deliverAcknowledged(connection, commitOffset, deliverAnswer);
+			} else if (session.isOpen && this.canReach(server)) {
+				deliverAnswer();
+			}
+		});
+	}
+
 	private poll(effect: Extract<UpstreamEffect, {type: 'poll'}>): void {
 		const server = this.servers.get(effect.server)!;
 		this.timeline.schedule(effect.delayMs, () => {
@@ -325,6 +365,22 @@
 	}
 }
 
+/** True when a server that acknowledges commits itself must refuse a statement for its position. */
+function lacksPosition(
+	server: fakeServer.FakeServer,
+	session: fakeServer.ServerSession,
+	statement: fakeServer.FakeStatement,
+	after: types.Position | undefined,
+): boolean {
+	return (
+		after !== undefined &&
+		server.synchronousReplicas !== undefined &&
+		(statement.type === 'begin' ||
+			(statement.type === 'get' && session.pendingWrites === undefined)) &&
+		positions.comparePositions(server.appliedPosition, after) < 0
+	);
+}
+
 /** Encodes a statement as the frames of a request. */
 export function encodeStatement(
 	statement: fakeServer.FakeStatement,
--- a/src/scenario/fleet/fleet-types.ts
+++ b/src/scenario/fleet/fleet-types.ts
@@ -55,6 +55,8 @@
 	readonly at: number;
 	readonly term: number;
 	readonly server: ids.UpstreamId;
+	/** The values in the log of the server at that time. */
+	readonly values: ReadonlySet<string>;
 };
 
 export type ScenarioFleet = {
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -13,6 +13,7 @@
 import type * as fleetTypes from './fleet-types.js';
 import * as links from './links.js';
 import * as proxyProcess from './proxy-process.js';
+import * as selfAcknowledging from './self-acknowledging-server.js';
 import * as smallFleet from './small-fleet.js';
 import * as timeline from './timeline.js';
 
@@ -31,6 +32,8 @@
 	/** Without it, messages take a delay but no time to transmit. */
 	readonly createLinks?: (timeline: timeline.Timeline) => links.Links;
 	readonly rateLimits?: control.RateLimitOptions;
+	/** Set when the servers acknowledge commits themselves; without it, they have fences. */
+	readonly synchronousReplicas?: number;
 	/** Without it, every template sets the parameters. */
 	readonly parseTemplate?: templateStore.TemplateParser;
 	/** Creates the parser of an instance of a proxy; without it, proxies take no configuration. */
@@ -57,7 +60,7 @@
 			new links.Links(this.timeline, (from, to) =>
 				from.at(-1) === to.at(-1) ? localDelayMs : remoteDelayMs,
 			);
-		this.servers = fakeServer.createGroup(this.group, this.timeline);
+		this.servers = this.createServers();
 		const controlPeers = Array.from(
 			{length: options.controls},
 			(_, index) => `c${index + 1}` as ids.PeerId,
@@ -117,6 +120,32 @@
 		this.announceAll();
 	}
 
+	private createServers(): ReadonlyMap<string, fakeServer.FakeServer> {
+		const {synchronousReplicas} = this.options;
+		if (synchronousReplicas === undefined) {
+			return fakeServer.createGroup(
+				(id, dataCentre) =>
+					new fakeServer.FakeServer(id, this.group, dataCentre, this.timeline),
+			);
+		}
+
+		const servers = fakeServer.createGroup(
+			(id, dataCentre) =>
+				new selfAcknowledging.SelfAcknowledgingServer(
+					id,
+					this.group,
+					dataCentre,
+					this.timeline,
+					synchronousReplicas,
+				),
+		);
+		for (const server of servers.values()) {
+			server.peers = [...servers.values()];
+		}
+
+		return servers;
+	}
+
 	private addControl(
 		peer: ids.PeerId,
 		index: number,
@@ -142,6 +171,7 @@
 					at: this.timeline.now,
 					term: server.term,
 					server: id,
+					values: new Set(server.log.map(({value}) => value)),
 				});
 			},
 		);
--- a/src/scenario/fleet/history.ts
+++ b/src/scenario/fleet/history.ts
@@ -3,6 +3,7 @@
  * Every write has a unique value, so the logs of the servers show which writes ran and how often.
  */
 import * as positions from '../../common/position.js';
+import type * as fleetTypes from './fleet-types.js';
 import type * as fakeServer from './fake-server.js';
 
 export type WriteOutcome = 'acknowledged' | 'notRun' | 'unknown';
@@ -81,11 +82,25 @@
 		}).length;
 	}
 
-	/** Counts acknowledged writes that the current primary does not have. */
-	countLostWrites(primary: fakeServer.FakeServer): number {
+	/**
+	 * Counts acknowledged writes that the current primary does not have, or that a server did not have
+	 * when it was promoted.
+	 */
+	countLostWrites(
+		primary: fakeServer.FakeServer,
+		promotions: readonly fleetTypes.PromotionRecord[],
+	): number {
 		const values = new Set(primary.log.map(({value}) => value));
 		return this.writes.filter(
-			({outcome, value}) => outcome === 'acknowledged' && !values.has(value),
+			({outcome, value, answeredAt}) =>
+				outcome === 'acknowledged' &&
+				(!values.has(value) ||
+					promotions.some(
+						(promotion) =>
+							answeredAt !== undefined &&
+							answeredAt < promotion.at &&
+							!promotion.values.has(value),
+					)),
 		).length;
 	}
 
--- a/src/scenario/fleet/interpreter.ts
+++ b/src/scenario/fleet/interpreter.ts
@@ -104,7 +104,7 @@
 			}
 
 			case 'lost writes': {
-				return this.history.countLostWrites(primary);
+				return this.history.countLostWrites(primary, this.fleet.promotions);
 			}
 
 			case 'duplicated writes': {
--- a/src/scenario/fleet/naive-fleet.ts
+++ b/src/scenario/fleet/naive-fleet.ts
@@ -275,7 +275,10 @@
 	private readonly shared: SharedState;
 
 	constructor(options: {readonly proxies: number; readonly controls: number}) {
-		this.servers = fakeServer.createGroup(this.group, this.timeline);
+		this.servers = fakeServer.createGroup(
+			(id, dataCentre) =>
+				new fakeServer.FakeServer(id, this.group, dataCentre, this.timeline),
+		);
 		this.shared = {
 			primary: this.servers.get('s1')!,
 			versions: new Map(),
@@ -304,6 +307,7 @@
 							at: this.timeline.now,
 							term: server.term,
 							server: server.id,
+							values: new Set(server.log.map(({value}) => value)),
 						});
 					},
 				),
--- a/src/scenario/fleet/proxy-process.ts
+++ b/src/scenario/fleet/proxy-process.ts
@@ -240,6 +240,9 @@
 					connectionLimit: 25,
 					departing: server.departing,
 					startedAt: server.startedAt,
+					...(server.synchronousReplicas === undefined
+						? {}
+						: {synchronousReplicas: server.synchronousReplicas}),
 				},
 			});
 		});
--- a/src/scenario/fleet/small-fleet.ts
+++ b/src/scenario/fleet/small-fleet.ts
@@ -101,7 +101,10 @@
 				changeId: 'first' as ids.ChangeId,
 			},
 		];
-		this.servers = fakeServer.createGroup(this.group, this.timeline);
+		this.servers = fakeServer.createGroup(
+			(id, dataCentre) =>
+				new fakeServer.FakeServer(id, this.group, dataCentre, this.timeline),
+		);
 		for (let index = 1; index <= proxyCount; index++) {
 			this.addProxy(index, parameters, timing, parseConfiguration);
 		}
--- a/src/scenario/random-plan.test.ts
+++ b/src/scenario/random-plan.test.ts
@@ -34,6 +34,15 @@
 		},
 	);
 
+	// Guards against the same with servers that acknowledge commits themselves.
+	tap.test(
+		`self-acknowledging servers keep the guarantees in the scenario of seed ${seed}`,
+		async (t) => {
+			const fleet = new fleets.Fleet({...fleetOptions, synchronousReplicas: 1});
+			t.same(runRandomScenario(seed, fleet), []);
+		},
+	);
+
 	// Guards against random scenarios whose expectations hold for every implementation.
 	tap.test(
 		`the naive version fails in the random scenario of seed ${seed}`,
