Do not count a server that may have lost its log

What callers would see: a replica starts again with an empty log, the primary fails before it has caught up, and the third server, which lags, is promoted without acknowledged commits.

Cause: with n synchronous replicas a promotion takes N - n statuses for proof that one of these servers holds each commit.

Evidence: the new test: both replicas receive nothing, one of them starts again without its log, the primary stops.

Change: the leader follows the start times of the servers. One that started again counts only when its owner reports that it has received what the primary held later, or when n + 1 others have. When every server has answered there is nothing left to wait for, and the most advanced one is chosen.

What it costs: when a replica starts again and the primary is lost for good within the some 2 to 4 s until this is known, writes stop until one of them is back. What remains: a new leader doesn't know which servers started again before its term.

--- a/src/common/control/failover.ts
+++ b/src/common/control/failover.ts
@@ -11,6 +11,7 @@
 import type * as machines from './machine.js';
 import * as promotions from './promotion.js';
 import type * as synchronousReplicas from './synchronous-replicas.js';
+import * as restartedServers from './restarted-servers.js';
 import * as successorSearch from './successor-search.js';
 import * as timing from './timing.js';
 
@@ -35,6 +36,7 @@
 	readonly #environment: FailoverEnvironment;
 	readonly #calls: callTracking.ServerCalls;
 	readonly #holdDown = new holdDowns.HoldDown();
+	readonly #restartedServers: restartedServers.RestartedServers;
 	readonly #successorSearch: successorSearch.SuccessorSearch;
 	readonly #promotionRuns = new Map<ids.GroupId, promotions.PromotionRun>();
 
@@ -50,6 +52,10 @@
 	constructor(environment: FailoverEnvironment) {
 		this.#environment = environment;
 		this.#calls = new callTracking.ServerCalls(environment.callServer);
+		this.#restartedServers = new restartedServers.RestartedServers(
+			environment.table,
+			environment.synchronousReplicas,
+		);
 		this.#successorSearch = new successorSearch.SuccessorSearch(
 			environment.table,
 			environment.synchronousReplicas,
@@ -61,6 +67,7 @@
 	step(now: number): void {
 		this.#calls.expire(now);
 		for (const group of this.#environment.machine.listGroups()) {
+			this.#restartedServers.update(now, group);
 			if (group.promotion) {
 				this.#stepPromotion(now, group, group.promotion);
 			} else {
@@ -141,6 +148,7 @@
 				{
 					table: this.#environment.table,
 					synchronousReplicas: this.#environment.synchronousReplicas,
+					restartedServers: this.#restartedServers,
 					calls: this.#calls,
 					faults: this.#environment.faults,
 					log: (message) => {
--- a/src/common/control/promotion.ts
+++ b/src/common/control/promotion.ts
@@ -11,6 +11,7 @@
 import type * as control from './types.js';
 import type * as ownership from './ownership.js';
 import * as machines from './machine.js';
+import type * as restartedServers from './restarted-servers.js';
 import type * as synchronousReplicas from './synchronous-replicas.js';
 import * as timing from './timing.js';
 
@@ -21,6 +22,7 @@
 export type PromotionEnvironment = {
 	readonly table: ownership.OwnershipTable;
 	readonly synchronousReplicas: synchronousReplicas.SynchronousReplicas;
+	readonly restartedServers: restartedServers.RestartedServers;
 	readonly calls: calls.ServerCalls;
 	readonly faults: control.FaultInjection;
 	/** Writes a log record of level info. */
@@ -225,6 +227,16 @@
 				: Math.max(1, servers.length - synchronousReplicas);
 	}
 
+	/** True when one of these servers must hold each acknowledged commit. */
+	#areEnough(servers: readonly ids.UpstreamId[]): boolean {
+		const counted = this.#hasSynchronousReplicas
+			? servers.filter((server) =>
+					this.#environment.restartedServers.hasLog(this.#group, server),
+				)
+			: servers;
+		return counted.length >= this.#computeFenceQuorumSize();
+	}
+
 	/** Number of synchronous replicas; undefined unless the servers acknowledge commits themselves. */
 	get synchronousReplicas(): number | undefined {
 		return this.#environment.synchronousReplicas.findCount(this.#group);
@@ -310,13 +322,15 @@
 	}
 
 	#canChooseTarget(now: number): boolean {
-		if (this.#fenceStatuses.size < this.#computeFenceQuorumSize()) {
+		const hasEveryAnswer =
+			this.#fenceStatuses.size === this.#group.servers.length;
+		if (!hasEveryAnswer && !this.#areEnough([...this.#fenceStatuses.keys()])) {
 			return false;
 		}
 
 		this.#quorumReachedAt ??= now;
 		return (
-			this.#fenceStatuses.size === this.#group.servers.length ||
+			hasEveryAnswer ||
 			now - this.#quorumReachedAt >=
 				(this.synchronousReplicas === undefined
 					? timing.fenceGraceMs
@@ -334,8 +348,7 @@
 		const preferred = fenced.filter(
 			(server) => !this.#isFallbackCandidate(server),
 		);
-		const candidates =
-			preferred.length >= this.#computeFenceQuorumSize() ? preferred : fenced;
+		const candidates = this.#areEnough(preferred) ? preferred : fenced;
 		const [best] = candidates.sort((left, right) =>
 			this.#compareCandidates(left, right),
 		);
--- a/src/common/control/self-acknowledging-servers.ts
+++ b/src/common/control/self-acknowledging-servers.ts
@@ -75,10 +75,11 @@
 		this.reachesNewPrimarySince = undefined;
 	}
 
-	/** Loses all records, as a server that starts under its id with an empty log. */
-	clearLog(): void {
+	/** Starts again under its id with an empty log. */
+	restartWithoutLog(): void {
 		this.records = [];
-		this.role = 'replica';
+		this.startedAt++;
+		this.becomeReplica(this.#term);
 	}
 }
 
--- a/src/common/control/self-acknowledging.test.ts
+++ b/src/common/control/self-acknowledging.test.ts
@@ -231,3 +231,25 @@
 	t.match(simulation.group, {servers: ['s1', 's3'], promotion: undefined});
 	checkHealthy(t, simulation);
 });
+
+// Guards against counting a server that has lost its log among those of which one must hold each commit.
+tap.test('a server without its log does not count', async (t) => {
+	const simulation = startGroup();
+	getServer(simulation, 's3').isReplicationPaused = true;
+	simulation.run(1000);
+	getServer(simulation, 's2').isReplicationPaused = true;
+	getServer(simulation, 's2').restartWithoutLog();
+	simulation.run(1500);
+	getServer(simulation, 's1').isRunning = false;
+	simulation.run(5000);
+	t.strictSame(simulation.problems, []);
+	getServer(simulation, 's1').isRunning = true;
+	getServer(simulation, 's2').isReplicationPaused = false;
+	getServer(simulation, 's3').isReplicationPaused = false;
+	simulation.run(6000);
+	checkHealthy(t, simulation);
+	getServer(simulation, simulation.group!.primary).isRunning = false;
+	simulation.run(5000);
+	t.equal(simulation.group?.promotion, undefined);
+	checkHealthy(t, simulation);
+});
--- a/src/common/control/server-sets.ts
+++ b/src/common/control/server-sets.ts
@@ -16,6 +16,7 @@
 import type * as leases from './leases.js';
 import type * as ownership from './ownership.js';
 import * as machines from './machine.js';
+import * as reports from './reports.js';
 import type * as synchronousReplicas from './synchronous-replicas.js';
 import * as timing from './timing.js';
 
@@ -189,13 +190,19 @@
 		}
 
 		const {dueSince} = progress;
-		progress.primaryOffset ??= this.#findOffset(group, group.primary, dueSince);
+		progress.primaryOffset ??= reports.findOffset(
+			this.table,
+			group,
+			group.primary,
+			dueSince,
+		);
 		const {primaryOffset} = progress;
 		const holders = group.servers.filter(
 			(server) =>
 				server !== removed &&
 				primaryOffset !== undefined &&
-				(this.#findOffset(group, server, dueSince) ?? -1) >= primaryOffset,
+				(reports.findOffset(this.table, group, server, dueSince) ?? -1) >=
+					primaryOffset,
 		);
 		return holders.length > count;
 	}
@@ -217,7 +224,8 @@
 			return false;
 		}
 
-		progress.primaryOffset ??= this.#findOffset(
+		progress.primaryOffset ??= reports.findOffset(
+			this.table,
 			group,
 			group.primary,
 			firstSeenAt,
@@ -229,24 +237,11 @@
 
 		const caughtUp = group.servers.filter(
 			(server) =>
-				(this.#findOffset(group, server, firstSeenAt) ?? -1) >= primaryOffset,
+				(reports.findOffset(this.table, group, server, firstSeenAt) ?? -1) >=
+				primaryOffset,
 		);
 		return caughtUp.length >= machines.computeQuorumSize(group.servers.length);
 	}
-
-	/** Returns the offset that the owner of a server reported once every owner used the set. */
-	#findOffset(
-		group: control.GroupState,
-		server: ids.UpstreamId,
-		firstSeenAt: number,
-	): number | undefined {
-		const health = this.table.servers.get(server)?.health;
-		return health?.status?.term === group.term &&
-			health.reportedAt >=
-				firstSeenAt + timing.grantorLeaseMs + (health.answerAgeMs ?? 0)
-			? health.status.position
-			: undefined;
-	}
 }
 
 /** Registers a group with the most advanced of the servers that claim to be its primary. */
