--- a/src/common/control/safety-plan.ts
+++ b/src/common/control/safety-plan.ts
@@ -133,6 +133,18 @@
 		simulation.schedule(durationMs, run);
 	};
 
+	const cutLinks = (links: readonly string[]) => {
+		for (const link of links) {
+			simulation.cutLinks.add(link);
+		}
+
+		scheduleUndo(() => {
+			for (const link of links) {
+				simulation.cutLinks.delete(link);
+			}
+		});
+	};
+
 	switch (kind) {
 		case 'crashControl': {
 			simulation.crashControl(controlPeer, durationMs);
@@ -155,27 +167,16 @@
 
 		case 'disconnectOwner': {
 			const primary = simulation.group?.primary ?? 's1';
-			const cut = `${simulation.listOwners()[primary]} ${primary}`;
-			simulation.cutLinks.add(cut);
-			scheduleUndo(() => {
-				simulation.cutLinks.delete(cut);
-			});
+			cutLinks([`${simulation.listOwners()[primary]} ${primary}`]);
 			break;
 		}
 
 		case 'disconnectServer': {
-			const cuts = [...simulation.controlIds, ...simulation.proxies.keys()].map(
-				(peer) => `${peer} ${server.server}`,
+			cutLinks(
+				[...simulation.controlIds, ...simulation.proxies.keys()].map(
+					(peer) => `${peer} ${server.server}`,
+				),
 			);
-			for (const cut of cuts) {
-				simulation.cutLinks.add(cut);
-			}
-
-			scheduleUndo(() => {
-				for (const cut of cuts) {
-					simulation.cutLinks.delete(cut);
-				}
-			});
 			break;
 		}
 
@@ -209,19 +210,12 @@
 		}
 
 		case 'partitionServer': {
-			const cuts = simulation.servers.flatMap((other) => [
-				`${other.server} ${server.server}`,
-				`${server.server} ${other.server}`,
-			]);
-			for (const cut of cuts) {
-				simulation.cutLinks.add(cut);
-			}
-
-			scheduleUndo(() => {
-				for (const cut of cuts) {
-					simulation.cutLinks.delete(cut);
-				}
-			});
+			cutLinks(
+				simulation.servers.flatMap((other) => [
+					`${other.server} ${server.server}`,
+					`${server.server} ${other.server}`,
+				]),
+			);
 			break;
 		}
 
