--- a/src/bench/search.ts
+++ b/src/bench/search.ts
@@ -38,7 +38,7 @@
 }
 
 /** Runs random plans of faults for the control group; exits at the first one that violates a guarantee. */
-function searchPlans(
+function runPlans(
 	name: string,
 	arbitrary: fastCheck.Arbitrary<safetyPlan.Plan>,
 	seed: number,
@@ -66,8 +66,8 @@
 
 const runs = Number(values.runs);
 const firstSeed = Number(values.seed);
-searchPlans('servers with fences', safetyPlan.planArbitrary, firstSeed, runs);
-searchPlans(
+runPlans('servers with fences', safetyPlan.planArbitrary, firstSeed, runs);
+runPlans(
 	'servers that acknowledge commits themselves',
 	safetyPlan.selfAcknowledgingPlanArbitrary,
 	firstSeed,
--- a/src/common/control/failover.ts
+++ b/src/common/control/failover.ts
@@ -93,15 +93,34 @@
 		command: control.ControlCommand,
 		isOwn: boolean,
 	): void {
-		if (command.type === 'beginPromotion') {
-			this.#startRun(now, command, isOwn);
-		} else if (command.type === 'completePromotion') {
-			const {group: id, term, primary} = command;
-			if (this.#promotionRuns.get(id)?.term === term) {
-				this.#promotionRuns.delete(id);
-				this.#completedAt.set(id, now);
-				this.#holdDown.recordPromotion(now, id);
-				this.#environment.log(`${primary} is primary of ${id} in term ${term}`);
+		switch (command.type) {
+			case 'beginPromotion': {
+				this.#startRun(now, command, isOwn);
+				break;
+			}
+
+			case 'completePromotion': {
+				this.#endRun(now, command);
+				break;
+			}
+
+			case 'removeServer': {
+				// The command has no effect on a server that may not leave its group.
+				if (!this.#environment.machine.findGroupByServer(command.server)) {
+					this.#restartedServers.remove(command.server);
+				}
+
+				break;
+			}
+
+			case 'changeTemplate':
+			case 'setConfiguration':
+			case 'addLeaseHolder':
+			case 'removeLeaseHolder':
+			case 'storeAnnouncement':
+			case 'registerGroup':
+			case 'addServer': {
+				break;
 			}
 		}
 
@@ -176,6 +195,24 @@
 		}
 	}
 
+	#endRun(
+		now: number,
+		{
+			group,
+			term,
+			primary,
+		}: Extract<control.ControlCommand, {type: 'completePromotion'}>,
+	): void {
+		if (this.#promotionRuns.get(group)?.term === term) {
+			this.#promotionRuns.delete(group);
+			this.#completedAt.set(group, now);
+			this.#holdDown.recordPromotion(now, group);
+			this.#environment.log(
+				`${primary} is primary of ${group} in term ${term}`,
+			);
+		}
+	}
+
 	#stepPromotion(
 		now: number,
 		group: control.GroupState,
--- a/src/common/control/promotion.ts
+++ b/src/common/control/promotion.ts
@@ -227,8 +227,8 @@
 				: Math.max(1, servers.length - synchronousReplicas);
 	}
 
-	/** True when one of these servers must hold each acknowledged commit. */
-	#areEnough(servers: readonly ids.UpstreamId[]): boolean {
+	/** True when these servers must include a holder of each acknowledged commit. */
+	#hasHolderAmong(servers: readonly ids.UpstreamId[]): boolean {
 		const counted = this.#hasSynchronousReplicas
 			? servers.filter((server) =>
 					this.#environment.restartedServers.hasLog(this.#group, server),
@@ -266,7 +266,7 @@
 
 	/**
 	 * True when the positions that the servers report remain valid although the write lease has not
-	 * ended. A fence sees to that. Servers that acknowledge commits themselves have none, so until the
+	 * ended. A fence keeps them valid. Servers that acknowledge commits themselves have none, so until the
 	 * end of the lease they acknowledge commits that no earlier status shows.
 	 */
 	get #canFenceDuringLease(): boolean {
@@ -324,7 +324,10 @@
 	#canChooseTarget(now: number): boolean {
 		const hasEveryAnswer =
 			this.#fenceStatuses.size === this.#group.servers.length;
-		if (!hasEveryAnswer && !this.#areEnough([...this.#fenceStatuses.keys()])) {
+		if (
+			!hasEveryAnswer &&
+			!this.#hasHolderAmong([...this.#fenceStatuses.keys()])
+		) {
 			return false;
 		}
 
@@ -348,7 +351,7 @@
 		const preferred = fenced.filter(
 			(server) => !this.#isFallbackCandidate(server),
 		);
-		const candidates = this.#areEnough(preferred) ? preferred : fenced;
+		const candidates = this.#hasHolderAmong(preferred) ? preferred : fenced;
 		const [best] = candidates.sort((left, right) =>
 			this.#compareCandidates(left, right),
 		);
--- a/src/common/control/restarted-servers.ts
+++ b/src/common/control/restarted-servers.ts
@@ -53,6 +53,11 @@
 		}
 	}
 
+	/** Forgets a server that has left its group. */
+	remove(server: ids.UpstreamId): void {
+		this.#instances.delete(server);
+	}
+
 	/** False while a server may lack commits that it acknowledged before it started again. */
 	hasLog(group: control.GroupState, server: ids.UpstreamId): boolean {
 		return (
--- a/src/common/control/self-acknowledging-servers.ts
+++ b/src/common/control/self-acknowledging-servers.ts
@@ -156,7 +156,7 @@
 			}
 
 			if (server.role === 'primary') {
-				this.#demoteLate(server, source);
+				this.#updateOldPrimary(server, source);
 				continue;
 			}
 
@@ -188,7 +188,7 @@
 			.at(0);
 	}
 
-	#demoteLate(
+	#updateOldPrimary(
 		server: SelfAcknowledgingServer,
 		source: SelfAcknowledgingServer,
 	): void {
--- a/src/common/control/server-sets.ts
+++ b/src/common/control/server-sets.ts
@@ -131,7 +131,10 @@
 				now - lastSeenAt <= timing.announcementExpiryMs,
 		);
 		for (const server of this.#removals.keys()) {
-			if (!this.#isRemovalDue(now, server)) {
+			if (
+				!this.#isRemovalDue(now, server) ||
+				this.machine.findGroupByServer(server) === undefined
+			) {
 				this.#removals.delete(server);
 			}
 		}
