--- a/src/common/control/simulation.ts
+++ b/src/common/control/simulation.ts
@@ -9,9 +9,11 @@
 import * as network from '../consensus/fake-network.js';
 import type * as control from './types.js';
 import * as fakeProxies from './fake-proxy.js';
-import * as fakeServers from './fake-server.js';
+import type * as fakeServers from './fake-server.js';
 import * as reducers from './reducer.js';
 import * as selfAcknowledging from './self-acknowledging-servers.js';
+import * as simulatedServers from './simulated-servers.js';
+import * as checks from './simulation-checks.js';
 
 /** Simulated time of one step. */
 const stepMs = 5;
@@ -73,13 +75,16 @@
 		selfAcknowledging.SelfAcknowledgingServers | undefined;
 
 	readonly answers: ChangeAnswer[] = [];
-	readonly acknowledgedWrites: number[] = [];
-	readonly problems: string[] = [];
 	/** Pairs that cannot reach each other, as `peer server` or `server server`. */
 	readonly cutLinks = new Set<string>();
 	/** Share of server calls whose answer is lost. */
 	callLossRate = 0;
 	readonly #options: SimulationOptions;
+	readonly #checks = new checks.SimulationChecks(
+		() => this.now,
+		(peer) => this.readClock(peer),
+	);
+
 	readonly #changes = new Map<number, types.TemplateChange>();
 	#timers: Timer[] = [];
 	#counter = 0;
@@ -97,35 +102,22 @@
 			nextTickAt: 0,
 			incarnation: 0,
 		}));
-		const serverIndexes = Array.from(
-			{length: options.servers ?? 3},
-			(_, index) => index,
-		);
-		if (options.synchronousReplicas === undefined) {
-			this.servers = serverIndexes.map((index) =>
-				makeServer(fakeServers.FakeServer, index),
-			);
-		} else {
-			const servers = serverIndexes.map((index) =>
-				makeServer(selfAcknowledging.SelfAcknowledgingServer, index),
-			);
-			this.servers = servers;
-			this.selfAcknowledging = new selfAcknowledging.SelfAcknowledgingServers(
-				servers,
-				options.synchronousReplicas,
-				{
-					readNow: () => this.now,
-					schedule: (delayMs, run) => {
-						this.schedule(delayMs, run);
-					},
-					canReach: (from, to) => !this.cutLinks.has(`${from} ${to}`),
-					handlePromotion: (server) => {
-						this.#checkPromotion(server);
-					},
+		const {servers, group} = simulatedServers.createServers(
+			options.servers ?? 3,
+			options.synchronousReplicas,
+			{
+				readNow: () => this.now,
+				schedule: (delayMs, run) => {
+					this.schedule(delayMs, run);
 				},
-			);
-		}
-
+				canReach: (from, to) => !this.cutLinks.has(`${from} ${to}`),
+				handlePromotion: (server) => {
+					this.#checks.checkPromotion(server);
+				},
+			},
+		);
+		this.servers = servers;
+		this.selfAcknowledging = group;
 		for (const controlPeer of this.controlPeers) {
 			this.startControl(controlPeer);
 		}
@@ -135,6 +127,14 @@
 		}
 	}
 
+	get acknowledgedWrites(): readonly number[] {
+		return this.#checks.acknowledgedWrites;
+	}
+
+	get problems(): readonly string[] {
+		return this.#checks.problems;
+	}
+
 	get controlIds(): ids.PeerId[] {
 		return this.controlPeers.map(({peer}) => peer);
 	}
@@ -270,7 +270,11 @@
 					this.servers.filter(({server}) => this.#findServer(peer, server)),
 				createWriteNumber: () => ++this.#counter,
 				acknowledge: (write, server) => {
-					this.#acknowledge(write, server);
+					this.#checks.recordAcknowledgement(
+						write,
+						server,
+						this.selfAcknowledging?.primary,
+					);
 				},
 				canAcknowledge: (server, offset, group) =>
 					this.#canAcknowledge(server, offset, group),
@@ -304,8 +308,7 @@
 
 	/** Lists the acknowledged writes that a server does not hold. */
 	listLostWrites(server: fakeServers.FakeServer): number[] {
-		const held = new Set(server.records.map(({write}) => write));
-		return this.acknowledgedWrites.filter((write) => !held.has(write));
+		return this.#checks.listLostWrites(server);
 	}
 
 	#runStep(): void {
@@ -334,7 +337,7 @@
 			this.#replicate();
 		}
 
-		this.#checkLeases();
+		this.#checks.checkLeases(this.proxies);
 	}
 
 	#runControl(controlPeer: SimulatedControlPeer): void {
@@ -465,26 +468,6 @@
 		return holders.length > group.servers.length / 2;
 	}
 
-	#acknowledge(write: number, server: fakeServers.FakeServer): void {
-		this.acknowledgedWrites.push(write);
-		const primary = this.selfAcknowledging?.primary;
-		if (primary && primary !== server) {
-			this.#reportProblem(
-				`write ${write} of ${server.server} is acknowledged after ${primary.server} was promoted`,
-			);
-		}
-	}
-
-	/** Checks that a server that acknowledges commits itself holds them all when it is promoted. */
-	#checkPromotion(server: fakeServers.FakeServer): void {
-		const lost = this.listLostWrites(server);
-		if (lost.length > 0) {
-			this.#reportProblem(
-				`${server.server} is promoted without ${lost.length} acknowledged writes`,
-			);
-		}
-	}
-
 	#findServer(
 		peer: ids.PeerId,
 		server: ids.UpstreamId,
@@ -514,50 +497,4 @@
 			}
 		}
 	}
-
-	/** Checks that no server has two owners, and that write leases of two terms are never valid at once. */
-	#checkLeases(): void {
-		const owners = new Map<ids.UpstreamId, ids.PeerId>();
-		const terms = new Map<number, ids.PeerId>();
-		for (const [peer, proxy] of this.proxies) {
-			for (const lease of proxy?.listValidLeases(this.readClock(peer)) ?? []) {
-				const other = owners.get(lease.server);
-				if (other !== undefined) {
-					this.#reportProblem(
-						`${lease.server} is owned by ${other} and ${peer}`,
-					);
-				}
-
-				owners.set(lease.server, peer);
-				if (lease.writeTerm !== undefined) {
-					terms.set(lease.writeTerm, peer);
-				}
-			}
-		}
-
-		if (terms.size > 1) {
-			this.#reportProblem(
-				`write leases of terms ${[...terms.keys()].join(', ')}`,
-			);
-		}
-	}
-
-	#reportProblem(problem: string): void {
-		if (this.problems.length < 20) {
-			this.problems.push(`${this.now}: ${problem}`);
-		}
-	}
-}
-
-function makeServer<Server extends fakeServers.FakeServer>(
-	ServerClass: new (
-		...parameters: ConstructorParameters<typeof fakeServers.FakeServer>
-	) => Server,
-	index: number,
-): Server {
-	return new ServerClass(
-		`s${index + 1}` as ids.UpstreamId,
-		`d${(index % 3) + 1}` as ids.DataCentre,
-		index === 0 ? undefined : ('s1' as ids.UpstreamId),
-	);
 }
