Let the storage of a control peer use an injected file system

No change of behaviour: the storage calls the file system through an interface, so that tests can fill, stall or tear it.

--- a/src/node/storage/files.ts
+++ b/src/node/storage/files.ts
@@ -3,51 +3,36 @@
  * rename is durable only after its folder is synced.
  */
 import type {Buffer} from 'node:buffer';
-import * as fs from 'node:fs/promises';
 import * as path from 'node:path';
 import * as records from './records.js';
-
-/** Syncs a folder, which makes its created and renamed entries durable. */
-export async function syncFolder(folder: string): Promise<void> {
-	const handle = await fs.open(folder, 'r');
-	try {
-		await handle.sync();
-	} finally {
-		await handle.close();
-	}
-}
+import type * as types from './types.js';
 
 /** Replaces a file: writes and syncs a temporary file, renames it, and syncs the folder. */
-export async function storeFile(file: string, content: Buffer): Promise<void> {
+export async function storeFile(
+	fileSystem: types.FileSystem,
+	file: string,
+	content: Buffer,
+): Promise<void> {
 	const temporaryFile = `${file}.tmp`;
-	const handle = await fs.open(temporaryFile, 'w');
+	const handle = await fileSystem.openFile(temporaryFile, 'replace');
 	try {
-		await handle.writeFile(content);
+		await handle.append(content);
 		await handle.sync();
 	} finally {
 		await handle.close();
 	}
 
-	await fs.rename(temporaryFile, file);
-	await syncFolder(path.dirname(file));
-}
-
-/** Reads a file; resolves with undefined when it does not exist. */
-export async function loadFile(file: string): Promise<Buffer | undefined> {
-	try {
-		return await fs.readFile(file);
-	} catch (error) {
-		if ((error as NodeJS.ErrnoException).code === 'ENOENT') {
-			return undefined;
-		}
-
-		throw error;
-	}
+	await fileSystem.renameFile(temporaryFile, file);
+	await fileSystem.syncFolder(path.dirname(file));
 }
 
 /** Replaces the content of a file with one record. */
-export async function storeRecord(file: string, value: unknown): Promise<void> {
-	await storeFile(file, records.encodeRecord(value));
+export async function storeRecord(
+	fileSystem: types.FileSystem,
+	file: string,
+	value: unknown,
+): Promise<void> {
+	await storeFile(fileSystem, file, records.encodeRecord(value));
 }
 
 /**
@@ -55,8 +40,11 @@
  *
  * @throws A `StorageError` when the file does not hold exactly one complete record.
  */
-export async function loadRecord(file: string): Promise<unknown> {
-	const content = await loadFile(file);
+export async function loadRecord(
+	fileSystem: types.FileSystem,
+	file: string,
+): Promise<unknown> {
+	const content = await fileSystem.readFile(file);
 	if (content === undefined) {
 		return undefined;
 	}
--- a/src/node/storage/folder-lock.ts
+++ b/src/node/storage/folder-lock.ts
@@ -10,6 +10,7 @@
 import * as path from 'node:path';
 import process from 'node:process';
 import * as records from './records.js';
+import type * as types from './types.js';
 
 const lockPrefix = 'claim';
 
@@ -29,12 +30,13 @@
  * @throws A `StorageError` when another live process, or this one, uses the folder.
  */
 export async function acquireFolderLock(
+	fileSystem: types.FileSystem,
 	folder: string,
 ): Promise<() => Promise<void>> {
 	const ownName = formatLockName(await readIdentity(process.pid));
 	const ownFile = path.join(folder, ownName);
 	try {
-		await fs.writeFile(ownFile, '', {flag: 'wx'});
+		await fileSystem.createFile(ownFile);
 	} catch (error) {
 		if ((error as NodeJS.ErrnoException).code === 'EEXIST') {
 			throw new records.StorageError(`${folder} is open in this process`);
@@ -43,29 +45,30 @@
 		throw error;
 	}
 
-	const names = await fs.readdir(folder);
+	const names = await fileSystem.listFolder(folder);
 	for (const name of names) {
 		if (name !== ownName && name.startsWith(`${lockPrefix}.`)) {
-			await checkOtherLock(folder, name, ownFile);
+			await checkOtherLock(fileSystem, folder, name, ownFile);
 		}
 	}
 
-	return async () => fs.rm(ownFile, {force: true});
+	return async () => fileSystem.removeFile(ownFile);
 }
 
 /** Removes the lock file of a dead process. When that process is alive, removes `ownFile` and throws. */
 async function checkOtherLock(
+	fileSystem: types.FileSystem,
 	folder: string,
 	name: string,
 	ownFile: string,
 ): Promise<void> {
 	const pid = Number(name.split('.')[2]);
 	if (await isHolderAlive(pid, name)) {
-		await fs.rm(ownFile, {force: true});
+		await fileSystem.removeFile(ownFile);
 		throw new records.StorageError(`${folder} is used by process ${pid}`);
 	}
 
-	await fs.rm(path.join(folder, name), {force: true});
+	await fileSystem.removeFile(path.join(folder, name));
 }
 
 async function isHolderAlive(pid: number, lockName: string): Promise<boolean> {
--- a/src/node/storage/log-storage.ts
+++ b/src/node/storage/log-storage.ts
@@ -3,50 +3,60 @@
  * data folder. Every write is synced before it resolves. Writes that arrive during a sync share the
  * next one, as long as they change nothing but log entries.
  */
-import * as fs from 'node:fs/promises';
 import * as path from 'node:path';
-import type * as types from '../../common/consensus/types.js';
+import type * as consensus from '../../common/consensus/types.js';
 import * as files from './files.js';
 import * as folderLock from './folder-lock.js';
 import * as marker from './marker.js';
 import * as records from './records.js';
 import * as segment from './segment.js';
+import * as systemFiles from './system-files.js';
+import type * as types from './types.js';
 
-const emptyHardState: types.HardState = {term: 0, votedFor: undefined};
+const emptyHardState: consensus.HardState = {term: 0, votedFor: undefined};
 
 type QueuedWrite = {
-	readonly write: types.StorageWrite;
+	readonly write: consensus.StorageWrite;
 	readonly resolve: () => void;
 	readonly reject: (error: unknown) => void;
 };
 
+export type StorageOptions = {
+	/** Acquires no lock; only for a folder that no other process can reach. */
+	readonly skipsLock?: boolean;
+	/** The file system of the machine by default. */
+	readonly fileSystem?: types.FileSystem;
+};
+
 /**
  * Opens a data folder; creates it when it does not exist.
  *
- * @param options.skipsLock - Acquires no lock; only for a folder that no other process can reach.
  * @throws A `StorageError` when another process uses the folder.
  */
 export async function openLogStorage<Command, State>(
 	folder: string,
-	options: {readonly skipsLock?: boolean} = {},
-): Promise<types.LogStorage<Command, State>> {
-	await fs.mkdir(folder, {recursive: true});
-	await files.syncFolder(path.dirname(path.resolve(folder)));
+	options: StorageOptions = {},
+): Promise<consensus.LogStorage<Command, State>> {
+	const {fileSystem = systemFiles.systemFiles} = options;
+	await fileSystem.createFolder(folder);
+	await fileSystem.syncFolder(path.dirname(path.resolve(folder)));
 	const release =
 		options.skipsLock === true
 			? async () => undefined
-			: await folderLock.acquireFolderLock(folder);
-	return new FileLogStorage(folder, release) as types.LogStorage<
-		Command,
-		State
-	>;
+			: await folderLock.acquireFolderLock(fileSystem, folder);
+	return new FileLogStorage(
+		fileSystem,
+		folder,
+		release,
+	) as consensus.LogStorage<Command, State>;
 }
 
-class FileLogStorage implements types.LogStorage {
+class FileLogStorage implements consensus.LogStorage {
+	readonly #fileSystem: types.FileSystem;
 	readonly #folder: string;
 	readonly #release: () => Promise<void>;
 	#segment: segment.Segment | undefined;
-	#snapshot: types.Snapshot | undefined;
+	#snapshot: consensus.Snapshot | undefined;
 	#marker: marker.Marker = {isUsed: false, isDataLost: false};
 	readonly #queue: QueuedWrite[] = [];
 	#queueRun: Promise<void> | undefined;
@@ -56,18 +66,30 @@
 	 */
 	#failure: unknown;
 
-	constructor(folder: string, release: () => Promise<void>) {
+	constructor(
+		fileSystem: types.FileSystem,
+		folder: string,
+		release: () => Promise<void>,
+	) {
+		this.#fileSystem = fileSystem;
 		this.#folder = folder;
 		this.#release = release;
 	}
 
-	async load(): Promise<types.StoredLog> {
-		this.#marker = await marker.loadMarker(this.#folder);
-		const hardState = (await files.loadRecord(this.#getPath('hard-state'))) as
-			types.HardState | undefined;
-		this.#snapshot = (await files.loadRecord(this.#getPath('snapshot'))) as
-			types.Snapshot | undefined;
-		this.#segment = await segment.Segment.load(this.#getPath('log'));
+	async load(): Promise<consensus.StoredLog> {
+		this.#marker = await marker.loadMarker(this.#fileSystem, this.#folder);
+		const hardState = (await files.loadRecord(
+			this.#fileSystem,
+			this.#getPath('hard-state'),
+		)) as consensus.HardState | undefined;
+		this.#snapshot = (await files.loadRecord(
+			this.#fileSystem,
+			this.#getPath('snapshot'),
+		)) as consensus.Snapshot | undefined;
+		this.#segment = await segment.Segment.load(
+			this.#fileSystem,
+			this.#getPath('log'),
+		);
 		this.#checkFiles(hardState);
 		await this.#recordDataLoss(hardState);
 		if ((this.#snapshot?.index ?? 0) > (this.#segment?.baseIndex ?? 0)) {
@@ -84,7 +106,7 @@
 		};
 	}
 
-	async write(write: types.StorageWrite): Promise<void> {
+	async write(write: consensus.StorageWrite): Promise<void> {
 		return new Promise((resolve, reject) => {
 			this.#queue.push({write, resolve, reject});
 			this.#queueRun ??= this.#runQueue();
@@ -102,7 +124,7 @@
 	}
 
 	/** Throws when a used folder lost some of its files; one that lost all of them starts empty. */
-	#checkFiles(hardState: types.HardState | undefined): void {
+	#checkFiles(hardState: consensus.HardState | undefined): void {
 		const hasNone = !hardState && !this.#segment && !this.#snapshot;
 		if (!this.#marker.isUsed || hasNone) {
 			return;
@@ -129,7 +151,9 @@
 		);
 	}
 
-	async #recordDataLoss(hardState: types.HardState | undefined): Promise<void> {
+	async #recordDataLoss(
+		hardState: consensus.HardState | undefined,
+	): Promise<void> {
 		const hasLog = Boolean(hardState && this.#segment);
 		const isLost = this.#marker.isUsed && !hasLog;
 		if (isLost && !this.#marker.isDataLost) {
@@ -138,12 +162,12 @@
 	}
 
 	async #storeMarker(value: marker.Marker): Promise<void> {
-		await marker.storeMarker(this.#folder, value);
+		await marker.storeMarker(this.#fileSystem, this.#folder, value);
 		this.#marker = value;
 	}
 
 	/** Returns the entries after the snapshot; none when the log diverges from the snapshot. */
-	#getEntries(): readonly types.LogEntry[] {
+	#getEntries(): readonly consensus.LogEntry[] {
 		const snapshot = this.#snapshot;
 		const {entries = [], baseIndex = 0} = this.#segment ?? {};
 		if (!snapshot || snapshot.index <= baseIndex) {
@@ -186,7 +210,7 @@
 	}
 
 	/** Only the first write of a batch may have a hard state or a snapshot. */
-	async #writeBatch(writes: readonly types.StorageWrite[]): Promise<void> {
+	async #writeBatch(writes: readonly consensus.StorageWrite[]): Promise<void> {
 		if (this.#failure !== undefined) {
 			throw new Error(
 				'the log storage accepts no writes after an earlier failure',
@@ -194,13 +218,21 @@
 			);
 		}
 
-		const [{hardState, snapshot}] = writes as [types.StorageWrite];
+		const [{hardState, snapshot}] = writes as [consensus.StorageWrite];
 		if (hardState) {
-			await files.storeRecord(this.#getPath('hard-state'), hardState);
+			await files.storeRecord(
+				this.#fileSystem,
+				this.#getPath('hard-state'),
+				hardState,
+			);
 		}
 
 		if (snapshot) {
-			await files.storeRecord(this.#getPath('snapshot'), snapshot);
+			await files.storeRecord(
+				this.#fileSystem,
+				this.#getPath('snapshot'),
+				snapshot,
+			);
 			this.#snapshot = snapshot;
 		}
 
@@ -211,7 +243,7 @@
 	}
 
 	async #writeEntries(
-		writes: readonly types.StorageWrite[],
+		writes: readonly consensus.StorageWrite[],
 		hasSnapshot: boolean,
 	): Promise<void> {
 		if (!this.#segment) {
@@ -234,11 +266,16 @@
 	/** Creates the files that a used folder must have. */
 	async #createFiles(): Promise<void> {
 		const hardState = this.#getPath('hard-state');
-		if ((await files.loadFile(hardState)) === undefined) {
-			await files.storeRecord(hardState, emptyHardState);
+		if ((await this.#fileSystem.readFile(hardState)) === undefined) {
+			await files.storeRecord(this.#fileSystem, hardState, emptyHardState);
 		}
 
-		this.#segment = await segment.Segment.store(this.#getPath('log'), 0, []);
+		this.#segment = await segment.Segment.store(
+			this.#fileSystem,
+			this.#getPath('log'),
+			0,
+			[],
+		);
 	}
 
 	/** Rewrites the log file without the entries that the snapshot covers. */
@@ -247,7 +284,12 @@
 		const file = this.#getPath('log');
 		const previousSegment = this.#segment;
 		const baseIndex = this.#snapshot!.index;
-		this.#segment = await segment.Segment.store(file, baseIndex, entries);
+		this.#segment = await segment.Segment.store(
+			this.#fileSystem,
+			file,
+			baseIndex,
+			entries,
+		);
 		await previousSegment?.close();
 	}
 }
--- a/src/node/storage/marker.ts
+++ b/src/node/storage/marker.ts
@@ -4,6 +4,7 @@
  */
 import * as path from 'node:path';
 import * as files from './files.js';
+import type * as types from './types.js';
 
 const fileName = 'marker';
 
@@ -15,14 +16,18 @@
 };
 
 /** Reads the marker; when the file is missing, the folder is new. */
-export async function loadMarker(folder: string): Promise<Marker> {
-	const value = await files.loadRecord(path.join(folder, fileName));
+export async function loadMarker(
+	fileSystem: types.FileSystem,
+	folder: string,
+): Promise<Marker> {
+	const value = await files.loadRecord(fileSystem, path.join(folder, fileName));
 	return (value as Marker | undefined) ?? {isUsed: false, isDataLost: false};
 }
 
 export async function storeMarker(
+	fileSystem: types.FileSystem,
 	folder: string,
 	marker: Marker,
 ): Promise<void> {
-	await files.storeRecord(path.join(folder, fileName), marker);
+	await files.storeRecord(fileSystem, path.join(folder, fileName), marker);
 }
--- a/src/node/storage/segment.ts
+++ b/src/node/storage/segment.ts
@@ -4,15 +4,15 @@
  * both together.
  */
 import {Buffer} from 'node:buffer';
-import * as fs from 'node:fs/promises';
-import type * as types from '../../common/consensus/types.js';
+import type * as consensus from '../../common/consensus/types.js';
 import * as files from './files.js';
 import * as records from './records.js';
+import type * as types from './types.js';
 
 /** Version of the file format, so that later versions can be told apart. */
 const formatVersion = 1;
 
-type Entry = types.LogEntry;
+type Entry = consensus.LogEntry;
 
 type SegmentRecord =
 	| {
@@ -35,14 +35,17 @@
 	 * @returns Undefined when the file does not exist.
 	 * @throws A `StorageError` for corruption other than a torn last record.
 	 */
-	static async load(file: string): Promise<Segment | undefined> {
-		const content = await files.loadFile(file);
+	static async load(
+		fileSystem: types.FileSystem,
+		file: string,
+	): Promise<Segment | undefined> {
+		const content = await fileSystem.readFile(file);
 		if (content === undefined) {
 			return undefined;
 		}
 
 		const decoded = records.decodeRecords(file, content);
-		const segment = new Segment(file);
+		const segment = new Segment(fileSystem, file);
 		for (const {offset, value} of decoded.records) {
 			segment.#applyRecord(offset, checkRecord(file, offset, value));
 		}
@@ -62,11 +65,12 @@
 
 	/** Replaces the file with one that holds these entries. */
 	static async store(
+		fileSystem: types.FileSystem,
 		file: string,
 		baseIndex: number,
 		entries: readonly Entry[],
 	): Promise<Segment> {
-		const segment = new Segment(file);
+		const segment = new Segment(fileSystem, file);
 		segment.#baseIndex = baseIndex;
 		segment.#entries = [...entries];
 		const baseRecord: SegmentRecord = {
@@ -75,6 +79,7 @@
 			index: baseIndex,
 		};
 		await files.storeFile(
+			fileSystem,
 			file,
 			Buffer.concat([
 				records.encodeRecord(baseRecord),
@@ -85,12 +90,14 @@
 		return segment;
 	}
 
+	readonly #fileSystem: types.FileSystem;
 	readonly #file: string;
-	#handle: fs.FileHandle | undefined;
+	#handle: types.OpenFile | undefined;
 	#baseIndex = 0;
 	#entries: Entry[] = [];
 
-	private constructor(file: string) {
+	private constructor(fileSystem: types.FileSystem, file: string) {
+		this.#fileSystem = fileSystem;
 		this.#file = file;
 	}
 
@@ -104,11 +111,11 @@
 	}
 
 	/** Appends the truncations and entries of several writes and syncs them once. */
-	async writeEntries(writes: readonly types.StorageWrite[]): Promise<void> {
-		await this.#handle!.appendFile(
+	async writeEntries(writes: readonly consensus.StorageWrite[]): Promise<void> {
+		await this.#handle!.append(
 			Buffer.concat(writes.map((write) => encodeEntries(write))),
 		);
-		await this.#handle!.datasync();
+		await this.#handle!.sync();
 		for (const {truncateFrom, append = []} of writes) {
 			this.#applyEntries(truncateFrom, append);
 		}
@@ -120,7 +127,7 @@
 	}
 
 	async #open(): Promise<void> {
-		this.#handle = await fs.open(this.#file, 'a');
+		this.#handle = await this.#fileSystem.openFile(this.#file, 'append');
 	}
 
 	#applyRecord(offset: number, record: SegmentRecord): void {
@@ -192,7 +199,7 @@
 function encodeEntries({
 	truncateFrom,
 	append = [],
-}: types.StorageWrite): Buffer {
+}: consensus.StorageWrite): Buffer {
 	const record: SegmentRecord = {
 		type: 'entries',
 		truncateFrom,
