Bound the log of a control peer in bytes, not only in entries

Cause: the log is compacted every 256 entries, whatever their size, and each entry holds the whole text. 256 entries of 345 kB are 88 MB; the disks have 64 MB.

The file is counted, not its entries, because removed entries stay in it until it is rewritten.

--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -116,6 +116,12 @@
 	readonly append?: ReadonlyArray<LogEntry<Command>>;
 };
 
+/** What the storage holds. */
+export type StorageStatus = {
+	/** Size of the file with the log entries, in bytes; removed entries count until it is rewritten. */
+	readonly logBytes: number;
+};
+
 /** Durable storage of one control peer. */
 export type LogStorage<Command = unknown, State = unknown> = {
 	/**
@@ -126,6 +132,8 @@
 	load(): Promise<StoredLog<Command, State>>;
 	/** Resolves after the write is synced. Calls are carried out in order. */
 	write(write: StorageWrite<Command, State>): Promise<void>;
+	/** Without it, the log is compacted by its number of entries only. */
+	readStatus?(): StorageStatus;
 	close(): Promise<void>;
 };
 
--- a/src/common/control/peer.ts
+++ b/src/common/control/peer.ts
@@ -14,6 +14,7 @@
 import type * as configurationHolders from './configuration-holders.js';
 import type * as control from './types.js';
 import * as reducer from './reducer.js';
+import type * as storageLimits from './storage-limits.js';
 import * as voters from './voters.js';
 
 /** The announcement of a server is removed when no newer one arrived for this long. */
@@ -41,6 +42,7 @@
 	readonly rateLimits?: control.RateLimitOptions;
 	readonly parseSynchronousReplicas?: control.SynchronousReplicasParser;
 	readonly packing?: types.TextPacking;
+	readonly storageLimits?: storageLimits.StorageLimits;
 	readonly random: random.RandomSource;
 };
 
@@ -112,6 +114,7 @@
 				? {parseSynchronousReplicas: options.parseSynchronousReplicas}
 				: {}),
 			...(options.packing ? {packing: options.packing} : {}),
+			...(options.storageLimits ? {storageLimits: options.storageLimits} : {}),
 			listControlPeers: () => this.listControlPeers(),
 			messageNumberStart: random.drawSequenceStart(options.random),
 		});
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -18,6 +18,7 @@
 import * as machines from './machine.js';
 import * as operatorChanges from './operator-changes.js';
 import * as queries from './queries.js';
+import * as storageLimits from './storage-limits.js';
 
 export type ControlOptions = {
 	readonly peer: ids.PeerId;
@@ -35,6 +36,8 @@
 	readonly listControlPeers?: () => readonly configurationHolders.Holder[];
 	/** Requests to the leader have higher numbers; differs between instances of the peer. */
 	readonly messageNumberStart?: number;
+	/** Shares of the disk; those of the smallest supported disk when it is not set. */
+	readonly storageLimits?: storageLimits.StorageLimits;
 };
 
 /** One control peer. */
@@ -74,6 +77,7 @@
 		this.#logDriver = new logDriver.LogDriver(
 			options.log,
 			this.#machine,
+			options.storageLimits ?? storageLimits.defaultLimits,
 			(effect) => {
 				this.#handleLogEffect(effect);
 			},
@@ -195,11 +199,7 @@
 			}
 
 			case 'written': {
-				this.#logDriver.step({
-					type: 'written',
-					now: event.now,
-					write: event.write,
-				});
+				this.#logDriver.handleWritten(event);
 				return;
 			}
 
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -262,6 +262,8 @@
 			readonly type: 'written';
 			readonly now: number;
 			readonly write: number;
+			/** Size of the stored log after the write, in bytes; undefined when the storage reports none. */
+			readonly logBytes?: number;
 	  }
 	| {
 			readonly type: 'serverAnswered';
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -8,6 +8,7 @@
 import type * as control from '../common/control/types.js';
 import * as consensus from '../common/consensus/consensus.js';
 import * as controlPeer from '../common/control/peer.js';
+import * as storageLimits from '../common/control/storage-limits.js';
 import * as random from '../common/random.js';
 import * as textPacking from '../node/text-packing.js';
 import type * as node from '../node/types.js';
@@ -50,6 +51,7 @@
 			? {}
 			: {wantedVoters: settings.wantedVoters}),
 		packing: textPacking.zlibPacking,
+		storageLimits: storageLimits.computeStorageLimits(settings.diskBytes),
 		random: random.createRandom(Math.floor(adapters.random() * 2 ** 31)),
 	});
 	const instance = new ControlProcess(reducer, adapters);
@@ -369,6 +371,7 @@
 			type: 'written',
 			now: this.#adapters.clock.now(),
 			write: effect.write,
+			...this.#adapters.storage.readStatus?.(),
 		});
 	}
 
--- a/src/daemon/control-types.ts
+++ b/src/daemon/control-types.ts
@@ -28,6 +28,8 @@
 	readonly address: string;
 	/** False when the control group exists already; an empty disk must then not bootstrap a new one. */
 	readonly mayBootstrap?: boolean;
+	/** Space for the data folder; see `storage-limits.ts` for its default. */
+	readonly diskBytes?: number;
 	/** Target number of voters; a larger number tolerates more lost disks. */
 	readonly wantedVoters?: number;
 	/** Monotonic time of the start of the process, in ms; the time of the first event by default. */
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -59,6 +59,9 @@
 						.map(({customers}) => customers?.values() ?? [])
 						.unwrapOr(undefined),
 			},
+			...(settings.limits.diskBytes === undefined
+				? {}
+				: {diskBytes: settings.limits.diskBytes}),
 			peerListener: {address: listen.address, port: listen.peersPort},
 			httpListener: {address: listen.address, port: listen.httpPort},
 		},
--- a/src/node/settings/rules.ts
+++ b/src/node/settings/rules.ts
@@ -19,6 +19,8 @@
 const maxDrainDeadlineSeconds = 600;
 const maxCallerConnections = 200_000;
 /** Below this, a message of 1 MiB would not fit together with the program. */
+const minDiskMegabytes = 32;
+const maxDiskMegabytes = 1_000_000;
 const minMemoryMegabytes = 128;
 const maxMemoryMegabytes = 1_000_000;
 /** Each control peer above this limit costs a VM and does not make writes safer. */
@@ -147,6 +149,9 @@
 			memory_mb: buildNumberRule(minMemoryMegabytes, maxMemoryMegabytes, {
 				optional: true,
 			}),
+			disk_mb: buildNumberRule(minDiskMegabytes, maxDiskMegabytes, {
+				optional: true,
+			}),
 		},
 	],
 	[
--- a/src/node/settings/settings.ts
+++ b/src/node/settings/settings.ts
@@ -280,6 +280,9 @@
 			...(limits.has('memory_mb')
 				? {memoryBytes: (limits.get('memory_mb') as number) * mebibyte}
 				: {}),
+			...(limits.has('disk_mb')
+				? {diskBytes: (limits.get('disk_mb') as number) * mebibyte}
+				: {}),
 		},
 		log: {
 			level: log.get('level') as commonTypes.LogLevel,
--- a/src/node/settings/types.ts
+++ b/src/node/settings/types.ts
@@ -46,6 +46,8 @@
 		readonly maxConnections: number;
 		/** Memory of the process; its buffers take a share of it. */
 		readonly memoryBytes?: number;
+		/** Space for the data folder of a control peer. */
+		readonly diskBytes?: number;
 	};
 	readonly log: {
 		readonly level: types.LogLevel;
--- a/src/node/storage/log-storage.ts
+++ b/src/node/storage/log-storage.ts
@@ -113,6 +113,10 @@
 		});
 	}
 
+	readStatus(): consensus.StorageStatus {
+		return {logBytes: this.#segment?.size ?? 0};
+	}
+
 	async close(): Promise<void> {
 		await this.#queueRun;
 		await this.#segment?.close();
--- a/src/node/storage/segment.ts
+++ b/src/node/storage/segment.ts
@@ -55,6 +55,7 @@
 		}
 
 		await segment.#open();
+		segment.#size = decoded.end;
 		if (decoded.end < content.length) {
 			await segment.#handle!.truncate(decoded.end);
 			await segment.#handle!.sync();
@@ -78,14 +79,12 @@
 			format: formatVersion,
 			index: baseIndex,
 		};
-		await files.storeFile(
-			fileSystem,
-			file,
-			Buffer.concat([
-				records.encodeRecord(baseRecord),
-				encodeEntries({append: entries}),
-			]),
-		);
+		const content = Buffer.concat([
+			records.encodeRecord(baseRecord),
+			encodeEntries({append: entries}),
+		]);
+		await files.storeFile(fileSystem, file, content);
+		segment.#size = content.length;
 		await segment.#open();
 		return segment;
 	}
@@ -95,6 +94,7 @@
 	#handle: types.OpenFile | undefined;
 	#baseIndex = 0;
 	#entries: Entry[] = [];
+	#size = 0;
 
 	private constructor(fileSystem: types.FileSystem, file: string) {
 		this.#fileSystem = fileSystem;
@@ -110,12 +110,17 @@
 		return this.#entries;
 	}
 
+	/** Size of the file in bytes. */
+	get size(): number {
+		return this.#size;
+	}
+
 	/** Appends the truncations and entries of several writes and syncs them once. */
 	async writeEntries(writes: readonly consensus.StorageWrite[]): Promise<void> {
-		await this.#handle!.append(
-			Buffer.concat(writes.map((write) => encodeEntries(write))),
-		);
+		const content = Buffer.concat(writes.map((write) => encodeEntries(write)));
+		await this.#handle!.append(content);
 		await this.#handle!.sync();
+		this.#size += content.length;
 		for (const {truncateFrom, append = []} of writes) {
 			this.#applyEntries(truncateFrom, append);
 		}
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -863,6 +863,11 @@
 	readonly truncateFrom?: number;
 	readonly append?: ReadonlyArray<LogEntry<Command>>;
 };
+/** What the storage holds. */
+export type StorageStatus = {
+	/** Size of the file with the log entries, in bytes; removed entries count until it is rewritten. */
+	readonly logBytes: number;
+};
 /** Durable storage of one control peer. */
 export type LogStorage<Command = unknown, State = unknown> = {
 	/**
@@ -873,6 +878,8 @@
 	load(): Promise<StoredLog<Command, State>>;
 	/** Resolves after the write is synced. Calls are executed in order. */
 	write(write: StorageWrite<Command, State>): Promise<void>;
+	/** Without it, the log is compacted by its number of entries only. */
+	readStatus?(): StorageStatus;
 	close(): Promise<void>;
 };
 export type ConsensusRole = 'follower' | 'candidate' | 'leader';
@@ -1014,7 +1021,8 @@
 	/** A link to the peer is connected, so that messages now reach it. */
 	| {type: 'peerConnected'; peer: PeerId}
 	/** The storage write with this number is synced. */
-	| {type: 'written'; write: number}
+	/** `logBytes`: Size of the stored log after the write. */
+	| {type: 'written'; write: number; logBytes?: number}
 	| {type: 'serverAnswered'; call: number; answer: ServerAnswer}
 	/** `operation`: Chosen by the adapter to match the answer. */
 	| {type: 'templateChangeRequested'; operation: number; change: OperatorChange}
@@ -1101,8 +1109,19 @@
 	readonly parseSynchronousReplicas?: SynchronousReplicasParser;
 	/** The same as that of the proxies; without it, texts are exchanged as UTF-8. */
 	readonly packing?: TextPacking;
+	/** Shares of the disk; those of a disk of 256 MiB when it is not set. */
+	readonly storageLimits?: StorageLimits;
 	readonly random: RandomSource;
 };
+/** Limits on what a control peer stores, in bytes. */
+export type StorageLimits = {
+	/** The log is compacted once it has grown by this much since the last compaction. */
+	readonly compactionBytes: number;
+	/** Maximum size of the entries that are not committed, or not synced by this peer. */
+	readonly pendingBytes: number;
+	/** A change after which the replicated state would be larger is refused. */
+	readonly stateBytes: number;
+};
 export type ControlPeerEvent =
 	| ControlEvent
 	/**
@@ -1310,6 +1329,8 @@
 		readonly maxConnections: number;
 		/** Memory of the process; its buffers take a share of it. */
 		readonly memoryBytes?: number;
+		/** Space for the data folder of a control peer. */
+		readonly diskBytes?: number;
 	};
 	readonly log: {
 		readonly level: LogLevel;
