Try a write again that a full disk refuses, and start without free space

Cause: FileLogStorage refused all writes after the first failure, whatever it was. That is right for a failed sync, whose outcome is unknown, not for a write that the disk did not take.

Change: a refused write leaves the files as they were (a short append is cut off and the cut synced, a temporary file removed) and is tried again until there is room: a slow write to its callers. Loading removes temporary files and needs no space; a loss of the log and an interrupted compaction are stored with the first write. On a full disk the lock file of a dead process is renamed. A failed sync still ends the process.

--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -116,10 +116,19 @@
 	readonly append?: ReadonlyArray<LogEntry<Command>>;
 };
 
+/**
+ * The space that the storage has: enough, little free space left on the disk, or none: a write is refused
+ * and tried again until the disk takes it.
+ */
+export type StorageSpace = 'sufficient' | 'low' | 'exhausted';
+
 /** What the storage holds. */
 export type StorageStatus = {
 	/** Size of the file with the log entries, in bytes; removed entries count until it is rewritten. */
 	readonly logBytes: number;
+	/** Number of times that the disk refused a write. */
+	readonly refusals: number;
+	readonly space: StorageSpace;
 };
 
 /** Durable storage of one control peer. */
@@ -130,10 +139,15 @@
 	 * @throws An error that names the file and offset for any other damage.
 	 */
 	load(): Promise<StoredLog<Command, State>>;
-	/** Resolves after the write is synced. Calls are carried out in order. */
+	/**
+	 * Resolves after the write is synced. Calls are carried out in order. A write that a full disk refuses
+	 * is tried again until there is room; rejects when it is unknown what the disk holds.
+	 */
 	write(write: StorageWrite<Command, State>): Promise<void>;
 	/** Without it, the log is compacted by its number of entries only. */
 	readStatus?(): StorageStatus;
+	/** Calls the listener after each change of the space. */
+	watchSpace?(listener: (space: StorageSpace) => void): void;
 	close(): Promise<void>;
 };
 
--- a/src/node/storage/fake-disk.ts
+++ b/src/node/storage/fake-disk.ts
@@ -169,6 +169,10 @@
 		this.#recordChange();
 	}
 
+	async readFreeBytes(): Promise<number> {
+		return this.capacity - this.usedBytes;
+	}
+
 	async #append(
 		file: string,
 		content: Content,
--- a/src/node/storage/files.ts
+++ b/src/node/storage/files.ts
@@ -7,23 +7,68 @@
 import * as records from './records.js';
 import type * as types from './types.js';
 
-/** Replaces a file: writes and syncs a temporary file, renames it, and syncs the folder. */
+const temporarySuffix = '.tmp';
+
+/** The disk took no more bytes; the files are as they were before the write. */
+export class DiskFullError extends Error {
+	override readonly name = 'DiskFullError';
+}
+
+/** Tells whether a call failed because the disk, or the quota of the user, is full. */
+export function isDiskFull(error: unknown): boolean {
+	const {code} = error as NodeJS.ErrnoException;
+	return code === 'ENOSPC' || code === 'EDQUOT';
+}
+
+/**
+ * Replaces a file: writes and syncs a temporary file, renames it, and syncs the folder.
+ *
+ * @throws A `DiskFullError` when there is no room; the file is then unchanged.
+ */
 export async function storeFile(
 	fileSystem: types.FileSystem,
 	file: string,
 	content: Buffer,
 ): Promise<void> {
-	const temporaryFile = `${file}.tmp`;
-	const handle = await fileSystem.openFile(temporaryFile, 'replace');
+	const temporaryFile = `${file}${temporarySuffix}`;
+	try {
+		await writeFile(fileSystem, temporaryFile, content);
+		await fileSystem.renameFile(temporaryFile, file);
+	} catch (error) {
+		// The space is needed most when there is none left.
+		await fileSystem.removeFile(temporaryFile);
+		throw isDiskFull(error)
+			? new DiskFullError(`no room for ${file}`, {cause: error})
+			: error;
+	}
+
+	await fileSystem.syncFolder(path.dirname(file));
+}
+
+/** Removes the temporary files of a process that ended while it wrote them. */
+export async function removeTemporaryFiles(
+	fileSystem: types.FileSystem,
+	folder: string,
+): Promise<void> {
+	for (const name of await fileSystem.listFolder(folder)) {
+		if (name.endsWith(temporarySuffix)) {
+			await fileSystem.removeFile(path.join(folder, name));
+		}
+	}
+}
+
+async function writeFile(
+	fileSystem: types.FileSystem,
+	file: string,
+	content: Buffer,
+): Promise<void> {
+	const handle = await fileSystem.openFile(file, 'replace');
 	try {
 		await handle.append(content);
 		await handle.sync();
 	} finally {
 		await handle.close();
 	}
-
-	await fileSystem.renameFile(temporaryFile, file);
-	await fileSystem.syncFolder(path.dirname(file));
 }
 
 /** Replaces the content of a file with one record. */
--- a/src/node/storage/folder-lock.ts
+++ b/src/node/storage/folder-lock.ts
@@ -9,6 +9,7 @@
 import * as fs from 'node:fs/promises';
 import * as path from 'node:path';
 import process from 'node:process';
+import * as files from './files.js';
 import * as records from './records.js';
 import type * as types from './types.js';
 
@@ -42,7 +43,12 @@
 			throw new records.StorageError(`${folder} is open in this process`);
 		}
 
-		throw error;
+		const isAcquired =
+			files.isDiskFull(error) &&
+			(await tryRenameDeadLock(fileSystem, folder, ownFile));
+		if (!isAcquired) {
+			throw error;
+		}
 	}
 
 	const names = await fileSystem.listFolder(folder);
@@ -55,6 +61,25 @@
 	return async () => fileSystem.removeFile(ownFile);
 }
 
+/** Makes the lock file of a dead process that of this one, which needs no space on a full disk. */
+async function tryRenameDeadLock(
+	fileSystem: types.FileSystem,
+	folder: string,
+	ownFile: string,
+): Promise<boolean> {
+	for (const name of await fileSystem.listFolder(folder)) {
+		if (
+			name.startsWith(`${lockPrefix}.`) &&
+			!(await isHolderAlive(readHolder(name), name))
+		) {
+			await fileSystem.renameFile(path.join(folder, name), ownFile);
+			return true;
+		}
+	}
+
+	return false;
+}
+
 /** Removes the lock file of a dead process. When that process is alive, removes `ownFile` and throws. */
 async function checkOtherLock(
 	fileSystem: types.FileSystem,
@@ -62,7 +87,7 @@
 	name: string,
 	ownFile: string,
 ): Promise<void> {
-	const pid = Number(name.split('.')[2]);
+	const pid = readHolder(name);
 	if (await isHolderAlive(pid, name)) {
 		await fileSystem.removeFile(ownFile);
 		throw new records.StorageError(`${folder} is used by process ${pid}`);
@@ -71,6 +96,11 @@
 	await fileSystem.removeFile(path.join(folder, name));
 }
 
+/** Returns the process id in the name of a lock file. */
+function readHolder(lockName: string): number {
+	return Number(lockName.split('.')[2]);
+}
+
 async function isHolderAlive(pid: number, lockName: string): Promise<boolean> {
 	try {
 		process.kill(pid, 0);
--- a/src/node/storage/log-storage.test.ts
+++ b/src/node/storage/log-storage.test.ts
@@ -7,23 +7,12 @@
 import type * as types from '../../common/consensus/types.js';
 import * as fakeNetwork from '../../common/consensus/fake-network.js';
 import * as logStorage from './log-storage.js';
+import * as testing from './testing.js';
 
 type Storage = types.LogStorage<string, string>;
 
 const [peerA, peerB] = ['a', 'b'] as ids.PeerId[];
 
-function makeEntries(
-	from: number,
-	count: number,
-	term = 1,
-): Array<types.LogEntry<string>> {
-	return Array.from({length: count}, (_, offset) => ({
-		index: from + offset,
-		term,
-		payload: {type: 'command', command: `command ${from + offset}`},
-	}));
-}
-
 async function loadFolder(
 	folder: string,
 ): Promise<types.StoredLog<string, string>> {
@@ -50,41 +39,6 @@
 	await storage.close();
 }
 
-/** Builds writes as the reducer makes them: contiguous entries, snapshots of stored or later entries. */
-function makeWrites(
-	choices: ReadonlyArray<readonly [number, number]>,
-): Array<types.StorageWrite<string, string>> {
-	let stored = fakeNetwork.makeEmptyStoredLog<string>();
-	return choices.map(([kind, size], term) => {
-		const base = stored.snapshot?.index ?? 0;
-		const last = base + stored.entries.length;
-		const firstRemoved = Math.max(base + 1, last + 1 - size);
-		const snapshotEntry =
-			stored.entries[Math.min(size, stored.entries.length) - 1];
-		const snapshot = snapshotEntry
-			? {
-					index: snapshotEntry.index,
-					term: snapshotEntry.term,
-					voters: [peerA, peerB],
-					state: `s${term}`,
-				}
-			: {index: last + size, term, voters: [peerA], state: `s${term}`};
-		const variants: Array<types.StorageWrite<string, string>> = [
-			{append: makeEntries(last + 1, size, term)},
-			{hardState: {term, votedFor: size === 1 ? peerA : undefined}},
-			{truncateFrom: firstRemoved, append: makeEntries(firstRemoved, 2, term)},
-			{snapshot},
-			{
-				hardState: {term, votedFor: peerB},
-				append: makeEntries(last + 1, 1, term),
-			},
-		];
-		const write = variants[kind];
-		stored = fakeNetwork.applyWrite(stored, write);
-		return write;
-	});
-}
-
 // Guards against a folder that loads something else than was written, for any order of writes.
 tap.test('reopened folder holds what the model holds', async (t) => {
 	const folder = t.testdir();
@@ -97,7 +51,7 @@
 			async (choices, reopenAt) => {
 				runCount++;
 				const target = path.join(folder, String(runCount));
-				const writes = makeWrites(choices);
+				const writes = testing.makeWrites(choices);
 				await storeWrites(target, writes.slice(0, reopenAt));
 				await storeWrites(target, writes.slice(reopenAt));
 				let model = fakeNetwork.makeEmptyStoredLog<string>();
@@ -117,9 +71,9 @@
 tap.test('a torn last record is removed on load', async (t) => {
 	const folder = t.testdir();
 	const log = path.join(folder, 'log');
-	await storeWrites(folder, [{append: makeEntries(1, 3)}]);
+	await storeWrites(folder, [{append: testing.makeEntries(1, 3)}]);
 	const intact = await fs.readFile(log);
-	await storeWrites(folder, [{append: makeEntries(4, 2)}]);
+	await storeWrites(folder, [{append: testing.makeEntries(4, 2)}]);
 	const extended = await fs.readFile(log);
 	for (let size = intact.length; size < extended.length; size++) {
 		await fs.writeFile(log, extended.subarray(0, size));
@@ -128,7 +82,7 @@
 	}
 
 	t.same(await fs.readFile(log), intact, 'the torn record is removed');
-	await storeWrites(folder, [{append: makeEntries(4, 1, 2)}]);
+	await storeWrites(folder, [{append: testing.makeEntries(4, 1, 2)}]);
 	const {entries} = await loadFolder(folder);
 	t.equal(entries.length, 4);
 });
@@ -138,8 +92,8 @@
 	const folder = t.testdir();
 	await storeWrites(folder, [
 		{hardState: {term: 3, votedFor: peerA}},
-		{append: makeEntries(1, 2)},
-		{append: makeEntries(3, 2)},
+		{append: testing.makeEntries(1, 2)},
+		{append: testing.makeEntries(3, 2)},
 	]);
 	for (const name of ['log', 'hard-state', 'marker']) {
 		const file = path.join(folder, name);
@@ -171,7 +125,7 @@
 	}
 
 	t.ok(await hasLostData(folder));
-	await storeWrites(folder, [{append: makeEntries(1, 1)}]);
+	await storeWrites(folder, [{append: testing.makeEntries(1, 1)}]);
 	t.ok(await hasLostData(folder), 'data counts as lost until a term is stored');
 	await storeWrites(folder, [{hardState: {term: 4, votedFor: peerB}}]);
 	t.notOk(await hasLostData(folder));
--- a/src/node/storage/log-storage.ts
+++ b/src/node/storage/log-storage.ts
@@ -2,17 +2,29 @@
  * Durable storage of one control peer in the files `hard-state`, `snapshot`, `log` and `marker` of a
  * data folder. Every write is synced before it resolves. Writes that arrive during a sync share the
  * next one, as long as they change nothing but log entries.
+ *
+ * A write that a full disk refuses leaves the files unchanged and is tried again until there is room, so
+ * that it is a slow write to the callers. Loading needs no free space: what a start has to write waits for
+ * the first write.
  */
 import * as path from 'node:path';
+import * as timers from 'node:timers/promises';
 import type * as consensus from '../../common/consensus/types.js';
 import * as files from './files.js';
 import * as folderLock from './folder-lock.js';
 import * as marker from './marker.js';
 import * as records from './records.js';
 import * as segment from './segment.js';
+import * as spaceWatch from './space-watch.js';
 import * as systemFiles from './system-files.js';
 import type * as types from './types.js';
 
+/** Default for `retryIntervalMs`. */
+const defaultRetryIntervalMs = 100;
+
+/** Default for `reserveBytes`. */
+const defaultReserveBytes = 16 * 1024 * 1024;
+
 const emptyHardState: consensus.HardState = {term: 0, votedFor: undefined};
 
 type QueuedWrite = {
@@ -24,6 +36,10 @@
 export type StorageOptions = {
 	/** Acquires no lock; only for a folder that no other process can reach. */
 	readonly skipsLock?: boolean;
+	/** The space counts as low when less than this is free, in bytes. */
+	readonly reserveBytes?: number;
+	/** Interval at which a write that a full disk has refused is tried again. */
+	readonly retryIntervalMs?: number;
 	/** The file system of the machine by default. */
 	readonly fileSystem?: types.FileSystem;
 };
@@ -44,40 +60,65 @@
 		options.skipsLock === true
 			? async () => undefined
 			: await folderLock.acquireFolderLock(fileSystem, folder);
-	return new FileLogStorage(
+	const space = new spaceWatch.SpaceWatch(
 		fileSystem,
 		folder,
+		options.reserveBytes ?? defaultReserveBytes,
+	);
+	space.start();
+	return new FileLogStorage({
+		fileSystem,
+		folder,
+		space,
+		retryIntervalMs: options.retryIntervalMs ?? defaultRetryIntervalMs,
 		release,
-	) as consensus.LogStorage<Command, State>;
+	}) as consensus.LogStorage<Command, State>;
 }
 
+type StorageEnvironment = {
+	readonly fileSystem: types.FileSystem;
+	readonly folder: string;
+	readonly space: spaceWatch.SpaceWatch;
+	readonly retryIntervalMs: number;
+	/** Releases the lock of the folder. */
+	release(): Promise<void>;
+};
+
 class FileLogStorage implements consensus.LogStorage {
+	readonly #environment: StorageEnvironment;
 	readonly #fileSystem: types.FileSystem;
-	readonly #folder: string;
-	readonly #release: () => Promise<void>;
+	readonly #space: spaceWatch.SpaceWatch;
+	readonly #closing = new AbortController();
 	#segment: segment.Segment | undefined;
 	#snapshot: consensus.Snapshot | undefined;
 	#marker: marker.Marker = {isUsed: false, isDataLost: false};
+	/** A loss of the log that the stored marker does not record yet. */
+	#isLossUnstored = false;
+	/** The log file holds entries that the snapshot covers, or none of those after it. */
+	#isRewriteDue = false;
 	readonly #queue: QueuedWrite[] = [];
 	#queueRun: Promise<void> | undefined;
 	/**
-	 * The first write error. After a failed sync the content of the disk is unknown, so that all later
+	 * The first error that leaves it unknown what the disk holds, for example that of a sync; all later
 	 * writes are rejected.
 	 */
 	#failure: unknown;
 
-	constructor(
-		fileSystem: types.FileSystem,
-		folder: string,
-		release: () => Promise<void>,
-	) {
-		this.#fileSystem = fileSystem;
-		this.#folder = folder;
-		this.#release = release;
+	constructor(environment: StorageEnvironment) {
+		this.#environment = environment;
+		this.#fileSystem = environment.fileSystem;
+		this.#space = environment.space;
 	}
 
 	async load(): Promise<consensus.StoredLog> {
-		this.#marker = await marker.loadMarker(this.#fileSystem, this.#folder);
+		await files.removeTemporaryFiles(
+			this.#fileSystem,
+			this.#environment.folder,
+		);
+		this.#marker = await marker.loadMarker(
+			this.#fileSystem,
+			this.#environment.folder,
+		);
 		const hardState = (await files.loadRecord(
 			this.#fileSystem,
 			this.#getPath('hard-state'),
@@ -91,17 +132,15 @@
 			this.#getPath('log'),
 		);
 		this.#checkFiles(hardState);
-		await this.#recordDataLoss(hardState);
-		if ((this.#snapshot?.index ?? 0) > (this.#segment?.baseIndex ?? 0)) {
-			// The process crashed after it wrote the snapshot and before it rewrote or created the log.
-			await this.#rewriteSegment();
-		}
-
+		this.#recordDataLoss(hardState);
+		// Otherwise the process crashed after it wrote the snapshot and before it rewrote or created the log.
+		this.#isRewriteDue =
+			(this.#snapshot?.index ?? 0) > (this.#segment?.baseIndex ?? 0);
 		const isDataLost = this.#marker.isDataLost && (hardState?.term ?? 0) === 0;
 		return {
 			hardState: hardState ?? emptyHardState,
 			snapshot: this.#snapshot,
-			entries: [...(this.#segment?.entries ?? [])],
+			entries: [...this.#getEntries()],
 			...(isDataLost ? {isDataLost} : {}),
 		};
 	}
@@ -114,17 +153,24 @@
 	}
 
 	readStatus(): consensus.StorageStatus {
-		return {logBytes: this.#segment?.size ?? 0};
+		const {refusals, space} = this.#space;
+		return {logBytes: this.#segment?.size ?? 0, refusals, space};
+	}
+
+	watchSpace(listener: (space: consensus.StorageSpace) => void): void {
+		this.#space.setListener(listener);
 	}
 
 	async close(): Promise<void> {
+		this.#closing.abort();
+		this.#space.stop();
 		await this.#queueRun;
 		await this.#segment?.close();
-		await this.#release();
+		await this.#environment.release();
 	}
 
 	#getPath(name: string): string {
-		return path.join(this.#folder, name);
+		return path.join(this.#environment.folder, name);
 	}
 
 	/** Throws when a used folder lost some of its files; one that lost all of them starts empty. */
@@ -155,21 +201,50 @@
 		);
 	}
 
-	async #recordDataLoss(
-		hardState: consensus.HardState | undefined,
-	): Promise<void> {
+	#recordDataLoss(hardState: consensus.HardState | undefined): void {
 		const hasLog = Boolean(hardState && this.#segment);
 		const isLost = this.#marker.isUsed && !hasLog;
 		if (isLost && !this.#marker.isDataLost) {
-			await this.#storeMarker({isUsed: true, isDataLost: true});
+			this.#marker = {isUsed: true, isDataLost: true};
+			this.#isLossUnstored = true;
 		}
 	}
 
 	async #storeMarker(value: marker.Marker): Promise<void> {
-		await marker.storeMarker(this.#fileSystem, this.#folder, value);
+		await this.#tryUntilStored(async () =>
+			marker.storeMarker(this.#fileSystem, this.#environment.folder, value),
+		);
 		this.#marker = value;
 	}
 
+	async #storeRecord(name: string, value: unknown): Promise<void> {
+		await this.#tryUntilStored(async () =>
+			files.storeRecord(this.#fileSystem, this.#getPath(name), value),
+		);
+	}
+
+	/** Repeats a step that a full disk refuses until it is done or the storage is closed. */
+	async #tryUntilStored(step: () => Promise<void>): Promise<void> {
+		for (;;) {
+			try {
+				await step();
+				this.#space.recordWrite(false);
+				return;
+			} catch (error) {
+				if (!(error instanceof files.DiskFullError)) {
+					throw error;
+				}
+
+				this.#space.recordWrite(true);
+			}
+
+			const {signal} = this.#closing;
+			await timers.setTimeout(this.#environment.retryIntervalMs, undefined, {
+				signal,
+			});
+		}
+	}
+
 	/** Returns the entries after the snapshot; none when the log diverges from the snapshot. */
 	#getEntries(): readonly consensus.LogEntry[] {
 		const snapshot = this.#snapshot;
@@ -222,25 +297,23 @@
 			);
 		}
 
+		if (this.#isLossUnstored) {
+			await this.#storeMarker(this.#marker);
+			this.#isLossUnstored = false;
+		}
+
 		const [{hardState, snapshot}] = writes as [consensus.StorageWrite];
 		if (hardState) {
-			await files.storeRecord(
-				this.#fileSystem,
-				this.#getPath('hard-state'),
-				hardState,
-			);
+			await this.#storeRecord('hard-state', hardState);
 		}
 
 		if (snapshot) {
-			await files.storeRecord(
-				this.#fileSystem,
-				this.#getPath('snapshot'),
-				snapshot,
-			);
+			await this.#storeRecord('snapshot', snapshot);
 			this.#snapshot = snapshot;
+			this.#isRewriteDue = true;
 		}
 
-		await this.#writeEntries(writes, Boolean(snapshot));
+		await this.#writeEntries(writes);
 		if (!this.#marker.isUsed) {
 			await this.#storeMarker({isUsed: true, isDataLost: false});
 		}
@@ -248,52 +321,55 @@
 
 	async #writeEntries(
 		writes: readonly consensus.StorageWrite[],
-		hasSnapshot: boolean,
 	): Promise<void> {
-		if (!this.#segment) {
-			await this.#createFiles();
-		}
-
+		await this.#createFiles();
 		const entryWrites = writes.filter(
 			({truncateFrom, append = []}) =>
 				truncateFrom !== undefined || append.length > 0,
 		);
-		if (hasSnapshot) {
-			await this.#rewriteSegment();
+		const hasSnapshot = writes.some(({snapshot}) => snapshot);
+		if (this.#isRewriteDue && (hasSnapshot || entryWrites.length > 0)) {
+			await this.#tryUntilStored(async () => this.#rewriteSegment());
+			this.#isRewriteDue = false;
 		}
 
 		if (entryWrites.length > 0) {
-			await this.#segment!.writeEntries(entryWrites);
+			await this.#tryUntilStored(async () =>
+				this.#segment!.writeEntries(entryWrites),
+			);
 		}
 	}
 
 	/** Creates the files that a used folder must have. */
 	async #createFiles(): Promise<void> {
+		if (this.#segment) {
+			return;
+		}
+
 		const hardState = this.#getPath('hard-state');
 		if ((await this.#fileSystem.readFile(hardState)) === undefined) {
-			await files.storeRecord(this.#fileSystem, hardState, emptyHardState);
+			await this.#storeRecord('hard-state', emptyHardState);
 		}
 
-		this.#segment = await segment.Segment.store(
-			this.#fileSystem,
-			this.#getPath('log'),
-			0,
-			[],
-		);
+		await this.#tryUntilStored(async () => this.#storeSegment(0, []));
 	}
 
 	/** Rewrites the log file without the entries that the snapshot covers. */
 	async #rewriteSegment(): Promise<void> {
-		const entries = this.#getEntries();
-		const file = this.#getPath('log');
 		const previousSegment = this.#segment;
-		const baseIndex = this.#snapshot!.index;
+		await this.#storeSegment(this.#snapshot!.index, this.#getEntries());
+		await previousSegment?.close();
+	}
+
+	async #storeSegment(
+		baseIndex: number,
+		entries: readonly consensus.LogEntry[],
+	): Promise<void> {
 		this.#segment = await segment.Segment.store(
 			this.#fileSystem,
-			file,
+			this.#getPath('log'),
 			baseIndex,
 			entries,
 		);
-		await previousSegment?.close();
 	}
 }
--- a/src/node/storage/segment.ts
+++ b/src/node/storage/segment.ts
@@ -115,10 +115,14 @@
 		return this.#size;
 	}
 
-	/** Appends the truncations and entries of several writes and syncs them once. */
+	/**
+	 * Appends the truncations and entries of several writes and syncs them once.
+	 *
+	 * @throws A `DiskFullError` when there is no room; the file is then unchanged.
+	 */
 	async writeEntries(writes: readonly consensus.StorageWrite[]): Promise<void> {
 		const content = Buffer.concat(writes.map((write) => encodeEntries(write)));
-		await this.#handle!.append(content);
+		await this.#append(content);
 		await this.#handle!.sync();
 		this.#size += content.length;
 		for (const {truncateFrom, append = []} of writes) {
@@ -131,6 +135,22 @@
 		this.#handle = undefined;
 	}
 
+	/** Removes what a full disk took of the content, because the next record would follow a torn one. */
+	async #append(content: Buffer): Promise<void> {
+		try {
+			await this.#handle!.append(content);
+		} catch (error) {
+			if (!files.isDiskFull(error)) {
+				throw error;
+			}
+
+			await this.#handle!.truncate(this.#size);
+			// Otherwise a loss of power could keep the torn record below later ones.
+			await this.#handle!.sync();
+			throw new files.DiskFullError(`no room in ${this.#file}`, {cause: error});
+		}
+	}
+
 	async #open(): Promise<void> {
 		this.#handle = await this.#fileSystem.openFile(this.#file, 'append');
 	}
--- a/src/node/storage/system-files.ts
+++ b/src/node/storage/system-files.ts
@@ -67,4 +67,13 @@
 	async removeFile(file) {
 		await fs.rm(file, {force: true});
 	},
+
+	async readFreeBytes(folder) {
+		try {
+			const {bavail, bsize} = await fs.statfs(folder);
+			return bavail * bsize;
+		} catch {
+			return undefined;
+		}
+	},
 };
--- a/src/node/storage/types.ts
+++ b/src/node/storage/types.ts
@@ -28,4 +28,6 @@
 	renameFile(from: string, to: string): Promise<void>;
 	/** Does nothing when the file does not exist. */
 	removeFile(file: string): Promise<void>;
+	/** Free space of the disk of a folder, in bytes; undefined when the system does not tell. */
+	readFreeBytes(folder: string): Promise<number | undefined>;
 };
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -863,10 +863,15 @@
 	readonly truncateFrom?: number;
 	readonly append?: ReadonlyArray<LogEntry<Command>>;
 };
+/** Space of the storage; `exhausted` while a refused write is tried again. */
+export type StorageSpace = 'sufficient' | 'low' | 'exhausted';
 /** What the storage holds. */
 export type StorageStatus = {
 	/** Size of the file with the log entries, in bytes; removed entries count until it is rewritten. */
 	readonly logBytes: number;
+	/** Number of times that the disk refused a write. */
+	readonly refusals: number;
+	readonly space: StorageSpace;
 };
 /** Durable storage of one control peer. */
 export type LogStorage<Command = unknown, State = unknown> = {
@@ -880,6 +885,8 @@
 	write(write: StorageWrite<Command, State>): Promise<void>;
 	/** Without it, the log is compacted by its number of entries only. */
 	readStatus?(): StorageStatus;
+	/** Calls the listener after each change of the space. */
+	watchSpace?(listener: (space: StorageSpace) => void): void;
 	close(): Promise<void>;
 };
 export type ConsensusRole = 'follower' | 'candidate' | 'leader';
