Let a peer with a full disk follow, and refuse changes nobody can store

Callers saw: while disks were full, control had no leader that could store anything, and an operator waited for the time limit of a change to learn nothing.

Cause: consensus knew nothing of the storage but 'written'. With writes that wait for space, a leader with a full disk would lead on, a follower would take entry after entry into memory, and a peer would promise a vote that it cannot store.

Change: the storage reports its space. A leader steps down once the others have committed what it could not store, and otherwise leads on, so that leases go on while all disks are full. A change is then refused at once, and only if no earlier copy of it may still take effect: a change that is sent again while its proposal is pending is not proposed twice and not called untaken. Readiness and log say 'disk full', and 'nearly full' before.

--- a/src/common/consensus/consensus.ts
+++ b/src/common/consensus/consensus.ts
@@ -53,6 +53,7 @@
 	#now = Number.NEGATIVE_INFINITY;
 	#leader: ids.PeerId | undefined;
 	#lastRoleReport = '';
+	#isStorageFull = false;
 	#isStarted = false;
 
 	constructor(options: ConsensusOptions<Command>) {
@@ -84,6 +85,7 @@
 			...context,
 			hardState: stored.hardState,
 			isLeaderStickinessDisabled: faults?.isLeaderStickinessDisabled ?? false,
+			isStorageFull: () => this.#isStorageFull,
 			stopLeading: () => {
 				this.#stopLeading();
 			},
@@ -92,6 +94,7 @@
 			...context,
 			incarnation: options.incarnation,
 			voting: this.#voting,
+			isStorageFull: () => this.#isStorageFull,
 			send: (to, message) => {
 				this.#send(to, message);
 			},
@@ -145,6 +148,11 @@
 		return this.#leadership?.hasRecentQuorum(now, leaseMs) ?? false;
 	}
 
+	/** True while this peer leads and the disks of so many voters are full that no entry is committed. */
+	get isStorageExhausted(): boolean {
+		return this.#leadership?.isStorageExhausted(this.#isStorageFull) ?? false;
+	}
+
 	/** Handles one event. The first call also returns `restore` when a snapshot is stored. */
 	step(
 		event: types.ConsensusEvent<Command>,
@@ -202,6 +210,11 @@
 				return;
 			}
 
+			case 'spaceChanged': {
+				this.#isStorageFull = event.space === 'exhausted';
+				return;
+			}
+
 			case 'compact': {
 				this.#handleCompact(event.index, event.state);
 				return;
@@ -216,7 +229,7 @@
 		this.#tryBootstrap();
 		if (this.#leadership) {
 			this.#leadership.handleTick(this.#now, this.commitIndex);
-			if (this.#leadership.hasLostQuorum(this.#now)) {
+			if (this.#leadership.hasLostQuorum(this.#now) || this.#canHandOver()) {
 				this.#stopLeading();
 			}
 		} else if (
@@ -227,6 +240,22 @@
 		}
 	}
 
+	/**
+	 * Tells whether the disk of this leader is full and the other voters can elect one that has space. They
+	 * show it by a commit of entries that this peer could not store.
+	 */
+	#canHandOver(): boolean {
+		return (
+			this.#isStorageFull &&
+			this.commitIndex > this.#writes.syncedIndex &&
+			(this.#leadership?.hasOtherQuorumWithSpace(
+				this.#now,
+				timing.quorumLossTimeoutMs,
+			) ??
+				false)
+		);
+	}
+
 	#handleMessage(from: ids.PeerId, message: types.ConsensusMessage): void {
 		switch (message.type) {
 			case 'preVote':
--- a/src/common/consensus/fake-network.ts
+++ b/src/common/consensus/fake-network.ts
@@ -127,10 +127,29 @@
 	return {hardState, snapshot, entries: [...kept, ...append]};
 }
 
-/** The disk of one peer: syncs writes in order after a delay; a crash may lose unsynced ones. */
-export class FakeDisk<Command> {
+/** The disk of one simulated peer. */
+export type SimulatedDisk<Command> = {
 	/** Longest delay of one write, in ms. */
+	maxDelayMs: number;
+	/** While true, writes are refused and tried again. */
+	isFull: boolean;
+	write(now: number, write: number, data: types.StorageWrite<Command>): void;
+	/** Returns the numbers of the writes that are synced by now. */
+	takeSynced(now: number): number[];
+	/** Returns the space after a change since the last call. */
+	takeSpaceChange(): types.StorageSpace | undefined;
+	/** Simulates a crash of the process, which may lose unsynced writes. */
+	crash(): void;
+	/** Loses everything, as when the disk of a VM is replaced. */
+	clear(): void;
+	load(): types.StoredLog<Command>;
+};
+
+/** A disk that syncs writes in order after a delay; a crash may lose unsynced ones. */
+export class FakeDisk<Command> implements SimulatedDisk<Command> {
 	maxDelayMs = 2;
+	isFull = false;
+	#reportedSpace: types.StorageSpace = 'sufficient';
 	readonly #random: Random;
 	#stored = makeEmptyStoredLog<Command>();
 	#pending: Array<{
@@ -150,10 +169,9 @@
 		this.#pending.push({write, data, at: Math.max(at, previous)});
 	}
 
-	/** Applies the writes that are synced by now and returns their numbers. */
 	takeSynced(now: number): number[] {
 		const numbers: number[] = [];
-		while (this.#pending[0] && this.#pending[0].at <= now) {
+		while (!this.isFull && this.#pending[0] && this.#pending[0].at <= now) {
 			const {write, data} = this.#pending.shift()!;
 			this.#stored = applyWrite(this.#stored, data);
 			numbers.push(write);
@@ -162,17 +180,30 @@
 		return numbers;
 	}
 
-	/** Simulates a crash of the process: a random number of the oldest unsynced writes stays on disk. */
+	/** The full disk shows with the first write that it refuses. */
+	takeSpaceChange(): types.StorageSpace | undefined {
+		const space =
+			this.isFull && this.#pending.length > 0 ? 'exhausted' : 'sufficient';
+		if (space === this.#reportedSpace) {
+			return undefined;
+		}
+
+		this.#reportedSpace = space;
+		return space;
+	}
+
+	/** A random number of the oldest unsynced writes stays on disk. */
 	crash(): void {
-		const survivors = Math.floor(this.#random() * (this.#pending.length + 1));
+		const limit = this.isFull ? 0 : this.#pending.length;
+		const survivors = Math.floor(this.#random() * (limit + 1));
 		for (const {data} of this.#pending.slice(0, survivors)) {
 			this.#stored = applyWrite(this.#stored, data);
 		}
 
 		this.#pending = [];
+		this.#reportedSpace = 'sufficient';
 	}
 
-	/** Loses everything, as when the disk of a VM is replaced. */
 	clear(): void {
 		this.#stored = makeEmptyStoredLog();
 		this.#pending = [];
--- a/src/common/consensus/follower.ts
+++ b/src/common/consensus/follower.ts
@@ -19,6 +19,8 @@
 	readonly writes: writeQueue.WriteQueue<Command>;
 	readonly joinState: joining.JoinState;
 	readonly voting: voting.Voting<Command>;
+	/** True while a full disk refuses writes. */
+	readonly isStorageFull: () => boolean;
 	readonly send: Send;
 	/** Sends after everything written up to the end of this step is synced. */
 	readonly sendAfterWrites: Send;
@@ -59,12 +61,10 @@
 		votingState.advanceTerm(message.term, now);
 		votingState.stopCampaign(now);
 		votingState.recordLeaderContact(now);
-		const outcome = replica.applyLeaderMessage(
-			localLog,
-			writes,
-			message as replica.LeaderMessage<Command>,
-			commitIndex,
-		);
+		const received = message as replica.LeaderMessage<Command>;
+		const outcome = this.#context.isStorageFull()
+			? replica.compareLeaderMessage(localLog, received, commitIndex)
+			: replica.applyLeaderMessage(localLog, writes, received, commitIndex);
 		this.#tryCompleteJoin(outcome, from);
 		this.#sendReply(from, outcome, message.round);
 		return outcome.commitIndex;
@@ -89,7 +89,13 @@
 		const {writes, voting: votingState} = this.#context;
 		const {success, matchIndex, needsSync} = outcome;
 		const {term} = votingState;
-		const reply = {type: 'appendReply', term, success, round} as const;
+		const reply = {
+			type: 'appendReply',
+			term,
+			success,
+			round,
+			...(this.#context.isStorageFull() ? {isStorageFull: true} : {}),
+		} as const;
 		if (needsSync || !writes.isHardStateSynced) {
 			this.#context.sendAfterWrites(to, {...reply, matchIndex});
 			return;
--- a/src/common/consensus/leadership.ts
+++ b/src/common/consensus/leadership.ts
@@ -120,6 +120,17 @@
 		return this.#replication.hasRecentQuorum(now, ageMs);
 	}
 
+	hasOtherQuorumWithSpace(now: number, ageMs: number): boolean {
+		return this.#replication.hasOtherQuorumWithSpace(now, ageMs);
+	}
+
+	/** Tells whether so many voters have a full disk that no entry can be committed. */
+	isStorageExhausted(isOwnFull: boolean): boolean {
+		const {voters} = this.#options.log.configuration;
+		const fullCount = this.#replication.countFullVoters() + (isOwnFull ? 1 : 0);
+		return (voters.length - fullCount) * 2 <= voters.length;
+	}
+
 	hasLostQuorum(now: number): boolean {
 		return this.#replication.hasLostQuorum(now);
 	}
--- a/src/common/consensus/progress.ts
+++ b/src/common/consensus/progress.ts
@@ -13,6 +13,8 @@
 	lastAckedSentAt = Number.NEGATIVE_INFINITY;
 	/** Incarnation of a peer without state that is being added. */
 	joiningIncarnation: number | undefined;
+	/** The peer's last reply said that its disk is full; it then receives heartbeats only. */
+	isStorageFull = false;
 	#inFlight: {round: number; retryAt: number} | undefined;
 	/** Replies to earlier rounds are ignored: they may come from an instance whose disk was lost since. */
 	readonly #firstRound: number;
@@ -61,7 +63,12 @@
 	 * @returns False when the reply belongs to a round before this state was created.
 	 */
 	applyReply(
-		reply: {success: boolean; matchIndex: number; round: number},
+		reply: {
+			success: boolean;
+			matchIndex: number;
+			round: number;
+			isStorageFull?: boolean;
+		},
 		sentAt: number | undefined,
 	): boolean {
 		if (reply.round < this.#firstRound) {
@@ -76,6 +83,8 @@
 			this.#inFlight = undefined;
 		}
 
+		this.isStorageFull = reply.isStorageFull ?? false;
+
 		if (reply.success) {
 			this.matchIndex = Math.max(this.matchIndex, reply.matchIndex);
 			this.nextIndex = Math.max(this.nextIndex, this.matchIndex + 1);
@@ -86,6 +95,11 @@
 			);
 		}
 
+		if (this.isStorageFull) {
+			this.#inFlight = undefined;
+			this.nextIndex = this.matchIndex + 1;
+		}
+
 		return true;
 	}
 }
--- a/src/common/consensus/replica.ts
+++ b/src/common/consensus/replica.ts
@@ -36,6 +36,40 @@
 	};
 };
 
+/**
+ * Compares a message of the current term with the log, for a peer that cannot store anything: what the
+ * log lacks is left to the leader to send again.
+ */
+export function compareLeaderMessage<Command>(
+	localLog: log.Log<Command>,
+	message: LeaderMessage<Command>,
+	commitIndex: number,
+): LeaderMessageResult {
+	const unchanged = {success: true, commitIndex, needsSync: false};
+	if (message.type === 'installSnapshot') {
+		const {index} = message.snapshot;
+		return {...unchanged, matchIndex: Math.min(index, commitIndex)};
+	}
+
+	const {previousIndex, entries} = message;
+	if (!isPreviousMatching(localLog, message)) {
+		const matchIndex = findHint(localLog, previousIndex, commitIndex);
+		return {...unchanged, success: false, matchIndex};
+	}
+
+	const lacking = entries.findIndex((entry) => isLacking(localLog, entry));
+	const matchIndex =
+		previousIndex + (lacking === -1 ? entries.length : lacking);
+	return {
+		...unchanged,
+		matchIndex,
+		commitIndex: Math.max(
+			commitIndex,
+			Math.min(message.commitIndex, matchIndex),
+		),
+	};
+}
+
 /** Applies a message of the current term to the log and queues the writes. */
 export function applyLeaderMessage<Command>(
 	localLog: log.Log<Command>,
@@ -54,12 +88,8 @@
 	message: Append<Command>,
 	commitIndex: number,
 ): LeaderMessageResult {
-	const {previousIndex, previousTerm, entries} = message;
-	// The snapshot covers only committed entries, which every leader has too.
-	const isMatching =
-		previousIndex < localLog.baseIndex ||
-		localLog.getTerm(previousIndex) === previousTerm;
-	if (!isMatching) {
+	const {previousIndex, entries} = message;
+	if (!isPreviousMatching(localLog, message)) {
 		return {
 			success: false,
 			matchIndex: findHint(localLog, previousIndex, commitIndex),
@@ -69,11 +99,7 @@
 	}
 
 	const matchIndex = previousIndex + entries.length;
-	const newEntries = entries.filter(
-		(entry) =>
-			entry.index > localLog.baseIndex &&
-			localLog.getTerm(entry.index) !== entry.term,
-	);
+	const newEntries = entries.filter((entry) => isLacking(localLog, entry));
 	appendEntries(localLog, writes, newEntries);
 	return {
 		success: true,
@@ -87,6 +113,24 @@
 	};
 }
 
+function isPreviousMatching<Command>(
+	localLog: log.Log<Command>,
+	{previousIndex, previousTerm}: Append<Command>,
+): boolean {
+	// The snapshot covers only committed entries, which every leader has too.
+	return (
+		previousIndex < localLog.baseIndex ||
+		localLog.getTerm(previousIndex) === previousTerm
+	);
+}
+
+function isLacking<Command>(
+	localLog: log.Log<Command>,
+	{index, term}: types.LogEntry<Command>,
+): boolean {
+	return index > localLog.baseIndex && localLog.getTerm(index) !== term;
+}
+
 /** Returns an index below `previousIndex` after which the leader tries again. */
 function findHint<Command>(
 	localLog: log.Log<Command>,
--- a/src/common/consensus/replication.ts
+++ b/src/common/consensus/replication.ts
@@ -93,6 +93,7 @@
 			record.expireInFlight(now);
 			if (
 				record.isAwaitingReply(now) ||
+				record.isStorageFull ||
 				record.nextIndex > this.#log.lastIndex
 			) {
 				this.#sendHeartbeat(peer, record, commitIndex);
@@ -108,6 +109,7 @@
 		for (const [peer, record] of this.#progress) {
 			if (
 				record.isAwaitingReply(now) ||
+				record.isStorageFull ||
 				record.nextIndex > this.#log.lastIndex
 			) {
 				continue;
@@ -153,6 +155,27 @@
 		);
 	}
 
+	/** Tells whether a majority of the voters without this peer replied after `now - ageMs` and has space. */
+	hasOtherQuorumWithSpace(now: number, ageMs: number): boolean {
+		const {voters} = this.#log.configuration;
+		const able = voters.filter((voter) => {
+			const record = this.#progress.get(voter);
+			return (
+				record !== undefined &&
+				!record.isStorageFull &&
+				now - record.lastAckedSentAt < ageMs
+			);
+		});
+		return able.length * 2 > voters.length;
+	}
+
+	/** Counts the other voters whose last reply said that their disk is full. */
+	countFullVoters(): number {
+		return this.#log.configuration.voters.filter(
+			(voter) => this.#progress.get(voter)?.isStorageFull,
+		).length;
+	}
+
 	#computeQuorumSentAt(now: number): number {
 		const times = this.#log.configuration.voters.map((voter) =>
 			voter === this.#self
--- a/src/common/consensus/safety-search.test.ts
+++ b/src/common/consensus/safety-search.test.ts
@@ -49,6 +49,26 @@
 	});
 }
 
+for (const peerCount of [3, 5]) {
+	// Guards against lost entries, and a group that does not recover, when disks refuse writes for a time.
+	tap.test(`no violation with full disks and ${peerCount} peers`, async (t) => {
+		let applied = 0;
+		let fullDisks = 0;
+		for (let seed = 1; seed <= seedCount; seed++) {
+			const report = safetySearch.runSearch({
+				seed,
+				peerCount,
+				fillsDisks: true,
+			});
+			applied += report.applied;
+			fullDisks += report.fullDisks;
+		}
+
+		t.ok(applied > 100 * seedCount, 'commands are applied');
+		t.ok(fullDisks > seedCount, 'disks become full');
+	});
+}
+
 // Guards against a search that cannot detect two leaders that act at the same time.
 tap.test('the search finds missing leader stickiness', async (t) => {
 	t.ok(
--- a/src/common/consensus/safety-search.ts
+++ b/src/common/consensus/safety-search.ts
@@ -4,6 +4,7 @@
  */
 import type * as ids from '../ids.js';
 import type * as consensus from './consensus.js';
+import * as fakeNetwork from './fake-network.js';
 import * as safetyChecks from './safety-checks.js';
 import * as simulation from './simulation.js';
 
@@ -12,6 +13,10 @@
 	readonly peerCount: number;
 	/** Safety rules of the reducer to disable. */
 	readonly faults?: consensus.FaultInjection;
+	/** Disks refuse writes for some time, several at once as well. */
+	readonly fillsDisks?: boolean;
+	/** See `SimulationOptions`. */
+	readonly createDisk?: simulation.SimulationOptions['createDisk'];
 };
 
 /** Coverage of one run; a run that commits nothing proves nothing. */
@@ -21,6 +26,7 @@
 	readonly lostDisks: number;
 	readonly voterChanges: number;
 	readonly snapshots: number;
+	readonly fullDisks: number;
 };
 
 /** Duration of the phase with faults, in ms. */
@@ -59,6 +65,10 @@
 	'changeVoters',
 ]);
 
+/** Mean interval between two disks that become full, in ms. */
+const fillIntervalMs = 700;
+
+const maxFullMs = 3000;
 const maxDownMs = 1500;
 const maxFreezeMs = 2000;
 
@@ -75,7 +85,18 @@
 	/** False at times: without proposals, a partitioned peer stays up to date and can be elected. */
 	#isProposing = true;
 	readonly #meanIntervalsMs = new Map<ActionKind, number>();
-	readonly #counts = {crashes: 0, lostDisks: 0, voterChanges: 0, snapshots: 0};
+	readonly #counts = {
+		crashes: 0,
+		lostDisks: 0,
+		voterChanges: 0,
+		snapshots: 0,
+		fullDisks: 0,
+	};
+
+	/** Separate, so that seeds give the same other faults with and without full disks. */
+	readonly #diskRandom: fakeNetwork.Random | undefined;
+	/** When each full disk has space again. */
+	readonly #fullUntil = new Map<ids.PeerId, number>();
 
 	constructor(options: SearchOptions) {
 		this.#peerIds = Array.from(
@@ -86,7 +107,12 @@
 			peers: this.#peerIds,
 			seed: options.seed,
 			faults: options.faults,
+			...(options.createDisk ? {createDisk: options.createDisk} : {}),
 		});
+		if (options.fillsDisks) {
+			this.#diskRandom = fakeNetwork.makeRandom(-options.seed);
+		}
+
 		this.#losesDisks = this.#simulation.random() < 0.5;
 		for (const [kind, [shortest, longest]] of Object.entries(
 			meanIntervalRangesMs,
@@ -102,15 +128,17 @@
 		}
 	}
 
-	run(): RunReport {
+	/** Runs the seed; yields after each step, for disks that work in between. */
+	*runSteps(): Generator<void, RunReport> {
 		// The bootstrap needs all initial voters, so faults begin after it.
-		this.#simulation.run(1000);
+		yield* this.#simulation.runSteps(1000);
 		this.#changeDisks();
-		this.#simulation.run(faultPhaseMs, () => {
+		yield* this.#simulation.runSteps(faultPhaseMs, () => {
 			this.#tryFaults();
+			this.#tryFillDisk();
 		});
 		this.#stopFaults();
-		this.#simulation.run(recoveryPhaseMs, () => {
+		yield* this.#simulation.runSteps(recoveryPhaseMs, () => {
 			this.#runAtRandom('propose', () => {
 				this.#propose();
 			});
@@ -164,6 +192,24 @@
 		this.#tryVoterFaults();
 	}
 
+	#tryFillDisk(): void {
+		const random = this.#diskRandom;
+		if (!random) {
+			return;
+		}
+
+		const {now, peers} = this.#simulation;
+		for (const {id, disk} of peers) {
+			disk.isFull = now < (this.#fullUntil.get(id) ?? 0);
+		}
+
+		if (random() < drawIntervalMs / fillIntervalMs) {
+			const {id} = peers[Math.floor(random() * peers.length)];
+			this.#fullUntil.set(id, now + random() * maxFullMs);
+			this.#counts.fullDisks++;
+		}
+	}
+
 	#tryVoterFaults(): void {
 		if (this.#losesDisks) {
 			this.#runAtRandom('loseDisk', () => {
@@ -288,6 +334,7 @@
 			}
 
 			peer.disk.maxDelayMs = 2;
+			peer.disk.isFull = false;
 			peer.frozenUntil = 0;
 		}
 	}
@@ -318,5 +365,32 @@
  * @throws A `SafetyViolation` that describes the violation, also when the group does not recover.
  */
 export function runSearch(options: SearchOptions): RunReport {
-	return new SearchRun(options).run();
+	const steps = new SearchRun(options).runSteps();
+	for (;;) {
+		const step = steps.next();
+		if (step.done) {
+			return step.value;
+		}
+	}
+}
+
+/**
+ * Runs one seed with disks that need real time.
+ *
+ * @param settleDisks - Resolves when the disks have done what they can.
+ * @throws A `SafetyViolation` that describes the violation, also when the group does not recover.
+ */
+export async function runSlowSearch(
+	options: SearchOptions,
+	settleDisks: () => Promise<void>,
+): Promise<RunReport> {
+	const steps = new SearchRun(options).runSteps();
+	for (;;) {
+		const step = steps.next();
+		if (step.done) {
+			return step.value;
+		}
+
+		await settleDisks();
+	}
 }
--- a/src/common/consensus/simulation.ts
+++ b/src/common/consensus/simulation.ts
@@ -21,7 +21,7 @@
 /** One control peer and its disk. */
 export type SimulatedPeer = {
 	readonly id: ids.PeerId;
-	readonly disk: fakeNetwork.FakeDisk<Command>;
+	readonly disk: fakeNetwork.SimulatedDisk<Command>;
 	/** Undefined while the process is down. */
 	process: consensus.Consensus<Command> | undefined;
 	/** State of the replicated state machine. */
@@ -41,6 +41,10 @@
 	readonly initialVoters?: readonly ids.PeerId[];
 	readonly seed: number;
 	readonly faults?: consensus.FaultInjection;
+	/** Creates the disk of each peer; a `FakeDisk` by default. */
+	readonly createDisk?: (
+		random: fakeNetwork.Random,
+	) => fakeNetwork.SimulatedDisk<Command>;
 };
 
 /** Runs peers in simulated time. */
@@ -84,11 +88,19 @@
 
 	/** Advances simulated time. */
 	run(durationMs: number, beforeStep?: () => void): void {
+		for (const _ of this.runSteps(durationMs, beforeStep)) {
+			// The disks need no time between the steps.
+		}
+	}
+
+	/** Advances simulated time; yields after each step, for disks that work in between. */
+	*runSteps(durationMs: number, beforeStep?: () => void): Generator<void> {
 		const end = this.now + durationMs;
 		while (this.now < end) {
 			this.now += stepIntervalMs;
 			beforeStep?.();
 			this.#runStep();
+			yield;
 		}
 	}
 
@@ -163,7 +175,9 @@
 	#makePeer(id: ids.PeerId): SimulatedPeer {
 		return {
 			id,
-			disk: new fakeNetwork.FakeDisk(this.random),
+			disk:
+				this.#options.createDisk?.(this.random) ??
+				new fakeNetwork.FakeDisk(this.random),
 			process: undefined,
 			machine: safetyChecks.initialMachineState,
 			// The rates of two clocks differ by less than the drift bound of 1%.
@@ -206,6 +220,11 @@
 
 	#runPeer(peer: SimulatedPeer): void {
 		const now = this.readClock(peer);
+		const space = peer.disk.takeSpaceChange();
+		if (space !== undefined) {
+			this.step(peer, {type: 'spaceChanged', now, space});
+		}
+
 		for (const write of peer.disk.takeSynced(this.now)) {
 			this.step(peer, {type: 'written', now, write});
 		}
--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -74,6 +74,8 @@
 			/** On success, the last index that matches the leader's log; otherwise the index to retry after. */
 			readonly matchIndex: number;
 			readonly round: number;
+			/** The disk of the sender is full: it has not taken the entries or the snapshot. */
+			readonly isStorageFull?: boolean;
 	  }
 	| {
 			readonly type: 'installSnapshot';
@@ -191,6 +193,12 @@
 			readonly now: number;
 			readonly write: number;
 	  }
+	| {
+			/** The space of the storage has changed; `sufficient` before the first event. */
+			readonly type: 'spaceChanged';
+			readonly now: number;
+			readonly space: StorageSpace;
+	  }
 	| {
 			/** State of the state machine at its last applied index, so that the log can be compacted. */
 			readonly type: 'compact';
--- a/src/common/consensus/voting.ts
+++ b/src/common/consensus/voting.ts
@@ -23,6 +23,8 @@
 	readonly writes: writeQueue.WriteQueue<Command>;
 	readonly joinState: joining.JoinState;
 	readonly isLeaderStickinessDisabled: boolean;
+	/** True while a full disk refuses writes, so that no vote can be stored. */
+	readonly isStorageFull: () => boolean;
 	/** Sends after everything written up to the end of this step is synced. */
 	readonly sendAfterWrites: (
 		to: ids.PeerId,
@@ -90,10 +92,11 @@
 	 * campaigns, because it may be the only one that can commit the removal.
 	 */
 	isCampaignDue(now: number, random: number, commitIndex: number): boolean {
-		const {joinState, log: localLog, self} = this.#context;
+		const {isStorageFull, joinState, log: localLog, self} = this.#context;
 		return (
 			this.#election.hasTimedOut(now, random) &&
 			!joinState.isPending &&
+			!isStorageFull() &&
 			(localLog.configuration.voters.includes(self) ||
 				localLog.getConfiguration(commitIndex).voters.includes(self))
 		);
@@ -122,6 +125,7 @@
 			isLeading || this.#election.hasRecentLeaderContact(now);
 		if (
 			this.#context.joinState.isPending ||
+			this.#context.isStorageFull() ||
 			(hasLiveLeader && !this.#context.isLeaderStickinessDisabled)
 		) {
 			return;
--- a/src/common/control/control-health.ts
+++ b/src/common/control/control-health.ts
@@ -1,23 +1,56 @@
 /**
- * Whether a control peer can serve: it knows a leader and is not draining. A change is reported once.
+ * Whether a control peer can serve: it knows a leader, is not draining and can store what it receives. A
+ * change is reported once.
  */
+import {assertNever} from '../assert-never.js';
+import type * as consensus from '../consensus/types.js';
 import type * as control from './types.js';
 
 export class ControlHealth {
 	#reason = '';
+	#space: consensus.StorageSpace = 'sufficient';
 
 	constructor(private readonly emit: (effect: control.ControlEffect) => void) {}
 
+	setSpace(space: consensus.StorageSpace): void {
+		this.#space = space;
+	}
+
 	update(isDraining: boolean, knowsLeader: boolean): void {
-		const isReady = !isDraining && knowsLeader;
-		const reason = isDraining
+		const problem = isDraining
 			? 'draining'
-			: isReady
-				? 'ready'
-				: 'no control leader known';
+			: this.#space === 'exhausted'
+				? 'disk full'
+				: knowsLeader
+					? undefined
+					: 'no control leader known';
+		// A peer with little space still serves; its reason tells operators that it may not for long.
+		const reason =
+			problem ?? (this.#space === 'low' ? 'ready, disk nearly full' : 'ready');
 		if (reason !== this.#reason) {
 			this.#reason = reason;
-			this.emit({type: 'setHealth', ready: isReady, reason});
+			this.emit({type: 'setHealth', ready: problem === undefined, reason});
+		}
+	}
+}
+
+/** Describes the space of the storage for the log. */
+export function describeSpace(space: consensus.StorageSpace): string {
+	switch (space) {
+		case 'sufficient': {
+			return 'the disk of the data folder has space';
+		}
+
+		case 'low': {
+			return 'the disk of the data folder is nearly full';
+		}
+
+		case 'exhausted': {
+			return 'the disk of the data folder is full; writes are tried again until there is space';
+		}
+
+		default: {
+			return assertNever(space);
 		}
 	}
 }
--- a/src/common/control/operations.test.ts
+++ b/src/common/control/operations.test.ts
@@ -108,3 +108,72 @@
 	);
 	t.same(counts, [1, 0, 0, 1]);
 });
+
+// Guards against an operator who is told that a change was not taken while an earlier copy of it is in the
+// log, and against copies that fill the log.
+tap.test('a change that is sent again is proposed once', async (t) => {
+	let proposal = 0;
+	const instance = new operations.Operations({
+		messageNumberStart: 0,
+		createProposalNumber: () => ++proposal,
+		findAnswer: () => undefined,
+	});
+	const change = {
+		type: 'configuration',
+		configuration: buildConfiguration(7),
+	} as const;
+	instance.add(0, {type: 'local', operation: 1}, change);
+	t.match(instance.step(0, true, undefined), [{type: 'propose', proposal: 1}]);
+	t.match(instance.step(5000, true, undefined), [
+		{type: 'answer', result: {type: 'unavailable', mayHaveRun: true}},
+	]);
+	t.ok(instance.isProposed(change));
+	instance.add(5000, {type: 'local', operation: 2}, change);
+	t.same(instance.step(5000, true, undefined), []);
+	instance.handleProposalLost(1, true);
+	t.notOk(instance.isProposed(change));
+	t.match(instance.step(5025, true, undefined), [
+		{type: 'propose', proposal: 2},
+	]);
+	const result = {type: 'accepted', version: 7} as const;
+	t.match(instance.handleApplied(change, result), [
+		{type: 'answer', origin: {operation: 2}, result},
+	]);
+	t.notOk(instance.isProposed(change));
+});
+
+// Guards against an operator who waits for an answer that is known, or is told a wrong one.
+tap.test('a change that full disks refuse is answered at once', async (t) => {
+	const {instance, number} = forwardChange(1000);
+	const refuse = () =>
+		instance.handleResult({
+			type: 'changeResult',
+			operation: number,
+			result: {
+				type: 'unavailable',
+				mayHaveRun: false,
+				reason: 'storageExhausted',
+			},
+		});
+	t.match(refuse(), [
+		{
+			type: 'answer',
+			result: {mayHaveRun: false, reason: 'storageExhausted'},
+		},
+	]);
+	const twice = forwardChange(1000);
+	twice.instance.step(600, false, leader);
+	t.same(
+		twice.instance.handleResult({
+			type: 'changeResult',
+			operation: twice.number,
+			result: {
+				type: 'unavailable',
+				mayHaveRun: false,
+				reason: 'storageExhausted',
+			},
+		}),
+		[],
+		'the other copy may have been taken',
+	);
+});
--- a/src/common/control/operations.ts
+++ b/src/common/control/operations.ts
@@ -63,6 +63,8 @@
 /** The pending operations of one peer. */
 export class Operations {
 	readonly #operations = new Set<Operation>();
+	/** The change of each proposal whose outcome is pending, also when its operator was answered. */
+	readonly #proposals = new Map<number, types.OperatorChange>();
 	#messageCounter: number;
 
 	readonly #environment: OperationEnvironment;
@@ -106,9 +108,13 @@
 				);
 			} else if (operation.proposal !== undefined) {
 				continue;
+			} else if (isLeader && this.isProposed(operation.change)) {
+				// A second copy would only take space in the log.
+				operation.mayHaveRun = true;
 			} else if (isLeader) {
 				operation.proposal = this.#environment.createProposalNumber();
 				const {proposal, change} = operation;
+				this.#proposals.set(proposal, change);
 				actions.push({type: 'propose', proposal, change});
 			} else if (leader !== undefined && isSendDue(now, operation, leader)) {
 				actions.push(this.#send(now, operation, leader));
@@ -118,11 +124,24 @@
 		return actions;
 	}
 
+	/** Tells whether this peer has proposed the change and does not know the outcome yet. */
+	isProposed(change: types.OperatorChange): boolean {
+		return [...this.#proposals.values()].some((proposed) =>
+			isAnsweredBy(change, proposed),
+		);
+	}
+
 	/** Handles the commit of a change, whichever peer proposed it. */
 	handleApplied(
 		change: types.OperatorChange,
 		result: types.TemplateChangeResult,
 	): OperationAction[] {
+		for (const [proposal, proposed] of this.#proposals) {
+			if (isAnsweredBy(proposed, change)) {
+				this.#proposals.delete(proposal);
+			}
+		}
+
 		return [...this.#operations]
 			.filter((operation) => isAnsweredBy(operation.change, change))
 			.map((operation) => this.#finish(operation, result));
@@ -130,6 +149,7 @@
 
 	/** Handles a proposal that the log of this peer dropped. */
 	handleProposalLost(proposal: number, mayHaveRun: boolean): OperationAction[] {
+		this.#proposals.delete(proposal);
 		const operation = [...this.#operations].find(
 			(candidate) => candidate.proposal === proposal,
 		);
@@ -161,7 +181,11 @@
 
 		operation.unresolvedMessages.delete(message.operation);
 		operation.mayHaveRun ||= message.result.mayHaveRun;
-		return [];
+		const {reason} = message.result;
+		const result = buildUnavailableResult(operation);
+		return reason === undefined || result.mayHaveRun
+			? []
+			: [this.#finish(operation, {...result, reason})];
 	}
 
 	#send(now: number, operation: Operation, to: ids.PeerId): OperationAction {
@@ -221,7 +245,7 @@
 
 function buildUnavailableResult(
 	operation: Operation,
-): types.TemplateChangeResult {
+): Extract<types.TemplateChangeResult, {type: 'unavailable'}> {
 	return {
 		type: 'unavailable',
 		mayHaveRun:
--- a/src/common/control/operator-changes.ts
+++ b/src/common/control/operator-changes.ts
@@ -23,6 +23,8 @@
 	findLeader(): ids.PeerId | undefined;
 	/** True while the leader lease of this peer is valid. */
 	isActiveLeader(): boolean;
+	/** True while this peer leads and the disks of too many control peers are full. */
+	isStorageExhausted(): boolean;
 	/** Returns a number that no other proposal of this process has. */
 	createProposalNumber(): number;
 	propose(proposal: number, command: control.ControlCommand): void;
@@ -30,6 +32,13 @@
 	emit(effect: control.ControlEffect): void;
 };
 
+/** The answer to a change that cannot be stored now; it was not taken. */
+const storageExhausted: types.TemplateChangeResult = {
+	type: 'unavailable',
+	mayHaveRun: false,
+	reason: 'storageExhausted',
+};
+
 export class OperatorChanges {
 	readonly #operations: operations.Operations;
 
@@ -53,7 +62,8 @@
 	): void {
 		const answer =
 			this.#findAnswer(change) ??
-			('type' in change ? undefined : changes.validateChange(change));
+			('type' in change ? undefined : changes.validateChange(change)) ??
+			this.#checkSpace(change);
 		if (answer) {
 			this.#answer(origin, answer);
 		} else {
@@ -109,6 +119,19 @@
 		);
 	}
 
+	/** Refuses a change while no entry can be committed, unless an earlier copy of it may still take effect. */
+	#checkSpace(
+		change: types.OperatorChange,
+	): types.TemplateChangeResult | undefined {
+		const {environment} = this;
+		// Before a leader is active, entries of earlier leaders may contain the change.
+		return environment.isActiveLeader() &&
+			environment.isStorageExhausted() &&
+			!this.#operations.isProposed(change)
+			? storageExhausted
+			: undefined;
+	}
+
 	#findAnswer(
 		change: types.OperatorChange,
 	): types.TemplateChangeResult | undefined {
--- a/src/common/control/reducer.test.ts
+++ b/src/common/control/reducer.test.ts
@@ -273,6 +273,7 @@
 			voters: [voter],
 			step: () => [],
 			isLeaderLeaseValid: () => false,
+			isStorageExhausted: false,
 		},
 	});
 	const listTargets = (event: control.ControlEvent) =>
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -111,6 +111,7 @@
 			messageNumberStart,
 			findLeader: () => this.#knownLeader.peer,
 			isActiveLeader: () => this.#findActiveLeader() !== undefined,
+			isStorageExhausted: () => this.#log.isStorageExhausted,
 			createProposalNumber: () => ++this.#proposalCounter,
 			propose: (proposal, command) => {
 				this.#propose(proposal, command);
@@ -203,6 +204,11 @@
 				return;
 			}
 
+			case 'spaceChanged': {
+				this.#handleSpaceChange(event);
+				return;
+			}
+
 			case 'serverAnswered': {
 				this.#findActiveLeader()?.handleAnswer(
 					event.now,
@@ -250,6 +256,19 @@
 		assertNever(event);
 	}
 
+	#handleSpaceChange({
+		now,
+		space,
+	}: Extract<control.ControlEvent, {type: 'spaceChanged'}>): void {
+		this.#logDriver.step({type: 'spaceChanged', now, space});
+		this.#health.setSpace(space);
+		this.#logRecord(
+			space === 'sufficient' ? 'info' : 'warn',
+			controlHealth.describeSpace(space),
+		);
+		this.#updateHealth();
+	}
+
 	#handleMessage(from: ids.PeerId, message: messages.PeerMessage): void {
 		if (messageTypes.isConsensusMessage(message)) {
 			this.#logDriver.step({type: 'message', now: this.#now, from, message});
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -152,6 +152,8 @@
 	readonly leader: ids.PeerId | undefined;
 	/** Voters of the latest configuration; undefined when the log has a fixed set of voters. */
 	readonly voters?: readonly ids.PeerId[];
+	/** True while this peer leads and the disks of so many voters are full that no entry is committed. */
+	readonly isStorageExhausted: boolean;
 	step(
 		event: consensus.ConsensusEvent<ControlCommand>,
 	): ReadonlyArray<consensus.ConsensusEffect<ControlCommand>>;
@@ -265,6 +267,12 @@
 			/** Size of the stored log after the write, in bytes; undefined when the storage reports none. */
 			readonly logBytes?: number;
 	  }
+	| {
+			/** The space of the storage has changed; `sufficient` before the first event. */
+			readonly type: 'spaceChanged';
+			readonly now: number;
+			readonly space: consensus.StorageSpace;
+	  }
 	| {
 			readonly type: 'serverAnswered';
 			readonly now: number;
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -167,6 +167,8 @@
 			 */
 			readonly type: 'unavailable';
 			readonly mayHaveRun: boolean;
+			/** Set when the disks of the control peers are full; otherwise there was no leader in time. */
+			readonly reason?: 'storageExhausted';
 	  };
 
 /** The routes of all customers as an operator sent them. The highest version is in force. */
--- a/src/daemon/control-daemon.test.ts
+++ b/src/daemon/control-daemon.test.ts
@@ -6,6 +6,8 @@
 import type * as consensusTypes from '../common/consensus/types.js';
 import * as network from '../common/consensus/fake-network.js';
 import type * as control from '../common/control/types.js';
+import * as fakeDisk from '../node/storage/fake-disk.js';
+import * as logStorage from '../node/storage/log-storage.js';
 import type * as node from '../node/types.js';
 import * as controlDaemon from './control-daemon.js';
 import type * as daemon from './control-types.js';
@@ -82,16 +84,18 @@
 	address: `127.0.0.1:${index + 1}`,
 }));
 
-type Started = {
+type Storage = consensusTypes.LogStorage<control.ControlCommand>;
+
+type Started<Kind extends Storage = MemoryStorage> = {
 	readonly daemon: daemon.ControlDaemon;
-	readonly storage: MemoryStorage;
+	readonly storage: Kind;
 };
 
-async function startDaemon(
+async function startDaemon<Kind extends Storage>(
 	peerNetwork: PeerNetwork,
 	peer: ids.PeerId,
-	storage = new MemoryStorage(),
-): Promise<Started> {
+	storage: Kind,
+): Promise<Started<Kind>> {
 	const started = await controlDaemon.startControlDaemon(
 		{
 			peer,
@@ -135,7 +139,9 @@
 
 async function startAll(peerNetwork: PeerNetwork): Promise<Started[]> {
 	return Promise.all(
-		controlPeers.map(async ({peer}) => startDaemon(peerNetwork, peer)),
+		controlPeers.map(async ({peer}) =>
+			startDaemon(peerNetwork, peer, new MemoryStorage()),
+		),
 	);
 }
 
@@ -148,6 +154,12 @@
 	};
 }
 
+async function waitUntil(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await timers.setTimeout(10);
+	}
+}
+
 async function readHistory(
 	source: daemon.ControlDaemon,
 ): Promise<readonly control.HistoryEntry[]> {
@@ -222,6 +234,57 @@
 	await Promise.all(started.map(async ({daemon}) => daemon.dispose()));
 });
 
+// Guards against control processes that end, keep an operator waiting or lose their leader while the disks
+// of all of them are full.
+tap.test('daemons with full disks stay up and refuse changes', async (t) => {
+	const peerNetwork = new PeerNetwork();
+	const disks = controlPeers.map(() => new fakeDisk.FakeDisk());
+	const started = await Promise.all(
+		controlPeers.map(async ({peer}, index) =>
+			startDaemon(
+				peerNetwork,
+				peer,
+				await logStorage.openLogStorage<control.ControlCommand, unknown>(
+					'/data',
+					{skipsLock: true, fileSystem: disks[index]},
+				),
+			),
+		),
+	);
+	const [{daemon: first}] = started as [Started<Storage>];
+	t.match(await first.requestTemplateChange(makeChange(1)), {
+		type: 'accepted',
+	});
+	for (const disk of disks) {
+		disk.capacity = disk.usedBytes;
+	}
+
+	// The first change meets the full disks; it may take effect once there is space.
+	const pending = first.requestTemplateChange(makeChange(2));
+	await waitUntil(() =>
+		started.every(({daemon}) => daemon.readHealth().reason === 'disk full'),
+	);
+	// A follower tells the leader with its answer to the next heartbeat.
+	await timers.setTimeout(300);
+	t.strictSame(await first.requestTemplateChange(makeChange(3)), {
+		type: 'unavailable',
+		mayHaveRun: false,
+		reason: 'storageExhausted',
+	});
+	for (const disk of disks) {
+		disk.capacity = Number.POSITIVE_INFINITY;
+	}
+
+	t.strictSame(await pending, {type: 'accepted', version: 2});
+	await waitUntil(() => started.every(({daemon}) => daemon.readHealth().ready));
+	t.strictSame(await first.requestTemplateChange(makeChange(3)), {
+		type: 'accepted',
+		version: 3,
+	});
+	await Promise.all(started.map(async ({daemon}) => daemon.dispose()));
+	t.equal(await first.stopped, undefined);
+});
+
 // Guards against a drain that never ends, or after which the health check still passes.
 tap.test('a drain ends and makes the health check fail', async (t) => {
 	const peerNetwork = new PeerNetwork();
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -133,6 +133,10 @@
 			httpListener.address,
 			httpListener.port,
 		);
+		this.#adapters.storage.watchSpace?.((space) => {
+			const now = this.#adapters.clock.now();
+			this.#dispatch({type: 'spaceChanged', now, space});
+		});
 		for (const effect of this.#reducer.start(this.#adapters.clock.now())) {
 			this.#handleEffect(effect);
 		}
@@ -356,7 +360,10 @@
 		assertNever(effect);
 	}
 
-	/** Stops the daemon after a failed write, because the content of the disk is then unknown. */
+	/**
+	 * Stops the daemon after a failed write, because the content of the disk is then unknown. A write that a
+	 * full disk refuses does not fail; the storage tries it again.
+	 */
 	async #write(
 		effect: Extract<control.ControlEffect, {type: 'write'}>,
 	): Promise<void> {
--- a/src/node/http/routes.ts
+++ b/src/node/http/routes.ts
@@ -216,7 +216,10 @@
 						body: {
 							error: {
 								code: 'unavailable',
-								message: 'No control leader; the change was not made.',
+								message:
+									result.reason === 'storageExhausted'
+										? 'The disks of the control peers are full; the change was not made.'
+										: 'No control leader; the change was not made.',
 							},
 						},
 					};
--- a/src/node/peer/message-shapes.ts
+++ b/src/node/peer/message-shapes.ts
@@ -194,6 +194,7 @@
 		success: flag,
 		matchIndex: count,
 		round: count,
+		isStorageFull: shape.createOptional(flag),
 	}),
 	installSnapshot: shape.createObject({
 		term: count,
--- a/src/node/storage/full-disk.test.ts
+++ b/src/node/storage/full-disk.test.ts
@@ -225,7 +225,7 @@
 	makeRoom();
 	disk.decideCall = () => ({type: 'done'});
 	await write;
-	t.equal(restarted.readStatus!().space, 'sufficient');
+	await waitUntil(() => restarted.readStatus!().space === 'sufficient');
 	await restarted.close();
 	const {hardState, entries} = await loadDisk(disk);
 	t.equal(hardState.term, 2);
@@ -314,6 +314,7 @@
 	watch.recordWrite(true);
 	watch.recordWrite(true);
 	watch.recordWrite(false);
+	await watch.check();
 	disk.capacity = 5000;
 	await watch.check();
 	t.same(reported, ['low', 'exhausted', 'low', 'sufficient']);
--- a/src/node/storage/space-watch.ts
+++ b/src/node/storage/space-watch.ts
@@ -28,9 +28,13 @@
 
 	setListener(listener: (space: consensus.StorageSpace) => void): void {
 		this.#listener = listener;
+		if (this.#space !== 'sufficient') {
+			listener(this.#space);
+		}
 	}
 
 	start(): void {
+		void this.check();
 		this.#timer = setInterval(() => {
 			void this.check();
 		}, checkIntervalMs).unref();
@@ -54,9 +58,13 @@
 
 	/** Records whether the disk took the last write. */
 	recordWrite(isRefused: boolean): void {
+		const hasSpaceAgain = this.#isRefused && !isRefused;
 		this.refusals += isRefused ? 1 : 0;
 		this.#isRefused = isRefused;
 		this.#update();
+		if (hasSpaceAgain) {
+			void this.check();
+		}
 	}
 
 	#update(): void {
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -187,7 +187,8 @@
 	 * `mayHaveRun` is true when the change may still be accepted later; retry with the same
 	 * `changeId`.
 	 */
-	| {type: 'unavailable'; mayHaveRun: boolean}
+	/** `reason`: Set when the disks of the control peers are full; otherwise there was no leader in time. */
+	| {type: 'unavailable'; mayHaveRun: boolean; reason?: 'storageExhausted'}
 >;
 /** The routes of all customers as an operator sent them. The highest version is in force. */
 export type Configuration = {
@@ -898,6 +899,8 @@
 	/** `proposal`: Returned in `applied` or `proposalLost`. */
 	| {type: 'propose'; proposal: number; command: Command}
 	| {type: 'changeVoters'; voters: PeerId[]}
+	/** `space`: `sufficient` before the first event. */
+	| {type: 'spaceChanged'; space: StorageSpace}
 	/** A link to the peer is connected, so that messages now reach it. */
 	| {type: 'peerConnected'; peer: PeerId}
 	/** The storage write with this number is synced. */
@@ -954,6 +957,8 @@
 	get isJoining(): boolean;
 	/** True while no other peer can have become leader. */
 	isLeaderLeaseValid(now: number): boolean;
+	/** True while this peer leads and the disks of so many voters are full that no entry is committed. */
+	readonly isStorageExhausted: boolean;
 	step(event: ConsensusEvent<Command>): Array<ConsensusEffect<Command>>;
 }
 
@@ -971,6 +976,8 @@
 	): ReadonlyArray<ConsensusEffect<ControlCommand>>;
 	/** True while no other peer can have become leader. */
 	isLeaderLeaseValid(now: number): boolean;
+	/** True while this peer leads and the disks of so many voters are full that no entry is committed. */
+	readonly isStorageExhausted: boolean;
 };
 /** A function of a database server that control calls on its own connection. */
 export type ServerRequest = Variants<
@@ -1027,9 +1034,10 @@
 	| {type: 'announcementHeard'; announcement: VersionedAnnouncement}
 	/** A link to the peer is connected, so that messages now reach it. */
 	| {type: 'peerConnected'; peer: PeerId}
-	/** The storage write with this number is synced. */
-	/** `logBytes`: Size of the stored log after the write. */
+	/** The storage write with this number is synced. `logBytes`: Size of the stored log after it. */
 	| {type: 'written'; write: number; logBytes?: number}
+	/** `space`: `sufficient` before the first event. */
+	| {type: 'spaceChanged'; space: StorageSpace}
 	| {type: 'serverAnswered'; call: number; answer: ServerAnswer}
 	/** `operation`: Chosen by the adapter to match the answer. */
 	| {type: 'templateChangeRequested'; operation: number; change: OperatorChange}
