Bound the replicated state and what a leader has pending, in bytes

Found while looking for what else grows with changes: the state keeps the texts of 10,240 answered template changes (82 MB at 8 KiB each), and a leader whose entries are not committed, or not synced by itself, takes any number of them into memory and later onto its disk.

Change: the texts of answered changes take 2 MiB at most, the oldest are dropped first and their answers stay; a proposal is rejected, and proposed again by its operation 100 ms later, while the entries that are pending would take more than a sixteenth of the disk; a change after which all texts would exceed an eighth of the disk is refused as invalid, with both figures.

--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -222,3 +222,65 @@
 	const effects = voter.step({type: 'peerConnected', now: 710, peer: c});
 	t.same(listTargets(effects, 'preVote'), [c]);
 });
+
+// Guards against a leader that takes changes without limit into memory, and later onto its disk, while
+// none of them is committed.
+tap.test('the size of uncommitted entries is bounded', async (t) => {
+	const leader = new consensus.Consensus<string>({
+		peer: a,
+		initialVoters: [a],
+		stored: {
+			...fakeNetwork.makeEmptyStoredLog(),
+			hardState: {term: 1, votedFor: undefined},
+		},
+		incarnation: 1,
+		maxPendingBytes: 1000,
+	});
+	const writes: number[] = [];
+	const outcomes: string[] = [];
+	const step = (event: types.ConsensusEvent<string>) => {
+		for (const effect of leader.step(event)) {
+			if (effect.type === 'write') {
+				writes.push(effect.write);
+			} else if (
+				effect.type === 'applied' &&
+				effect.entry.payload.type === 'command'
+			) {
+				outcomes.push(`applied ${effect.proposal}`);
+			} else if (effect.type === 'proposalLost') {
+				outcomes.push(`lost ${effect.proposal} ${effect.mayHaveRun}`);
+			}
+		}
+	};
+
+	const sync = (now: number) => {
+		for (const write of writes.splice(0)) {
+			step({type: 'written', now, write});
+		}
+	};
+
+	const propose = (proposal: number, bytes: number) => {
+		const command = 'x'.repeat(bytes);
+		step({type: 'propose', now: 1000, proposal, command});
+	};
+
+	for (let now = 0; now < 1000; now += 25) {
+		step({type: 'tick', now, random: 0});
+		sync(now);
+	}
+
+	propose(1, 5000);
+	propose(2, 100);
+	sync(1000);
+	propose(3, 400);
+	propose(4, 400);
+	propose(5, 400);
+	sync(1000);
+	t.same(outcomes, [
+		'lost 2 false',
+		'applied 1',
+		'lost 5 false',
+		'applied 3',
+		'applied 4',
+	]);
+});
--- a/src/common/consensus/consensus.ts
+++ b/src/common/consensus/consensus.ts
@@ -36,6 +36,11 @@
 	readonly incarnation: number;
 	/** Monotonic time at which the process started, in ms; defaults to the time of the first event. */
 	readonly startedAt?: number;
+	/**
+	 * A proposal is rejected when the entries that are not committed, or not synced by this peer, would take
+	 * more than this, in bytes; a single one may be larger. Without limit by default.
+	 */
+	readonly maxPendingBytes?: number;
 	readonly faults?: FaultInjection;
 };
 
@@ -377,7 +382,8 @@
 	}
 
 	#handleProposal(proposal: number, command: Command): void {
-		if (this.#leadership) {
+		const {maxPendingBytes = Number.POSITIVE_INFINITY} = this.#options;
+		if (this.#leadership?.canAdd(command, this.commitIndex, maxPendingBytes)) {
 			this.#leadership.addProposal(proposal, command);
 		} else {
 			this.#effects.push({type: 'proposalLost', proposal, mayHaveRun: false});
--- a/src/common/consensus/leadership.ts
+++ b/src/common/consensus/leadership.ts
@@ -3,7 +3,7 @@
  */
 import type * as ids from '../ids.js';
 import type * as types from './types.js';
-import type * as log from './log.js';
+import * as log from './log.js';
 import type * as writeQueue from './write-queue.js';
 import * as membership from './membership.js';
 import * as replication from './replication.js';
@@ -37,6 +37,17 @@
 		this.#lastChangeIndex = this.#firstIndexOfTerm;
 	}
 
+	/** Tells whether the entries that are not committed or not synced here leave room for a command. */
+	canAdd(command: Command, commitIndex: number, maxBytes: number): boolean {
+		const {log: localLog, writes} = this.#options;
+		const settledIndex = Math.min(commitIndex, writes.syncedIndex);
+		const pendingBytes = localLog.estimateSizeAfter(settledIndex);
+		return (
+			pendingBytes === 0 ||
+			pendingBytes + log.estimateCommandSize(command) <= maxBytes
+		);
+	}
+
 	addProposal(proposal: number, command: Command): void {
 		const index = this.#appendEntry({type: 'command', command});
 		this.#proposals.set(index, proposal);
--- a/src/common/consensus/log.ts
+++ b/src/common/consensus/log.ts
@@ -92,6 +92,13 @@
 		return entries.reduce((sum, entry) => sum + this.estimateSize(entry), 0);
 	}
 
+	/** Estimates the size of the entries above an index, in bytes. */
+	estimateSizeAfter(index: number): number {
+		return this.estimateBatchSize(
+			this.#entries.slice(Math.max(0, index - this.baseIndex)),
+		);
+	}
+
 	/** Estimates the size of a message with an entry or a snapshot, in bytes. */
 	estimateSize(content: types.LogEntry | types.Snapshot): number {
 		let size = this.#sizes.get(content);
@@ -170,6 +177,11 @@
 	}
 }
 
+/** Estimates the size of a command in an entry, in bytes. */
+export function estimateCommandSize(command: unknown): number {
+	return JSON.stringify(command).length;
+}
+
 function readConfiguration(source: {
 	readonly voters: readonly ids.PeerId[];
 	readonly learners?: readonly ids.PeerId[];
--- a/src/common/control/machine.test.ts
+++ b/src/common/control/machine.test.ts
@@ -2,6 +2,7 @@
 import type * as ids from '../ids.js';
 import type * as types from '../types.js';
 import * as machines from './machine.js';
+import * as retainedChanges from './retained-changes.js';
 
 const member = 'm1' as ids.MemberId;
 const group = 'g1' as ids.GroupId;
@@ -104,16 +105,17 @@
 // memory.
 tap.test('the latest answers are kept, also in a snapshot', async (t) => {
 	const machine = new machines.ControlMachine();
-	for (let number = 0; number < machines.maxRetainedChanges + 5; number++) {
+	const {maxRetainedChanges} = retainedChanges;
+	for (let number = 0; number < maxRetainedChanges + 5; number++) {
 		applyChange(machine, makeChange(number, number));
 	}
 
 	const restored = new machines.ControlMachine();
 	restored.restore(structuredClone(machine.buildState()));
 	t.strictSame(restored.buildState(), machine.buildState());
-	t.equal(restored.listHistory(member).length, machines.maxRetainedChanges);
+	t.equal(restored.listHistory(member).length, maxRetainedChanges);
 	t.equal(machine.findAnswer(member, 'c4' as ids.ChangeId), undefined);
-	const newest = machines.maxRetainedChanges + 4;
+	const newest = maxRetainedChanges + 4;
 	const oldest = `c${newest - 10_000}` as ids.ChangeId;
 	t.strictSame(restored.findAnswer(member, oldest), {
 		type: 'accepted',
@@ -121,6 +123,28 @@
 	});
 });
 
+// Guards against a state that grows with the number of changes times their size.
+tap.test('old texts are dropped, their answers are kept', async (t) => {
+	const machine = new machines.ControlMachine();
+	const count = 100;
+	const text = 'é'.repeat(50_000);
+	for (let number = 0; number < count; number++) {
+		applyChange(machine, {...makeChange(number, number), text});
+	}
+
+	const {changes} = machine.buildState();
+	const kept = changes.filter((change) => change.text !== undefined);
+	t.equal(kept.length, 20, 'texts of 2 MiB');
+	t.equal(changes.length, count);
+	t.match(machine.listHistory(member), [{version: count - 19, text}]);
+	t.match(machine.findAnswer(member, 'c0' as ids.ChangeId), {version: 1});
+	const restored = new machines.ControlMachine();
+	restored.restore(structuredClone(machine.buildState()));
+	applyChange(machine, {...makeChange(count, count), text});
+	applyChange(restored, {...makeChange(count, count), text});
+	t.strictSame(restored.buildState(), machine.buildState());
+});
+
 function makeGroup(): machines.ControlMachine {
 	const machine = new machines.ControlMachine();
 	machine.apply(1, {
--- a/src/common/control/machine.ts
+++ b/src/common/control/machine.ts
@@ -7,18 +7,13 @@
  * order of the log.
  */
 import type * as ids from '../ids.js';
+import * as textSize from '../text-size.js';
 import type * as types from '../types.js';
 import type * as control from './types.js';
+import * as retainedChanges from './retained-changes.js';
 
-/**
- * Maximum number of answered changes that are kept, over all members. A change that is sent again
- * within this many later changes gets its first answer; at 1,700 changes a day that covers six days.
- */
-export const maxRetainedChanges = 10_240;
-
-function buildChangeKey(member: ids.MemberId, changeId: ids.ChangeId): string {
-	return JSON.stringify([member, changeId]);
-}
+/** Estimated size of a stored record without its text, in bytes. */
+const recordBytes = 256;
 
 /** The state machine. `apply` is called with committed entries only, in their order. */
 export class ControlMachine {
@@ -34,8 +29,9 @@
 	>();
 
 	readonly #templates = new Map<ids.MemberId, control.StoredTemplate>();
-	/** In the order of the log, so that the first key is the oldest. */
-	readonly #changes = new Map<string, control.AnsweredChange>();
+	readonly #changes = new retainedChanges.RetainedChanges();
+	/** Bytes of the templates and the configuration in force. */
+	#textBytes = 0;
 	readonly #groups = new Map<ids.GroupId, control.GroupState>();
 	readonly #groupByServer = new Map<ids.UpstreamId, ids.GroupId>();
 	#lastChangeIndex = 0;
@@ -50,7 +46,7 @@
 		return {
 			appliedIndex: this.appliedIndex,
 			templates: [...this.#templates.values()],
-			changes: [...this.#changes.values()],
+			changes: this.#changes.list(),
 			groups: [...this.#groups.values()],
 			...(this.configuration ? {configuration: this.configuration} : {}),
 			leaseHolders: [...this.leaseHolders],
@@ -61,7 +57,12 @@
 	/** Replaces the whole state by that of a snapshot. */
 	restore(state: control.MachineState): void {
 		this.appliedIndex = state.appliedIndex;
-		this.configuration = state.configuration;
+		this.#textBytes = 0;
+		this.configuration = undefined;
+		if (state.configuration) {
+			this.#storeConfiguration(state.configuration);
+		}
+
 		this.leaseHolders.clear();
 		for (const peer of state.leaseHolders ?? []) {
 			this.leaseHolders.add(peer);
@@ -73,7 +74,6 @@
 		}
 
 		this.#templates.clear();
-		this.#changes.clear();
 		this.#groups.clear();
 		this.#groupByServer.clear();
 		this.#lastChangeIndex = 0;
@@ -81,9 +81,7 @@
 			this.#storeTemplate(stored);
 		}
 
-		for (const change of state.changes) {
-			this.#changes.set(buildChangeKey(change.member, change.changeId), change);
-		}
+		this.#changes.restore(state.changes);
 
 		for (const group of state.groups) {
 			this.#storeGroup(group);
@@ -145,7 +143,7 @@
 		member: ids.MemberId,
 		changeId: ids.ChangeId,
 	): types.TemplateChangeResult | undefined {
-		return this.#changes.get(buildChangeKey(member, changeId))?.result;
+		return this.#changes.findChange(member, changeId)?.result;
 	}
 
 	/**
@@ -161,6 +159,25 @@
 			: undefined;
 	}
 
+	/** Estimates the bytes of a snapshot after a change; undefined when the change adds none. */
+	estimateSizeAfter(change: types.OperatorChange): number | undefined {
+		const growth =
+			'type' in change
+				? this.#computeGrowth(change.configuration.text, this.configuration)
+				: this.#computeGrowth(change.text, this.getTemplate(change.member));
+		const records =
+			this.#templates.size +
+			this.#changes.size +
+			this.#groups.size +
+			this.announcements.size;
+		return growth > 0
+			? this.#textBytes +
+					growth +
+					retainedChanges.maxRetainedTextBytes +
+					records * recordBytes
+			: undefined;
+	}
+
 	getTemplate(member: ids.MemberId): types.Template | undefined {
 		return this.#templates.get(member)?.template;
 	}
@@ -169,18 +186,22 @@
 		return [...this.#templates.values()];
 	}
 
-	/** Lists the retained versions of a member's template, oldest first. */
+	/** Lists the versions of a member's template whose text is retained, oldest first. */
 	listHistory(member: ids.MemberId): control.HistoryEntry[] {
 		const history: control.HistoryEntry[] = [];
-		for (const change of this.#changes.values()) {
-			if (change.member === member && change.result.type === 'accepted') {
-				history.push({
-					member,
-					version: change.result.version,
-					text: change.text ?? '',
-					changeId: change.changeId,
-					index: change.index,
-				});
+		for (const {
+			result,
+			text,
+			changeId,
+			index,
+			...change
+		} of this.#changes.list()) {
+			const isRetained =
+				change.member === member &&
+				result.type === 'accepted' &&
+				text !== undefined;
+			if (isRetained) {
+				history.push({member, version: result.version, text, changeId, index});
 			}
 		}
 
@@ -212,7 +233,7 @@
 		configuration: types.Configuration,
 	): types.TemplateChangeResult {
 		if (configuration.version > (this.configuration?.version ?? 0)) {
-			this.configuration = configuration;
+			this.#storeConfiguration(configuration);
 		}
 
 		return {type: 'accepted', version: configuration.version};
@@ -238,27 +259,16 @@
 			this.#storeTemplate({template, changedAt: index});
 		}
 
-		this.#changes.set(buildChangeKey(member, changeId), {
+		this.#changes.add({
 			member,
 			changeId,
 			index,
 			result,
 			...(isAccepted ? {text} : {}),
 		});
-		this.#evictOldChanges();
 		return result;
 	}
 
-	#evictOldChanges(): void {
-		for (const key of this.#changes.keys()) {
-			if (this.#changes.size <= maxRetainedChanges) {
-				return;
-			}
-
-			this.#changes.delete(key);
-		}
-	}
-
 	#applyGroupCommand(index: number, command: control.GroupCommand): void {
 		const group = this.#groups.get(command.group);
 		if (command.type === 'registerGroup') {
@@ -288,7 +298,21 @@
 		}
 	}
 
+	#storeConfiguration(configuration: types.Configuration): void {
+		this.#textBytes += this.#computeGrowth(
+			configuration.text,
+			this.configuration,
+		);
+		this.configuration = configuration;
+	}
+
+	#computeGrowth(text: string, current: {readonly text: string} | undefined) {
+		return textSize.countBytes(text) - textSize.countBytes(current?.text ?? '');
+	}
+
 	#storeTemplate(stored: control.StoredTemplate): void {
+		const {member, text} = stored.template;
+		this.#textBytes += this.#computeGrowth(text, this.getTemplate(member));
 		this.#templates.set(stored.template.member, stored);
 		this.#lastChangeIndex = Math.max(this.#lastChangeIndex, stored.changedAt);
 	}
--- a/src/common/control/operations.ts
+++ b/src/common/control/operations.ts
@@ -24,6 +24,8 @@
 	readonly deadlineAt: number;
 	/** Number of the proposal in the local log. */
 	proposal: number | undefined;
+	/** The next proposal is not before this time. */
+	nextProposalAt: number;
 	/** Numbers of messages to a leader that are not answered yet. */
 	readonly unresolvedMessages: Set<number>;
 	lastSend: {readonly to: ids.PeerId; readonly at: number} | undefined;
@@ -85,6 +87,7 @@
 			change,
 			deadlineAt: now + timing.operationTimeoutMs,
 			proposal: undefined,
+			nextProposalAt: now,
 			unresolvedMessages: new Set(),
 			lastSend: undefined,
 			mayHaveRun: false,
@@ -111,7 +114,10 @@
 			} else if (isLeader && this.isProposed(operation.change)) {
 				// A second copy would only take space in the log.
 				operation.mayHaveRun = true;
+			} else if (isLeader && now < operation.nextProposalAt) {
+				continue;
 			} else if (isLeader) {
+				operation.nextProposalAt = now + timing.rejectedProposalRetryMs;
 				operation.proposal = this.#environment.createProposalNumber();
 				const {proposal, change} = operation;
 				this.#proposals.set(proposal, change);
--- a/src/common/control/operator-changes.ts
+++ b/src/common/control/operator-changes.ts
@@ -15,8 +15,10 @@
 	readonly log: Pick<control.ReplicatedLog, 'role' | 'leader'>;
 	readonly machine: Pick<
 		machines.ControlMachine,
-		'findAnswer' | 'findConfigurationAnswer'
+		'findAnswer' | 'findConfigurationAnswer' | 'estimateSizeAfter'
 	>;
+	/** Limit on the replicated state, in bytes. */
+	readonly maxStateBytes: number;
 	/** Messages to the leader have higher numbers; differs between instances of the peer. */
 	readonly messageNumberStart: number;
 	/** Returns the leader, as far as this peer knows it. */
@@ -119,16 +121,31 @@
 		);
 	}
 
-	/** Refuses a change while no entry can be committed, unless an earlier copy of it may still take effect. */
+	/**
+	 * Refuses a change that would make the state too large, and any while no entry can be committed, unless an
+	 * earlier copy of it may still take effect.
+	 */
 	#checkSpace(
 		change: types.OperatorChange,
 	): types.TemplateChangeResult | undefined {
 		const {environment} = this;
 		// Before a leader is active, entries of earlier leaders may contain the change.
-		return environment.isActiveLeader() &&
-			environment.isStorageExhausted() &&
-			!this.#operations.isProposed(change)
-			? storageExhausted
+		if (!environment.isActiveLeader() || this.#operations.isProposed(change)) {
+			return undefined;
+		}
+
+		if (environment.isStorageExhausted()) {
+			return storageExhausted;
+		}
+
+		const size = environment.machine.estimateSizeAfter(change);
+		return size !== undefined && size > environment.maxStateBytes
+			? {
+					type: 'invalid',
+					problems: [
+						`with this change all texts would take ${size} bytes; the disks of the control peers allow ${environment.maxStateBytes}`,
+					],
+				}
 			: undefined;
 	}
 
--- a/src/common/control/reducer.test.ts
+++ b/src/common/control/reducer.test.ts
@@ -9,6 +9,7 @@
 import type * as control from './types.js';
 import * as reducers from './reducer.js';
 import * as simulations from './simulation.js';
+import * as storageLimits from './storage-limits.js';
 
 const peer = 'k1' as ids.PeerId;
 const proxy = 'p1' as ids.PeerId;
@@ -451,3 +452,28 @@
 	single.run(900);
 	t.ok(takeGranted().at(-1)! < 10);
 });
+
+// Guards against changes that are accepted until no compaction fits on the disk.
+tap.test('a change that makes the state too large is refused', async (t) => {
+	const voter = startSingleVoter();
+	voter.run(1500);
+	const {stateBytes} = storageLimits.defaultLimits;
+	const send = (version: number, text: string) => {
+		voter.step({
+			type: 'templateChangeRequested',
+			now: voter.now,
+			operation: version,
+			change: {type: 'configuration', configuration: {version, text}},
+		});
+		return voter.take().find((effect) => effect.type === 'answerTemplateChange')
+			?.result;
+	};
+
+	t.match(send(1, 'x'.repeat(stateBytes)), {
+		type: 'invalid',
+		problems: [/would take \d+ bytes; the disks .* allow \d+/v],
+	});
+	t.match(send(2, 'x'.repeat(stateBytes / 2)), {type: 'accepted'});
+	t.match(send(3, 'x'.repeat(stateBytes)), {type: 'invalid'});
+	t.match(send(4, 'x'), {type: 'accepted'});
+});
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -74,10 +74,11 @@
 		this.#peer = options.peer;
 		this.#log = options.log;
 		this.#knownLeader = new knownLeader.KnownLeader(options.peer, options.log);
+		const limits = options.storageLimits ?? storageLimits.defaultLimits;
 		this.#logDriver = new logDriver.LogDriver(
 			options.log,
 			this.#machine,
-			options.storageLimits ?? storageLimits.defaultLimits,
+			limits,
 			(effect) => {
 				this.#handleLogEffect(effect);
 			},
@@ -111,6 +112,7 @@
 			messageNumberStart,
 			findLeader: () => this.#knownLeader.peer,
 			isActiveLeader: () => this.#findActiveLeader() !== undefined,
+			maxStateBytes: limits.stateBytes,
 			isStorageExhausted: () => this.#log.isStorageExhausted,
 			createProposalNumber: () => ++this.#proposalCounter,
 			propose: (proposal, command) => {
--- a/src/common/control/timing.ts
+++ b/src/common/control/timing.ts
@@ -115,6 +115,9 @@
  */
 export const proposalRetryMs = 1000;
 
+/** An operator's change that the log rejected, because too much is pending, is proposed again after this time. */
+export const rejectedProposalRetryMs = 100;
+
 /** An operator's change without an outcome is answered `unavailable` after this time. */
 export const operationTimeoutMs = 5000;
 
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -30,6 +30,7 @@
 ): Promise<daemon.ControlDaemon> {
 	const stored = await adapters.storage.load();
 	const incarnation = adapters.clock.readWallClock();
+	const limits = storageLimits.computeStorageLimits(settings.diskBytes);
 	const log = new consensus.Consensus<control.ControlCommand>({
 		peer: settings.peer,
 		initialVoters: settings.controlPeers.map(({peer}) => peer),
@@ -38,6 +39,7 @@
 				? {...stored, isDataLost: true}
 				: stored,
 		incarnation,
+		maxPendingBytes: limits.pendingBytes,
 		...(settings.startedAt === undefined
 			? {}
 			: {startedAt: settings.startedAt}),
@@ -51,7 +53,7 @@
 			? {}
 			: {wantedVoters: settings.wantedVoters}),
 		packing: textPacking.zlibPacking,
-		storageLimits: storageLimits.computeStorageLimits(settings.diskBytes),
+		storageLimits: limits,
 		random: random.createRandom(Math.floor(adapters.random() * 2 ** 31)),
 	});
 	const instance = new ControlProcess(reducer, adapters);
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -941,6 +941,8 @@
 	readonly incarnation: number;
 	/** Monotonic time of the start of the process, in ms; the time of the first event by default. */
 	readonly startedAt?: number;
+	/** Limit on the size of the uncommitted or unsynced entries of a leader, in bytes; a single one may be larger. */
+	readonly maxPendingBytes?: number;
 };
 /** One peer of the replicated log as a reducer. */
 export class Consensus<Command> {
