--- a/src/common/consensus/fake-network.ts
+++ b/src/common/consensus/fake-network.ts
@@ -133,6 +133,8 @@
 	maxDelayMs: number;
 	/** While true, writes are refused and tried again. */
 	isFull: boolean;
+	/** False while the content is read after a crash. */
+	isReady: boolean;
 	write(now: number, write: number, data: types.StorageWrite<Command>): void;
 	/** Returns the numbers of the writes that are synced by now. */
 	takeSynced(now: number): number[];
@@ -149,6 +151,7 @@
 export class FakeDisk<Command> implements SimulatedDisk<Command> {
 	maxDelayMs = 2;
 	isFull = false;
+	isReady = true;
 	#reportedSpace: types.StorageSpace = 'sufficient';
 	readonly #random: Random;
 	#stored = makeEmptyStoredLog<Command>();
--- a/src/common/consensus/simulation.ts
+++ b/src/common/consensus/simulation.ts
@@ -201,7 +201,7 @@
 		}
 
 		for (const peer of this.peers) {
-			if (!peer.process && peer.restartAt <= this.now) {
+			if (!peer.process && peer.restartAt <= this.now && peer.disk.isReady) {
 				this.start(peer);
 			}
 
--- a/src/common/control/storage-limits.ts
+++ b/src/common/control/storage-limits.ts
@@ -36,4 +36,12 @@
 	};
 }
 
+/** Computes the free space below which a disk of this size counts as nearly full, in bytes. */
+export function computeReserveBytes(
+	diskBytes: number = defaultDiskBytes,
+): number {
+	const {compactionBytes, stateBytes} = computeStorageLimits(diskBytes);
+	return stateBytes + compactionBytes;
+}
+
 export const defaultLimits = computeStorageLimits();
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -1,6 +1,8 @@
 /**
  * Starts the control daemon with its adapters from validated settings.
  */
+import type * as consensus from '../common/consensus/types.js';
+import * as storageLimits from '../common/control/storage-limits.js';
 import type * as control from '../common/control/types.js';
 import * as metrics from '../common/metrics/metrics.js';
 import type * as rateBound from '../common/policy/rate-bound.js';
@@ -100,12 +102,17 @@
 			daemonMetrics.countEvent(`limit${limit}`);
 		},
 	});
+	const {diskBytes} = settings.limits;
+	const storage = await logStorage.openLogStorage<
+		control.ControlCommand,
+		unknown
+	>(dataFolder, {
+		reserveBytes: storageLimits.computeReserveBytes(diskBytes),
+	});
 	return {
 		clock: clock.systemClock,
 		logger: daemonLogger,
-		storage: await logStorage.openLogStorage<control.ControlCommand, unknown>(
-			dataFolder,
-		),
+		storage,
 		serverClient: serverCalls.createServerClient({
 			user: upstreamUser,
 			database: upstreamUser,
@@ -129,7 +136,7 @@
 			}),
 		createHttp: (handler) =>
 			new httpServer.HttpServer(
-				createEndpoints(handler, guard, daemonMetrics),
+				createEndpoints(handler, guard, daemonMetrics, storage),
 				daemonLogger,
 				{guard},
 			),
@@ -141,13 +148,18 @@
 	handler: controlTypes.ControlHandler,
 	guard: resourceGuard.ResourceGuard,
 	daemonMetrics: metrics.Metrics,
+	storage: consensus.LogStorage<control.ControlCommand>,
 ): http.DaemonEndpoints {
 	return {
-		metrics: daemonMetrics,
+		get metrics() {
+			recordStorage(daemonMetrics, storage.readStatus?.());
+			return daemonMetrics;
+		},
 		readHealth: () => handler.readHealth(),
 		readStatus: () => ({
 			...(handler.readStatus() as object),
 			memory: guard.readStatus(),
+			storage: storage.readStatus?.(),
 		}),
 		startDrain() {
 			void handler.drain();
@@ -168,3 +180,18 @@
 			handler.requestTemplateChange(change),
 	};
 }
+
+function recordStorage(
+	daemonMetrics: metrics.Metrics,
+	status: consensus.StorageStatus | undefined,
+): void {
+	if (status) {
+		daemonMetrics.setGauge('storage_log_bytes', status.logBytes);
+		daemonMetrics.setGauge('storage_refused_writes', status.refusals);
+		daemonMetrics.setGauge('storage_low', status.space === 'low' ? 1 : 0);
+		daemonMetrics.setGauge(
+			'storage_full',
+			status.space === 'exhausted' ? 1 : 0,
+		);
+	}
+}
--- a/src/node/storage/full-disk.test.ts
+++ b/src/node/storage/full-disk.test.ts
@@ -1,3 +1,4 @@
+import * as timers from 'node:timers/promises';
 import * as util from 'node:util';
 import * as fc from 'fast-check';
 import tap from 'tap';
@@ -20,7 +21,7 @@
 ): Promise<Storage> {
 	return logStorage.openLogStorage<string, string>(folder, {
 		skipsLock: true,
-		retryIntervalMs: 0,
+		waitForRetry: async () => timers.setImmediate(),
 		fileSystem: disk,
 		...options,
 	});
@@ -47,9 +48,7 @@
 
 async function waitUntil(condition: () => boolean): Promise<void> {
 	while (!condition()) {
-		await new Promise((resolve) => {
-			setImmediate(resolve);
-		});
+		await timers.setImmediate();
 	}
 }
 
@@ -276,7 +275,10 @@
 // Guards against a stop that waits for room on the disk.
 tap.test('a storage with a refused write can be closed', async (t) => {
 	const disk = new fakeDisk.FakeDisk();
-	const storage = await openStorage(disk, {retryIntervalMs: 60_000});
+	const storage = await openStorage(disk, {
+		waitForRetry: async (signal) =>
+			timers.setTimeout(60_000, undefined, {signal}),
+	});
 	await storage.load();
 	fillDisk(disk);
 	const write = storage.write({append: testing.makeEntries(1, 1)});
--- a/src/node/storage/log-storage.ts
+++ b/src/node/storage/log-storage.ts
@@ -19,8 +19,8 @@
 import * as systemFiles from './system-files.js';
 import type * as types from './types.js';
 
-/** Default for `retryIntervalMs`. */
-const defaultRetryIntervalMs = 100;
+/** Interval at which a write that a full disk has refused is tried again. */
+const retryIntervalMs = 100;
 
 /** Default for `reserveBytes`. */
 const defaultReserveBytes = 16 * 1024 * 1024;
@@ -38,8 +38,8 @@
 	readonly skipsLock?: boolean;
 	/** The space counts as low when less than this is free, in bytes. */
 	readonly reserveBytes?: number;
-	/** Interval at which a write that a full disk has refused is tried again. */
-	readonly retryIntervalMs?: number;
+	/** Waits before a write that a full disk has refused is tried again; 100 ms by default. */
+	readonly waitForRetry?: (signal: AbortSignal) => Promise<void>;
 	/** The file system of the machine by default. */
 	readonly fileSystem?: types.FileSystem;
 };
@@ -70,7 +70,7 @@
 		fileSystem,
 		folder,
 		space,
-		retryIntervalMs: options.retryIntervalMs ?? defaultRetryIntervalMs,
+		waitForRetry: options.waitForRetry ?? waitForRetry,
 		release,
 	}) as consensus.LogStorage<Command, State>;
 }
@@ -79,11 +79,15 @@
 	readonly fileSystem: types.FileSystem;
 	readonly folder: string;
 	readonly space: spaceWatch.SpaceWatch;
-	readonly retryIntervalMs: number;
+	readonly waitForRetry: (signal: AbortSignal) => Promise<void>;
 	/** Releases the lock of the folder. */
 	release(): Promise<void>;
 };
 
+async function waitForRetry(signal: AbortSignal): Promise<void> {
+	await timers.setTimeout(retryIntervalMs, undefined, {signal});
+}
+
 class FileLogStorage implements consensus.LogStorage {
 	readonly #environment: StorageEnvironment;
 	readonly #fileSystem: types.FileSystem;
@@ -238,10 +242,7 @@
 				this.#space.recordWrite(true);
 			}
 
-			const {signal} = this.#closing;
-			await timers.setTimeout(this.#environment.retryIntervalMs, undefined, {
-				signal,
-			});
+			await this.#environment.waitForRetry(this.#closing.signal);
 		}
 	}
 
