Let control alone decide when a departing primary gets no more writes

Cause: control let it serve, but each entry dropped a departing primary at once and its owner after 3 s.

Change: entries route writes by what the owner reports as writable; the owner stops them when control asks for the write lease back. The leader logs once that such a primary serves on, and owners count departing primaries.

--- a/src/common/control/failover.ts
+++ b/src/common/control/failover.ts
@@ -47,6 +47,9 @@
 		{readonly target: string; readonly at: number}
 	>();
 
+	/** Groups whose departing primary waits for a successor. */
+	readonly #waitingGroups = new Set<ids.GroupId>();
+
 	/** When the last promotion that this leader ran in each group was completed. */
 	readonly #completedAt = new Map<ids.GroupId, number>();
 
@@ -247,13 +250,18 @@
 		if (
 			reason === undefined ||
 			hasProposal(group.group) ||
-			now < this.#holdDown.computeEnd(now, group.group) ||
-			(reason === 'departing' &&
-				!this.#successorSearch.hasSuccessor(now, group))
+			now < this.#holdDown.computeEnd(now, group.group)
 		) {
 			return;
 		}
 
+		const isWaiting =
+			reason === 'departing' && !this.#successorSearch.hasSuccessor(now, group);
+		this.#recordWait(group, isWaiting);
+		if (isWaiting) {
+			return;
+		}
+
 		this.#environment.log(
 			`primary ${group.primary} of ${group.group} is ${reason}`,
 		);
@@ -265,6 +273,18 @@
 		});
 	}
 
+	/** Logs once that a departing primary serves on, because no server can take over yet. */
+	#recordWait({group, primary}: control.GroupState, isWaiting: boolean): void {
+		if (isWaiting && !this.#waitingGroups.has(group)) {
+			this.#environment.log(
+				`departing primary ${primary} of ${group} serves on: no server is known to hold its commits`,
+			);
+			this.#waitingGroups.add(group);
+		} else if (!isWaiting) {
+			this.#waitingGroups.delete(group);
+		}
+	}
+
 	/** Calls `follow` on every server that is not known to replicate from the primary. */
 	#sendFollows(now: number, group: control.GroupState): void {
 		const {table} = this.#environment;
--- a/src/common/policy/routing.ts
+++ b/src/common/policy/routing.ts
@@ -108,15 +108,14 @@
 		this.#outliers.recordOutcome(server, outcome, now);
 	}
 
+	/** A departing primary is used as well: control ends its writes when a server can take over. */
 	#choosePrimary(
 		request: RoutingRequest,
 		candidates: readonly RoutingCandidate[],
 	): RoutingDecision {
 		const primary = candidates.find(
 			(candidate) =>
-				candidate.writable &&
-				!candidate.departing &&
-				!request.excluded.has(candidate.server),
+				candidate.writable && !request.excluded.has(candidate.server),
 		);
 		return primary
 			? {type: 'server', server: primary.server}
--- a/src/common/proxy/context.ts
+++ b/src/common/proxy/context.ts
@@ -57,6 +57,11 @@
 	readonly startGraceMs: number;
 	/** A transaction that holds a connection without any request for this long is rolled back. */
 	readonly boundIdleLimitMs: number;
+	/**
+	 * A departing primary gets no new work after this time, also when control found no server that can take
+	 * over. Before that, control decides when its writes stop.
+	 */
+	readonly departingPrimaryLimitMs: number;
 	/**
 	 * Keys of customers are accepted for this long after the last confirmation that the configuration is
 	 * the newest. A withdrawn key works no longer than this anywhere.
@@ -81,6 +86,7 @@
 	minorityGrantLimitMs: Infinity,
 	startGraceMs: 0,
 	boundIdleLimitMs: Infinity,
+	departingPrimaryLimitMs: Infinity,
 	keyConfirmationLimitMs: 4000,
 	routeConfirmationLimitMs: 8000,
 };
--- a/src/common/proxy/serving-rules.ts
+++ b/src/common/proxy/serving-rules.ts
@@ -11,10 +11,7 @@
 import * as owned from './owned-server.js';
 import type * as proxy from './types.js';
 
-/**
- * Time from the announcement of a server's departure until it gets no new requests, whatever control
- * does.
- */
+/** Time from the announcement of a server's departure until it gets no new reads. */
 const departureGraceMs = 3000;
 
 export class ServingRules {
@@ -24,11 +21,15 @@
 		private readonly lease: leaseClient.LeaseClient,
 	) {}
 
-	/** True once a departing server must not get new work. */
-	hasDeparted(server: owned.OwnedServer): boolean {
+	/** True once a departing server must not get new work of a kind. */
+	hasDeparted(server: owned.OwnedServer, kind: 'read' | 'write'): boolean {
+		const limitMs =
+			kind === 'read'
+				? departureGraceMs
+				: this.context.timing.departingPrimaryLimitMs;
 		return (
 			server.departureAnnouncedAt !== undefined &&
-			this.context.now - server.departureAnnouncedAt > departureGraceMs
+			this.context.now - server.departureAnnouncedAt > limitMs
 		);
 	}
 
@@ -58,7 +59,7 @@
 		return (
 			this.hasLatestPosition(server) &&
 			server.writeReleaseStartedAt === undefined &&
-			!this.hasDeparted(server) &&
+			!this.hasDeparted(server, 'write') &&
 			!server.isUnreachable
 		);
 	}
@@ -95,7 +96,7 @@
 			return this.checkBinding(server, request.kind);
 		}
 
-		if (this.hasDeparted(server)) {
+		if (this.hasDeparted(server, 'read')) {
 			return 'noServer';
 		}
 
--- a/src/daemon/proxy-daemon.ts
+++ b/src/daemon/proxy-daemon.ts
@@ -336,6 +336,13 @@
 			'write_leases',
 			servers.filter(({writeTerm}) => writeTerm !== undefined).length,
 		);
+		metrics.setGauge(
+			'departing_primaries',
+			servers.filter(
+				({writeTerm, departureAnnouncedAt}) =>
+					writeTerm !== undefined && departureAnnouncedAt !== undefined,
+			).length,
+		);
 		metrics.setGauge(
 			'pool_connections',
 			sum(servers.map(({connections}) => connections.size)),
