--- a/src/common/consensus/log.ts
+++ b/src/common/consensus/log.ts
@@ -136,10 +136,19 @@
 
 	/** Builds a snapshot at a committed index above that of the current snapshot. */
 	makeSnapshot(index: number, state: unknown): types.Snapshot {
+		const configuration = this.getConfiguration(index);
+		const joined = new Map<ids.PeerId, types.JoinedVoter>();
+		for (const voter of this.#listJoined(index)) {
+			if (configuration.voters.includes(voter.peer)) {
+				joined.set(voter.peer, voter);
+			}
+		}
+
 		return {
 			index,
 			term: this.getTerm(index)!,
-			...this.getConfiguration(index),
+			...configuration,
+			...(joined.size > 0 ? {joined: [...joined.values()]} : {}),
 			state,
 		};
 	}
@@ -152,16 +161,25 @@
 		);
 	}
 
-	/** Tells whether the log still has the entry that made this instance of the peer a voter. */
+	/** Tells whether this instance of the peer was made a voter. */
 	hasJoined(peer: ids.PeerId, incarnation: number): boolean {
-		return this.#entries.some(
-			({payload}) =>
-				payload.type === 'voters' &&
-				payload.joined?.peer === peer &&
-				payload.joined.incarnation === incarnation,
+		return this.#listJoined(this.lastIndex).some(
+			(voter) => voter.peer === peer && voter.incarnation === incarnation,
 		);
 	}
 
+	/** Lists the peers that became voters up to an index, oldest first. */
+	#listJoined(index: number): types.JoinedVoter[] {
+		const joined = [...(this.#snapshot?.joined ?? [])];
+		for (const {payload} of this.#entries.slice(0, index - this.baseIndex)) {
+			if (payload.type === 'voters' && payload.joined) {
+				joined.push(payload.joined);
+			}
+		}
+
+		return joined;
+	}
+
 	/** Returns the configuration that was in force at an index at or above the snapshot's. */
 	getConfiguration(index: number): Configuration {
 		for (let current = index; current > this.baseIndex; current--) {
--- a/src/common/consensus/membership.test.ts
+++ b/src/common/consensus/membership.test.ts
@@ -94,6 +94,46 @@
 	t.match(lost.disk.load().hardState, {votedFor: group.leader!.id});
 });
 
+// Guards against a healthy voter that is removed, and a group that bears fewer lost disks, because a request
+// of its join arrives after the log was compacted.
+tap.test(
+	'a late join request removes no voter after a compaction',
+	async (t) => {
+		const group = makeGroup([a, b, c]);
+		proposeMany(group, 5);
+		group.run(200);
+		const lost = getFollowers(group)[0];
+		const requests: types.ConsensusMessage[] = [];
+		const {send} = group.network;
+		group.network.send = (now, from, to, message) => {
+			if (message.type === 'joinRequest') {
+				requests.push(message);
+			}
+
+			send.call(group.network, now, from, to, message);
+		};
+
+		group.crash(lost, 0);
+		group.clearDisk(lost);
+		group.run(2000);
+		const changes = listChanges(group);
+		for (const peer of group.peers) {
+			group.storeSnapshot(peer);
+		}
+
+		group.run(100);
+		const [request] = requests;
+		for (const {id} of group.peers) {
+			group.network.send(group.now, lost.id, id, request);
+		}
+
+		proposeMany(group, 5);
+		group.run(1000);
+		t.same([...changes], []);
+		t.same(group.leader!.process!.voters.toSorted(), [a, b, c]);
+	},
+);
+
 // Guards against peers of an existing group that bootstrap a second group.
 tap.test('a majority with lost disks does not bootstrap a group', async (t) => {
 	const group = makeGroup([a, b, c]);
--- a/src/common/consensus/safety-search.test.ts
+++ b/src/common/consensus/safety-search.test.ts
@@ -84,3 +84,10 @@
 	const pattern = /committed entries|another entry|both lead/v;
 	t.ok(findViolation({isWriteOrderDisabled: true}, pattern));
 });
+
+// Guards against the removal of a healthy voter by a join request that arrives after a compaction, after
+// which two lost disks left no majority.
+tap.test('the group recovers from the losses of seed 183', async (t) => {
+	const report = safetySearch.runSearch({seed: 183, peerCount: 5});
+	t.ok(report.lostDisks > 0);
+});
--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -3,6 +3,12 @@
  */
 import type * as ids from '../ids.js';
 
+/** A peer that has become a voter, with its incarnation when it started without state. */
+export type JoinedVoter = {
+	readonly peer: ids.PeerId;
+	readonly incarnation: number | undefined;
+};
+
 /** A command, a change of the configuration, or the no-op that a new leader appends. */
 export type LogPayload<Command> =
 	| {readonly type: 'command'; readonly command: Command}
@@ -11,11 +17,8 @@
 			readonly voters: readonly ids.PeerId[];
 			/** Peers that receive the log and are added as voters once they have caught up. */
 			readonly learners?: readonly ids.PeerId[];
-			/** The learner that this entry makes a voter, with its incarnation when it started without state. */
-			readonly joined?: {
-				readonly peer: ids.PeerId;
-				readonly incarnation: number | undefined;
-			};
+			/** The learner that this entry makes a voter. */
+			readonly joined?: JoinedVoter;
 	  }
 	| {readonly type: 'noop'};
 
@@ -33,6 +36,8 @@
 	readonly term: number;
 	readonly voters: readonly ids.PeerId[];
 	readonly learners?: readonly ids.PeerId[];
+	/** The last join of each voter that has joined. */
+	readonly joined?: readonly JoinedVoter[];
 	readonly state: State;
 };
 
--- a/src/node/peer/message-shapes.ts
+++ b/src/node/peer/message-shapes.ts
@@ -125,6 +125,14 @@
 	term: count,
 	voters: peers,
 	learners: shape.createOptional(peers),
+	joined: shape.createOptional(
+		shape.createArray(
+			shape.createObject({
+				peer: text,
+				incarnation: shape.createOptional(count),
+			}),
+		),
+	),
 	state: shape.createObject({}),
 });
 const vote = shape.createObject({
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -848,6 +848,11 @@
 	readonly term: number;
 	readonly voters: readonly PeerId[];
 	readonly learners?: readonly PeerId[];
+	/** The last join of each voter that has joined, with its incarnation when it started without state. */
+	readonly joined?: ReadonlyArray<{
+		readonly peer: PeerId;
+		readonly incarnation: number | undefined;
+	}>;
 	readonly state: State;
 };
 /** State that must be synced before any answer that depends on it. */
