--- a/src/common/consensus/log.ts
+++ b/src/common/consensus/log.ts
@@ -168,18 +168,6 @@
 		);
 	}
 
-	/** Lists the peers that became voters up to an index, oldest first. */
-	#listJoined(index: number): types.JoinedVoter[] {
-		const joined = [...(this.#snapshot?.joined ?? [])];
-		for (const {payload} of this.#entries.slice(0, index - this.baseIndex)) {
-			if (payload.type === 'voters' && payload.joined) {
-				joined.push(payload.joined);
-			}
-		}
-
-		return joined;
-	}
-
 	/** Returns the configuration that was in force at an index at or above the snapshot's. */
 	getConfiguration(index: number): Configuration {
 		for (let current = index; current > this.baseIndex; current--) {
@@ -193,6 +181,18 @@
 			? readConfiguration(this.#snapshot)
 			: this.#initialConfiguration;
 	}
+
+	/** Lists the peers that became voters up to an index, oldest first. */
+	#listJoined(index: number): types.JoinedVoter[] {
+		const joined = [...(this.#snapshot?.joined ?? [])];
+		for (const {payload} of this.#entries.slice(0, index - this.baseIndex)) {
+			if (payload.type === 'voters' && payload.joined) {
+				joined.push(payload.joined);
+			}
+		}
+
+		return joined;
+	}
 }
 
 /** Estimates the size of a command in an entry, in bytes. */
