--- a/src/node/storage/fake-disk.ts
+++ b/src/node/storage/fake-disk.ts
@@ -246,16 +246,28 @@
 	{current, synced}: Content,
 	random: () => number,
 ): Content {
+	const survivor = chooseSurvivor(current, synced, random);
+	return {current: survivor, synced: survivor};
+}
+
+function chooseSurvivor(
+	current: Buffer,
+	synced: Buffer,
+	random: () => number,
+): Buffer {
 	const draw = random();
+	if (draw < 0.3) {
+		return synced;
+	}
+
+	if (draw < 0.6) {
+		return current;
+	}
+
 	const size = Math.floor(random() * (current.length + 1));
-	const isTorn = draw >= 0.6 && current.length > synced.length;
-	const survivor =
-		draw < 0.3 || (draw >= 0.6 && !isTorn)
-			? synced
-			: isTorn
-				? current.subarray(0, Math.max(size, synced.length))
-				: current;
-	return {current: survivor, synced: survivor};
+	return current.length > synced.length
+		? current.subarray(0, Math.max(size, synced.length))
+		: synced;
 }
 
 function makeError(code: string, file: string): NodeJS.ErrnoException {
