Check the leader's lease when a call to a server is written

Cause: the lease of the control leader was checked when the reducer decided on a promotion. The request was written when its connection was open, a round trip later. A leader that was suspended in between sent it after it woke, though another leader had promoted; Node.js handles the opened connection before timers, so no timeout stopped it.

Change: a call carries isLeading(), which compares the consensus term and reads the lease by the clock that counts suspensions. Both clients read it when the connection is open, in the turn of the event loop that writes the command, for all requests that change a server. A withheld call is logged.

--- a/src/common/control/calls.ts
+++ b/src/common/control/calls.ts
@@ -6,6 +6,15 @@
 import type * as control from './types.js';
 import * as timing from './timing.js';
 
+/**
+ * Answer to a call that was not sent: between the decision and the open connection, another peer may
+ * have become leader.
+ */
+export const leadershipEnded: control.ServerAnswer = {
+	type: 'failed',
+	message: 'this peer no longer leads; the call was not sent',
+};
+
 /** A call that is not answered yet. */
 export type PendingCall = {
 	readonly group: ids.GroupId;
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -127,6 +127,11 @@
 		return this.#machine;
 	}
 
+	/** True while this peer leads in the consensus term and no other peer can have become leader. */
+	isLeading(term: number, now: number): boolean {
+		return this.#log.term === term && this.#log.isLeaderLeaseValid(now);
+	}
+
 	step(event: control.ControlEvent): control.ControlEffect[] {
 		this.#effects = [];
 		this.#now = event.now;
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -7,6 +7,7 @@
 import type * as types from '../common/types.js';
 import type * as control from '../common/control/types.js';
 import * as consensus from '../common/consensus/consensus.js';
+import * as calls from '../common/control/calls.js';
 import * as controlPeer from '../common/control/peer.js';
 import * as storageLimits from '../common/control/storage-limits.js';
 import * as random from '../common/random.js';
@@ -403,12 +404,30 @@
 	async #callServer(
 		effect: Extract<control.ControlEffect, {type: 'callServer'}>,
 	): Promise<void> {
+		const {server, group, leaderTerm, request} = effect;
 		const answer = await this.#adapters.serverClient.call(
-			effect.server,
+			server,
 			effect.address,
-			effect.request,
-			effect,
+			request,
+			{
+				group,
+				leaderTerm,
+				isLeading: () =>
+					this.#reducer.control.isLeading(
+						leaderTerm,
+						this.#adapters.clock.now(),
+					),
+			},
 		);
+		if (answer === calls.leadershipEnded) {
+			this.#adapters.logger.write({
+				level: 'warn',
+				part: 'control',
+				message: 'Withheld a call to a server: this peer no longer leads',
+				fields: {group, server, leaderTerm, request: request.type},
+			});
+		}
+
 		this.#dispatch({
 			type: 'serverAnswered',
 			now: this.#adapters.clock.now(),
--- a/src/daemon/control-types.ts
+++ b/src/daemon/control-types.ts
@@ -46,16 +46,26 @@
 	readonly httpListener: ListenSettings;
 };
 
+/** The decision of the control leader that a call to a server carries out. */
+export type ServerCallContext = Pick<
+	Extract<control.ControlEffect, {type: 'callServer'}>,
+	'group' | 'leaderTerm'
+> & {
+	/**
+	 * True while the leader that decided on the call still leads. The process may have been suspended since
+	 * the decision, so a client reads it when its connection is open, right before it writes a command that
+	 * changes a server, and answers `calls.leadershipEnded` when it is false.
+	 */
+	readonly isLeading: () => boolean;
+};
+
 /** Calls functions of database servers. Answers within 1 s, even when a server does not respond. */
 export type ServerClient = {
 	call(
 		server: ids.UpstreamId,
 		address: string,
 		request: control.ServerRequest,
-		context: Pick<
-			Extract<control.ControlEffect, {type: 'callServer'}>,
-			'group' | 'leaderTerm'
-		>,
+		context: ServerCallContext,
 	): Promise<control.ServerAnswer>;
 	dispose(): Promise<void>;
 };
--- a/src/daemon/server-calls.test.ts
+++ b/src/daemon/server-calls.test.ts
@@ -6,6 +6,12 @@
 
 const server = 's1' as ids.UpstreamId;
 
+const context = {
+	group: 'g' as ids.GroupId,
+	leaderTerm: 1,
+	isLeading: () => true,
+};
+
 function makeFrame(type: string, ...parts: Buffer[]): Buffer {
 	const body = Buffer.concat(parts);
 	const header = Buffer.alloc(5);
@@ -120,24 +126,32 @@
 		return makeRow(status);
 	});
 	const client = serverCalls.createServerClient({user: 'u', database: 'd'});
-	t.strictSame(await client.call(server, fake.address, {type: 'status'}), {
-		type: 'answered',
-		status: {
-			...status,
-			term: 3,
-			position: 120,
-			applied: 118,
-			replicas: [{server: 's2', position: 100}],
+	t.strictSame(
+		await client.call(server, fake.address, {type: 'status'}, context),
+		{
+			type: 'answered',
+			status: {
+				...status,
+				term: 3,
+				position: 120,
+				applied: 118,
+				replicas: [{server: 's2', position: 100}],
+			},
 		},
-	});
-	await client.call(server, fake.address, {type: 'fence', term: 4});
-	await client.call(server, fake.address, {type: 'promote', term: 4});
-	await client.call(server, fake.address, {
-		type: 'follow',
-		term: 4,
-		server: "s'2" as ids.UpstreamId,
-		address: '127.0.0.1:9',
-	});
+	);
+	await client.call(server, fake.address, {type: 'fence', term: 4}, context);
+	await client.call(server, fake.address, {type: 'promote', term: 4}, context);
+	await client.call(
+		server,
+		fake.address,
+		{
+			type: 'follow',
+			term: 4,
+			server: "s'2" as ids.UpstreamId,
+			address: '127.0.0.1:9',
+		},
+		context,
+	);
 	t.strictSame(statements, [
 		'SELECT * FROM hemlockarch.status()',
 		'SELECT * FROM hemlockarch.fence(4)',
@@ -155,10 +169,18 @@
 	const fake = await startServer(() => makeError('HK101'));
 	const client = serverCalls.createServerClient({user: 'u', database: 'd'});
 	for (let call = 0; call < 2; call++) {
-		t.match(await client.call(server, fake.address, {type: 'fence', term: 1}), {
-			type: 'failed',
-			sqlState: 'HK101',
-		});
+		t.match(
+			await client.call(
+				server,
+				fake.address,
+				{type: 'fence', term: 1},
+				context,
+			),
+			{
+				type: 'failed',
+				sqlState: 'HK101',
+			},
+		);
 	}
 
 	t.equal(fake.connections(), 1);
@@ -173,17 +195,22 @@
 		isSilent ? undefined : makeRow(status),
 	);
 	const client = serverCalls.createServerClient({user: 'u', database: 'd'});
-	const silent = await client.call(server, fake.address, {type: 'status'});
+	const silent = await client.call(
+		server,
+		fake.address,
+		{type: 'status'},
+		context,
+	);
 	t.match(silent, {type: 'failed'});
 	t.notOk('sqlState' in silent);
 	isSilent = false;
-	t.match(await client.call(server, fake.address, {type: 'status'}), {
+	t.match(await client.call(server, fake.address, {type: 'status'}, context), {
 		type: 'answered',
 		status: {term: 3},
 	});
 	t.equal(fake.connections(), 2);
 	fake.close();
-	t.match(await client.call(server, fake.address, {type: 'status'}), {
+	t.match(await client.call(server, fake.address, {type: 'status'}, context), {
 		type: 'failed',
 	});
 	await client.dispose();
--- a/src/daemon/server-calls.ts
+++ b/src/daemon/server-calls.ts
@@ -7,6 +7,7 @@
 import * as zod from 'zod';
 import type * as ids from '../common/ids.js';
 import type * as types from '../common/types.js';
+import * as calls from '../common/control/calls.js';
 import type * as control from '../common/control/types.js';
 import type * as daemon from './control-types.js';
 
@@ -58,10 +59,15 @@
 		server: ids.UpstreamId,
 		address: string,
 		request: control.ServerRequest,
+		{isLeading}: daemon.ServerCallContext,
 	): Promise<control.ServerAnswer> {
 		const connection = this.#getConnection(server, address);
 		try {
 			await connection.ready;
+			if (request.type !== 'status' && !isLeading()) {
+				return calls.leadershipEnded;
+			}
+
 			const result = await connection.client.query<Record<string, unknown>>(
 				buildStatement(request),
 			);
--- a/src/scenario/fleet/control-process.ts
+++ b/src/scenario/fleet/control-process.ts
@@ -4,6 +4,7 @@
  */
 import * as consensus from '../../common/consensus/consensus.js';
 import * as fakeNetwork from '../../common/consensus/fake-network.js';
+import * as calls from '../../common/control/calls.js';
 import * as controlPeer from '../../common/control/peer.js';
 import type * as control from '../../common/control/types.js';
 import type * as ids from '../../common/ids.js';
@@ -19,6 +20,8 @@
 const tickIntervalMs = 25;
 const callDelayMs = 2;
 
+type CallEffect = Extract<control.ControlEffect, {type: 'callServer'}>;
+
 export type ControlProcessOptions = {
 	readonly peer: ids.PeerId;
 	readonly dataCentre: ids.DataCentre;
@@ -30,6 +33,15 @@
 	readonly packing?: types.TextPacking;
 	/** False for a process that joins a group which has started before. */
 	readonly mayBootstrap?: boolean;
+	/** Sends calls also when the process no longer leads; only to show that the checks detect it. */
+	readonly ignoresEndOfLeadership?: boolean;
+};
+
+/** A promotion that a process requested from the servers or their platform. */
+export type PromotionRequest = {
+	readonly at: number;
+	readonly server: ids.UpstreamId;
+	readonly leaderTerm: number;
 };
 
 export class ControlProcess
@@ -38,6 +50,7 @@
 {
 	readonly peer: ids.PeerId;
 	readonly logs: string[] = [];
+	readonly promotionRequests: PromotionRequest[] = [];
 	/** The control peers that the settings name at the next start. */
 	controlPeers: readonly ids.PeerId[];
 	private readonly disk: fakeNetwork.FakeDisk<control.ControlCommand>;
@@ -47,6 +60,8 @@
 	/** Counts kills and restarts, so that answers to an earlier instance are discarded. */
 	private generation = 0;
 	private nextOperation = 1;
+	/** Calls whose connection is not open yet. */
+	private readonly openingCalls = new Set<CallEffect>();
 	private readonly pendingChanges = new Map<
 		number,
 		(result: types.TemplateChangeResult) => void
@@ -87,6 +102,13 @@
 		);
 	}
 
+	/** True between the decision on a promotion and the time at which its request can be sent. */
+	get isOpeningPromotion(): boolean {
+		return [...this.openingCalls].some(
+			({request}) => request.type === 'promote',
+		);
+	}
+
 	get machine(): controlPeer.ControlPeer['control']['machine'] {
 		return this.reducer!.control.machine;
 	}
@@ -113,6 +135,7 @@
 		}
 
 		this.pendingChanges.clear();
+		this.openingCalls.clear();
 	}
 
 	/** Starts a new instance of the process, with an empty disk when `isDiskLost`. */
@@ -244,10 +267,24 @@
 		}
 	}
 
-	private callServer(
-		effect: Extract<control.ControlEffect, {type: 'callServer'}>,
-	): void {
+	/** Sends the call once its connection is open; a frozen process sends it at the thaw. */
+	private callServer(effect: CallEffect): void {
+		const {generation} = this;
+		this.openingCalls.add(effect);
+		this.timeline.schedule(callDelayMs, () => {
+			if (generation === this.generation) {
+				this.receive(() => {
+					this.openingCalls.delete(effect);
+					this.sendCall(effect);
+				});
+			}
+		});
+	}
+
+	private sendCall(effect: CallEffect): void {
 		const {generation} = this;
+		const {request, leaderTerm} = effect;
+		const {now} = this.timeline;
 		const server = this.servers.get(effect.server);
 		const answer = (result: control.ServerAnswer) => {
 			this.timeline.schedule(callDelayMs, () => {
@@ -264,19 +301,34 @@
 			});
 		};
 
-		this.timeline.schedule(callDelayMs, () => {
-			if (server instanceof selfAcknowledging.SelfAcknowledgingServer) {
-				this.callSelfAcknowledging(server, effect.request, answer);
-			} else if (!server || server.isDown) {
-				answer({type: 'failed', message: 'connection refused'});
-			} else if (server.isFrozen || !server.isReachableFrom(this.peer)) {
-				this.timeline.schedule(500, () => {
-					answer({type: 'failed', message: 'timeout'});
-				});
-			} else {
-				answer(this.runServerRequest(server, effect.request));
-			}
-		});
+		if (
+			request.type !== 'status' &&
+			this.options.ignoresEndOfLeadership !== true &&
+			!this.reducer!.control.isLeading(leaderTerm, now)
+		) {
+			answer(calls.leadershipEnded);
+			return;
+		}
+
+		if (request.type === 'promote') {
+			this.promotionRequests.push({
+				at: now,
+				server: effect.server,
+				leaderTerm,
+			});
+		}
+
+		if (server instanceof selfAcknowledging.SelfAcknowledgingServer) {
+			this.callSelfAcknowledging(server, request, answer);
+		} else if (!server || server.isDown) {
+			answer({type: 'failed', message: 'connection refused'});
+		} else if (server.isFrozen || !server.isReachableFrom(this.peer)) {
+			this.timeline.schedule(500, () => {
+				answer({type: 'failed', message: 'timeout'});
+			});
+		} else {
+			answer(this.runServerRequest(server, request));
+		}
 	}
 
 	/** A promotion goes to the platform of the servers, which control always reaches. */
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -34,6 +34,8 @@
 	readonly rateLimits?: control.RateLimitOptions;
 	/** Set when the servers acknowledge commits themselves; without it, they have fences. */
 	readonly synchronousReplicas?: number;
+	/** See `ControlProcessOptions`. */
+	readonly ignoresEndOfLeadership?: boolean;
 	/** Without it, every template sets the parameters. */
 	readonly parseTemplate?: templateStore.TemplateParser;
 	/** Creates the parser of an instance of a proxy; without it, proxies take no configuration. */
@@ -158,6 +160,7 @@
 				controlPeers,
 				seed: this.options.seed * 100 + index,
 				...(this.options.packing ? {packing: this.options.packing} : {}),
+				ignoresEndOfLeadership: this.options.ignoresEndOfLeadership ?? false,
 				...(this.options.rateLimits
 					? {rateLimits: this.options.rateLimits}
 					: {}),
