Start the control group without a peer that ends during the first start

Cause: a peer without state waits until all other initial voters have reported that they have none. The killed one came back with an empty disk and Bootstrap false, like a peer that has lost its disk, and never reports.

Change: where the platform says that it is the first start (Bootstrap), a majority of the initial voters is enough after 1 s. Without that certainty all are needed as before, because a peer that lost its disk and one that never came up could start a second group. docs/design.md has the alternatives. A peer that waits says for what, in the log, GET /health and hemlockarch_control_ready.

The fleet of the scenarios now starts a process again with Bootstrap false, as the platform does.

--- a/src/common/consensus/consensus.ts
+++ b/src/common/consensus/consensus.ts
@@ -4,7 +4,8 @@
  * time, and effects request sends and writes.
  *
  * A peer without state does not vote. It sends join requests to all initial voters: if all of them
- * are without state too, they bootstrap the group; otherwise the leader adds the peer again.
+ * are without state too, they bootstrap the group; otherwise the leader adds the peer again. At a certain
+ * first start a majority of them is enough.
  */
 import type * as ids from '../ids.js';
 import {assertNever} from '../assert-never.js';
@@ -41,6 +42,11 @@
 	 * more than this, in bytes; a single one may be larger. Without limit by default.
 	 */
 	readonly maxPendingBytes?: number;
+	/**
+	 * True when it is certain that the group starts for the first time: no peer whose storage is empty has
+	 * ever stored anything.
+	 */
+	readonly isFirstStart?: boolean;
 	readonly faults?: FaultInjection;
 };
 
@@ -76,6 +82,7 @@
 			incarnation: options.incarnation,
 			isPending: stored.hardState.term === 0,
 			isBootstrapAllowed: this.#log.lastIndex === 0 && !stored.isDataLost,
+			isFirstStart: options.isFirstStart ?? false,
 		});
 		const context = {
 			self: options.peer,
@@ -141,6 +148,18 @@
 		return this.#joining.isPending;
 	}
 
+	/** What this peer without state waits for; undefined once it votes. */
+	get joinWait(): types.JoinWait | undefined {
+		if (!this.isJoining) {
+			return undefined;
+		}
+
+		const {missingVoters} = this.#joining;
+		return missingVoters
+			? {type: 'firstStart', missingVoters}
+			: {type: 'leader'};
+	}
+
 	/**
 	 * Tells whether this peer may act as leader: a majority has answered an append that was sent
 	 * so recently that none of these voters can have voted for another leader since.
@@ -177,6 +196,7 @@
 
 		this.#isStarted = true;
 		this.#voting.recordStart(this.#options.startedAt ?? this.#now);
+		this.#joining.recordStart(this.#now);
 		if (this.#log.snapshot) {
 			this.#effects.push({type: 'restore', snapshot: this.#log.snapshot});
 		}
@@ -363,7 +383,7 @@
 	}
 
 	#tryBootstrap(): void {
-		if (this.#joining.canBootstrap && this.#log.lastIndex === 0) {
+		if (this.#joining.canBootstrap(this.#now) && this.#log.lastIndex === 0) {
 			this.#joining.complete();
 			this.#voting.advanceTerm(joining.bootstrapTerm, this.#now);
 		}
--- a/src/common/consensus/joining.ts
+++ b/src/common/consensus/joining.ts
@@ -2,7 +2,8 @@
  * The start of a peer without state. It neither votes nor accepts the log until the leader adds
  * it again, because it may have lost a vote or entries that it had acknowledged. At the bootstrap
  * of a group no peer has state: then every other initial voter must report this before the peer
- * votes.
+ * votes. Where it is certain that the group starts for the first time, a majority is enough after a while,
+ * so that a peer that ends during its start does not keep the others from starting.
  */
 import type * as ids from '../ids.js';
 import * as timing from './timing.js';
@@ -16,8 +17,10 @@
 	readonly #initialVoters: readonly ids.PeerId[];
 	readonly #incarnation: number;
 	readonly #isBootstrapAllowed: boolean;
+	readonly #isFirstStart: boolean;
 	readonly #peersWithoutState = new Set<ids.PeerId>();
 	#isPending: boolean;
+	#startedAt = Number.POSITIVE_INFINITY;
 	#requestedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: {
@@ -26,6 +29,8 @@
 		readonly incarnation: number;
 		readonly isPending: boolean;
 		readonly isBootstrapAllowed: boolean;
+		/** See `ConsensusOptions`. */
+		readonly isFirstStart: boolean;
 	}) {
 		this.#peer = options.peer;
 		this.#initialVoters = options.initialVoters;
@@ -34,21 +39,41 @@
 		this.#isBootstrapAllowed =
 			options.isBootstrapAllowed &&
 			options.initialVoters.includes(options.peer);
+		this.#isFirstStart = options.isFirstStart;
 	}
 
 	get isPending(): boolean {
 		return this.#isPending;
 	}
 
-	/** True when every other initial voter has replied that it has no state. */
-	get canBootstrap(): boolean {
-		return (
-			this.#isPending &&
-			this.#isBootstrapAllowed &&
-			this.#initialVoters.every(
-				(peer) => peer === this.#peer || this.#peersWithoutState.has(peer),
-			)
-		);
+	/**
+	 * The initial voters that have not reported yet that they have no state; undefined when this peer may
+	 * not bootstrap the group, so that a leader has to add it.
+	 */
+	get missingVoters(): readonly ids.PeerId[] | undefined {
+		return this.#isBootstrapAllowed
+			? this.#initialVoters.filter(
+					(peer) => peer !== this.#peer && !this.#peersWithoutState.has(peer),
+				)
+			: undefined;
+	}
+
+	recordStart(now: number): void {
+		this.#startedAt = now;
+	}
+
+	/** True when enough other initial voters have replied that they have no state. */
+	canBootstrap(now: number): boolean {
+		const {missingVoters} = this;
+		if (!this.#isPending || !missingVoters) {
+			return false;
+		}
+
+		const isMajorityEnough =
+			this.#isFirstStart && now - this.#startedAt >= timing.firstStartGraceMs;
+		return isMajorityEnough
+			? missingVoters.length * 2 < this.#initialVoters.length
+			: missingVoters.length === 0;
 	}
 
 	/**
--- a/src/common/consensus/simulation.ts
+++ b/src/common/consensus/simulation.ts
@@ -40,6 +40,8 @@
 	/** Defaults to all peers. */
 	readonly initialVoters?: readonly ids.PeerId[];
 	readonly seed: number;
+	/** See `ConsensusOptions`; holds for the first instance of each peer only. */
+	readonly isFirstStart?: boolean;
 	readonly faults?: consensus.FaultInjection;
 	/** Creates the disk of each peer; a `FakeDisk` by default. */
 	readonly createDisk?: (
@@ -159,11 +161,18 @@
 	start(peer: SimulatedPeer): void {
 		this.#lastIncarnation++;
 		peer.machine = safetyChecks.initialMachineState;
+		const isFirstInstance = this.#lastIncarnation <= this.peers.length;
+		const {isFirstStart = false} = this.#options;
+		const stored = peer.disk.load();
 		peer.process = new consensus.Consensus<Command>({
 			peer: peer.id,
 			initialVoters: this.#options.initialVoters ?? this.#options.peers,
-			stored: peer.disk.load(),
+			stored:
+				isFirstStart && !isFirstInstance && stored.hardState.term === 0
+					? {...stored, isDataLost: true}
+					: stored,
 			incarnation: this.#lastIncarnation,
+			isFirstStart: isFirstStart && isFirstInstance,
 			faults: this.#options.faults,
 		});
 	}
--- a/src/common/consensus/timing.ts
+++ b/src/common/consensus/timing.ts
@@ -38,6 +38,12 @@
 /** Interval between the join requests of a peer without state, in ms. */
 export const joinRetryIntervalMs = 150;
 
+/**
+ * When a group starts for the first time, its peers wait for all initial voters for this long, in ms; then
+ * a majority starts without the others.
+ */
+export const firstStartGraceMs = 1000;
+
 /** Largest number of entries in one append. */
 export const maxAppendEntries = 64;
 
--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -104,6 +104,16 @@
 			readonly incarnation: number;
 	  };
 
+/** What a peer without state waits for before it votes. */
+export type JoinWait =
+	| {
+			/** Reports of these initial voters that they have no state either. */
+			readonly type: 'firstStart';
+			readonly missingVoters: readonly ids.PeerId[];
+	  }
+	/** A leader that adds it to the group. */
+	| {readonly type: 'leader'};
+
 /** Content of the disk when the process starts. */
 export type StoredLog<Command = unknown, State = unknown> = {
 	readonly hardState: HardState;
--- a/src/common/control/control-health.ts
+++ b/src/common/control/control-health.ts
@@ -16,20 +16,48 @@
 		this.#space = space;
 	}
 
-	update(isDraining: boolean, knowsLeader: boolean): void {
+	/** `joinWait` says what a peer without state waits for. */
+	update(
+		isDraining: boolean,
+		knowsLeader: boolean,
+		joinWait: consensus.JoinWait | undefined,
+	): void {
+		const wait = joinWait && describeJoinWait(joinWait);
 		const problem = isDraining
 			? 'draining'
 			: this.#space === 'exhausted'
 				? 'disk full'
 				: knowsLeader
 					? undefined
-					: 'no control leader known';
+					: (wait ?? 'no control leader known');
 		// A peer with little space still serves; its reason tells operators that it may not for long.
 		const reason =
 			problem ?? (this.#space === 'low' ? 'ready, disk nearly full' : 'ready');
 		if (reason !== this.#reason) {
 			this.#reason = reason;
 			this.emit({type: 'setHealth', ready: problem === undefined, reason});
+			if (reason === wait) {
+				this.emit({
+					type: 'log',
+					record: {level: 'warn', part: 'control', message: reason},
+				});
+			}
+		}
+	}
+}
+
+function describeJoinWait(wait: consensus.JoinWait): string {
+	switch (wait.type) {
+		case 'firstStart': {
+			return `storage is empty; waiting for a control leader, or for reports from control peers ${wait.missingVoters.join(', ')} that theirs is empty too`;
+		}
+
+		case 'leader': {
+			return 'storage is empty; waiting for a control leader that adds this peer';
+		}
+
+		default: {
+			return assertNever(wait);
 		}
 	}
 }
--- a/src/common/control/reducer.ts
+++ b/src/common/control/reducer.ts
@@ -507,7 +507,11 @@
 	}
 
 	#updateHealth(): void {
-		this.#health.update(this.#isDraining, this.#knownLeader.peer !== undefined);
+		this.#health.update(
+			this.#isDraining,
+			this.#knownLeader.peer !== undefined,
+			this.#log.joinWait,
+		);
 	}
 
 	#send(to: ids.PeerId, message: messages.PeerMessage): void {
--- a/src/common/control/types.ts
+++ b/src/common/control/types.ts
@@ -154,6 +154,8 @@
 	readonly voters?: readonly ids.PeerId[];
 	/** True while this peer leads and the disks of so many voters are full that no entry is committed. */
 	readonly isStorageExhausted: boolean;
+	/** What this peer waits for before it votes; undefined when it votes. */
+	readonly joinWait?: consensus.JoinWait | undefined;
 	step(
 		event: consensus.ConsensusEvent<ControlCommand>,
 	): ReadonlyArray<consensus.ConsensusEffect<ControlCommand>>;
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -41,6 +41,7 @@
 				: stored,
 		incarnation,
 		maxPendingBytes: limits.pendingBytes,
+		isFirstStart: settings.mayBootstrap ?? false,
 		...(settings.startedAt === undefined
 			? {}
 			: {startedAt: settings.startedAt}),
--- a/src/daemon/control-types.ts
+++ b/src/daemon/control-types.ts
@@ -26,7 +26,10 @@
 	readonly dataCentre: ids.DataCentre;
 	/** `ip:port` at which other peers reach the peer listener. */
 	readonly address: string;
-	/** False when the control group exists already; an empty disk must then not bootstrap a new one. */
+	/**
+	 * False when the control group exists already; an empty disk must then not bootstrap a new one. True when
+	 * it is certain that the group starts for the first time; a majority of empty disks is then enough.
+	 */
 	readonly mayBootstrap?: boolean;
 	/** Space for the data folder; see `storage-limits.ts` for its default. */
 	readonly diskBytes?: number;
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -153,6 +153,10 @@
 	return {
 		get metrics() {
 			recordStorage(daemonMetrics, storage.readStatus?.());
+			daemonMetrics.setGauge(
+				'control_ready',
+				handler.readHealth().ready ? 1 : 0,
+			);
 			return daemonMetrics;
 		},
 		readHealth: () => handler.readHealth(),
--- a/src/scenario/control-group.test.ts
+++ b/src/scenario/control-group.test.ts
@@ -17,3 +17,11 @@
 		);
 	}
 }
+
+for (let seed = 1; seed <= 12; seed++) {
+	// Guards against a first start that never ends because one control peer was killed during it, and against
+	// a peer that joined without its disk and counts as a voter.
+	tap.test(`control starts without the peer of seed ${seed}`, async (t) => {
+		t.same(controlGroup.runInterruptedStart(seed), []);
+	});
+}
--- a/src/scenario/fleet/control-group.ts
+++ b/src/scenario/fleet/control-group.ts
@@ -22,6 +22,8 @@
 const electionMs = 12_000;
 /** A VM that is back counts as lost for this long, in ms. */
 const catchUpMs = 4000;
+/** All processes of a first start have started within this time, in ms. */
+const maxStartMs = 300;
 
 export type ControlGroupOptions = {
 	readonly size: number;
@@ -64,6 +66,18 @@
 		return this.processes.find(({isLeader}) => isLeader);
 	}
 
+	/** Ends a process during the first start of the group; the platform starts it again with an empty disk. */
+	killAtStart(): void {
+		this.run(this.random.readInteger(1, maxStartMs));
+		const [process] = random.drawSample(this.random, this.processes, 1);
+		const durationMs = this.random.readInteger(50, maxLossMs);
+		this.lostUntil.set(
+			process.peer,
+			this.timeline.now + durationMs + catchUpMs,
+		);
+		this.restart(process, durationMs, true);
+	}
+
 	run(durationMs: number): void {
 		this.timeline.runUntil(this.timeline.now + durationMs);
 	}
@@ -267,6 +281,38 @@
 	}
 
 	group.run(electionMs);
+	return describeProblem(group);
+}
+
+/**
+ * Starts three control peers, one of which ends during its start and loses what it has stored; then random
+ * losses follow, one at a time.
+ *
+ * @returns What does not hold after the start, or some seconds after the last loss.
+ */
+export function runInterruptedStart(seed: number): string[] {
+	const group = new ControlGroup({size: 3, toleratedLosses: 1, seed});
+	group.killAtStart();
+	group.run(electionMs);
+	group.changeTemplate();
+	group.run(catchUpMs);
+	const problem = describeProblem(group);
+	if (problem.length > 0 || group.acknowledgedVersion === 0) {
+		return ['the group did not start', ...problem];
+	}
+
+	for (let index = 0; index < 3; index++) {
+		group.loseRandomVm();
+		group.run(maxLossMs + catchUpMs);
+		group.changeTemplate();
+	}
+
+	group.run(electionMs);
+	return describeProblem(group);
+}
+
+/** Returns what does not hold although nothing is lost any more, with what was done before. */
+function describeProblem(group: ControlGroup): string[] {
 	const {leader, acknowledgedVersion} = group;
 	const version = leader?.machine.listTemplates()[0]?.template.version ?? 0;
 	const problem =
--- a/src/scenario/fleet/control-process.ts
+++ b/src/scenario/fleet/control-process.ts
@@ -53,6 +53,8 @@
 	readonly promotionRequests: PromotionRequest[] = [];
 	/** The control peers that the settings name at the next start. */
 	controlPeers: readonly ids.PeerId[];
+	/** Like the platform's setting: true only at the first start of the whole system. */
+	private mayBootstrap: boolean;
 	private readonly disk: fakeNetwork.FakeDisk<control.ControlCommand>;
 	private readonly random: random.RandomSource;
 	private reducer: controlPeer.ControlPeer | undefined;
@@ -78,6 +80,7 @@
 		super();
 		this.peer = options.peer;
 		this.controlPeers = options.controlPeers;
+		this.mayBootstrap = options.mayBootstrap ?? true;
 		this.random = random.createRandom(options.seed);
 		this.disk = new fakeNetwork.FakeDisk(() => this.random.readFloat());
 		this.start();
@@ -146,6 +149,7 @@
 
 		super.restart();
 		this.generation++;
+		this.mayBootstrap = false;
 		this.start();
 	}
 
@@ -166,15 +170,8 @@
 	}
 
 	private start(): void {
-		const {
-			peer,
-			dataCentre,
-			wantedVoters,
-			rateLimits,
-			packing,
-			mayBootstrap = true,
-		} = this.options;
-		const {controlPeers} = this;
+		const {peer, dataCentre, wantedVoters, rateLimits, packing} = this.options;
+		const {controlPeers, mayBootstrap} = this;
 		const stored = this.disk.load();
 		this.consensus = new consensus.Consensus<control.ControlCommand>({
 			peer,
@@ -184,6 +181,7 @@
 					? {...stored, isDataLost: true}
 					: stored,
 			incarnation: this.generation + 1,
+			isFirstStart: mayBootstrap,
 		});
 		this.reducer = new controlPeer.ControlPeer({
 			peer,
--- a/typings/hemlockarch.d.ts
+++ b/typings/hemlockarch.d.ts
@@ -953,6 +953,8 @@
 	readonly startedAt?: number;
 	/** Limit on the size of the uncommitted or unsynced entries of a leader, in bytes; a single one may be larger. */
 	readonly maxPendingBytes?: number;
+	/** True when it is certain that the group starts for the first time; a majority then starts it. */
+	readonly isFirstStart?: boolean;
 };
 /** One peer of the replicated log as a reducer. */
 export class Consensus<Command> {
@@ -967,6 +969,8 @@
 	get lastIndex(): number;
 	/** True while the peer has no state of its own and therefore does not vote. */
 	get isJoining(): boolean;
+	/** What this peer waits for before it votes; undefined when it votes. */
+	get joinWait(): JoinWait | undefined;
 	/** True while no other peer can have become leader. */
 	isLeaderLeaseValid(now: number): boolean;
 	/** True while this peer leads and the disks of so many voters are full that no entry is committed. */
@@ -974,6 +978,11 @@
 	step(event: ConsensusEvent<Command>): Array<ConsensusEffect<Command>>;
 }
 
+/** What a peer without state waits for: reports of these voters that they have none either, or a leader. */
+export type JoinWait = Variants<
+	{type: 'firstStart'; missingVoters: readonly PeerId[]} | {type: 'leader'}
+>;
+
 // Control peer. Source: "Control", "Failover".
 /** The replicated log as the control reducer uses it; the consensus reducer implements it. */
 export type ReplicatedLog = {
@@ -990,6 +999,8 @@
 	isLeaderLeaseValid(now: number): boolean;
 	/** True while this peer leads and the disks of so many voters are full that no entry is committed. */
 	readonly isStorageExhausted: boolean;
+	/** What this peer waits for before it votes; undefined when it votes. */
+	readonly joinWait?: JoinWait | undefined;
 };
 /** A function of a database server that control calls on its own connection. */
 export type ServerRequest = Variants<
