Search the orders of events of short histories

In the fleet of the scenarios each effect that others see is now a step at which a schedule can freeze or kill the process, hold the effect, or deafen a replica. npm run search:order plays all schedules of one interference and random ones of two, reduces a failing one and prints it; it replays exactly.

A thaw of a simulated process now keeps what follows if it freezes again.

--- a/src/scenario/fleet/control-process.ts
+++ b/src/scenario/fleet/control-process.ts
@@ -11,6 +11,7 @@
 import type * as messages from '../../common/messages.js';
 import * as random from '../../common/random.js';
 import type * as types from '../../common/types.js';
+import type * as order from '../order/types.js';
 import * as fakeProcess from './fake-process.js';
 import type * as fakeServer from './fake-server.js';
 import * as selfAcknowledging from './self-acknowledging-server.js';
@@ -35,6 +36,10 @@
 	readonly mayBootstrap?: boolean;
 	/** Sends calls also when the process no longer leads; only to show that the checks detect it. */
 	readonly ignoresEndOfLeadership?: boolean;
+	/** Waits for all control peers at the first start; only to show that the checks detect it. */
+	readonly needsAllAtFirstStart?: boolean;
+	/** Lets the effects of the process happen; without it they happen at once. */
+	readonly gate?: order.StepGate | undefined;
 };
 
 /** A promotion that a process requested from the servers or their platform. */
@@ -98,6 +103,10 @@
 		});
 	}
 
+	get instance(): number {
+		return this.generation;
+	}
+
 	get isLeader(): boolean {
 		return (
 			this.condition === 'up' &&
@@ -181,7 +190,7 @@
 					? {...stored, isDataLost: true}
 					: stored,
 			incarnation: this.generation + 1,
-			isFirstStart: mayBootstrap,
+			isFirstStart: mayBootstrap && this.options.needsAllAtFirstStart !== true,
 		});
 		this.reducer = new controlPeer.ControlPeer({
 			peer,
@@ -214,8 +223,31 @@
 		effects: readonly controlPeer.ControlPeerEffect[],
 	): void {
 		for (const effect of effects) {
+			this.passEffect(effect);
+		}
+	}
+
+	/** Handles an effect through the gate, if there is one; a frozen process handles it at the thaw. */
+	private passEffect(effect: controlPeer.ControlPeerEffect): void {
+		const {gate} = this.options;
+		if (!gate) {
 			this.handleEffect(effect);
+			return;
 		}
+
+		const step = {
+			...describeStep(effect),
+			run: () => {
+				this.handleEffect(effect);
+			},
+		};
+		this.receive(() => {
+			if (step.name === undefined) {
+				step.run();
+			} else {
+				gate.handle(this, {...step, name: step.name});
+			}
+		});
 	}
 
 	private handleEffect(effect: controlPeer.ControlPeerEffect): void {
@@ -391,3 +423,36 @@
 		}
 	}
 }
+
+/** Names the effects that others see, and the connection on which they keep their order. */
+function describeStep(effect: controlPeer.ControlPeerEffect): {
+	readonly name?: string;
+	readonly connection?: string;
+} {
+	switch (effect.type) {
+		case 'callServer': {
+			return effect.request.type === 'status'
+				? {}
+				: {name: `callServer:${effect.request.type}`};
+		}
+
+		case 'sendPeer': {
+			return {name: `send:${effect.message.type}`, connection: effect.to};
+		}
+
+		case 'connectPeer':
+		case 'write':
+		case 'answerTemplateChange': {
+			return {name: effect.type};
+		}
+
+		case 'answerConfigurationRead':
+		case 'answerQuery':
+		case 'disconnectPeer':
+		case 'drained':
+		case 'log':
+		case 'setHealth': {
+			return {};
+		}
+	}
+}
--- a/src/scenario/fleet/fake-process.ts
+++ b/src/scenario/fleet/fake-process.ts
@@ -15,7 +15,8 @@
 	thaw(): void {
 		this.condition = 'up';
 		for (const handler of this.queuedHandlers.splice(0)) {
-			handler();
+			// A handler may freeze or kill the process.
+			this.receive(handler);
 		}
 	}
 
@@ -29,7 +30,7 @@
 	}
 
 	/** Runs the handler now, or at the thaw of a frozen process; a dead process receives nothing. */
-	protected receive(handler: () => void): void {
+	receive(handler: () => void): void {
 		if (this.condition === 'up') {
 			handler();
 		} else if (this.condition === 'frozen') {
--- a/src/scenario/fleet/fake-server.ts
+++ b/src/scenario/fleet/fake-server.ts
@@ -55,12 +55,16 @@
 	serviceMs = 1;
 	/** Set when the server acknowledges commits itself; see `Announcement`. */
 	readonly synchronousReplicas: number | undefined;
+	/** What its announcements say of it. */
+	announcedSynchronousReplicas: number | undefined;
 	/** Stands for the start time in announcements; increases with each start. */
 	startedAt = 1;
 	/** Values that this server committed as a primary, including those that a promotion dropped. */
 	readonly committedValues: string[] = [];
 	/** The log records of the same writes. */
 	readonly committedRecords: LogRecord[] = [];
+	/** Times of the same commits, by value. */
+	readonly committedAt = new Map<string, number>();
 	/** Times at which statements were executed. */
 	readonly executedAt: number[] = [];
 	/** The customers that the connections of these statements named. */
@@ -339,6 +343,7 @@
 			this.log.push(record);
 			this.committedValues.push(value);
 			this.committedRecords.push(record);
+			this.committedAt.set(value, this.timeline.now);
 		}
 
 		return {type: 'ok', inTransaction: false};
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -8,6 +8,7 @@
 import type * as reducer from '../../common/proxy/reducer.js';
 import type * as templateStore from '../../common/proxy/template-store.js';
 import type * as types from '../../common/types.js';
+import type * as order from '../order/types.js';
 import * as controlProcess from './control-process.js';
 import * as fakeServer from './fake-server.js';
 import type * as fleetTypes from './fleet-types.js';
@@ -36,6 +37,12 @@
 	readonly synchronousReplicas?: number;
 	/** See `ControlProcessOptions`. */
 	readonly ignoresEndOfLeadership?: boolean;
+	/** See `ControlProcessOptions`. */
+	readonly needsAllAtFirstStart?: boolean;
+	/** The number that servers announce; `synchronousReplicas` by default. */
+	readonly announcedSynchronousReplicas?: number;
+	/** Creates the gate of the effects of all processes. */
+	readonly createGate?: (timeline: timeline.Timeline) => order.StepGate;
 	/** Without it, every template sets the parameters. */
 	readonly parseTemplate?: templateStore.TemplateParser;
 	/** Creates the parser of an instance of a proxy; without it, proxies take no configuration. */
@@ -55,6 +62,7 @@
 	readonly promotions: fleetTypes.PromotionRecord[] = [];
 	readonly group = 'ledger' as ids.GroupId;
 	readonly member = 'm' as ids.MemberId;
+	private readonly gate: order.StepGate | undefined;
 
 	constructor(private readonly options: FleetOptions) {
 		this.links =
@@ -62,6 +70,7 @@
 			new links.Links(this.timeline, (from, to) =>
 				from.at(-1) === to.at(-1) ? localDelayMs : remoteDelayMs,
 			);
+		this.gate = options.createGate?.(this.timeline);
 		this.servers = this.createServers();
 		const controlPeers = Array.from(
 			{length: options.controls},
@@ -143,6 +152,8 @@
 		);
 		for (const server of servers.values()) {
 			server.peers = [...servers.values()];
+			server.announcedSynchronousReplicas =
+				this.options.announcedSynchronousReplicas ?? synchronousReplicas;
 		}
 
 		return servers;
@@ -161,6 +172,8 @@
 				seed: this.options.seed * 100 + index,
 				...(this.options.packing ? {packing: this.options.packing} : {}),
 				ignoresEndOfLeadership: this.options.ignoresEndOfLeadership ?? false,
+				needsAllAtFirstStart: this.options.needsAllAtFirstStart ?? false,
+				gate: this.gate,
 				...(this.options.rateLimits
 					? {rateLimits: this.options.rateLimits}
 					: {}),
@@ -190,6 +203,7 @@
 			this.links,
 			this.servers,
 			(incarnation) => this.createReducer(index, incarnation, controlPeers),
+			this.gate,
 		);
 		this.links.addProcess(process);
 		this.proxies.set(peer, process);
--- a/src/scenario/fleet/history.ts
+++ b/src/scenario/fleet/history.ts
@@ -161,6 +161,36 @@
 		}).length;
 	}
 
+	/**
+	 * Counts acknowledged writes that a server committed after the promotion of another one to a higher term.
+	 * Unlike a late acknowledgement, no delay of a link excuses them.
+	 */
+	countCommitsAfterPromotion(
+		promotions: readonly fleetTypes.PromotionRecord[],
+		servers: Iterable<fakeServer.FakeServer>,
+	): number {
+		const acknowledged = new Set(
+			this.writes
+				.filter(({outcome}) => outcome === 'acknowledged')
+				.map(({value}) => value),
+		);
+		return [...servers]
+			.flatMap(({committedRecords, committedAt}) =>
+				committedRecords.map(({term, value}) => ({
+					term,
+					value,
+					at: committedAt.get(value) ?? 0,
+				})),
+			)
+			.filter(
+				({term, value, at}) =>
+					acknowledged.has(value) &&
+					promotions.some(
+						(promotion) => promotion.term > term && promotion.at < at,
+					),
+			).length;
+	}
+
 	/** Counts transactions that are in the log of a server only in part or not contiguously. */
 	countMixedTransactions(servers: Iterable<fakeServer.FakeServer>): number {
 		const transactions = new Map<string, string[]>();
--- a/src/scenario/fleet/interpreter.ts
+++ b/src/scenario/fleet/interpreter.ts
@@ -123,6 +123,13 @@
 				);
 			}
 
+			case 'commits after a promotion': {
+				return this.history.countCommitsAfterPromotion(
+					this.fleet.promotions,
+					servers,
+				);
+			}
+
 			case 'mixed transactions': {
 				return this.history.countMixedTransactions([primary]);
 			}
--- a/src/scenario/fleet/self-acknowledging-server.ts
+++ b/src/scenario/fleet/self-acknowledging-server.ts
@@ -35,6 +35,7 @@
 	) {
 		super(id, group, dataCentre, timeline);
 		this.synchronousReplicas = synchronousReplicas;
+		this.announcedSynchronousReplicas = synchronousReplicas;
 	}
 
 	override readStatus(): types.UpstreamStatus {
--- a/src/scenario/frozen-leader.test.ts
+++ b/src/scenario/frozen-leader.test.ts
@@ -2,20 +2,19 @@
 import type * as ids from '../common/ids.js';
 import * as fleets from './fleet/fleet.js';
 import type * as controlProcess from './fleet/control-process.js';
+import * as promotionRequests from './fleet/promotion-requests.js';
 
 const freezeMs = 3600;
 const settleMs = 3000;
 const searchMs = 8000;
 
-type Request = controlProcess.PromotionRequest & {readonly peer: ids.PeerId};
-
 /**
  * Crashes the primary, freezes the leader while it opens the connection for the promotion, and thaws it
  * once another peer has led for a while.
  */
 function runFrozenLeader(options: fleets.FleetOptions): {
 	readonly frozen: ids.PeerId | undefined;
-	readonly requests: readonly Request[];
+	readonly requests: readonly promotionRequests.SentPromotion[];
 } {
 	const fleet = new fleets.Fleet(options);
 	const {timeline} = fleet;
@@ -33,23 +32,10 @@
 	timeline.runUntil(timeline.now + freezeMs);
 	leader?.thaw();
 	timeline.runUntil(timeline.now + settleMs);
-	const requests = controls
-		.flatMap(({peer, promotionRequests}) =>
-			promotionRequests.map((request) => ({...request, peer})),
-		)
-		.sort((left, right) => left.at - right.at);
+	const requests = promotionRequests.listPromotionRequests(controls);
 	return {frozen: leader?.peer, requests};
 }
 
-/** Requests of a term below one that was sent before, as the platform sees them. */
-function findLateRequests(requests: readonly Request[]): Request[] {
-	return requests.filter((request, index) =>
-		requests
-			.slice(0, index)
-			.some(({leaderTerm}) => leaderTerm > request.leaderTerm),
-	);
-}
-
 for (const synchronousReplicas of [undefined, 0, 1]) {
 	for (const seed of [1, 2, 3]) {
 		const options = {
@@ -66,7 +52,7 @@
 			const {frozen, requests} = runFrozenLeader(options);
 			t.ok(frozen, 'the leader was frozen');
 			t.ok(requests.length > 0, 'another leader promoted');
-			t.same(findLateRequests(requests), []);
+			t.same(promotionRequests.findLateRequests(requests), []);
 		});
 
 		// Guards against a check that every implementation passes.
@@ -75,7 +61,7 @@
 				...options,
 				ignoresEndOfLeadership: true,
 			});
-			t.not(findLateRequests(requests).length, 0);
+			t.not(promotionRequests.findLateRequests(requests).length, 0);
 		});
 	}
 }
