--- a/src/scenario/fleet/control-process.ts
+++ b/src/scenario/fleet/control-process.ts
@@ -20,6 +20,12 @@
 
 const tickIntervalMs = 25;
 const callDelayMs = 2;
+/** Longest time that a write takes, in ms. */
+const normalWriteMs = 2;
+/** The same on a slow disk. */
+const slowWriteMs = 700;
+/** Delay after which a process that has ended by itself starts again, in ms. */
+const restartDelayMs = 1000;
 
 type CallEffect = Extract<control.ControlEffect, {type: 'callServer'}>;
 
@@ -38,6 +44,8 @@
 	readonly ignoresEndOfLeadership?: boolean;
 	/** Waits for all control peers at the first start; only to show that the checks detect it. */
 	readonly needsAllAtFirstStart?: boolean;
+	/** Ends when the disk refuses a write; only to show that the checks detect it. */
+	readonly endsOnFullDisk?: boolean;
 	/** Lets the effects of the process happen; without it they happen at once. */
 	readonly gate?: order.StepGate | undefined;
 };
@@ -56,6 +64,8 @@
 	readonly peer: ids.PeerId;
 	readonly logs: string[] = [];
 	readonly promotionRequests: PromotionRequest[] = [];
+	/** How often the process has ended although nothing killed it. */
+	ownExits = 0;
 	/** The control peers that the settings name at the next start. */
 	controlPeers: readonly ids.PeerId[];
 	/** Like the platform's setting: true only at the first start of the whole system. */
@@ -137,6 +147,22 @@
 		});
 	}
 
+	/** Lets the disk refuse or delay writes for some time. */
+	disturbDisk(kind: 'fill' | 'slow', forMs: number): void {
+		const {disk} = this;
+		if (kind === 'fill') {
+			disk.isFull = true;
+			this.timeline.schedule(forMs, () => {
+				disk.isFull = false;
+			});
+		} else {
+			disk.maxDelayMs = slowWriteMs;
+			this.timeline.schedule(forMs, () => {
+				disk.maxDelayMs = normalWriteMs;
+			});
+		}
+	}
+
 	override kill(): void {
 		super.kill();
 		this.generation++;
@@ -212,13 +238,36 @@
 	}
 
 	private syncDisk(): void {
-		if (this.condition === 'up') {
-			for (const write of this.disk.takeSynced(this.timeline.now)) {
-				this.step({type: 'written', now: this.timeline.now, write});
-			}
+		if (this.condition !== 'up') {
+			return;
+		}
+
+		const {now} = this.timeline;
+		const space = this.disk.takeSpaceChange();
+		if (space === 'exhausted' && this.options.endsOnFullDisk === true) {
+			this.crash();
+			return;
+		}
+
+		if (space !== undefined) {
+			this.step({type: 'spaceChanged', now, space});
+		}
+
+		for (const write of this.disk.takeSynced(now)) {
+			this.step({type: 'written', now, write});
 		}
 	}
 
+	private crash(): void {
+		this.ownExits++;
+		this.kill();
+		this.timeline.schedule(restartDelayMs, () => {
+			if (this.condition === 'dead') {
+				this.restart();
+			}
+		});
+	}
+
 	private handleEffects(
 		effects: readonly controlPeer.ControlPeerEffect[],
 	): void {
--- a/src/scenario/fleet/fleet.ts
+++ b/src/scenario/fleet/fleet.ts
@@ -39,6 +39,8 @@
 	readonly ignoresEndOfLeadership?: boolean;
 	/** See `ControlProcessOptions`. */
 	readonly needsAllAtFirstStart?: boolean;
+	/** See `ControlProcessOptions`. */
+	readonly endsOnFullDisk?: boolean;
 	/** The number that servers announce; `synchronousReplicas` by default. */
 	readonly announcedSynchronousReplicas?: number;
 	/** Creates the gate of the effects of all processes. */
@@ -173,6 +175,7 @@
 				...(this.options.packing ? {packing: this.options.packing} : {}),
 				ignoresEndOfLeadership: this.options.ignoresEndOfLeadership ?? false,
 				needsAllAtFirstStart: this.options.needsAllAtFirstStart ?? false,
+				endsOnFullDisk: this.options.endsOnFullDisk ?? false,
 				gate: this.gate,
 				...(this.options.rateLimits
 					? {rateLimits: this.options.rateLimits}
--- a/src/scenario/order/explorer.ts
+++ b/src/scenario/order/explorer.ts
@@ -110,7 +110,7 @@
 
 /** Only control peers have disks. */
 function listActs(
-	{process}: order.StepPoint,
+	{process, step}: order.StepPoint,
 	replicas: readonly ids.UpstreamId[],
 ): order.Act[] {
 	const isControl = process.startsWith('c');
@@ -123,6 +123,13 @@
 		...(isControl
 			? [{type: 'kill', forMs: restartMs, losesDisk: true} as const]
 			: []),
+		...(isControl && step === 'write'
+			? [
+					{type: 'fill', forMs: mediumMs} as const,
+					{type: 'fill', forMs: longMs} as const,
+					{type: 'slow', forMs: longMs} as const,
+				]
+			: []),
 		...replicas.map(
 			(server) => ({type: 'deafen', server, forMs: longMs}) as const,
 		),
--- a/src/scenario/order/histories.ts
+++ b/src/scenario/order/histories.ts
@@ -17,6 +17,7 @@
 	'leadershipCheck',
 	'majorityStart',
 	'holderCount',
+	'fullDiskRetry',
 ] as const;
 
 /** Switches off a fix; only to show that the search finds the fault that it mends. */
@@ -145,10 +146,14 @@
 		...(missingFix === 'holderCount' ? {announcedSynchronousReplicas: 0} : {}),
 		ignoresEndOfLeadership: missingFix === 'leadershipCheck',
 		needsAllAtFirstStart: missingFix === 'majorityStart',
+		endsOnFullDisk: missingFix === 'fullDiskRetry',
 		createGate(timeline) {
 			const gate = new scheduleGate.ScheduleGate({
 				schedule,
 				timeline,
+				disturbDisk(process, kind, forMs) {
+					fleet.controls.get(process)?.disturbDisk(kind, forMs);
+				},
 				deafen(server, forMs) {
 					deafenServer(fleet, server, forMs);
 				},
@@ -213,6 +218,12 @@
 		problems.push('no control peer leads');
 	}
 
+	for (const {peer, ownExits} of controlProcesses) {
+		if (ownExits > 0) {
+			problems.push(`${peer} ended by itself`);
+		}
+	}
+
 	const late = promotionRequests.findLateRequests(
 		promotionRequests.listPromotionRequests(controlProcesses),
 	);
--- a/src/scenario/order/order.test.ts
+++ b/src/scenario/order/order.test.ts
@@ -45,6 +45,12 @@
 		schedule: 'deafen 3600 s3 at p1 send:forwardDone 1',
 		problem: /lost writes/v,
 	},
+	{
+		fix: 'fullDiskRetry',
+		history: 'first start',
+		schedule: 'fill 900 at c1 write 1',
+		problem: /ended by itself/v,
+	},
 ] as const;
 
 for (const {fix, history, schedule, problem} of knownFaults) {
@@ -60,9 +66,9 @@
 // Guards against a printed schedule that does not replay.
 tap.test('a schedule is read as it is printed', async (t) => {
 	const text =
-		'freeze 900 at c1 send:append 2; kill 1000 lost at c2 write 1; kill 20 at p1 finishRequest 3; hold 5 at p2 execute:write 1; deafen 3600 s3 at p1 send:forwardDone 1';
+		'freeze 900 at c1 send:append 2; kill 1000 lost at c2 write 1; kill 20 at p1 finishRequest 3; hold 5 at p2 execute:write 1; deafen 3600 s3 at p1 send:forwardDone 1; fill 9 at c1 write 1; slow 9 at c1 write 2';
 	const schedule = scheduleText.parseSchedule(text);
-	t.equal(schedule.length, 5);
+	t.equal(schedule.length, 7);
 	t.equal(scheduleText.formatSchedule(schedule), text);
 	for (const wrong of [
 		'freeze',
--- a/src/scenario/order/schedule-gate.ts
+++ b/src/scenario/order/schedule-gate.ts
@@ -10,6 +10,12 @@
 export type ScheduleGateOptions = {
 	readonly schedule: order.Schedule;
 	readonly timeline: timeline.Timeline;
+	/** Lets the disk of a control peer refuse or delay writes for some time. */
+	readonly disturbDisk: (
+		process: ids.PeerId,
+		kind: 'fill' | 'slow',
+		forMs: number,
+	) => void;
 	/** Lets a replica receive nothing for some time. */
 	readonly deafen: (server: ids.UpstreamId, forMs: number) => void;
 };
@@ -71,6 +77,13 @@
 				return;
 			}
 
+			case 'fill':
+			case 'slow': {
+				this.options.disturbDisk(process.peer, act.type, act.forMs);
+				step.run();
+				return;
+			}
+
 			case 'deafen': {
 				this.options.deafen(act.server, act.forMs);
 				step.run();
--- a/src/scenario/order/schedule-text.ts
+++ b/src/scenario/order/schedule-text.ts
@@ -27,7 +27,9 @@
 function formatAct(act: order.Act): string {
 	switch (act.type) {
 		case 'freeze':
-		case 'hold': {
+		case 'hold':
+		case 'fill':
+		case 'slow': {
 			return `${act.type} ${act.forMs}`;
 		}
 
@@ -61,7 +63,9 @@
 
 	switch (type) {
 		case 'freeze':
-		case 'hold': {
+		case 'hold':
+		case 'fill':
+		case 'slow': {
 			return {act: {type, forMs}, point};
 		}
 
--- a/src/scenario/order/types.ts
+++ b/src/scenario/order/types.ts
@@ -24,6 +24,8 @@
 	  }
 	/** The effect happens later, as do those behind it on the same connection. */
 	| {readonly type: 'hold'; readonly forMs: number}
+	/** The disk of a control peer takes no more bytes, or is slow; the effect happens at once. */
+	| {readonly type: 'fill' | 'slow'; readonly forMs: number}
 	/** A replica receives nothing; the effect happens at once. */
 	| {
 			readonly type: 'deafen';
