--- a/src/scenario/fleet/control-process.ts
+++ b/src/scenario/fleet/control-process.ts
@@ -11,6 +11,7 @@
 import type * as messages from '../../common/messages.js';
 import * as random from '../../common/random.js';
 import type * as types from '../../common/types.js';
+import * as gatedEffects from '../order/gated-effects.js';
 import type * as order from '../order/types.js';
 import * as fakeProcess from './fake-process.js';
 import type * as fakeServer from './fake-server.js';
@@ -272,33 +273,17 @@
 		effects: readonly controlPeer.ControlPeerEffect[],
 	): void {
 		for (const effect of effects) {
-			this.passEffect(effect);
+			gatedEffects.handleEffect(
+				this.options.gate,
+				this,
+				gatedEffects.describeControlEffect(effect),
+				() => {
+					this.handleEffect(effect);
+				},
+			);
 		}
 	}
 
-	/** Handles an effect through the gate, if there is one; a frozen process handles it at the thaw. */
-	private passEffect(effect: controlPeer.ControlPeerEffect): void {
-		const {gate} = this.options;
-		if (!gate) {
-			this.handleEffect(effect);
-			return;
-		}
-
-		const step = {
-			...describeStep(effect),
-			run: () => {
-				this.handleEffect(effect);
-			},
-		};
-		this.receive(() => {
-			if (step.name === undefined) {
-				step.run();
-			} else {
-				gate.handle(this, {...step, name: step.name});
-			}
-		});
-	}
-
 	private handleEffect(effect: controlPeer.ControlPeerEffect): void {
 		switch (effect.type) {
 			case 'sendPeer': {
@@ -472,36 +457,3 @@
 		}
 	}
 }
-
-/** Names the effects that others see, and the connection on which they keep their order. */
-function describeStep(effect: controlPeer.ControlPeerEffect): {
-	readonly name?: string;
-	readonly connection?: string;
-} {
-	switch (effect.type) {
-		case 'callServer': {
-			return effect.request.type === 'status'
-				? {}
-				: {name: `callServer:${effect.request.type}`};
-		}
-
-		case 'sendPeer': {
-			return {name: `send:${effect.message.type}`, connection: effect.to};
-		}
-
-		case 'connectPeer':
-		case 'write':
-		case 'answerTemplateChange': {
-			return {name: effect.type};
-		}
-
-		case 'answerConfigurationRead':
-		case 'answerQuery':
-		case 'disconnectPeer':
-		case 'drained':
-		case 'log':
-		case 'setHealth': {
-			return {};
-		}
-	}
-}
--- a/src/scenario/fleet/proxy-process.ts
+++ b/src/scenario/fleet/proxy-process.ts
@@ -7,6 +7,7 @@
 import type * as messages from '../../common/messages.js';
 import type * as reducer from '../../common/proxy/reducer.js';
 import type * as proxy from '../../common/proxy/types.js';
+import * as gatedEffects from '../order/gated-effects.js';
 import type * as order from '../order/types.js';
 import * as fakeProcess from './fake-process.js';
 import type * as fakeServer from './fake-server.js';
@@ -281,31 +282,15 @@
 
 	private handleEffects(effects: readonly proxy.ProxyEffect[]): void {
 		for (const effect of effects) {
-			this.passEffect(effect);
-		}
-	}
-
-	/** Handles an effect through the gate, if there is one; a frozen process handles it at the thaw. */
-	private passEffect(effect: proxy.ProxyEffect): void {
-		const {gate} = this;
-		if (!gate) {
-			this.handleEffect(effect);
-			return;
+			gatedEffects.handleEffect(
+				this.gate,
+				this,
+				gatedEffects.describeProxyEffect(effect),
+				() => {
+					this.handleEffect(effect);
+				},
+			);
 		}
-
-		const step = {
-			...describeStep(effect),
-			run: () => {
-				this.handleEffect(effect);
-			},
-		};
-		this.receive(() => {
-			if (step.name === undefined) {
-				step.run();
-			} else {
-				gate.handle(this, {...step, name: step.name});
-			}
-		});
 	}
 
 	private handleEffect(effect: proxy.ProxyEffect): void {
@@ -444,52 +429,6 @@
 	}
 }
 
-/** Names the effects that others see, and the connection on which they keep their order. */
-function describeStep(effect: proxy.ProxyEffect): {
-	readonly name?: string;
-	readonly connection?: string;
-} {
-	switch (effect.type) {
-		case 'execute': {
-			return {
-				name: `execute:${effect.kind}`,
-				connection: `upstream ${effect.connection}`,
-			};
-		}
-
-		case 'sendPeer': {
-			return {name: `send:${effect.message.type}`, connection: effect.to};
-		}
-
-		case 'finishRequest':
-		case 'refuseRequest': {
-			return {name: effect.type};
-		}
-
-		case 'answerTemplateChange':
-		case 'cancelExecution':
-		case 'closeConnection':
-		case 'closeSession':
-		case 'connectPeer':
-		case 'countCustomer':
-		case 'countEvent':
-		case 'disconnectPeer':
-		case 'drained':
-		case 'log':
-		case 'openConnection':
-		case 'poll':
-		case 'recordRequest':
-		case 'resetConnection':
-		case 'setHealth':
-		case 'startAttempt':
-		case 'stopPolling':
-		case 'transactionLost':
-		case 'watchPeer': {
-			return {};
-		}
-	}
-}
-
 function classify(statement: fakeServer.FakeStatement): proxy.RequestKind {
 	switch (statement.type) {
 		case 'get': {
