--- a/src/scenario/order/explorer.ts
+++ b/src/scenario/order/explorer.ts
@@ -1,11 +1,10 @@
 /**
- * Searches the schedules of a history: all schedules of one interference in order, then random ones of two.
- * A failing schedule of two is reduced to the shortest that still fails.
+ * Searches the schedules of a history: those of one interference, in an order that the seed decides, and
+ * random ones of at most two. A failing one of the second kind is reduced to a shorter one that still fails.
  */
 import * as fastCheck from 'fast-check';
 import type * as ids from '../../common/ids.js';
-import type * as histories from './histories.js';
-import * as historyRuns from './histories.js';
+import * as histories from './histories.js';
 import type * as order from './types.js';
 
 export type Finding = {
@@ -13,7 +12,7 @@
 	readonly problems: readonly string[];
 };
 
-/** The schedules that were played, and the first one that fails. */
+/** The schedules that were played, those of the reduction included, and the first one that fails. */
 export type SearchReport = {
 	readonly count: number;
 	readonly finding: Finding | undefined;
@@ -56,7 +55,7 @@
 	return {count: sample.length, finding: undefined};
 }
 
-/** Plays random schedules of two interferences; the same one twice is among them. */
+/** Plays random schedules of at most two interferences; the same one twice is among them. */
 export function searchPairs(options: SearchOptions): SearchReport {
 	const candidates = listInterferences(options);
 	let count = 0;
@@ -66,7 +65,7 @@
 			maxLength: 2,
 		}),
 		(schedule) => {
-			fastCheck.pre(historyRuns.isTolerated(options.history, schedule));
+			fastCheck.pre(histories.isTolerated(options.history, schedule));
 			count++;
 			return listProblems(options, schedule).length === 0;
 		},
@@ -90,7 +89,7 @@
 	{history, missingFix}: SearchOptions,
 	schedule: order.Schedule,
 ): readonly string[] {
-	return historyRuns.runHistory(history, schedule, missingFix).problems;
+	return histories.runHistory(history, schedule, missingFix).problems;
 }
 
 /** Lists what can be done at the steps that the history shows without any interference. */
@@ -99,7 +98,7 @@
 	missingFix,
 	maxOccurrence,
 }: SearchOptions): order.Interference[] {
-	const {seen} = historyRuns.runHistory(history, [], missingFix);
+	const {seen} = histories.runHistory(history, [], missingFix);
 	const points = seen
 		.map(({point}) => point)
 		.filter(({occurrence}) => occurrence <= maxOccurrence);
