Give back the ports of a soak run

What was seen: the long soak of 50 runs ended after 44 with "all blocks of ports are in use". There are 44 blocks; a run never gave its block back.

--- a/scripts/quickstart/cluster.mjs
+++ b/scripts/quickstart/cluster.mjs
@@ -187,11 +187,16 @@
 		}
 
 		this.children.clear();
-		await this.portBlock?.release();
+		await this.releasePorts();
 		fs.rmSync(this.folder, {recursive: true, force: true});
 		return codes;
 	}
 
+	/** Gives the ports back; only after all processes have ended. */
+	async releasePorts() {
+		await this.portBlock?.release();
+	}
+
 	startProcess(name, args, nodeOptions = []) {
 		const logFile = fs.openSync(path.join(this.folder, `${name}.log`), 'a');
 		const child = childProcess.spawn(
--- a/src/daemon/testing.ts
+++ b/src/daemon/testing.ts
@@ -14,6 +14,7 @@
 	ports: Map<string, Readonly<Record<string, number>>>;
 	start(): Promise<void>;
 	kill(name: string): Promise<void>;
+	releasePorts(): Promise<void>;
 	signal(name: string, signal: NodeJS.Signals): void;
 	startDaemon(name: string): void;
 	startStandIn(
--- a/src/soak/fleet.ts
+++ b/src/soak/fleet.ts
@@ -157,6 +157,7 @@
 				this.#cluster.kill(name),
 			),
 		);
+		await this.#cluster.releasePorts();
 		if (this.#handleExit) {
 			process.off('exit', this.#handleExit);
 		}
